--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,88 @@
+// Package cli is the operator's command line as a library: each command is a
+// type with its flags, and Main parses, runs and turns errors into exit codes.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+)
+
+// The exit codes of Main.
+const (
+	ExitOK      = 0
+	ExitFailure = 1 // the command ran and failed, or a check found a problem
+	ExitUsage   = 2 // the command line or a setting is wrong; nothing was started
+)
+
+// Streams are the inputs and outputs of a command.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// OSStreams returns the streams of the process.
+func OSStreams() Streams {
+	return Streams{
+		In:  os.Stdin,
+		Out: os.Stdout,
+		Err: os.Stderr,
+	}
+}
+
+// ErrUsage marks errors that are the user's: Main exits with ExitUsage.
+var ErrUsage = errors.New("usage")
+
+// commands is the grammar of the wardturn command.
+type commands struct {
+	Trace   traceCmd   `cmd:"" help:"Generate a trace with a user's sizes."`
+	Compare compareCmd `cmd:"" help:"Compare policies on the same trace."`
+	Policy  policyCmd  `cmd:"" help:"Check policies."`
+}
+
+// Main runs the wardturn command and returns its exit code.
+func Main(ctx context.Context, args []string, s Streams) int {
+	var root commands
+	exit := -1
+	parser, err := kong.New(&root,
+		kong.Name("wardturn"),
+		kong.Description("Operate wardturn: a serving layer for one base model with very many LoRA adapters."),
+		kong.Writers(s.Out, s.Err),
+		kong.Exit(func(code int) { exit = code }),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(s),
+		kong.DefaultEnvars("WARDTURN"),
+		kong.ConfigureHelp(kong.HelpOptions{
+			Compact: true,
+		}),
+	)
+	if err != nil {
+		fmt.Fprintln(s.Err, "wardturn:", err)
+		return ExitFailure
+	}
+	k, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit
+	}
+	if err != nil {
+		fmt.Fprintln(s.Err, "wardturn:", err)
+		return ExitUsage
+	}
+	return exitCode(s, k.Run())
+}
+
+func exitCode(s Streams, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(s.Err, "wardturn:", err)
+	if errors.Is(err, ErrUsage) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
--- /dev/null
+++ b/decide/agent.go
@@ -0,0 +1,374 @@
+package decide
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wardturn"
+)
+
+const noSlot = -1
+
+// The defaults of AgentConfig.
+const (
+	DefaultMaxQueue     = 1024
+	DefaultLoadTime     = 400 * time.Millisecond
+	DefaultReserveSlots = 2
+	DefaultServiceTime  = 2 * time.Second
+	DefaultForgetAfter  = 10 * time.Minute
+	DefaultStarveAfter  = 20 * time.Second
+	DefaultDrainAfter   = 2 * time.Second
+)
+
+const (
+	storeBusyDelay = 100 * time.Millisecond
+	minBackoff     = 500 * time.Millisecond
+	maxBackoff     = 30 * time.Second
+	sweepEvery     = time.Minute
+)
+
+// AgentConfig holds the limits of one upstream.
+type AgentConfig struct {
+	Upstream     wardturn.UpstreamID
+	Slots        int           // zero for a plain service
+	MaxRunning   int           // requests that run at once
+	MaxQueue     int           // requests that wait at most
+	ReserveSlots int           // slots that batch work leaves free
+	LoadTime     time.Duration // first guess
+	ServiceTime  time.Duration // first guess
+	ForgetAfter  time.Duration // idle time after which an adapter's history goes
+	StarveAfter  time.Duration // waiting time after which age alone decides
+	DrainAfter   time.Duration // waiting time after which a busy slot is drained
+}
+
+func (c AgentConfig) withDefaults() AgentConfig {
+	if c.MaxQueue == 0 {
+		c.MaxQueue = DefaultMaxQueue
+	}
+	if c.LoadTime == 0 {
+		c.LoadTime = DefaultLoadTime
+	}
+	if c.ReserveSlots == 0 {
+		c.ReserveSlots = DefaultReserveSlots
+	}
+	if c.ServiceTime == 0 {
+		c.ServiceTime = DefaultServiceTime
+	}
+	if c.ForgetAfter == 0 {
+		c.ForgetAfter = DefaultForgetAfter
+	}
+	if c.StarveAfter == 0 {
+		c.StarveAfter = DefaultStarveAfter
+	}
+	if c.DrainAfter == 0 {
+		c.DrainAfter = DefaultDrainAfter
+	}
+	return c
+}
+
+// Work is one attempt as the agent core sees it.
+type Work struct {
+	Attempt  wardturn.AttemptID
+	Adapter  wardturn.AdapterRef // zero for a plain service
+	Class    wardturn.Class
+	Prompt   wardturn.Tokens
+	Output   wardturn.Tokens
+	Deadline time.Time // zero: none
+}
+
+// SlotOrder asks the driver to load or unload one adapter.
+type SlotOrder struct {
+	ID      wardturn.OrderID
+	Adapter wardturn.AdapterRef
+}
+
+// Start asks the driver to run an attempt now.
+type Start struct {
+	Attempt wardturn.AttemptID
+	Stalled time.Duration // time that the attempt waited for its adapter
+}
+
+// Refusal tells the driver that an attempt will not run.
+type Refusal struct {
+	Attempt wardturn.AttemptID
+	Outcome wardturn.Outcome
+}
+
+// Orders collects what the driver has to do after an event. Reset it between
+// events to reuse its memory.
+type Orders struct {
+	Run    []Start
+	Load   []SlotOrder
+	Unload []SlotOrder
+	Refuse []Refusal
+	Wish   []Wish // for the allocator of the store's rate; at most one
+}
+
+// Reset empties the orders and keeps their memory.
+func (o *Orders) Reset() {
+	o.Run = o.Run[:0]
+	o.Load = o.Load[:0]
+	o.Unload = o.Unload[:0]
+	o.Refuse = o.Refuse[:0]
+	o.Wish = o.Wish[:0]
+}
+
+// AgentStats counts what an Agent did since its start.
+type AgentStats struct {
+	Loads     int
+	Evictions int
+	Lost      int // adapters that the engine dropped by itself
+}
+
+// Agent decides for one upstream.
+type Agent struct {
+	cfg        AgentConfig
+	policy     wardturn.Policy
+	permits    Permits
+	slots      []slot
+	adapters   map[wardturn.AdapterRef]*adapter
+	work       map[wardturn.AttemptID]*item
+	plain      queue      // requests to a plain service
+	wanted     []*adapter // adapters that wait without a slot
+	scratch    []*item
+	lastSeq    uint64
+	misses     uint64
+	missRate   meter
+	running    int
+	runBatch   int
+	queued     int
+	leaving    bool
+	lastOrder  wardturn.OrderID
+	loadTime   time.Duration
+	serveTime  time.Duration
+	started    time.Time
+	lastReport time.Time
+	lastSweep  time.Time
+	stats      AgentStats
+}
+
+// NewAgent returns the decision core of one upstream. A fresh agent takes its
+// engine to be empty until the first report.
+func NewAgent(now time.Time, cfg AgentConfig, policy wardturn.Policy, permits Permits) *Agent {
+	cfg = cfg.withDefaults()
+	a := &Agent{
+		cfg:       cfg,
+		policy:    policy,
+		permits:   permits,
+		slots:     make([]slot, cfg.Slots),
+		adapters:  make(map[wardturn.AdapterRef]*adapter),
+		work:      make(map[wardturn.AttemptID]*item),
+		loadTime:  cfg.LoadTime,
+		serveTime: cfg.ServiceTime,
+		started:   now,
+		lastSweep: now,
+	}
+	return a
+}
+
+// SetPolicy replaces the policy. Waiting requests keep their places until they
+// are next compared.
+func (a *Agent) SetPolicy(p wardturn.Policy) {
+	a.policy = p
+	for _, ad := range a.adapters {
+		ad.valueAt = time.Time{}
+	}
+}
+
+// Admit takes a new attempt. It is run, queued, or refused in out.
+func (a *Agent) Admit(now time.Time, w Work, out *Orders) {
+	if refusal, refused := a.screen(now, w, out); refused {
+		out.Refuse = append(out.Refuse, refusal)
+		return
+	}
+	a.lastSeq++
+	it := &item{
+		work:    w,
+		arrived: now,
+		seq:     a.lastSeq,
+	}
+	a.work[w.Attempt] = it
+	a.enqueue(now, it)
+	a.plan(now, out)
+}
+
+// screen refuses what cannot be served in time.
+func (a *Agent) screen(now time.Time, w Work, out *Orders) (Refusal, bool) {
+	switch {
+	case a.leaving:
+		return refuse(w, wardturn.ReasonLeaving, 0), true
+	case a.work[w.Attempt] != nil:
+		return refuse(w, wardturn.ReasonDuplicate, 0), true
+	case a.queued >= a.cfg.MaxQueue && !a.displace(w, out):
+		return refuse(w, wardturn.ReasonQueueFull, a.queueDelay()), true
+	case w.Deadline.IsZero():
+		return Refusal{}, false
+	}
+	return a.screenDeadline(now, w)
+}
+
+func refuse(w Work, reason wardturn.Reason, retryAfter time.Duration) Refusal {
+	return Refusal{
+		Attempt: w.Attempt,
+		Outcome: wardturn.Refused(reason, retryAfter),
+	}
+}
+
+// Cancel withdraws a queued attempt and reports whether it was still queued.
+// A running one has to be ended by the driver.
+func (a *Agent) Cancel(now time.Time, id wardturn.AttemptID, out *Orders) bool {
+	it := a.work[id]
+	if it == nil || it.running {
+		return false
+	}
+	a.dequeue(it)
+	delete(a.work, id)
+	a.plan(now, out)
+	return true
+}
+
+// Finished reports that a running attempt ended, however it ended.
+func (a *Agent) Finished(now time.Time, id wardturn.AttemptID, out *Orders) {
+	it := a.work[id]
+	if it == nil || !it.running {
+		return
+	}
+	a.unpin(now, it)
+	a.observeService(now.Sub(it.startedAt))
+	delete(a.work, id)
+	a.plan(now, out)
+}
+
+// NotLoaded reports that the engine refused a running attempt because it does
+// not hold the adapter version. The attempt did not run; it waits again, and
+// the slot is taken to be empty.
+func (a *Agent) NotLoaded(now time.Time, id wardturn.AttemptID, out *Orders) {
+	it := a.work[id]
+	if it == nil || !it.running {
+		return
+	}
+	a.unpin(now, it)
+	if ad := it.adapter; ad != nil {
+		ad.missingAt = now
+		if ad.slot != noSlot && a.slots[ad.slot].state == SlotReady {
+			a.lose(&a.slots[ad.slot], now)
+		}
+	}
+	it.running = false
+	a.enqueueAgain(it)
+	a.plan(now, out)
+}
+
+// Leave stops the admission of new work and hands queued work back as not run.
+// Running work goes on.
+func (a *Agent) Leave(_ time.Time, out *Orders) {
+	a.leaving = true
+	everything := func(*item) bool {
+		return true
+	}
+	a.refuseWaiting(everything, wardturn.ReasonLeaving, 0, out)
+}
+
+// Leaving reports whether Leave was called.
+func (a *Agent) Leaving() bool {
+	return a.leaving
+}
+
+// refuseWaiting refuses the waiting items that match, in order of admission.
+func (a *Agent) refuseWaiting(match func(*item) bool, reason wardturn.Reason, retryAfter time.Duration, out *Orders) {
+	items := a.scratch[:0]
+	for _, it := range a.work {
+		if !it.running && match(it) {
+			items = append(items, it)
+		}
+	}
+	slices.SortFunc(items, bySeq)
+	for _, it := range items {
+		a.dequeue(it)
+		delete(a.work, it.work.Attempt)
+		out.Refuse = append(out.Refuse, refuse(it.work, reason, retryAfter))
+	}
+	clear(items)
+	a.scratch = items[:0]
+}
+
+func bySeq(x, y *item) int {
+	return cmp.Compare(x.seq, y.seq)
+}
+
+// Granted reports a permit of the store's allocator.
+func (a *Agent) Granted(now time.Time, g Grant, out *Orders) {
+	a.permits.Granted(now, g)
+	a.plan(now, out)
+}
+
+// Tick lets time pass: it expires deadlines, ends holds and retries loads. Call
+// it a few times a second.
+func (a *Agent) Tick(now time.Time, out *Orders) {
+	a.expire(now, out)
+	if now.Sub(a.lastSweep) >= sweepEvery {
+		a.lastSweep = now
+		a.sweep(now)
+	}
+	a.plan(now, out)
+}
+
+func (a *Agent) expire(now time.Time, out *Orders) {
+	if a.queued == 0 {
+		return
+	}
+	late := func(it *item) bool {
+		return !it.work.Deadline.IsZero() && !now.Before(it.work.Deadline)
+	}
+	a.refuseWaiting(late, wardturn.ReasonDeadline, a.queueDelay(), out)
+}
+
+// sweep forgets adapters that nobody asked for in a long time.
+func (a *Agent) sweep(now time.Time) {
+	for ref, ad := range a.adapters {
+		idle := now.Sub(ad.demand.Last())
+		if ad.slot == noSlot && ad.waiting() == 0 && ad.running == 0 && idle > a.cfg.ForgetAfter {
+			delete(a.adapters, ref)
+		}
+	}
+}
+
+// Idle reports whether nothing runs and nothing waits.
+func (a *Agent) Idle() bool {
+	return len(a.work) == 0
+}
+
+// Stats returns the counters.
+func (a *Agent) Stats() AgentStats {
+	return a.stats
+}
+
+// Slots returns a copy of the slots.
+func (a *Agent) Slots() []SlotView {
+	views := make([]SlotView, 0, len(a.slots))
+	for i := range a.slots {
+		s := &a.slots[i]
+		v := SlotView{
+			State:    s.state,
+			Adapter:  s.ref,
+			Draining: s.draining,
+		}
+		if ad := a.adapters[s.ref]; ad != nil {
+			v.Running = ad.running
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+// observe* keep moving averages with the weight of a new observation.
+const observeWeight = 0.1
+
+func (a *Agent) observeLoad(d time.Duration) {
+	a.loadTime += time.Duration(observeWeight * float64(d-a.loadTime))
+}
+
+func (a *Agent) observeService(d time.Duration) {
+	a.serveTime += time.Duration(observeWeight * float64(d-a.serveTime))
+}
--- /dev/null
+++ b/decide/allocator.go
@@ -0,0 +1,200 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+const (
+	// wishLifetime is how long an agent's wish counts without being repeated.
+	wishLifetime = 2 * time.Second
+	// loadingLifetime is how long a silent agent's loads and permits still
+	// count against the store's places.
+	loadingLifetime = 5 * time.Second
+	// allocatorDecrease and allocatorIncrease adapt the rate when the store
+	// refuses although the limit was kept: another allocator is at work, or
+	// the store gives less than it promised.
+	allocatorDecrease = 0.7
+	allocatorIncrease = 0.02
+	allocatorFloor    = 0.1
+)
+
+// Allocator shares the rate and the parallel places of one weight store between
+// the agents that use it. It gives each permit to the most valuable wish.
+//
+// Agents find their allocator by rendezvous hashing over the live hosts. Two
+// agents may hold different ones for a while: then the store refuses more
+// often, both allocators slow down, and nothing else happens.
+type Allocator struct {
+	limit  StoreLimit
+	epoch  uint64
+	bucket bucket
+	asks   []*ask // in order of upstream
+	byID   map[wardturn.UpstreamID]*ask
+	misses meter
+}
+
+type ask struct {
+	wish  Wish
+	total uint64 // permits given in this epoch
+	used  uint64
+	busy  int
+	miss  uint64
+	at    time.Time
+}
+
+// outstanding counts the store places that an agent holds or may take.
+func (k *ask) outstanding() int {
+	return k.wish.Loading + int(k.total-k.used)
+}
+
+// NewAllocator returns an allocator for one store. The epoch must differ from
+// that of any earlier allocator the agents may have heard of.
+func NewAllocator(limit StoreLimit, epoch uint64) *Allocator {
+	return &Allocator{
+		limit: limit,
+		epoch: epoch,
+		bucket: bucket{
+			rate:  limit.Rate,
+			burst: max(1, float64(limit.Parallel)/2),
+		},
+		byID: make(map[wardturn.UpstreamID]*ask),
+	}
+}
+
+// Wish takes an agent's wish and appends the grants to send to out. The agent
+// itself always gets an answer.
+func (l *Allocator) Wish(now time.Time, w Wish, out []Grant) []Grant {
+	k := l.ask(w.Upstream)
+	if w.Busy > k.busy && !k.at.IsZero() {
+		l.bucket.rate = max(l.limit.Rate*allocatorFloor, l.bucket.rate*allocatorDecrease)
+	}
+	k.busy = w.Busy
+	if w.Misses > k.miss {
+		if !k.at.IsZero() {
+			l.misses.add(now, float64(w.Misses-k.miss))
+		}
+		k.miss = w.Misses
+	}
+	k.wish = w
+	k.at = now
+	if w.Epoch == l.epoch {
+		// An agent that was silent for long is known anew: its count goes on
+		// from what it has used, or it would take new permits for old ones.
+		k.total = max(k.total, w.Used)
+		k.used = max(k.used, w.Used)
+	}
+	out = l.Tick(now, out)
+	for _, g := range out {
+		if g.Upstream == w.Upstream {
+			return out
+		}
+	}
+	return append(out, l.grant(now, k))
+}
+
+func (l *Allocator) ask(id wardturn.UpstreamID) *ask {
+	if k := l.byID[id]; k != nil {
+		return k
+	}
+	k := &ask{}
+	l.byID[id] = k
+	at := len(l.asks)
+	for at > 0 && l.asks[at-1].wish.Upstream > id {
+		at--
+	}
+	k.wish.Upstream = id
+	l.asks = append(l.asks, nil)
+	copy(l.asks[at+1:], l.asks[at:])
+	l.asks[at] = k
+	return k
+}
+
+// Tick hands out the permits that time has made available.
+func (l *Allocator) Tick(now time.Time, out []Grant) []Grant {
+	l.forget(now)
+	for l.loading() < l.limit.Parallel {
+		k := l.best()
+		if k == nil || !l.bucket.take(now) {
+			break
+		}
+		l.bucket.rate = min(l.limit.Rate, l.bucket.rate*(1+allocatorIncrease))
+		k.total++
+		out = append(out, l.grant(now, k))
+	}
+	return out
+}
+
+// Next returns when the next permit becomes available if somebody waits.
+func (l *Allocator) Next(now time.Time) (time.Duration, bool) {
+	if l.best() == nil || l.loading() >= l.limit.Parallel {
+		return 0, false
+	}
+	l.bucket.fill(now)
+	missing := max(0, 1-l.bucket.tokens)
+	return time.Duration(missing / l.bucket.rate * float64(time.Second)), true
+}
+
+func (l *Allocator) forget(now time.Time) {
+	kept := l.asks[:0]
+	for _, k := range l.asks {
+		silent := now.Sub(k.at)
+		if silent > loadingLifetime {
+			delete(l.byID, k.wish.Upstream)
+			continue
+		}
+		if silent > wishLifetime {
+			k.wish.Want = 0
+		}
+		kept = append(kept, k)
+	}
+	clear(l.asks[len(kept):])
+	l.asks = kept
+}
+
+func (l *Allocator) loading() int {
+	n := 0
+	for _, k := range l.asks {
+		n += k.outstanding()
+	}
+	return n
+}
+
+// best returns the agent with the most valuable wish that holds no unused
+// permit.
+func (l *Allocator) best() *ask {
+	var best *ask
+	for _, k := range l.asks {
+		if k.wish.Want == 0 || k.total > k.used {
+			continue
+		}
+		if best == nil || better(k.wish, best.wish) {
+			best = k
+		}
+	}
+	return best
+}
+
+func better(x, y Wish) bool {
+	if x.Class != y.Class {
+		return x.Class == wardturn.Interactive
+	}
+	return x.Value > y.Value
+}
+
+func (l *Allocator) grant(now time.Time, k *ask) Grant {
+	pace := interval(l.bucket.rate)
+	backlog := 0
+	for _, other := range l.asks {
+		backlog += other.wish.Want
+	}
+	return Grant{
+		Upstream: k.wish.Upstream,
+		Epoch:    l.epoch,
+		Total:    k.total,
+		Interval: pace,
+		Backlog:  backlog,
+		Load:     l.misses.rate(now) * pace.Seconds(),
+	}
+}
--- /dev/null
+++ b/decide/allocator_test.go
@@ -0,0 +1,79 @@
+package decide_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+var start = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+var _ = Describe("Allocator", func() {
+	limit := decide.StoreLimit{
+		Rate:     10,
+		Parallel: 4,
+	}
+	wish := func(id wardturn.UpstreamID, value float64) decide.Wish {
+		return decide.Wish{
+			Upstream: id,
+			Value:    value,
+			Want:     1,
+		}
+	}
+
+	It("gives a scarce permit to the most valuable wish", func() {
+		l := decide.NewAllocator(limit, 1)
+		for _, id := range []wardturn.UpstreamID{"x", "y"} {
+			l.Wish(start, wish(id, 1), nil) // use up the burst
+		}
+		l.Wish(start, wish("low", 2), nil)
+		l.Wish(start, wish("high", 3), nil)
+		grants := l.Tick(start.Add(100*time.Millisecond), nil)
+		Expect(grants).To(HaveLen(1))
+		Expect(grants[0].Upstream).To(Equal(wardturn.UpstreamID("high")))
+	})
+
+	It("counts on for an agent that was silent for long", func() {
+		l := decide.NewAllocator(limit, 7)
+		p := decide.NewAllocatedPermits(limit, 1)
+		now := start
+		load := func() bool {
+			if !p.Take(now, wish("a", 1)) {
+				w, due := p.Pending(now)
+				Expect(due).To(BeTrue())
+				w.Upstream = "a"
+				for _, g := range l.Wish(now, w, nil) {
+					p.Granted(now, g)
+				}
+				return p.Take(now, wish("a", 1))
+			}
+			return true
+		}
+		finish := func() {
+			p.Finished(now, decide.OrderDone)
+			p.Withdraw(now)
+			if w, due := p.Pending(now); due {
+				w.Upstream = "a"
+				l.Wish(now, w, nil)
+			}
+		}
+		Expect(load()).To(BeTrue())
+		finish()
+		now = now.Add(time.Minute)
+		l.Tick(now, nil) // forgets the silent agent
+		Expect(load()).To(BeTrue(), "the first permit after the silence must be usable at once")
+	})
+
+	It("slows down when the store refuses although the limit was kept", func() {
+		l := decide.NewAllocator(limit, 1)
+		w := wish("a", 1)
+		l.Wish(start, w, nil)
+		w.Busy = 3
+		grants := l.Wish(start.Add(time.Second), w, nil)
+		Expect(grants[0].Interval).To(BeNumerically(">", 100*time.Millisecond))
+	})
+})
--- /dev/null
+++ b/decide/breaker.go
@@ -0,0 +1,53 @@
+package decide
+
+import "time"
+
+const (
+	breakerTrips    = 3
+	breakerMinPause = 500 * time.Millisecond
+	breakerMaxPause = 15 * time.Second
+	breakerShiftCap = 10
+)
+
+// Breaker leaves an upstream alone after several failures in a row and lets one
+// request try it when the pause is over. The zero value is closed.
+type Breaker struct {
+	failures int
+	pauses   int
+	until    time.Time
+}
+
+// Allows reports whether a request may go to the upstream.
+func (b *Breaker) Allows(now time.Time) bool {
+	if b.failures < breakerTrips {
+		return true
+	}
+	return !now.Before(b.until)
+}
+
+// Tried records that a request goes to the upstream: while the breaker is open,
+// no second one follows until the first has ended or the pause passed again.
+func (b *Breaker) Tried(now time.Time) {
+	if b.failures >= breakerTrips {
+		b.until = now.Add(b.pause())
+	}
+}
+
+// Succeed closes the breaker.
+func (b *Breaker) Succeed() {
+	*b = Breaker{}
+}
+
+// Fail counts a failure and opens the breaker after several.
+func (b *Breaker) Fail(now time.Time) {
+	b.failures++
+	if b.failures < breakerTrips {
+		return
+	}
+	b.until = now.Add(b.pause())
+	b.pauses++
+}
+
+func (b *Breaker) pause() time.Duration {
+	return min(breakerMinPause<<min(b.pauses, breakerShiftCap), breakerMaxPause)
+}
--- /dev/null
+++ b/decide/place.go
@@ -0,0 +1,223 @@
+package decide
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"wardturn"
+)
+
+// sticky sends an adapter where this entry sent it before. A new adapter goes to
+// the best of its first rendezvous candidates; one whose homes are all loaded
+// far over the average gets another home.
+func (r *Router) sticky(now time.Time, p *pool, usable []scored, ask Ask) *target {
+	loc := r.locations.get(ask.Adapter)
+	loc.forgetIdle(now, r.cfg.LocationLife)
+	home := loc.lightest(usable)
+	if home != nil && !r.overloaded(p, home) {
+		loc.use(now, home)
+		return home
+	}
+	chosen := r.place(usable, loc)
+	if home != nil && (chosen == nil || !r.relieves(home, chosen)) {
+		chosen = home
+	}
+	if chosen == nil {
+		chosen = top(usable)
+	}
+	loc.use(now, chosen)
+	return chosen
+}
+
+// overloaded reports whether a home carries so much that a replica elsewhere is
+// worth a load.
+func (r *Router) overloaded(p *pool, t *target) bool {
+	if t.hint.Capacity == 0 {
+		return false
+	}
+	average := p.load / float64(len(p.targets))
+	bound := max(r.cfg.BoundFactor*average, busyShare*float64(t.hint.Capacity))
+	return t.load() >= bound
+}
+
+// busyShare is the part of its capacity up to which an upstream is never taken
+// to be overloaded.
+const busyShare = 0.8
+
+// relieves reports whether moving from home to other is a clear gain.
+func (r *Router) relieves(home, other *target) bool {
+	const share = 0.7
+	return other.load() < share*home.load()
+}
+
+// place chooses among the first rendezvous candidates the one where a load
+// would start soonest, preferring the first when the others are hardly better.
+func (r *Router) place(usable []scored, loc *location) *target {
+	candidates := topCandidates(usable, r.cfg.Candidates+len(loc.homes))
+	var best *target
+	var bestCost float64
+	for rank, s := range candidates {
+		if loc.has(s.t) {
+			continue
+		}
+		cost := placeCost(s.t) + float64(rank)*rankCost
+		if best == nil || cost < bestCost {
+			best = s.t
+			bestCost = cost
+		}
+	}
+	return best
+}
+
+const (
+	rankCost  = 0.5 // for each step away from the first candidate
+	wantCost  = 1.0 // for each adapter that already waits for a slot
+	fullCost  = 2.0 // when no slot could be reused
+	queueCost = 4.0 // at full capacity
+)
+
+func placeCost(t *target) float64 {
+	cost := wantCost * float64(t.hint.Wants)
+	if t.hint.Capacity == 0 {
+		return cost
+	}
+	if t.hint.Spare == 0 {
+		cost += fullCost
+	}
+	return cost + queueCost*t.load()/float64(t.hint.Capacity)
+}
+
+// topCandidates returns the n highest scores in descending order. The list is
+// reordered.
+func topCandidates(list []scored, n int) []scored {
+	n = min(n, len(list))
+	for i := range n {
+		best := i
+		for j := i + 1; j < len(list); j++ {
+			if list[j].score > list[best].score {
+				best = j
+			}
+		}
+		list[i], list[best] = list[best], list[i]
+	}
+	return list[:n]
+}
+
+// location is where an entry sent an adapter lately.
+type location struct {
+	ref   wardturn.AdapterRef
+	homes []home
+	elem  *list.Element
+}
+
+type home struct {
+	t    *target
+	used time.Time
+}
+
+func (l *location) has(t *target) bool {
+	return slices.ContainsFunc(l.homes, func(h home) bool {
+		return h.t == t
+	})
+}
+
+func (l *location) use(now time.Time, t *target) {
+	for i := range l.homes {
+		if l.homes[i].t == t {
+			l.homes[i].used = now
+			return
+		}
+	}
+	l.homes = append(l.homes, home{
+		t:    t,
+		used: now,
+	})
+}
+
+// forgetIdle drops homes that were not used lately or are gone.
+func (l *location) forgetIdle(now time.Time, life time.Duration) {
+	l.homes = slices.DeleteFunc(l.homes, func(h home) bool {
+		return h.t.removed || now.Sub(h.used) > life
+	})
+}
+
+// lightest returns the least loaded home that is usable, or nil.
+func (l *location) lightest(usable []scored) *target {
+	var best *target
+	for _, h := range l.homes {
+		if !contains(usable, h.t) {
+			continue
+		}
+		if best == nil || h.t.load() < best.load() {
+			best = h.t
+		}
+	}
+	return best
+}
+
+func contains(list []scored, t *target) bool {
+	for i := range list {
+		if list[i].t == t {
+			return true
+		}
+	}
+	return false
+}
+
+// locations is a bounded map that forgets the adapter asked for longest ago.
+type locations struct {
+	limit int
+	byRef map[wardturn.AdapterRef]*location
+	order *list.List // most recent first
+}
+
+func newLocations(limit int) locations {
+	return locations{
+		limit: limit,
+		byRef: make(map[wardturn.AdapterRef]*location),
+		order: list.New(),
+	}
+}
+
+func (l *locations) get(ref wardturn.AdapterRef) *location {
+	if loc := l.byRef[ref]; loc != nil {
+		l.order.MoveToFront(loc.elem)
+		return loc
+	}
+	loc := &location{
+		ref: ref,
+	}
+	loc.elem = l.order.PushFront(loc)
+	l.byRef[ref] = loc
+	if l.order.Len() > l.limit {
+		oldest := l.order.Remove(l.order.Back()).(*location)
+		delete(l.byRef, oldest.ref)
+	}
+	return loc
+}
+
+// hashString is FNV-1a over the string's bytes, then mixed.
+func hashString(s string) uint64 {
+	const (
+		offset = 14695981039346656037
+		prime  = 1099511628211
+	)
+	h := uint64(offset)
+	for i := 0; i < len(s); i++ {
+		h ^= uint64(s[i])
+		h *= prime
+	}
+	return mix(h)
+}
+
+// mix spreads every input bit over the whole word (the finalizer of
+// splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
--- /dev/null
+++ b/decide/plan.go
@@ -0,0 +1,378 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+const (
+	// valueLifetime bounds how long a policy's answer for an adapter is reused.
+	valueLifetime = 100 * time.Millisecond
+	// batchReserve is the share of an engine step that batch work leaves free
+	// for interactive work that may come.
+	batchReserve = 0.125
+	// batchStarveFactor times AgentConfig.StarveAfter is the age at which a
+	// batch request may take a slot as interactive work does.
+	batchStarveFactor = 30
+)
+
+// plan starts what can start and orders what has to be loaded.
+func (a *Agent) plan(now time.Time, out *Orders) {
+	a.startReady(now, out)
+	a.planLoads(now, out)
+	if w, due := a.permits.Pending(now); due {
+		w.Upstream = a.cfg.Upstream
+		w.Misses = a.misses
+		out.Wish = append(out.Wish[:0], w)
+	}
+}
+
+func (a *Agent) startReady(now time.Time, out *Orders) {
+	for a.queued > 0 && a.running < a.cfg.MaxRunning {
+		it := a.nextInteractive(now)
+		if it == nil {
+			it = a.nextBatch(now)
+		}
+		if it == nil {
+			return
+		}
+		a.start(now, it, out)
+	}
+}
+
+// nextInteractive returns the interactive item to run now, or nil.
+func (a *Agent) nextInteractive(now time.Time) *item {
+	best := a.plain.best(now, a.cfg.StarveAfter)
+	for i := range a.slots {
+		ad := a.servingSlot(i)
+		if ad == nil {
+			continue
+		}
+		best = a.earlier(now, best, ad.interactive.best(now, a.cfg.StarveAfter))
+	}
+	return best
+}
+
+// nextBatch returns the batch item to run now, or nil. Batch work is what the
+// policy may hold, and it leaves room for interactive work.
+func (a *Agent) nextBatch(now time.Time) *item {
+	room := a.cfg.MaxRunning - int(batchReserve*float64(a.cfg.MaxRunning))
+	if a.running >= room {
+		return nil
+	}
+	pinned := a.pinnedSlots()
+	var best *item
+	for i := range a.slots {
+		ad := a.servingSlot(i)
+		if ad == nil || ad.batch.len() == 0 {
+			continue
+		}
+		if ad.running == 0 && pinned+a.cfg.ReserveSlots >= len(a.slots) {
+			continue
+		}
+		it := ad.batch.best(now, a.cfg.StarveAfter)
+		if a.held(now, it) {
+			continue
+		}
+		best = a.earlier(now, best, it)
+	}
+	return best
+}
+
+// servingSlot returns the adapter of a slot that may start requests.
+func (a *Agent) servingSlot(i int) *adapter {
+	s := &a.slots[i]
+	if s.state != SlotReady || s.draining {
+		return nil
+	}
+	return a.adapters[s.ref]
+}
+
+func (a *Agent) pinnedSlots() int {
+	n := 0
+	for i := range a.slots {
+		if ad := a.adapters[a.slots[i].ref]; ad != nil && ad.running > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// earlier picks the item to run first: starving ones by age, others by rank and
+// then by age.
+func (a *Agent) earlier(now time.Time, x, y *item) *item {
+	if x == nil {
+		return y
+	}
+	if y == nil {
+		return x
+	}
+	starvingX := now.Sub(x.arrived) > a.cfg.StarveAfter
+	starvingY := now.Sub(y.arrived) > a.cfg.StarveAfter
+	switch {
+	case starvingX != starvingY:
+		if starvingX {
+			return x
+		}
+		return y
+	case !starvingX && x.rank != y.rank:
+		if x.rank < y.rank {
+			return x
+		}
+		return y
+	case x.seq < y.seq:
+		return x
+	}
+	return y
+}
+
+// held reports whether the policy holds a batch item back. Near its deadline
+// nothing is held.
+func (a *Agent) held(now time.Time, it *item) bool {
+	in := a.queueInput(now, it)
+	if !it.work.Deadline.IsZero() && in.Deadline < holdMargin*a.serveTime+a.loadTime {
+		return false
+	}
+	return in.Waited < a.policy.Hold(in)
+}
+
+// holdMargin is how many service times before its deadline a held item is let
+// go.
+const holdMargin = 4
+
+func (a *Agent) start(now time.Time, it *item, out *Orders) {
+	a.dequeue(it)
+	it.running = true
+	it.startedAt = now
+	a.running++
+	start := Start{
+		Attempt: it.work.Attempt,
+	}
+	if it.work.Class == wardturn.Batch {
+		a.runBatch++
+	}
+	if it.adapter != nil {
+		it.adapter.running++
+		start.Stalled = a.stalled(it)
+	}
+	out.Run = append(out.Run, start)
+}
+
+// stalled returns how long an item waited for its adapter to become ready.
+func (a *Agent) stalled(it *item) time.Duration {
+	if it.stallFrom.IsZero() {
+		return 0
+	}
+	return max(0, a.slots[it.adapter.slot].since.Sub(it.stallFrom))
+}
+
+func (a *Agent) unpin(_ time.Time, it *item) {
+	a.running--
+	if it.work.Class == wardturn.Batch {
+		a.runBatch--
+	}
+	if it.adapter != nil {
+		it.adapter.running--
+	}
+}
+
+// planLoads turns wants into loads, the most valuable first.
+func (a *Agent) planLoads(now time.Time, out *Orders) {
+	if len(a.slots) == 0 {
+		return
+	}
+	for {
+		want := a.bestWant(now)
+		if want == nil {
+			a.stopDraining()
+			a.permits.Withdraw(now)
+			return
+		}
+		i := a.victim(now, want)
+		if i == noSlot {
+			a.drainFor(now, want)
+			a.permits.Withdraw(now)
+			return
+		}
+		if !a.permits.Take(now, a.wish(now, want)) {
+			return
+		}
+		a.bring(i, want, now, out)
+	}
+}
+
+func (a *Agent) wish(now time.Time, want *adapter) Wish {
+	w := Wish{
+		Class: wardturn.Interactive,
+		Value: a.value(now, want),
+		Want:  len(a.wanted),
+	}
+	if !a.urgent(now, want) {
+		w.Class = wardturn.Batch
+	}
+	return w
+}
+
+// urgent reports whether an adapter has work waiting that must not be held.
+func (a *Agent) urgent(now time.Time, ad *adapter) bool {
+	return ad.interactive.len() > 0 || ad.batch.oldest(now) > batchStarveFactor*a.cfg.StarveAfter
+}
+
+// bestWant returns the adapter to load next: urgent ones before others, then by
+// value. Adapters whose load failed a moment ago wait for their backoff.
+func (a *Agent) bestWant(now time.Time) *adapter {
+	var best *adapter
+	for _, ad := range a.wanted {
+		if now.Before(ad.retryAt) || !a.loadable(now, ad) {
+			continue
+		}
+		if best == nil || a.worthMore(now, ad, best) {
+			best = ad
+		}
+	}
+	return best
+}
+
+// loadable reports whether some request of a want is ready to run.
+func (a *Agent) loadable(now time.Time, ad *adapter) bool {
+	if ad.interactive.len() > 0 {
+		return true
+	}
+	return !a.held(now, ad.batch.items[0])
+}
+
+func (a *Agent) worthMore(now time.Time, x, y *adapter) bool {
+	urgentX := a.urgent(now, x)
+	urgentY := a.urgent(now, y)
+	if urgentX != urgentY {
+		return urgentX
+	}
+	valueX := a.value(now, x)
+	valueY := a.value(now, y)
+	if valueX != valueY {
+		return valueX > valueY
+	}
+	return x.ref.Adapter < y.ref.Adapter
+}
+
+// value asks the policy what an adapter's slot is worth, or reuses a recent
+// answer.
+func (a *Agent) value(now time.Time, ad *adapter) float64 {
+	if !ad.valueAt.IsZero() && now.Sub(ad.valueAt) < valueLifetime {
+		return ad.value
+	}
+	ad.value = a.policy.Slot(a.slotInput(now, ad))
+	ad.valueAt = now
+	return ad.value
+}
+
+func (a *Agent) slotInput(now time.Time, ad *adapter) wardturn.SlotInput {
+	return wardturn.SlotInput{
+		Adapter:     ad.ref.Adapter,
+		Rate:        ad.demand.Rate(now),
+		Waiting:     ad.interactive.len(),
+		WaitingLong: ad.interactive.oldest(now),
+		BatchWait:   ad.batch.len(),
+		BatchLong:   ad.batch.oldest(now),
+		Running:     ad.running,
+		Idle:        now.Sub(ad.demand.Last()),
+		Resident:    ad.slot != noSlot,
+		LoadTime:    a.loadTime,
+	}
+}
+
+// victim returns the slot to load a want into: an empty one, a drained one, or
+// the least valuable idle one if the want is worth more.
+func (a *Agent) victim(now time.Time, want *adapter) int {
+	best := noSlot
+	for i := range a.slots {
+		s := &a.slots[i]
+		if s.state == SlotEmpty {
+			return i
+		}
+		if !a.evictable(s) {
+			continue
+		}
+		if s.draining {
+			return i
+		}
+		if best == noSlot || a.value(now, a.adapters[s.ref]) < a.value(now, a.adapters[a.slots[best].ref]) {
+			best = i
+		}
+	}
+	if best == noSlot || a.outranks(now, want, a.adapters[a.slots[best].ref]) {
+		return best
+	}
+	return noSlot
+}
+
+// evictable reports whether a slot may be unloaded: nothing runs on it, now or
+// for an earlier agent, and no interactive work is about to.
+func (a *Agent) evictable(s *slot) bool {
+	if s.state != SlotReady || s.foreign {
+		return false
+	}
+	ad := a.adapters[s.ref]
+	return ad.running == 0 && (s.draining || ad.interactive.len() == 0)
+}
+
+// outranks reports whether a want may replace a resident adapter.
+func (a *Agent) outranks(now time.Time, want, resident *adapter) bool {
+	if want.interactive.oldest(now) > a.cfg.StarveAfter {
+		return true
+	}
+	return a.value(now, want) > a.value(now, resident)
+}
+
+// drainFor stops new requests on the least valuable busy slot, so that a want
+// that has waited long gets a place. One slot drains at a time.
+func (a *Agent) drainFor(now time.Time, want *adapter) {
+	if !a.urgent(now, want) || want.interactive.oldest(now) < a.cfg.DrainAfter {
+		return
+	}
+	best := noSlot
+	for i := range a.slots {
+		s := &a.slots[i]
+		if s.draining {
+			return
+		}
+		if s.state != SlotReady || a.evictable(s) {
+			continue
+		}
+		if best == noSlot || a.value(now, a.adapters[s.ref]) < a.value(now, a.adapters[a.slots[best].ref]) {
+			best = i
+		}
+	}
+	if best == noSlot || !a.outranks(now, want, a.adapters[a.slots[best].ref]) {
+		return
+	}
+	a.drain(now, best)
+}
+
+func (a *Agent) drain(now time.Time, i int) {
+	a.slots[i].draining = true
+	ad := a.adapters[a.slots[i].ref]
+	for _, it := range ad.interactive.items {
+		if it.stallFrom.IsZero() {
+			it.stallFrom = now
+		}
+	}
+}
+
+func (a *Agent) stopDraining() {
+	for i := range a.slots {
+		a.slots[i].draining = false
+	}
+}
+
+// bring loads a want into a slot, unloading the slot first if it is taken.
+func (a *Agent) bring(i int, want *adapter, now time.Time, out *Orders) {
+	if a.slots[i].state == SlotEmpty {
+		a.startLoad(i, want, now, out)
+		return
+	}
+	a.startUnload(i, want.ref, now, out)
+	want.slot = i
+	a.trackWant(want)
+}
--- /dev/null
+++ b/decide/queue.go
@@ -0,0 +1,254 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// item is an attempt that waits or runs.
+type item struct {
+	work      Work
+	adapter   *adapter // nil for a plain service
+	arrived   time.Time
+	startedAt time.Time
+	stallFrom time.Time // since when it waits for its adapter; zero if it does not
+	seq       uint64    // order of admission
+	rank      float64
+	running   bool
+}
+
+// adapter is what an agent remembers of one adapter version.
+type adapter struct {
+	ref         wardturn.AdapterRef
+	demand      Demand
+	interactive queue
+	batch       queue
+	slot        int
+	running     int
+	failures    int
+	retryAt     time.Time // no load before this
+	missingAt   time.Time // when the engine last denied holding it
+	value       float64
+	valueAt     time.Time
+	wantIndex   int // place in Agent.wanted, or noWant
+}
+
+const noWant = -1
+
+func (ad *adapter) waiting() int {
+	return ad.interactive.len() + ad.batch.len()
+}
+
+func (ad *adapter) backOff(now time.Time) {
+	delay := minBackoff << min(ad.failures, maxBackoffShift)
+	ad.failures++
+	ad.retryAt = now.Add(min(delay, maxBackoff))
+}
+
+const maxBackoffShift = 10
+
+// queue holds waiting items in the order of their arrival.
+type queue struct {
+	items []*item
+}
+
+func (q *queue) len() int {
+	return len(q.items)
+}
+
+func (q *queue) push(it *item) {
+	q.items = append(q.items, it)
+}
+
+func (q *queue) pushFront(it *item) {
+	q.items = append(q.items, nil)
+	copy(q.items[1:], q.items)
+	q.items[0] = it
+}
+
+func (q *queue) remove(it *item) bool {
+	for i, have := range q.items {
+		if have != it {
+			continue
+		}
+		copy(q.items[i:], q.items[i+1:])
+		q.items[len(q.items)-1] = nil
+		q.items = q.items[:len(q.items)-1]
+		return true
+	}
+	return false
+}
+
+// best returns the item to run next: the one of the lowest rank, unless the
+// oldest has waited so long that age alone decides.
+func (q *queue) best(now time.Time, starveAfter time.Duration) *item {
+	if len(q.items) == 0 {
+		return nil
+	}
+	oldest := q.items[0]
+	if now.Sub(oldest.arrived) > starveAfter {
+		return oldest
+	}
+	best := oldest
+	for _, it := range q.items[1:] {
+		if it.rank < best.rank {
+			best = it
+		}
+	}
+	return best
+}
+
+func (q *queue) oldest(now time.Time) time.Duration {
+	if len(q.items) == 0 {
+		return 0
+	}
+	return now.Sub(q.items[0].arrived)
+}
+
+func (a *Agent) adapter(ref wardturn.AdapterRef) *adapter {
+	ad := a.adapters[ref]
+	if ad == nil {
+		ad = &adapter{
+			ref:       ref,
+			demand:    NewDemand(a.started),
+			slot:      noSlot,
+			wantIndex: noWant,
+		}
+		a.adapters[ref] = ad
+	}
+	return ad
+}
+
+func (a *Agent) queueOf(it *item) *queue {
+	switch {
+	case it.adapter == nil:
+		return &a.plain
+	case it.work.Class == wardturn.Batch:
+		return &it.adapter.batch
+	}
+	return &it.adapter.interactive
+}
+
+func (a *Agent) enqueue(now time.Time, it *item) {
+	if !it.work.Adapter.IsZero() {
+		it.adapter = a.adapter(it.work.Adapter)
+		if it.adapter.slot == noSlot && it.adapter.waiting() == 0 {
+			a.miss(now)
+		}
+		it.adapter.demand.Arrive(now)
+		it.adapter.valueAt = time.Time{}
+		it.rank = a.policy.Order(a.queueInput(now, it))
+	}
+	if !a.ready(it.adapter) {
+		it.stallFrom = now
+	}
+	a.queueOf(it).push(it)
+	a.queued++
+	a.trackWant(it.adapter)
+}
+
+// enqueueAgain puts back an item that the engine refused.
+func (a *Agent) enqueueAgain(it *item) {
+	if it.stallFrom.IsZero() {
+		it.stallFrom = it.startedAt
+	}
+	a.queueOf(it).pushFront(it)
+	a.queued++
+	a.trackWant(it.adapter)
+}
+
+func (a *Agent) dequeue(it *item) {
+	if a.queueOf(it).remove(it) {
+		a.queued--
+	}
+	if it.adapter != nil {
+		it.adapter.valueAt = time.Time{}
+		a.trackWant(it.adapter)
+	}
+}
+
+// trackWant keeps the list of adapters that wait without a slot.
+func (a *Agent) trackWant(ad *adapter) {
+	if ad == nil {
+		return
+	}
+	wanted := ad.slot == noSlot && ad.waiting() > 0
+	switch {
+	case wanted && ad.wantIndex == noWant:
+		ad.wantIndex = len(a.wanted)
+		a.wanted = append(a.wanted, ad)
+	case !wanted && ad.wantIndex != noWant:
+		a.dropWant(ad)
+	}
+}
+
+func (a *Agent) dropWant(ad *adapter) {
+	last := len(a.wanted) - 1
+	moved := a.wanted[last]
+	a.wanted[ad.wantIndex] = moved
+	moved.wantIndex = ad.wantIndex
+	a.wanted[last] = nil
+	a.wanted = a.wanted[:last]
+	ad.wantIndex = noWant
+}
+
+// displace makes room for interactive work by refusing the newest batch item.
+func (a *Agent) displace(w Work, out *Orders) bool {
+	if w.Class == wardturn.Batch {
+		return false
+	}
+	var newest *item
+	for _, it := range a.work {
+		if it.running || it.work.Class != wardturn.Batch {
+			continue
+		}
+		if newest == nil || it.seq > newest.seq {
+			newest = it
+		}
+	}
+	if newest == nil {
+		return false
+	}
+	a.dequeue(newest)
+	delete(a.work, newest.work.Attempt)
+	out.Refuse = append(out.Refuse, refuse(newest.work, wardturn.ReasonQueueFull, a.queueDelay()))
+	return true
+}
+
+func (a *Agent) ready(ad *adapter) bool {
+	if ad == nil {
+		return true
+	}
+	if ad.slot == noSlot {
+		return false
+	}
+	s := &a.slots[ad.slot]
+	return s.state == SlotReady && !s.draining
+}
+
+// queueDelay is the time in which the present queue drains.
+func (a *Agent) queueDelay() time.Duration {
+	if a.cfg.MaxRunning == 0 {
+		return a.serveTime
+	}
+	return a.serveTime * time.Duration(a.queued+1) / time.Duration(a.cfg.MaxRunning)
+}
+
+func (a *Agent) queueInput(now time.Time, it *item) wardturn.QueueInput {
+	in := wardturn.QueueInput{
+		Adapter:  it.work.Adapter.Adapter,
+		Class:    it.work.Class,
+		Waited:   now.Sub(it.arrived),
+		Prompt:   it.work.Prompt,
+		Output:   it.work.Output,
+		Waiting:  a.queueOf(it).len(),
+		Resident: a.ready(it.adapter),
+		Running:  a.running,
+		Batch:    a.cfg.MaxRunning,
+	}
+	if !it.work.Deadline.IsZero() {
+		in.Deadline = it.work.Deadline.Sub(now)
+	}
+	return in
+}
--- /dev/null
+++ b/decide/slots.go
@@ -0,0 +1,310 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// SlotState is the state of one adapter slot, as its agent knows it.
+type SlotState uint8
+
+const (
+	// SlotEmpty holds nothing.
+	SlotEmpty SlotState = iota
+	// SlotLoading has a load order on its way.
+	SlotLoading
+	// SlotReady serves its adapter version.
+	SlotReady
+	// SlotUnloading has an unload order on its way.
+	SlotUnloading
+	// SlotUncertain lost the reply to an order. It is neither used nor reused
+	// until a report of the engine settles what it holds.
+	SlotUncertain
+)
+
+// String returns the state's name for status pages.
+func (s SlotState) String() string {
+	switch s {
+	case SlotEmpty:
+		return "empty"
+	case SlotLoading:
+		return "loading"
+	case SlotReady:
+		return "ready"
+	case SlotUnloading:
+		return "unloading"
+	}
+	return "uncertain"
+}
+
+// SlotView is a copy of one slot for status pages and tests.
+type SlotView struct {
+	State    SlotState
+	Adapter  wardturn.AdapterRef
+	Running  int
+	Draining bool
+}
+
+type slot struct {
+	state    SlotState
+	ref      wardturn.AdapterRef
+	order    wardturn.OrderID
+	since    time.Time // of the state
+	draining bool      // takes no further requests
+	foreign  bool      // may run requests of an earlier agent
+	next     wardturn.AdapterRef
+}
+
+// OrderResult says how an order to the engine ended.
+type OrderResult uint8
+
+const (
+	// OrderDone was carried out.
+	OrderDone OrderResult = iota
+	// OrderRefused was not carried out.
+	OrderRefused
+	// OrderStoreBusy was not carried out because the store's rate was used up.
+	OrderStoreBusy
+	// OrderUncertain may have been carried out.
+	OrderUncertain
+)
+
+func (a *Agent) slotOf(ref wardturn.AdapterRef) int {
+	for i := range a.slots {
+		if a.slots[i].state != SlotEmpty && a.slots[i].ref == ref {
+			return i
+		}
+	}
+	return noSlot
+}
+
+func (a *Agent) slotByOrder(id wardturn.OrderID) int {
+	for i := range a.slots {
+		if a.slots[i].order == id && a.slots[i].order != 0 {
+			return i
+		}
+	}
+	return noSlot
+}
+
+func (a *Agent) nextOrder() wardturn.OrderID {
+	a.lastOrder++
+	return a.lastOrder
+}
+
+// enter moves a slot to a new state.
+func (s *slot) enter(state SlotState, now time.Time) {
+	s.state = state
+	s.since = now
+	s.draining = false
+	if state == SlotEmpty {
+		*s = slot{
+			since: now,
+		}
+	}
+}
+
+// Loaded reports how a load order ended. Results of orders that the slot no
+// longer waits for are ignored.
+func (a *Agent) Loaded(now time.Time, id wardturn.OrderID, result OrderResult, out *Orders) {
+	i := a.slotByOrder(id)
+	if i == noSlot || a.slots[i].state != SlotLoading {
+		return
+	}
+	s := &a.slots[i]
+	s.order = 0
+	ad := a.adapter(s.ref)
+	a.permits.Finished(now, result)
+	switch result {
+	case OrderDone:
+		a.observeLoad(now.Sub(s.since))
+		ad.failures = 0
+		ad.retryAt = time.Time{}
+		s.enter(SlotReady, now)
+	case OrderUncertain:
+		ad.backOff(now)
+		s.enter(SlotUncertain, now)
+	case OrderStoreBusy:
+		ad.retryAt = now.Add(storeBusyDelay)
+		a.release(s, now)
+	case OrderRefused:
+		ad.backOff(now)
+		a.release(s, now)
+	}
+	a.plan(now, out)
+}
+
+// release empties a slot and lets its adapter wait again.
+func (a *Agent) release(s *slot, now time.Time) {
+	ad := a.adapters[s.ref]
+	s.enter(SlotEmpty, now)
+	if ad != nil {
+		ad.slot = noSlot
+		ad.missingAt = now
+		a.trackWant(ad)
+	}
+}
+
+// Unloaded reports how an unload order ended.
+func (a *Agent) Unloaded(now time.Time, id wardturn.OrderID, result OrderResult, out *Orders) {
+	i := a.slotByOrder(id)
+	if i == noSlot || a.slots[i].state != SlotUnloading {
+		return
+	}
+	s := &a.slots[i]
+	s.order = 0
+	next := a.adapters[s.next]
+	s.next = wardturn.AdapterRef{}
+	switch result {
+	case OrderDone:
+		a.release(s, now)
+		a.loadAfterUnload(i, next, now, out)
+	case OrderUncertain:
+		a.giveBack(next, now)
+		s.enter(SlotUncertain, now)
+	default:
+		a.giveBack(next, now)
+		s.foreign = true
+		s.enter(SlotReady, now)
+	}
+	a.plan(now, out)
+}
+
+// loadAfterUnload starts the load for which a slot was freed, unless nobody
+// waits for that adapter any more.
+func (a *Agent) loadAfterUnload(i int, next *adapter, now time.Time, out *Orders) {
+	if next == nil || next.slot != i || next.waiting() == 0 {
+		a.giveBack(next, now)
+		return
+	}
+	a.startLoad(i, next, now, out)
+}
+
+// giveBack returns the permit of a load that will not start, and lets its
+// adapter wait again.
+func (a *Agent) giveBack(next *adapter, now time.Time) {
+	a.permits.Return(now)
+	if next != nil {
+		next.slot = noSlot
+		a.trackWant(next)
+	}
+}
+
+func (a *Agent) startLoad(i int, ad *adapter, now time.Time, out *Orders) {
+	s := &a.slots[i]
+	s.enter(SlotLoading, now)
+	s.ref = ad.ref
+	s.order = a.nextOrder()
+	ad.slot = i
+	a.trackWant(ad)
+	a.stats.Loads++
+	out.Load = append(out.Load, SlotOrder{
+		ID:      s.order,
+		Adapter: ad.ref,
+	})
+}
+
+func (a *Agent) startUnload(i int, next wardturn.AdapterRef, now time.Time, out *Orders) {
+	s := &a.slots[i]
+	s.enter(SlotUnloading, now)
+	s.order = a.nextOrder()
+	s.next = next
+	a.stats.Evictions++
+	out.Unload = append(out.Unload, SlotOrder{
+		ID:      s.order,
+		Adapter: s.ref,
+	})
+}
+
+// Report takes the engine's own view. It settles uncertain slots, adopts
+// adapters of an earlier agent and notices an engine that restarted empty. A
+// report says nothing about a slot whose state is younger than the report.
+func (a *Agent) Report(now time.Time, rep wardturn.EngineReport, out *Orders) {
+	if rep.At.Before(a.lastReport) {
+		return
+	}
+	a.lastReport = rep.At
+	for i := range a.slots {
+		a.settle(&a.slots[i], rep, now)
+	}
+	for _, res := range rep.Resident {
+		a.adopt(res, rep.At, now)
+	}
+	a.plan(now, out)
+}
+
+func (a *Agent) settle(s *slot, rep wardturn.EngineReport, now time.Time) {
+	if !rep.At.After(s.since) {
+		return
+	}
+	running, resident := residentIn(rep, s.ref)
+	switch s.state {
+	case SlotUncertain:
+		a.settleUncertain(s, rep, resident, now)
+	case SlotReady:
+		if !resident {
+			a.lose(s, now)
+			return
+		}
+		if s.foreign && running == 0 {
+			s.foreign = false
+		}
+	}
+}
+
+func (a *Agent) settleUncertain(s *slot, rep wardturn.EngineReport, resident bool, now time.Time) {
+	if resident {
+		s.foreign = true
+		s.enter(SlotReady, now)
+		return
+	}
+	for _, ref := range rep.Loading {
+		if ref == s.ref {
+			return
+		}
+	}
+	a.release(s, now)
+}
+
+// lose empties a slot whose adapter the engine no longer holds. Requests that
+// the engine still owes an answer for end on their own connection.
+func (a *Agent) lose(s *slot, now time.Time) {
+	a.stats.Lost++
+	a.release(s, now)
+}
+
+func (a *Agent) adopt(res wardturn.ResidentAdapter, at, now time.Time) {
+	if !at.After(a.started) || a.slotOf(res.Adapter) != noSlot || a.unloadedSince(res.Adapter, at) {
+		return
+	}
+	for i := range a.slots {
+		s := &a.slots[i]
+		if s.state != SlotEmpty || !at.After(s.since) {
+			continue
+		}
+		s.enter(SlotReady, now)
+		s.ref = res.Adapter
+		s.foreign = true
+		ad := a.adapter(res.Adapter)
+		ad.slot = i
+		a.trackWant(ad)
+		return
+	}
+}
+
+// unloadedSince reports whether an adapter was given up after the report was
+// made, so that the report is out of date about it.
+func (a *Agent) unloadedSince(ref wardturn.AdapterRef, at time.Time) bool {
+	ad := a.adapters[ref]
+	return ad != nil && ad.missingAt.After(at)
+}
+
+func residentIn(rep wardturn.EngineReport, ref wardturn.AdapterRef) (running int, ok bool) {
+	for _, res := range rep.Resident {
+		if res.Adapter == ref {
+			return res.Running, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/experiment/profile.go
@@ -0,0 +1,171 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn"
+)
+
+// Profile describes the traffic of one user.
+type Profile struct {
+	Name       string
+	Adapters   int
+	Exponent   float64 // of the popularity: weight of rank k is k^-Exponent
+	Rate       float64 // requests a second, on average
+	BatchShare float64 // part of the requests that is batch work
+	Duration   time.Duration
+	ShiftAt    time.Duration // when popularity is dealt anew; zero: never
+	Day        time.Duration // length of the daily shape
+	DayDepth   float64       // how far the rate swings, as a part of it
+	Deadline   time.Duration // of interactive work; zero: none
+	Lengths    [2]Lengths    // by class
+	Callers    [2][]wardturn.CallerID
+}
+
+// Lengths are the medians of log-normal token counts.
+type Lengths struct {
+	Prompt float64
+	Output float64
+}
+
+// lengthSpread is the standard deviation of the logarithm of token counts.
+const lengthSpread = 0.5
+
+// The names of the profiles.
+const (
+	ProfileZurich  = "zurich"
+	ProfileTampere = "tampere"
+)
+
+// ErrUnknownProfile is returned by NewProfile.
+var ErrUnknownProfile = errors.New("experiment: unknown profile")
+
+// NewProfile returns the traffic of a user with its sizes of today.
+func NewProfile(name string) (Profile, error) {
+	p := Profile{
+		Name:     name,
+		Adapters: 3000,
+		Exponent: 0.9,
+		Duration: 10 * time.Minute,
+		Day:      24 * time.Hour,
+		DayDepth: 0.3,
+	}
+	switch name {
+	case ProfileZurich:
+		p.Rate = 15
+		p.Lengths = [2]Lengths{{Prompt: 180, Output: 60}, {Prompt: 900, Output: 120}}
+		p.Callers = [2][]wardturn.CallerID{{"machines", "handhelds", "clerks"}, {"settlement"}}
+	case ProfileTampere:
+		p.Rate = 8
+		p.BatchShare = 0.5
+		p.Lengths = [2]Lengths{{Prompt: 400, Output: 100}, {Prompt: 900, Output: 200}}
+		p.Callers = [2][]wardturn.CallerID{{"maintainers", "schools", "firms"}, {"summaries"}}
+	default:
+		return Profile{}, errors.Wrapf(ErrUnknownProfile, "%q", name)
+	}
+	return p, nil
+}
+
+// Generate makes a trace. The same profile and seed give the same trace.
+func (p Profile) Generate(seed uint64) []Request {
+	g := generator{
+		profile: p,
+		rng:     rand.New(rand.NewPCG(seed, 0x77617264)),
+		weights: zipf(p.Adapters, p.Exponent),
+	}
+	g.deal()
+	return g.run()
+}
+
+type generator struct {
+	profile Profile
+	rng     *rand.Rand
+	weights []float64 // cumulative, by rank
+	byRank  []int     // adapter of each rank
+	shifted bool
+}
+
+// zipf returns the cumulative weights of ranks 1 to n.
+func zipf(n int, exponent float64) []float64 {
+	sums := make([]float64, n)
+	sum := 0.0
+	for i := range sums {
+		sum += math.Pow(float64(i+1), -exponent)
+		sums[i] = sum
+	}
+	return sums
+}
+
+func (g *generator) deal() {
+	g.byRank = g.rng.Perm(g.profile.Adapters)
+}
+
+func (g *generator) run() []Request {
+	p := g.profile
+	peak := p.Rate * (1 + p.DayDepth)
+	var trace []Request
+	at := time.Duration(0)
+	for {
+		at += time.Duration(g.rng.ExpFloat64() / peak * float64(time.Second))
+		if at >= p.Duration {
+			return trace
+		}
+		if g.rng.Float64()*peak > p.rateAt(at) {
+			continue
+		}
+		if p.ShiftAt > 0 && at >= p.ShiftAt && !g.shifted {
+			g.shifted = true
+			g.deal()
+		}
+		trace = append(trace, g.request(at))
+	}
+}
+
+// rateAt is the rate at a time of the trace, which starts at the day's average.
+func (p Profile) rateAt(at time.Duration) float64 {
+	phase := 2 * math.Pi * float64(at) / float64(p.Day)
+	return p.Rate * (1 + p.DayDepth*math.Sin(phase))
+}
+
+func (g *generator) request(at time.Duration) Request {
+	class := wardturn.Interactive
+	if g.rng.Float64() < g.profile.BatchShare {
+		class = wardturn.Batch
+	}
+	lengths := g.profile.Lengths[class]
+	callers := g.profile.Callers[class]
+	r := Request{
+		AtMS:         at.Milliseconds(),
+		Caller:       callers[g.rng.IntN(len(callers))],
+		Adapter:      adapterName(g.pick()),
+		Version:      1,
+		Class:        class.String(),
+		PromptTokens: g.length(lengths.Prompt),
+		OutputTokens: g.length(lengths.Output),
+	}
+	if class == wardturn.Interactive {
+		r.DeadlineMS = g.profile.Deadline.Milliseconds()
+	}
+	return r
+}
+
+func adapterName(i int) wardturn.AdapterID {
+	return wardturn.AdapterID(fmt.Sprintf("a%04d", i))
+}
+
+func (g *generator) pick() int {
+	x := g.rng.Float64() * g.weights[len(g.weights)-1]
+	rank, _ := slices.BinarySearch(g.weights, x)
+	return g.byRank[min(rank, len(g.byRank)-1)]
+}
+
+func (g *generator) length(median float64) wardturn.Tokens {
+	n := median * math.Exp(lengthSpread*g.rng.NormFloat64())
+	return wardturn.Tokens(max(1, math.Round(n)))
+}
--- /dev/null
+++ b/experiment/sim.go
@@ -0,0 +1,501 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/standin"
+)
+
+const (
+	tickEvery   = 50 * time.Millisecond
+	reportEvery = 500 * time.Millisecond
+	// drainLimit bounds the virtual time after the last arrival.
+	drainLimit = 4 * time.Hour
+	// entryTries bounds the upstreams that an entry tries for one request.
+	entryTries = 3
+)
+
+// sim runs one trace through one system with one policy.
+type sim struct {
+	setup      Setup
+	clock      *standin.Clock
+	store      *standin.Store
+	rng        *rand.Rand
+	nodes      []*node
+	entries    []*entry
+	allocators []*allocator
+	trace      []Request
+	next       int
+	open       int
+	samples    []sample
+	onSecond   func(now time.Duration)
+}
+
+// sample is what became of one request.
+type sample struct {
+	class   wardturn.Class
+	at      time.Duration
+	stall   time.Duration
+	ttft    time.Duration
+	wait    time.Duration // until it started to run
+	outcome wardturn.Outcome
+	ended   bool
+}
+
+// entry is one entry host: a router with its own view.
+type entry struct {
+	router *decide.Router
+}
+
+// node is one upstream with its agent.
+type node struct {
+	sim    *sim
+	host   wardturn.Host
+	agent  *decide.Agent
+	engine *standin.Engine
+	alloc  *allocator
+	orders decide.Orders
+	calls  map[wardturn.AttemptID]*call
+}
+
+// call is one attempt under way.
+type call struct {
+	id     wardturn.AttemptID
+	index  int // in the trace
+	entry  *entry
+	node   *node
+	tried  []wardturn.UpstreamID
+	sentAt time.Duration
+}
+
+// allocator is an allocator with the timer that its next permit needs.
+type allocator struct {
+	sim   *sim
+	core  *decide.Allocator
+	timer wardturn.Timer
+}
+
+func newSim(trace []Request, setup Setup, mode decide.RouteMode, policies func() wardturn.Policy, seed uint64) *sim {
+	s := &sim{
+		setup:   setup,
+		clock:   standin.NewClock(),
+		rng:     rand.New(rand.NewPCG(seed, 0x73696d)),
+		trace:   trace,
+		samples: make([]sample, len(trace)),
+	}
+	s.store = standin.NewStore(s.clock, standin.StoreConfig{
+		Rate:     setup.StoreRate,
+		Parallel: setup.StoreParallel,
+		Fetch:    setup.LoadTime,
+	})
+	s.addAllocators()
+	for i := range setup.Upstreams {
+		s.addNode(i, policies())
+	}
+	s.addEntries(mode)
+	s.scheduleFaults()
+	return s
+}
+
+func (s *sim) limit() decide.StoreLimit {
+	return decide.StoreLimit{
+		Rate:     s.setup.StoreRate,
+		Parallel: s.setup.StoreParallel,
+	}
+}
+
+func (s *sim) addAllocators() {
+	n := 0
+	switch s.setup.Share {
+	case ShareAllocator:
+		n = 1
+	case ShareTwoAllocators:
+		n = 2
+	}
+	for i := range n {
+		s.allocators = append(s.allocators, &allocator{
+			sim:  s,
+			core: decide.NewAllocator(s.limit(), uint64(i+1)),
+		})
+	}
+}
+
+func (s *sim) permits() decide.Permits {
+	switch s.setup.Share {
+	case ShareStatic:
+		return decide.NewStaticPermits(s.limit(), s.setup.Upstreams)
+	case ShareAdaptive:
+		return decide.NewAdaptivePermits(s.limit(), s.setup.Upstreams)
+	}
+	return decide.NewAllocatedPermits(s.limit(), s.setup.Upstreams)
+}
+
+func (s *sim) addNode(i int, p wardturn.Policy) {
+	engineCfg := s.setup.Engine
+	engineCfg.Slots = s.setup.Slots
+	if s.setup.Batch > 0 {
+		engineCfg.Batch = s.setup.Batch
+	}
+	agentCfg := s.setup.Agent
+	agentCfg.Upstream = wardturn.UpstreamID(fmt.Sprintf("u%03d", i))
+	agentCfg.Slots = engineCfg.Slots
+	agentCfg.MaxRunning = engineCfg.Batch
+	if agentCfg.MaxQueue == 0 {
+		agentCfg.MaxQueue = len(s.trace)
+	}
+	agentCfg.LoadTime = s.setup.LoadTime
+	n := &node{
+		sim: s,
+		host: wardturn.Host{
+			Upstream: agentCfg.Upstream,
+			Region:   "r",
+			Domain:   wardturn.FailureDomain(fmt.Sprintf("d%d", i%3)),
+		},
+		engine: standin.NewEngine(s.clock, s.store, engineCfg),
+		calls:  make(map[wardturn.AttemptID]*call),
+	}
+	n.agent = decide.NewAgent(s.clock.Now(), agentCfg, p, s.permits())
+	if len(s.allocators) > 0 {
+		n.alloc = s.allocators[i%len(s.allocators)]
+	}
+	s.nodes = append(s.nodes, n)
+	n.tick()
+	n.report()
+}
+
+func (s *sim) addEntries(mode decide.RouteMode) {
+	hosts := make([]wardturn.Host, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		hosts = append(hosts, n.host)
+	}
+	for i := range s.setup.Entries {
+		cfg := s.setup.Router
+		cfg.Mode = mode
+		cfg.Region = "r"
+		cfg.Domain = wardturn.FailureDomain(fmt.Sprintf("d%d", i%3))
+		e := &entry{
+			router: decide.NewRouter(cfg),
+		}
+		e.router.SetHosts(hosts)
+		s.entries = append(s.entries, e)
+	}
+}
+
+// run plays the trace to its end.
+func (s *sim) run() {
+	s.open = len(s.trace)
+	s.scheduleArrival()
+	end := s.trace[len(s.trace)-1].At() + drainLimit
+	second := time.Duration(0)
+	for s.open > 0 && s.elapsed() < end && s.clock.Step() {
+		if s.onSecond != nil && s.elapsed() >= second {
+			s.onSecond(second)
+			second += time.Second
+		}
+	}
+}
+
+func (s *sim) elapsed() time.Duration {
+	return s.clock.Now().Sub(standin.Epoch)
+}
+
+func (s *sim) scheduleArrival() {
+	if s.next == len(s.trace) {
+		return
+	}
+	s.clock.AfterFunc(s.trace[s.next].At()-s.elapsed(), func() {
+		i := s.next
+		s.next++
+		s.arrive(i)
+		s.scheduleArrival()
+	})
+}
+
+func (s *sim) arrive(i int) {
+	req := s.trace[i]
+	class, _ := wardturn.ParseClass(req.Class)
+	s.samples[i] = sample{
+		class: class,
+		at:    req.At(),
+	}
+	if s.setup.NoBatch && class == wardturn.Batch {
+		s.open--
+		return
+	}
+	c := &call{
+		index: i,
+		entry: s.entries[s.rng.IntN(len(s.entries))],
+		id: wardturn.AttemptID{
+			Entry: "trace",
+			Seq:   uint64(i) + 1,
+		},
+		sentAt: req.At(),
+	}
+	s.send(c)
+}
+
+func (s *sim) send(c *call) {
+	req := s.trace[c.index]
+	id, ok := c.entry.router.Pick(s.clock.Now(), decide.Ask{
+		Adapter: req.Ref(),
+		Tried:   c.tried,
+	})
+	if !ok {
+		s.end(c, wardturn.Refused(wardturn.ReasonNoUpstream, 0))
+		return
+	}
+	c.tried = append(c.tried, id)
+	c.node = s.node(id)
+	c.entry.router.Sent(id)
+	s.clock.AfterFunc(s.setup.Hop, func() {
+		c.node.admit(c)
+	})
+}
+
+func (s *sim) node(id wardturn.UpstreamID) *node {
+	for _, n := range s.nodes {
+		if n.host.Upstream == id {
+			return n
+		}
+	}
+	panic("experiment: router chose an unknown upstream")
+}
+
+// reply brings an outcome and a hint back to the entry.
+func (s *sim) reply(c *call, outcome wardturn.Outcome) {
+	hint := c.node.agent.Hint()
+	s.clock.AfterFunc(s.setup.Hop, func() {
+		c.entry.router.Ended(s.clock.Now(), c.node.host.Upstream, true)
+		c.entry.router.Hint(s.clock.Now(), c.node.host.Upstream, hint)
+		retry := outcome.Reason == wardturn.ReasonQueueFull || outcome.Reason == wardturn.ReasonLeaving
+		if retry && len(c.tried) < entryTries {
+			s.send(c)
+			return
+		}
+		s.end(c, outcome)
+	})
+}
+
+func (s *sim) end(c *call, outcome wardturn.Outcome) {
+	sm := &s.samples[c.index]
+	sm.outcome = outcome
+	sm.ended = true
+	s.open--
+	if outcome.Kind == wardturn.NotRun {
+		// A refusal counts as a stall up to the deadline.
+		sm.stall = time.Duration(s.trace[c.index].DeadlineMS) * time.Millisecond
+	}
+}
+
+func (n *node) admit(c *call) {
+	req := n.sim.trace[c.index]
+	w := decide.Work{
+		Attempt: c.id,
+		Adapter: req.Ref(),
+		Class:   n.sim.samples[c.index].class,
+		Prompt:  req.PromptTokens,
+		Output:  req.OutputTokens,
+	}
+	if req.DeadlineMS > 0 {
+		w.Deadline = standin.Epoch.Add(req.At() + time.Duration(req.DeadlineMS)*time.Millisecond)
+	}
+	n.calls[c.id] = c
+	n.agent.Admit(n.sim.clock.Now(), w, &n.orders)
+	n.carryOut()
+}
+
+// carryOut does what the agent core ordered, and what it orders in turn.
+func (n *node) carryOut() {
+	out := n.orders
+	n.orders = decide.Orders{}
+	for _, r := range out.Refuse {
+		c := n.calls[r.Attempt]
+		delete(n.calls, r.Attempt)
+		n.sim.reply(c, r.Outcome)
+	}
+	for _, o := range out.Unload {
+		n.unload(o)
+	}
+	for _, o := range out.Load {
+		n.load(o)
+	}
+	for _, st := range out.Run {
+		n.start(st)
+	}
+	for _, w := range out.Wish {
+		n.wish(w)
+	}
+}
+
+func (n *node) event(f func(now time.Time, out *decide.Orders)) {
+	f(n.sim.clock.Now(), &n.orders)
+	n.carryOut()
+}
+
+func (n *node) load(o decide.SlotOrder) {
+	order := wardturn.SlotOrder{
+		ID:      o.ID,
+		Fence:   1,
+		Adapter: o.Adapter,
+	}
+	n.engine.Load(order, func(err error) {
+		n.event(func(now time.Time, out *decide.Orders) {
+			n.agent.Loaded(now, o.ID, orderResult(err), out)
+		})
+	})
+}
+
+func (n *node) unload(o decide.SlotOrder) {
+	order := wardturn.SlotOrder{
+		ID:      o.ID,
+		Fence:   1,
+		Adapter: o.Adapter,
+	}
+	n.engine.Unload(order, func(err error) {
+		n.event(func(now time.Time, out *decide.Orders) {
+			n.agent.Unloaded(now, o.ID, orderResult(err), out)
+		})
+	})
+}
+
+func orderResult(err error) decide.OrderResult {
+	switch err {
+	case nil:
+		return decide.OrderDone
+	case wardturn.ErrStoreBusy:
+		return decide.OrderStoreBusy
+	}
+	return decide.OrderRefused
+}
+
+func (n *node) start(st decide.Start) {
+	c := n.calls[st.Attempt]
+	req := n.sim.trace[c.index]
+	sm := &n.sim.samples[c.index]
+	sm.stall = st.Stalled
+	sm.wait = n.sim.elapsed() - c.sentAt
+	gen := standin.Generation{
+		Request: wardturn.EngineRequest{
+			Attempt:  c.id,
+			Adapter:  req.Ref(),
+			Priority: int(sm.class),
+			Prompt:   req.PromptTokens,
+			Output:   req.OutputTokens,
+			Path:     string(req.Caller),
+		},
+		Token: func(i int) {
+			if i == 0 {
+				sm.ttft = n.sim.elapsed() - c.sentAt
+			}
+		},
+		End: func(_ wardturn.EngineResult, err error) {
+			n.finish(c, err)
+		},
+	}
+	if err := n.engine.Submit(gen); err != nil {
+		n.event(func(now time.Time, out *decide.Orders) {
+			n.agent.NotLoaded(now, c.id, out)
+		})
+	}
+}
+
+func (n *node) finish(c *call, err error) {
+	delete(n.calls, c.id)
+	n.event(func(now time.Time, out *decide.Orders) {
+		n.agent.Finished(now, c.id, out)
+	})
+	outcome := wardturn.Finished()
+	if err != nil {
+		outcome = wardturn.Uncertain(wardturn.ReasonUpstreamLost)
+	}
+	n.sim.reply(c, outcome)
+}
+
+func (n *node) tick() {
+	n.event(n.agent.Tick)
+	n.sim.clock.AfterFunc(tickEvery, n.tick)
+}
+
+func (n *node) report() {
+	rep := n.engine.Report()
+	n.event(func(now time.Time, out *decide.Orders) {
+		n.agent.Report(now, rep, out)
+	})
+	n.sim.clock.AfterFunc(reportEvery, n.report)
+}
+
+func (n *node) wish(w decide.Wish) {
+	if n.alloc == nil {
+		return
+	}
+	n.sim.clock.AfterFunc(n.sim.setup.Hop, func() {
+		n.alloc.send(n.alloc.core.Wish(n.sim.clock.Now(), w, nil))
+	})
+}
+
+// send passes grants to their agents and sets the timer for the next permit.
+func (l *allocator) send(grants []decide.Grant) {
+	for _, g := range grants {
+		n := l.sim.node(g.Upstream)
+		l.sim.clock.AfterFunc(l.sim.setup.Hop, func() {
+			n.event(func(now time.Time, out *decide.Orders) {
+				n.agent.Granted(now, g, out)
+			})
+		})
+	}
+	if l.timer != nil {
+		l.timer.Stop()
+		l.timer = nil
+	}
+	now := l.sim.clock.Now()
+	if wait, ok := l.core.Next(now); ok {
+		l.timer = l.sim.clock.AfterFunc(wait+time.Microsecond, func() {
+			l.send(l.core.Tick(l.sim.clock.Now(), nil))
+		})
+	}
+}
+
+func (s *sim) scheduleFaults() {
+	for _, f := range s.setup.Faults {
+		s.clock.AfterFunc(f.At, func() {
+			s.begin(f)
+		})
+		if f.For > 0 {
+			s.clock.AfterFunc(f.At+f.For, func() {
+				s.store.SetFaults(standin.StoreFaults{})
+			})
+		}
+	}
+}
+
+func (s *sim) begin(f Fault) {
+	switch f.Kind {
+	case FaultStoreDown:
+		s.store.SetFaults(standin.StoreFaults{
+			Down: true,
+		})
+	case FaultStoreSlow:
+		s.store.SetFaults(standin.StoreFaults{
+			Slow: f.Factor,
+		})
+	case FaultLoadFail:
+		s.store.SetFaults(standin.StoreFaults{
+			Fail: func(wardturn.AdapterRef) error {
+				if s.rng.Float64() < f.Factor {
+					return wardturn.ErrUnavailable
+				}
+				return nil
+			},
+		})
+	case FaultRestart:
+		for i, n := range s.nodes {
+			if float64(i) < f.Factor*float64(len(s.nodes)) {
+				n.engine.Restart()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,92 @@
+package wardturn
+
+import "time"
+
+// OutcomeKind is one of the three ways in which an attempt can end.
+type OutcomeKind uint8
+
+const (
+	// Done means that the whole answer was produced.
+	Done OutcomeKind = iota + 1
+	// NotRun means that no byte of the request reached an upstream, and that
+	// none will.
+	NotRun
+	// Unknown means that the request may have run, wholly or in part.
+	Unknown
+)
+
+// String returns the name used in headers, logs and metrics.
+func (k OutcomeKind) String() string {
+	switch k {
+	case Done:
+		return "done"
+	case NotRun:
+		return "not_run"
+	case Unknown:
+		return "unknown"
+	}
+	return "unset"
+}
+
+// Reason says in one word why an attempt ended as it did. Reasons are stable:
+// callers match on them.
+type Reason string
+
+// The reasons that callers can see.
+const (
+	ReasonNone           Reason = ""
+	ReasonQueueFull      Reason = "queue_full"
+	ReasonDeadline       Reason = "deadline"
+	ReasonLeaving        Reason = "leaving"
+	ReasonQuota          Reason = "quota"
+	ReasonNoUpstream     Reason = "no_upstream"
+	ReasonUnreachable    Reason = "unreachable"
+	ReasonWrongVersion   Reason = "wrong_version"
+	ReasonUnknownAdapter Reason = "unknown_adapter"
+	ReasonUnknownService Reason = "unknown_service"
+	ReasonForbidden      Reason = "forbidden"
+	ReasonBadRequest     Reason = "bad_request"
+	ReasonTooLarge       Reason = "too_large"
+	ReasonCanceled       Reason = "canceled"
+	ReasonLogUnavailable Reason = "log_unavailable"
+	ReasonKeyReused      Reason = "key_reused"
+	ReasonKeyTooOld      Reason = "key_too_old"
+	ReasonKeyInProgress  Reason = "key_in_progress"
+	ReasonRefused        Reason = "upstream_refused"
+	ReasonUpstreamLost   Reason = "upstream_lost"
+	ReasonAgentRestarted Reason = "agent_restarted"
+	ReasonStaleConfig    Reason = "stale_config"
+	ReasonDuplicate      Reason = "duplicate"
+)
+
+// Outcome is the final value of an attempt.
+type Outcome struct {
+	Kind       OutcomeKind   `msgpack:"k"`
+	Reason     Reason        `msgpack:"r,omitempty"`
+	RetryAfter time.Duration `msgpack:"ra,omitempty"`
+}
+
+// Finished returns the outcome of an attempt that produced its whole answer.
+func Finished() Outcome {
+	return Outcome{
+		Kind: Done,
+	}
+}
+
+// Refused returns the outcome of an attempt that did not run. A retryAfter of
+// zero means that the caller learns no better time to come back.
+func Refused(reason Reason, retryAfter time.Duration) Outcome {
+	return Outcome{
+		Kind:       NotRun,
+		Reason:     reason,
+		RetryAfter: retryAfter,
+	}
+}
+
+// Uncertain returns the outcome of an attempt that may have run.
+func Uncertain(reason Reason) Outcome {
+	return Outcome{
+		Kind:   Unknown,
+		Reason: reason,
+	}
+}
--- /dev/null
+++ b/policy/check.go
@@ -0,0 +1,118 @@
+package policy
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// Sample is what one function returned for one sample input.
+type Sample struct {
+	Function string
+	Sample   string
+	Value    float64
+}
+
+// slotSample and queueSample are inputs that every program must handle.
+type slotSample struct {
+	name string
+	in   wardturn.SlotInput
+}
+
+type queueSample struct {
+	name string
+	in   wardturn.QueueInput
+}
+
+func slotSamples() []slotSample {
+	load := 400 * time.Millisecond
+	return []slotSample{
+		{"never asked for", wardturn.SlotInput{
+			Adapter:  "a",
+			LoadTime: load,
+		}},
+		{"resident, popular, idle", wardturn.SlotInput{
+			Adapter:  "a",
+			Rate:     2,
+			Idle:     time.Second,
+			Resident: true,
+			LoadTime: load,
+		}},
+		{"absent, one waits 3 s", wardturn.SlotInput{
+			Adapter:     "a",
+			Rate:        0.01,
+			Waiting:     1,
+			WaitingLong: 3 * time.Second,
+			LoadTime:    load,
+		}},
+		{"absent, 40 batch requests wait 10 min", wardturn.SlotInput{
+			Adapter:   "a",
+			Rate:      0.1,
+			BatchWait: 40,
+			BatchLong: 10 * time.Minute,
+			LoadTime:  load,
+		}},
+	}
+}
+
+func queueSamples() []queueSample {
+	return []queueSample{
+		{"batch, engine idle, adapter absent", wardturn.QueueInput{
+			Adapter: "a",
+			Class:   wardturn.Batch,
+			Waited:  time.Second,
+			Prompt:  900,
+			Output:  200,
+			Waiting: 1,
+			Batch:   16,
+		}},
+		{"batch, engine busy, adapter ready", wardturn.QueueInput{
+			Adapter:  "a",
+			Class:    wardturn.Batch,
+			Waited:   time.Minute,
+			Deadline: time.Hour,
+			Prompt:   900,
+			Output:   200,
+			Waiting:  8,
+			Resident: true,
+			Running:  5,
+			Batch:    16,
+		}},
+	}
+}
+
+// Check compiles a program and evaluates its functions on sample inputs. The
+// error is a *Problem that names the place.
+func Check(file, src string) ([]Sample, error) {
+	p, err := Compile(file, src)
+	if err != nil {
+		return nil, err
+	}
+	var rows []Sample
+	if p.slot != nil {
+		for _, s := range slotSamples() {
+			rows = append(rows, Sample{
+				Function: funcSlot,
+				Sample:   s.name,
+				Value:    p.Slot(s.in),
+			})
+		}
+	}
+	for _, s := range queueSamples() {
+		if p.hold != nil {
+			rows = append(rows, Sample{
+				Function: funcHold,
+				Sample:   s.name,
+				Value:    p.Hold(s.in).Seconds(),
+			})
+		}
+		if p.order != nil {
+			rows = append(rows, Sample{
+				Function: funcOrder,
+				Sample:   s.name,
+				Value:    p.Order(s.in),
+			})
+		}
+	}
+	return rows, p.LastError()
+}
--- /dev/null
+++ b/policy/program.go
@@ -0,0 +1,246 @@
+package policy
+
+import (
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.starlark.net/resolve"
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"wardturn"
+)
+
+const (
+	// callSteps bounds one call of a policy function.
+	callSteps = 10_000
+	// initSteps bounds the top level of a program.
+	initSteps = 100_000
+	// maxSource bounds a program's text, in bytes.
+	maxSource = 64 << 10
+	// maxHold bounds what hold may return.
+	maxHold = 24 * time.Hour
+)
+
+// Problem says where and why a program was rejected.
+type Problem struct {
+	File   string
+	Line   int
+	Column int
+	Reason string
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	pos := syntax.MakePosition(&p.File, int32(p.Line), int32(p.Column))
+	return pos.String() + ": " + p.Reason
+}
+
+// Counters counts the calls of a program.
+type Counters struct {
+	Calls    int
+	Failures int // calls that fell back, overruns included
+	Overruns int
+}
+
+// Program is a compiled policy. It is not safe for concurrent use; compile one
+// for each user.
+type Program struct {
+	name     string
+	fallback wardturn.Policy
+	slot     starlark.Callable
+	hold     starlark.Callable
+	order    starlark.Callable
+	counters Counters
+	lastErr  error
+	args     [1]starlark.Value
+}
+
+// The functions that a program may define.
+const (
+	funcSlot  = "slot"
+	funcHold  = "hold"
+	funcOrder = "order"
+)
+
+// Compile reads a program and runs its top level. A rejected program returns a
+// *Problem.
+func Compile(name, src string) (*Program, error) {
+	if len(src) > maxSource {
+		return nil, problemAt(name, 1, 1, "program is larger than 64 KiB")
+	}
+	globals, err := execute(name, src)
+	if err != nil {
+		return nil, err
+	}
+	p := &Program{
+		name:     name,
+		fallback: Default{},
+	}
+	for _, f := range []struct {
+		name string
+		into *starlark.Callable
+	}{
+		{funcSlot, &p.slot},
+		{funcHold, &p.hold},
+		{funcOrder, &p.order},
+	} {
+		if err := bind(name, globals, f.name, f.into); err != nil {
+			return nil, err
+		}
+	}
+	if p.slot == nil && p.hold == nil && p.order == nil {
+		return nil, problemAt(name, 1, 1, "program defines none of slot, hold and order")
+	}
+	return p, nil
+}
+
+func execute(name, src string) (starlark.StringDict, error) {
+	thread := &starlark.Thread{
+		Name:  name,
+		Print: discard,
+	}
+	thread.SetMaxExecutionSteps(initSteps)
+	opts := &syntax.FileOptions{}
+	globals, err := starlark.ExecFileOptions(opts, thread, name, src, starlark.StringDict{})
+	if err != nil {
+		return nil, toProblem(name, err)
+	}
+	globals.Freeze()
+	return globals, nil
+}
+
+func bind(file string, globals starlark.StringDict, name string, into *starlark.Callable) error {
+	v, ok := globals[name]
+	if !ok {
+		return nil
+	}
+	fn, ok := v.(*starlark.Function)
+	if !ok {
+		return problemAt(file, 1, 1, name+" is not a function")
+	}
+	if fn.NumParams() != 1 || fn.HasVarargs() || fn.HasKwargs() {
+		pos := fn.Position()
+		return problemAt(file, int(pos.Line), int(pos.Col), name+" must take exactly one parameter")
+	}
+	*into = fn
+	return nil
+}
+
+func problemAt(file string, line, column int, reason string) *Problem {
+	return &Problem{
+		File:   file,
+		Line:   line,
+		Column: column,
+		Reason: reason,
+	}
+}
+
+// toProblem finds the position that an error of the library carries.
+func toProblem(file string, err error) *Problem {
+	var syntaxErr syntax.Error
+	if errors.As(err, &syntaxErr) {
+		return problemAt(file, int(syntaxErr.Pos.Line), int(syntaxErr.Pos.Col), syntaxErr.Msg)
+	}
+	var resolveErrs resolve.ErrorList
+	if errors.As(err, &resolveErrs) && len(resolveErrs) > 0 {
+		first := resolveErrs[0]
+		return problemAt(file, int(first.Pos.Line), int(first.Pos.Col), first.Msg)
+	}
+	var evalErr *starlark.EvalError
+	if errors.As(err, &evalErr) {
+		for i := len(evalErr.CallStack) - 1; i >= 0; i-- {
+			pos := evalErr.CallStack[i].Pos
+			if pos.Line > 0 {
+				return problemAt(file, int(pos.Line), int(pos.Col), evalErr.Msg)
+			}
+		}
+		return problemAt(file, 1, 1, evalErr.Msg)
+	}
+	return problemAt(file, 1, 1, err.Error())
+}
+
+// Name implements wardturn.Policy.
+func (p *Program) Name() string {
+	return p.name
+}
+
+// Slot implements wardturn.Policy.
+func (p *Program) Slot(in wardturn.SlotInput) float64 {
+	if p.slot == nil {
+		return p.fallback.Slot(in)
+	}
+	v, ok := p.call(p.slot, (*slotValue)(&in))
+	if !ok {
+		return p.fallback.Slot(in)
+	}
+	return v
+}
+
+// Hold implements wardturn.Policy.
+func (p *Program) Hold(in wardturn.QueueInput) time.Duration {
+	if p.hold == nil {
+		return p.fallback.Hold(in)
+	}
+	v, ok := p.call(p.hold, (*queueValue)(&in))
+	if !ok {
+		return p.fallback.Hold(in)
+	}
+	v = min(max(v, 0), maxHold.Seconds())
+	return time.Duration(v * float64(time.Second))
+}
+
+// Order implements wardturn.Policy.
+func (p *Program) Order(in wardturn.QueueInput) float64 {
+	if p.order == nil {
+		return p.fallback.Order(in)
+	}
+	v, ok := p.call(p.order, (*queueValue)(&in))
+	if !ok {
+		return p.fallback.Order(in)
+	}
+	return v
+}
+
+// Counters returns how the program's calls ended so far.
+func (p *Program) Counters() Counters {
+	return p.counters
+}
+
+// LastError returns the latest failure, or nil.
+func (p *Program) LastError() error {
+	return p.lastErr
+}
+
+func (p *Program) call(fn starlark.Callable, arg starlark.Value) (float64, bool) {
+	p.counters.Calls++
+	thread := starlark.Thread{
+		Name:  p.name,
+		Print: discard,
+	}
+	thread.SetMaxExecutionSteps(callSteps)
+	p.args[0] = arg
+	v, err := starlark.Call(&thread, fn, p.args[:], nil)
+	if err != nil {
+		p.fail(toProblem(p.name, err))
+		if thread.Steps >= callSteps {
+			p.counters.Overruns++
+		}
+		return 0, false
+	}
+	f, ok := starlark.AsFloat(v)
+	if !ok || math.IsNaN(f) || math.IsInf(f, 0) {
+		p.fail(problemAt(p.name, 1, 1, fn.Name()+" returned "+v.String()+", not a finite number"))
+		return 0, false
+	}
+	return f, true
+}
+
+// discard keeps a program's print calls from doing I/O.
+func discard(*starlark.Thread, string) {}
+
+func (p *Program) fail(err error) {
+	p.counters.Failures++
+	p.lastErr = err
+}
