--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,327 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/dig"
+
+	"wardturn"
+	"wardturn/control"
+	"wardturn/decide"
+	"wardturn/peer"
+)
+
+const (
+	tickEvery = 50 * time.Millisecond
+	sweepEach = 5 * time.Second
+)
+
+// Deps are what an agent is built from.
+type Deps struct {
+	dig.In
+
+	Config   Config
+	Clock    wardturn.Clock
+	Logger   hclog.Logger
+	Metrics  *Metrics
+	Log      wardturn.Log
+	Hosts    wardturn.HostList
+	Engine   wardturn.Engine  `optional:"true"`
+	Service  wardturn.Service `optional:"true"`
+	Policy   wardturn.Policy
+	Listener net.Listener
+	TLS      *tls.Config `optional:"true"`
+}
+
+// Agent serves one upstream.
+type Agent struct {
+	cfg     Config
+	clock   wardturn.Clock
+	logger  hclog.Logger
+	metrics *Metrics
+	engine  wardturn.Engine
+	service wardturn.Service
+	hosts   wardturn.HostList
+	replica *control.Replica
+	claimer *control.Claimer
+	server  *peer.Server
+	tls     *tls.Config
+
+	mu       sync.Mutex
+	core     *decide.Agent
+	ledger   *decide.Ledger
+	attempts map[wardturn.AttemptID]*attempt
+	orders   decide.Orders
+	fence    wardturn.Fence
+	alloc    *allocatorRole
+	leaving  bool
+	idle     chan struct{} // closed when leaving and nothing is left
+	closed   bool
+	timers   map[string]wardturn.Timer
+
+	ctx     context.Context
+	stop    context.CancelFunc
+	spawnMu sync.Mutex // orders spawn against Close
+	wg      sync.WaitGroup
+}
+
+// New starts an agent. It serves at once with what its engine holds; orders to
+// the engine wait for the fence from the log.
+func New(d Deps) *Agent {
+	cfg := d.Config.WithDefaults()
+	now := d.Clock.Now()
+	ctx, stop := context.WithCancel(context.Background())
+	a := &Agent{
+		cfg:      cfg,
+		clock:    d.Clock,
+		logger:   d.Logger.With("upstream", cfg.Upstream),
+		metrics:  d.Metrics,
+		engine:   d.Engine,
+		service:  d.Service,
+		hosts:    d.Hosts,
+		tls:      d.TLS,
+		ledger:   decide.NewLedger(cfg.RememberCount, cfg.Remember),
+		attempts: make(map[wardturn.AttemptID]*attempt),
+		idle:     make(chan struct{}),
+		timers:   make(map[string]wardturn.Timer),
+		ctx:      ctx,
+		stop:     stop,
+	}
+	a.core = decide.NewAgent(now, decide.AgentConfig{
+		Upstream:   cfg.Upstream,
+		Slots:      cfg.Slots,
+		MaxRunning: cfg.MaxRunning,
+		MaxQueue:   cfg.MaxQueue,
+	}, d.Policy, a.newPermits())
+	a.replica = control.NewReplica(d.Log, d.Clock, a.logger, cfg.Service != "")
+	a.claimer = control.NewClaimer(a.replica, d.Clock, cfg.Upstream, cfg.Process)
+	a.alloc = newAllocatorRole(a)
+	a.server = peer.NewServer(d.Listener, d.TLS, d.Clock, a.identity(), (*inbound)(a))
+	a.begin()
+	return a
+}
+
+func (a *Agent) newPermits() decide.Permits {
+	return decide.NewAllocatedPermits(a.cfg.Store, a.cfg.StoreAgents)
+}
+
+func (a *Agent) identity() peer.Identity {
+	return peer.Identity{
+		Role:     peer.RoleAgent,
+		Process:  a.cfg.Process,
+		Upstream: a.cfg.Upstream,
+		Config:   a.replica.Applied,
+	}
+}
+
+// begin starts what happens by itself.
+func (a *Agent) begin() {
+	a.every("tick", tickEvery, a.tick)
+	a.every("sweep", sweepEach, a.sweep)
+	a.spawn(a.watchHosts)
+	if a.engine != nil {
+		a.spawn(a.takeFence)
+		a.spawn(a.watchEngine)
+	}
+	a.replica.Watch(a.onConfig)
+	a.applyPolicy()
+	a.checkDrain()
+	a.logger.Info("agent started", "addr", a.server.Addr(), "process", a.cfg.Process)
+}
+
+// spawn runs f until it returns; Close waits for it, and nothing is started
+// after Close.
+func (a *Agent) spawn(f func()) {
+	a.spawnMu.Lock()
+	defer a.spawnMu.Unlock()
+	if a.ctx.Err() != nil {
+		return
+	}
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		f()
+	}()
+}
+
+// every calls f again and again until Close.
+func (a *Agent) every(name string, d time.Duration, f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.timers[name] = a.clock.AfterFunc(d, func() {
+		f()
+		a.every(name, d, f)
+	})
+}
+
+// pause waits and reports false after Close.
+func (a *Agent) pause(d time.Duration) bool {
+	woken := make(chan struct{})
+	timer := a.clock.AfterFunc(d, func() {
+		close(woken)
+	})
+	defer timer.Stop()
+	select {
+	case <-woken:
+		return true
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
+// Addr returns the address that peers connect to.
+func (a *Agent) Addr() string {
+	return a.server.Addr().String()
+}
+
+// Close ends the agent at once, as a crash would: nothing is waited for. Use
+// Leave before for a planned stop.
+func (a *Agent) Close() {
+	a.mu.Lock()
+	a.closed = true
+	for _, t := range a.timers {
+		t.Stop()
+	}
+	a.mu.Unlock()
+	a.spawnMu.Lock()
+	a.stop()
+	a.spawnMu.Unlock()
+	a.alloc.close()
+	a.server.Close()
+	a.replica.Close()
+	a.wg.Wait()
+}
+
+// Leave refuses new work, hands queued work back as not run, and returns a
+// channel that is closed when the last running request has ended.
+func (a *Agent) Leave() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leave("signal")
+	return a.idle
+}
+
+// leave starts to leave; the lock is held.
+func (a *Agent) leave(why string) {
+	if a.leaving {
+		return
+	}
+	a.leaving = true
+	a.logger.Info("leaving", "why", why, "attempts", len(a.attempts))
+	a.do(a.core.Leave)
+	a.server.Broadcast(a.hint())
+	a.checkIdle()
+}
+
+func (a *Agent) hint() *peer.Hint {
+	return &peer.Hint{
+		Upstream: a.cfg.Upstream,
+		Hint:     a.core.Hint(),
+	}
+}
+
+// checkIdle closes idle when a leaving agent has nothing left to do.
+func (a *Agent) checkIdle() {
+	if !a.leaving || !a.core.Idle() {
+		return
+	}
+	for _, t := range a.attempts {
+		if !t.ended {
+			return
+		}
+	}
+	select {
+	case <-a.idle:
+	default:
+		close(a.idle)
+	}
+}
+
+// do passes an event to the core and carries out its orders; the lock is held.
+func (a *Agent) do(event func(now time.Time, out *decide.Orders)) {
+	orders := a.orders
+	a.orders = decide.Orders{}
+	orders.Reset()
+	event(a.clock.Now(), &orders)
+	a.carryOut(&orders)
+	a.orders = orders
+}
+
+// event is do for callers without the lock.
+func (a *Agent) event(f func(now time.Time, out *decide.Orders)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.do(f)
+}
+
+func (a *Agent) carryOut(o *decide.Orders) {
+	for _, r := range o.Refuse {
+		if t := a.attempts[r.Attempt]; t != nil {
+			a.finish(t, r.Outcome)
+		}
+	}
+	for _, so := range o.Unload {
+		a.startOrder(so, a.unload)
+	}
+	for _, so := range o.Load {
+		a.startOrder(so, a.load)
+	}
+	for _, st := range o.Run {
+		a.startRun(st)
+	}
+	for _, w := range o.Wish {
+		a.alloc.wish(w)
+	}
+}
+
+func (a *Agent) tick() {
+	a.event(a.core.Tick)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.checkIdle()
+}
+
+// sweep forgets ended attempts with their answers.
+func (a *Agent) sweep() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	for id, t := range a.attempts {
+		if t.ended && now.Sub(t.endedAt) > a.cfg.Remember {
+			delete(a.attempts, id)
+		}
+	}
+	a.ledger.Sweep(now)
+	a.ledger.SweepMarks(now)
+	a.metrics.observe(a.core.Hint(), a.core.Stats(), len(a.attempts))
+}
+
+// Status is a copy of an agent's state for status pages and tests.
+type Status struct {
+	Hint    decide.Hint
+	Slots   []decide.SlotView
+	Fence   wardturn.Fence
+	Config  wardturn.Offset
+	Leaving bool
+}
+
+// Status returns the agent's present state.
+func (a *Agent) Status() Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Status{
+		Hint:    a.core.Hint(),
+		Slots:   a.core.Slots(),
+		Fence:   a.fence,
+		Config:  a.replica.Applied(),
+		Leaving: a.leaving,
+	}
+}
--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,86 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+// Config holds an agent's settings. Exactly one of Model and Service is set.
+type Config struct {
+	Upstream      wardturn.UpstreamID
+	Process       wardturn.Incarnation
+	Region        wardturn.Region
+	Domain        wardturn.FailureDomain
+	Model         wardturn.BaseModel
+	Service       wardturn.ServiceName
+	Slots         int // adapter slots of the engine
+	MaxRunning    int // requests that run at once
+	MaxQueue      int // requests that wait at most
+	Store         decide.StoreLimit
+	StoreAgents   int           // agents that share the store, as a first guess
+	ReportEvery   time.Duration // between reads of the engine's report
+	HostsEvery    time.Duration // between reads of the host list
+	ChecksFences  bool          // whether the upstream checks who gives orders
+	RequireFence  bool          // give no orders without a fence from the log
+	AnswerBuffer  int           // bytes of an answer kept for a slow or lost entry
+	Remember      time.Duration // time for which ended attempts are remembered
+	RememberCount int           // number of ended attempts remembered
+	OrphanGrace   time.Duration // time that an attempt runs on without an entry
+}
+
+// The defaults of Config.
+const (
+	DefaultReportEvery   = 500 * time.Millisecond
+	DefaultHostsEvery    = time.Second
+	DefaultAnswerBuffer  = 1 << 20
+	DefaultRemember      = time.Minute
+	DefaultRememberCount = 20_000
+	DefaultOrphanGrace   = 10 * time.Second
+	DefaultMaxRunning    = 16
+)
+
+// WithDefaults returns the configuration with zero values replaced.
+func (c Config) WithDefaults() Config {
+	setDefault(&c.ReportEvery, DefaultReportEvery)
+	setDefault(&c.HostsEvery, DefaultHostsEvery)
+	setDefault(&c.AnswerBuffer, DefaultAnswerBuffer)
+	setDefault(&c.Remember, DefaultRemember)
+	setDefault(&c.RememberCount, DefaultRememberCount)
+	setDefault(&c.OrphanGrace, DefaultOrphanGrace)
+	setDefault(&c.MaxRunning, DefaultMaxRunning)
+	setDefault(&c.StoreAgents, 1)
+	return c
+}
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// ErrBadConfig is wrapped by the problems that Check returns.
+var ErrBadConfig = errors.New("agent: bad setting")
+
+// Check returns every problem of the configuration.
+func (c Config) Check() []error {
+	var list []error
+	add := func(ok bool, text string) {
+		if !ok {
+			list = append(list, errors.Wrap(ErrBadConfig, text))
+		}
+	}
+	add(wardturn.ValidName(string(c.Upstream)), "upstream must be a name")
+	add(wardturn.ValidName(string(c.Region)), "region must be a name")
+	add(wardturn.ValidName(string(c.Domain)), "failure domain must be a name")
+	add((c.Model == "") != (c.Service == ""), "exactly one of model and service must be set")
+	add(c.Model == "" || c.Slots > 0, "slots must be positive for a model engine")
+	add(c.MaxRunning >= 0, "max running must not be negative")
+	add(c.Model == "" || c.Store.Rate > 0, "store rate must be positive")
+	add(c.Model == "" || c.Store.Parallel > 0, "store parallel must be positive")
+	return list
+}
--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+// Metrics are an agent's counters, gauges and histograms. Labels are bounded:
+// none carries an adapter, a caller or a request.
+type Metrics struct {
+	scope    tally.Scope
+	running  tally.Gauge
+	queued   tally.Gauge
+	wants    tally.Gauge
+	attempts tally.Gauge
+	stall    tally.Histogram
+	loadTime tally.Histogram
+}
+
+// NewMetrics registers an agent's metrics.
+func NewMetrics(scope tally.Scope) *Metrics {
+	s := scope.SubScope("agent")
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 17)
+	return &Metrics{
+		scope:    s,
+		running:  s.Gauge("running_requests"),
+		queued:   s.Gauge("queued_requests"),
+		wants:    s.Gauge("waiting_adapters"),
+		attempts: s.Gauge("remembered_attempts"),
+		stall:    s.Histogram("load_stall_seconds", buckets),
+		loadTime: s.Histogram("load_seconds", buckets),
+	}
+}
+
+func (m *Metrics) ended(class wardturn.Class, outcome wardturn.Outcome, stalled time.Duration) {
+	m.scope.Tagged(map[string]string{
+		"class":   class.String(),
+		"outcome": outcome.Kind.String(),
+		"reason":  string(outcome.Reason),
+	}).Counter("attempts_total").Inc(1)
+	if outcome.Kind == wardturn.Done {
+		m.stall.RecordDuration(stalled)
+	}
+}
+
+func (m *Metrics) loaded(result decide.OrderResult, took time.Duration) {
+	name := "done"
+	if result != decide.OrderDone {
+		name = "failed"
+	}
+	m.scope.Tagged(map[string]string{
+		"result": name,
+	}).Counter("loads_total").Inc(1)
+	if result == decide.OrderDone {
+		m.loadTime.RecordDuration(took)
+	}
+}
+
+func (m *Metrics) observe(h decide.Hint, _ decide.AgentStats, attempts int) {
+	m.running.Update(float64(h.Running))
+	m.queued.Update(float64(h.Queued))
+	m.wants.Update(float64(h.Wants))
+	m.attempts.Update(float64(attempts))
+}
--- /dev/null
+++ b/agent/orders.go
@@ -0,0 +1,182 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn"
+	"wardturn/control"
+	"wardturn/decide"
+	"wardturn/policy"
+)
+
+const (
+	fenceRetry    = 500 * time.Millisecond
+	maxFenceRetry = 5 * time.Second
+)
+
+// startOrder gives the engine an order; the lock is held.
+func (a *Agent) startOrder(so decide.SlotOrder, do func(wardturn.SlotOrder)) {
+	order := wardturn.SlotOrder{
+		ID:      so.ID,
+		Fence:   a.fence,
+		Adapter: so.Adapter,
+	}
+	a.spawn(func() {
+		do(order)
+	})
+}
+
+func (a *Agent) load(order wardturn.SlotOrder) {
+	start := a.clock.Now()
+	err := a.give(order, a.engine.Load)
+	result := resultOf(err)
+	a.metrics.loaded(result, a.clock.Now().Sub(start))
+	if result != decide.OrderDone {
+		a.logger.Warn("load failed", "adapter", order.Adapter, "order", order.ID, "error", err)
+	}
+	a.event(func(now time.Time, out *decide.Orders) {
+		a.core.Loaded(now, order.ID, result, out)
+	})
+}
+
+func (a *Agent) unload(order wardturn.SlotOrder) {
+	err := a.give(order, a.engine.Unload)
+	result := resultOf(err)
+	if result != decide.OrderDone {
+		a.logger.Warn("unload failed", "adapter", order.Adapter, "order", order.ID, "error", err)
+	}
+	a.event(func(now time.Time, out *decide.Orders) {
+		a.core.Unloaded(now, order.ID, result, out)
+	})
+}
+
+// give carries out an order, unless this agent may give none: without a fence,
+// a later agent could not be told from it.
+func (a *Agent) give(order wardturn.SlotOrder, do func(context.Context, wardturn.SlotOrder) error) error {
+	if order.Fence == 0 && a.cfg.RequireFence {
+		return wardturn.ErrFenced
+	}
+	return do(a.ctx, order)
+}
+
+// resultOf tells orders that were refused from those that may have been carried
+// out.
+func resultOf(err error) decide.OrderResult {
+	switch {
+	case err == nil:
+		return decide.OrderDone
+	case errors.Is(err, wardturn.ErrStoreBusy):
+		return decide.OrderStoreBusy
+	case errors.Is(err, wardturn.ErrFenced),
+		errors.Is(err, wardturn.ErrNoSlot),
+		errors.Is(err, wardturn.ErrAdapterBusy),
+		errors.Is(err, wardturn.ErrNotStarted),
+		errors.Is(err, wardturn.ErrUnavailable):
+		return decide.OrderRefused
+	}
+	return decide.OrderUncertain
+}
+
+// takeFence appends the start record until that succeeds. Its offset is the
+// agent's fence.
+func (a *Agent) takeFence() {
+	wait := fenceRetry
+	for a.ctx.Err() == nil {
+		fence, err := a.replica.AppendStart(a.ctx, control.Start{
+			Upstream: a.cfg.Upstream,
+			Process:  a.cfg.Process,
+		})
+		if err == nil {
+			a.mu.Lock()
+			a.fence = fence
+			a.mu.Unlock()
+			a.logger.Info("fence taken", "fence", fence)
+			return
+		}
+		// After a lost reply another start record is appended: a fence of one's
+		// own that is too high is harmless.
+		if !a.pause(wait) {
+			return
+		}
+		wait = min(2*wait, maxFenceRetry)
+	}
+}
+
+// watchEngine reads the engine's report again and again.
+func (a *Agent) watchEngine() {
+	for a.pause(a.cfg.ReportEvery) {
+		rep, err := a.engine.Report(a.ctx)
+		if err != nil {
+			continue
+		}
+		a.event(func(now time.Time, out *decide.Orders) {
+			a.core.Report(now, rep, out)
+		})
+	}
+}
+
+// watchHosts reads the host list again and again.
+func (a *Agent) watchHosts() {
+	for {
+		hosts, err := a.hosts.Hosts(a.ctx)
+		if err == nil {
+			a.onHosts(hosts)
+		}
+		if !a.pause(a.cfg.HostsEvery) {
+			return
+		}
+	}
+}
+
+func (a *Agent) onHosts(hosts []wardturn.Host) {
+	a.alloc.setHosts(hosts)
+	for _, h := range hosts {
+		if h.Upstream == a.cfg.Upstream && h.State == wardturn.HostLeaving {
+			a.mu.Lock()
+			a.leave("host list")
+			a.mu.Unlock()
+		}
+	}
+}
+
+// onConfig reacts to a changed document.
+func (a *Agent) onConfig(key control.Key) {
+	switch {
+	case key == control.DrainKey(a.cfg.Upstream):
+		a.checkDrain()
+	case control.KindOf(key) == control.KindPolicy:
+		a.applyPolicy()
+	}
+}
+
+// checkDrain leaves if an operator ordered it.
+func (a *Agent) checkDrain() {
+	if _, ok := a.replica.Get(control.DrainKey(a.cfg.Upstream)); !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leave("operator")
+}
+
+// applyPolicy puts the active policy of the configuration in force. A program
+// that does not compile here, though it was checked before publication, leaves
+// the present one in force.
+func (a *Agent) applyPolicy() {
+	doc, ok := control.ActivePolicy(a.replica)
+	if !ok {
+		return
+	}
+	p, err := policy.Compile(doc.Name, doc.Source)
+	if err != nil {
+		a.logger.Error("policy rejected", "policy", doc.Name, "error", err)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.SetPolicy(p)
+	a.logger.Info("policy in force", "policy", doc.Name, "version", doc.Version)
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -43,6 +43,8 @@
 	Trace   traceCmd   `cmd:"" help:"Generate a trace with a user's sizes."`
 	Compare compareCmd `cmd:"" help:"Compare policies on the same trace."`
 	Policy  policyCmd  `cmd:"" help:"Check policies."`
+	Demo    demoCmd    `cmd:"" help:"Run the whole system on embedded stand-ins and send it traffic."`
+	Load    loadCmd    `cmd:"" help:"Send a trace to running entry hosts."`
 }
 
 // Main runs the wardturn command and returns its exit code.
--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,153 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"wardturn/demo"
+	"wardturn/experiment"
+	"wardturn/load"
+	"wardturn/platform"
+)
+
+// demoCmd runs the whole system on stand-ins.
+type demoCmd struct {
+	Duration time.Duration `default:"20s" help:"Time of traffic."`
+	Rate     float64       `default:"15" help:"Requests a second."`
+	Seed     uint64        `default:"1" help:"Seed of the traffic."`
+	Serve    bool          `help:"Keep the system up after the traffic, until interrupted."`
+	LogLevel string        `default:"error" enum:"trace,debug,info,warn,error" help:"Least level of log lines: trace, debug, info, warn or error."`
+}
+
+// Run starts the system, sends traffic and prints what became of it.
+func (c *demoCmd) Run(ctx context.Context, s Streams) error {
+	cfg := demo.Zurich()
+	cfg.Logger = newLogger(s, "demo", c.LogLevel)
+	if c.LogLevel == "error" {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	fmt.Fprintf(s.Out, "starting %d entries, %d engines and %d services in %d failure domains, %d adapters\n",
+		cfg.Entries, cfg.Engines, cfg.Services, cfg.Domains, cfg.Adapters)
+	sys, err := demo.Start(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	defer sys.Close()
+	profile, err := experiment.NewProfile(experiment.ProfileZurich)
+	if err != nil {
+		return err
+	}
+	profile.Rate = c.Rate
+	profile.Duration = c.Duration
+	runner := load.NewRunner(load.Plan{
+		Addrs:  sys.Addrs(),
+		Trace:  profile.Generate(c.Seed),
+		Stream: true,
+		Clock:  platform.Clock{},
+	})
+	stop := showProgress(s.Err, runner, sys)
+	sum := runner.Run(ctx)
+	stop()
+	if err := printDemo(s.Out, sum, sys); err != nil {
+		return err
+	}
+	if c.Serve {
+		printCurl(s.Out, sys)
+		<-ctx.Done()
+	}
+	return nil
+}
+
+// showProgress writes a line every half second until the result is called.
+func showProgress(w io.Writer, r *load.Runner, sys *demo.System) (stop func()) {
+	const every = 500 * time.Millisecond
+	ticker := time.NewTicker(every)
+	quit := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-ticker.C:
+				sum := r.Snapshot()
+				t := sys.Totals()
+				fmt.Fprintf(w, "\rsent %d  done %d  not run %d  unknown %d  running %d  waiting %d  loads %d   ",
+					sum.Sent, sum.Done, sum.NotRun, sum.Unknown, t.Running, t.Queued, t.Loads)
+			case <-quit:
+				fmt.Fprintln(w)
+				return
+			}
+		}
+	}()
+	return func() {
+		ticker.Stop()
+		close(quit)
+		<-done
+	}
+}
+
+func printDemo(w io.Writer, sum load.Summary, sys *demo.System) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\tmean\tp50\tp95\tp99\tmax\t")
+	row := func(name string, l load.Latency) {
+		fmt.Fprintf(t, "%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", name, l.Mean, l.P50, l.P95, l.P99, l.Max)
+	}
+	row("load stall, ms", sum.Stall)
+	row("first byte, ms", sum.First)
+	row("whole answer, ms", sum.Whole)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	tot := sys.Totals()
+	fmt.Fprintf(w, "outcomes: done %d, not run %d, unknown %d, failed %d\n", sum.Done, sum.NotRun, sum.Unknown, sum.Failed)
+	fmt.Fprintf(w, "batch efficiency %.3f over %d steps, %d loads, %d log records\n", tot.Efficiency, tot.Steps, tot.Loads, sys.Log.Appends())
+	return nil
+}
+
+func printCurl(w io.Writer, sys *demo.System) {
+	fmt.Fprintf(w, "serving; try:\ncurl -sN http://%s/v1/completions -H 'Content-Type: application/json' -d '{\"model\":\"a0001\",\"prompt\":\"Why is my fare 6.40?\",\"max_tokens\":12,\"stream\":true}'\n", sys.Addrs()[0])
+}
+
+// loadCmd sends traffic to running entry hosts.
+type loadCmd struct {
+	Addr   []string `required:"" help:"Address of an entry host, IP:port; may be repeated."`
+	Trace  string   `required:"" help:"Trace file in JSON lines."`
+	Key    string   `help:"Bearer key of the caller."`
+	Stream bool     `default:"true" negatable:"" help:"Ask for streamed answers."`
+	Limit  int      `default:"20000" help:"Requests under way at most."`
+	JSON   bool     `name:"json" help:"Print one JSON object."`
+}
+
+// Run sends the trace and prints what became of it.
+func (c *loadCmd) Run(ctx context.Context, s Streams) error {
+	f, err := os.Open(c.Trace)
+	if err != nil {
+		return errors.Mark(err, ErrUsage)
+	}
+	defer f.Close()
+	trace, err := experiment.ReadTrace(c.Trace, f)
+	if err != nil {
+		return err
+	}
+	sum := load.NewRunner(load.Plan{
+		Addrs:  c.Addr,
+		Trace:  trace,
+		Key:    c.Key,
+		Stream: c.Stream,
+		Clock:  platform.Clock{},
+		Limit:  c.Limit,
+	}).Run(ctx)
+	enc := json.NewEncoder(s.Out)
+	if !c.JSON {
+		enc.SetIndent("", "  ")
+	}
+	return enc.Encode(sum)
+}
--- /dev/null
+++ b/cli/entryd.go
@@ -0,0 +1,188 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/dig"
+
+	"wardturn"
+	"wardturn/entry"
+	"wardturn/platform"
+)
+
+// entrySettings are the settings of wardturn-entry.
+type entrySettings struct {
+	processSettings
+	CallerKeys    []string      `help:"Keys of callers as name:sha256, beside those of the configuration; two for one name allow rotation."`
+	OperatorKeys  []string      `help:"Keys of operators as name:sha256."`
+	HTTPSCert     string        `name:"https-cert" help:"Certificate towards callers, PEM text; --tls-cert if empty."`
+	HTTPSKey      string        `name:"https-key" help:"Private key towards callers, PEM text."`
+	Open          bool          `help:"Callers need no key; only with --plain."`
+	MaxBody       int           `default:"1048576" help:"Bytes of a request's body at most."`
+	MaxRequests   int           `default:"20000" help:"Requests at once at most."`
+	Deadline      time.Duration `default:"60s" help:"Deadline of requests that name none."`
+	RetryShare    float64       `default:"0.1" help:"Retries as a part of the requests, 0 to 1."`
+	ShutdownLimit time.Duration `default:"10m" help:"Time that running requests have to end after a signal."`
+}
+
+func (s *entrySettings) config(p wardturn.Incarnation) entry.Config {
+	cfg := entry.Config{
+		Process:     p,
+		Region:      wardturn.Region(s.Region),
+		Domain:      wardturn.FailureDomain(s.Domain),
+		MaxBody:     s.MaxBody,
+		MaxRequests: s.MaxRequests,
+		Deadline:    s.Deadline,
+		RetryShare:  s.RetryShare,
+		Open:        s.Open,
+	}
+	cfg.CallerKeys, _ = parseKeys(s.CallerKeys)
+	cfg.OperatorKeys, _ = parseKeys(s.OperatorKeys)
+	return cfg
+}
+
+func parseKeys(texts []string) ([]entry.KeyGrant, error) {
+	var list []entry.KeyGrant
+	for _, t := range texts {
+		k, err := entry.ParseKeyGrant(t)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, k)
+	}
+	return list, nil
+}
+
+func (s *entrySettings) problems() []string {
+	list := s.processSettings.problems()
+	for flag, texts := range map[string][]string{
+		"caller-keys":   s.CallerKeys,
+		"operator-keys": s.OperatorKeys,
+	} {
+		if _, err := parseKeys(texts); err != nil {
+			list = append(list, fmt.Sprintf("--%s (%s): %v", flag, variable(flag), err))
+		}
+	}
+	if s.Open && !s.Plain {
+		list = append(list, fmt.Sprintf("--open (%s): only with --plain", variable("open")))
+	}
+	for _, err := range s.config("check").Check() {
+		list = append(list, err.Error())
+	}
+	return list
+}
+
+// httpsConfig returns the TLS configuration towards callers, or nil.
+func (s *entrySettings) httpsConfig() (*tls.Config, error) {
+	if s.Plain {
+		return nil, nil
+	}
+	certPEM, keyPEM := s.HTTPSCert, s.HTTPSKey
+	if certPEM == "" {
+		certPEM, keyPEM = s.TLSCert, s.TLSKey
+	}
+	cert, err := tls.X509KeyPair([]byte(certPEM), []byte(keyPEM))
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate towards callers")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		MinVersion:   tls.VersionTLS12,
+	}, nil
+}
+
+// EntryMain runs wardturn-entry and returns its exit code.
+func EntryMain(ctx context.Context, args []string, s Streams) int {
+	const name = "wardturn-entry"
+	var set entrySettings
+	if code, done := parse(name, "The process on an entry host.", &set, args, s); done {
+		return code
+	}
+	if list := set.problems(); len(list) > 0 {
+		return report(name, list, s)
+	}
+	if set.Check {
+		return ExitOK
+	}
+	return exitCode(s, runEntry(ctx, &set, newLogger(s, name, set.LogLevel)))
+}
+
+// entryParts tells the TLS configuration towards callers from the one towards
+// agents, which has the same type.
+type entryParts struct {
+	dig.In
+
+	Config   entry.Config
+	Clock    wardturn.Clock
+	Logger   hclog.Logger
+	Metrics  *entry.Metrics
+	Log      wardturn.Log
+	Hosts    wardturn.HostList
+	Listener net.Listener
+	TLS      *tls.Config `name:"peers"`
+	HTTPS    *tls.Config `name:"callers"`
+}
+
+func newEntry(p entryParts) *entry.Entry {
+	return entry.New(entry.Deps{
+		Config:   p.Config,
+		Clock:    p.Clock,
+		Logger:   p.Logger,
+		Metrics:  p.Metrics,
+		Log:      p.Log,
+		Hosts:    p.Hosts,
+		Listener: p.Listener,
+		TLS:      p.TLS,
+		HTTPS:    p.HTTPS,
+	})
+}
+
+func runEntry(ctx context.Context, set *entrySettings, logger hclog.Logger) error {
+	ln, err := net.Listen("tcp", set.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	peers, err := set.tlsConfig()
+	if err != nil {
+		return err
+	}
+	callers, err := set.httpsConfig()
+	if err != nil {
+		return err
+	}
+	metrics := platform.NewMetrics()
+	defer metrics.Close()
+	c := dig.New()
+	err = provideAll(c,
+		func() entry.Config { return set.config(NewProcess()) },
+		func() wardturn.Clock { return platform.Clock{} },
+		func() hclog.Logger { return logger },
+		func() *entry.Metrics { return entry.NewMetrics(metrics.Scope, metrics.Handler) },
+		func() wardturn.Log { return platform.NewLog(set.LogAddr) },
+		func() wardturn.HostList { return platform.NewHostList(set.HostList) },
+		func() net.Listener { return ln },
+		newEntry,
+	)
+	if err != nil {
+		return err
+	}
+	if err := c.Provide(func() *tls.Config { return peers }, dig.Name("peers")); err != nil {
+		return errors.Wrap(err, "wiring")
+	}
+	if err := c.Provide(func() *tls.Config { return callers }, dig.Name("callers")); err != nil {
+		return errors.Wrap(err, "wiring")
+	}
+	return c.Invoke(func(e *entry.Entry) {
+		<-ctx.Done()
+		limit, cancel := context.WithTimeout(context.Background(), set.ShutdownLimit)
+		defer cancel()
+		e.Leave(limit)
+		e.Close()
+	})
+}
--- /dev/null
+++ b/control/catalog.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"sync"
+
+	"go.yaml.in/yaml/v3"
+
+	"wardturn"
+)
+
+// Catalog is the typed view of the configuration that requests are checked
+// against. It follows a replica and is safe for concurrent use.
+type Catalog struct {
+	replica *Replica
+
+	mu       sync.RWMutex
+	adapters map[wardturn.AdapterID]AdapterDoc
+	services map[wardturn.ServiceName]ServiceDoc
+	callers  map[wardturn.CallerID]CallerDoc
+	teams    map[wardturn.TeamID]TeamDoc
+	keys     map[string]wardturn.CallerID // by digest
+	opKeys   map[string]wardturn.TeamID   // by digest
+}
+
+// NewCatalog returns a catalog that follows the replica.
+func NewCatalog(r *Replica) *Catalog {
+	c := &Catalog{
+		replica:  r,
+		adapters: make(map[wardturn.AdapterID]AdapterDoc),
+		services: make(map[wardturn.ServiceName]ServiceDoc),
+		callers:  make(map[wardturn.CallerID]CallerDoc),
+		teams:    make(map[wardturn.TeamID]TeamDoc),
+		keys:     make(map[string]wardturn.CallerID),
+		opKeys:   make(map[string]wardturn.TeamID),
+	}
+	r.Watch(c.load)
+	for _, d := range r.Docs("") {
+		c.load(d.Key)
+	}
+	return c
+}
+
+// load takes the present state of a document.
+func (c *Catalog) load(key Key) {
+	d, ok := c.replica.Get(key)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := NameOf(key)
+	switch KindOf(key) {
+	case KindAdapter:
+		put(c.adapters, wardturn.AdapterID(name), d.Body, ok)
+	case KindService:
+		put(c.services, wardturn.ServiceName(name), d.Body, ok)
+	case KindCaller:
+		old := c.callers[wardturn.CallerID(name)]
+		put(c.callers, wardturn.CallerID(name), d.Body, ok)
+		move(c.keys, wardturn.CallerID(name), old.KeyDigests, c.callers[wardturn.CallerID(name)].KeyDigests)
+	case KindTeam:
+		old := c.teams[wardturn.TeamID(name)]
+		put(c.teams, wardturn.TeamID(name), d.Body, ok)
+		move(c.opKeys, wardturn.TeamID(name), old.Operators, c.teams[wardturn.TeamID(name)].Operators)
+	}
+}
+
+// put replaces or removes an entry. Bodies were checked before publication.
+func put[K comparable, V any](m map[K]V, k K, body []byte, ok bool) {
+	var v V
+	if !ok || yaml.Unmarshal(body, &v) != nil {
+		delete(m, k)
+		return
+	}
+	m[k] = v
+}
+
+// move replaces the keys of one owner.
+func move[O comparable](m map[string]O, owner O, old, now []string) {
+	for _, k := range old {
+		if m[k] == owner {
+			delete(m, k)
+		}
+	}
+	for _, k := range now {
+		m[k] = owner
+	}
+}
+
+// Adapter returns an adapter's configuration.
+func (c *Catalog) Adapter(id wardturn.AdapterID) (AdapterDoc, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	d, ok := c.adapters[id]
+	return d, ok
+}
+
+// Adapters returns the adapters' names in order.
+func (c *Catalog) Adapters() []wardturn.AdapterID {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	list := make([]wardturn.AdapterID, 0, len(c.adapters))
+	for id := range c.adapters {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Resolve fills in the version in force of a reference without one, and reports
+// whether the adapter has the version.
+func (c *Catalog) Resolve(ref wardturn.AdapterRef) (wardturn.AdapterRef, wardturn.BaseModel, bool) {
+	d, ok := c.Adapter(ref.Adapter)
+	if !ok {
+		return ref, "", false
+	}
+	if ref.Version == 0 {
+		ref.Version = d.Version
+	}
+	ok = ref.Version == d.Version || slices.Contains(d.Versions, ref.Version)
+	return ref, d.BaseModel, ok
+}
+
+// Service returns a service's configuration.
+func (c *Catalog) Service(name wardturn.ServiceName) (ServiceDoc, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	d, ok := c.services[name]
+	return d, ok
+}
+
+// Caller returns a caller's configuration.
+func (c *Catalog) Caller(id wardturn.CallerID) (CallerDoc, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	d, ok := c.callers[id]
+	return d, ok
+}
+
+// CallerOfKey returns the caller that a key belongs to.
+func (c *Catalog) CallerOfKey(digest string) (wardturn.CallerID, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	id, ok := c.keys[digest]
+	return id, ok
+}
+
+// TeamOfKey returns the team that an operator's key belongs to.
+func (c *Catalog) TeamOfKey(digest string) (wardturn.TeamID, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	id, ok := c.opKeys[digest]
+	return id, ok
+}
+
+// KeyDigest returns the digest under which a key is configured.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Allowed reports whether a name matches one of the patterns: names, or
+// prefixes that end in a star.
+func Allowed(patterns []string, name string) bool {
+	return slices.ContainsFunc(patterns, func(p string) bool {
+		if prefix, ok := strings.CutSuffix(p, "*"); ok {
+			return strings.HasPrefix(name, prefix)
+		}
+		return p == name
+	})
+}
--- /dev/null
+++ b/control/docs.go
@@ -0,0 +1,400 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.yaml.in/yaml/v3"
+
+	"wardturn"
+	"wardturn/policy"
+)
+
+// The kinds of documents.
+const (
+	KindAdapter   = "adapter"
+	KindService   = "service"
+	KindCaller    = "caller"
+	KindTeam      = "team"
+	KindPolicy    = "policy"
+	KindObjective = "objective"
+	KindDrain     = "drain"
+)
+
+// AdapterDoc configures an adapter.
+type AdapterDoc struct {
+	BaseModel wardturn.BaseModel `yaml:"base_model"`
+	Team      wardturn.TeamID    `yaml:"team"`
+	Version   wardturn.Version   `yaml:"version"`  // in force when a request names none
+	Versions  []wardturn.Version `yaml:"versions"` // that may be asked for by number
+}
+
+// ServiceDoc configures a plain service.
+type ServiceDoc struct {
+	Team          wardturn.TeamID `yaml:"team"`
+	NotRepeatable []string        `yaml:"not_repeatable"` // methods; ALL for every one
+	ChecksFences  bool            `yaml:"checks_fences"`
+	Deadline      Duration        `yaml:"deadline"`
+}
+
+// CallerDoc configures a caller.
+type CallerDoc struct {
+	Team        wardturn.TeamID `yaml:"team"`
+	KeyDigests  []string        `yaml:"key_digests"` // SHA-256 in hexadecimal
+	Adapters    []string        `yaml:"adapters"`    // names, or prefixes ending in *
+	Services    []string        `yaml:"services"`    // names, or prefixes ending in *
+	Rate        float64         `yaml:"rate"`        // requests a second; 0: no limit
+	Burst       float64         `yaml:"burst"`
+	Concurrency int             `yaml:"concurrency"` // requests at once; 0: no limit
+}
+
+// TeamDoc configures a team.
+type TeamDoc struct {
+	Operators []string `yaml:"operators"` // SHA-256 of their keys in hexadecimal
+	Share     float64  `yaml:"share"`     // weight under overload; 0: 1
+}
+
+// PolicyDoc is a published policy.
+type PolicyDoc struct {
+	Active bool   `yaml:"active"`
+	Shadow bool   `yaml:"shadow"`
+	Source string `yaml:"source"`
+}
+
+// ObjectiveDoc is a service-level objective of a team.
+type ObjectiveDoc struct {
+	Team      wardturn.TeamID `yaml:"team"`
+	Indicator string          `yaml:"indicator"`
+	Threshold Duration        `yaml:"threshold"`
+	Target    float64         `yaml:"target"` // part of good events, 0 to 1
+	Window    Duration        `yaml:"window"`
+}
+
+// DrainDoc orders an upstream to leave.
+type DrainDoc struct {
+	Reason string `yaml:"reason"`
+}
+
+// Duration is a time as operators write it, as in 1.5s.
+type Duration time.Duration
+
+// UnmarshalYAML implements yaml.Unmarshaler.
+func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
+	v, err := time.ParseDuration(n.Value)
+	if err != nil {
+		return errors.Newf("line %d: %q is not a time such as 1.5s", n.Line, n.Value)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// DocProblem says where and why a document was rejected.
+type DocProblem struct {
+	File   string
+	Line   int
+	Reason string
+}
+
+// Error implements error.
+func (p *DocProblem) Error() string {
+	return p.File + ":" + strconv.Itoa(p.Line) + ": " + p.Reason
+}
+
+// KindOf returns the kind of a key.
+func KindOf(k Key) string {
+	kind, _, _ := strings.Cut(string(k), "/")
+	return kind
+}
+
+// NameOf returns the name of a key, without its kind.
+func NameOf(k Key) string {
+	_, name, _ := strings.Cut(string(k), "/")
+	return name
+}
+
+// KeyOf returns the key of a document.
+func KeyOf(kind, name string) Key {
+	return Key(kind + "/" + name)
+}
+
+// DrainKey is the document that orders an upstream to leave.
+func DrainKey(id wardturn.UpstreamID) Key {
+	return KeyOf(KindDrain, string(id))
+}
+
+// CheckDoc checks a document before publication. The error is a *DocProblem.
+func CheckDoc(file string, key Key, body []byte) error {
+	if !wardturn.ValidName(NameOf(key)) {
+		return docProblem(file, 1, fmt.Sprintf("key %q is not kind/name", key))
+	}
+	doc, err := newDoc(KindOf(key))
+	if err != nil {
+		return docProblem(file, 1, err.Error())
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(body))
+	dec.KnownFields(true)
+	if err := dec.Decode(doc); err != nil {
+		return docProblem(file, lineOf(err), strings.TrimPrefix(err.Error(), "yaml: "))
+	}
+	if field, reason := doc.problem(); reason != "" {
+		return docProblem(file, lineOfField(body, field), field+" "+reason)
+	}
+	return doc.deep(file, body)
+}
+
+func docProblem(file string, line int, reason string) error {
+	return &DocProblem{
+		File:   file,
+		Line:   line,
+		Reason: reason,
+	}
+}
+
+var lineNumber = regexp.MustCompile(`line (\d+)`)
+
+func lineOf(err error) int {
+	m := lineNumber.FindStringSubmatch(err.Error())
+	if m == nil {
+		return 1
+	}
+	n, _ := strconv.Atoi(m[1])
+	return n
+}
+
+// lineOfField returns the line of a top-level field, or 1.
+func lineOfField(body []byte, field string) int {
+	var n yaml.Node
+	if yaml.Unmarshal(body, &n) != nil || len(n.Content) == 0 {
+		return 1
+	}
+	for _, child := range n.Content[0].Content {
+		if child.Value == field {
+			return child.Line
+		}
+	}
+	return 1
+}
+
+// document is a typed document that can check itself.
+type document interface {
+	// problem returns the field at fault and the reason.
+	problem() (field, reason string)
+	// deep checks what needs the document's text.
+	deep(file string, body []byte) error
+}
+
+// shallow is embedded by documents that need no deep check.
+type shallow struct{}
+
+func (shallow) deep(string, []byte) error { return nil }
+
+type checkAdapter struct {
+	AdapterDoc `yaml:",inline"`
+	shallow    `yaml:"-"`
+}
+
+func (d *checkAdapter) problem() (field, reason string) {
+	switch {
+	case !wardturn.ValidName(string(d.BaseModel)):
+		return "base_model", "must be a name"
+	case d.Version < 1:
+		return "version", "must be 1 or more"
+	case slices.ContainsFunc(d.Versions, func(v wardturn.Version) bool { return v < 1 }):
+		return "versions", "must be 1 or more"
+	}
+	return "", ""
+}
+
+type checkService struct {
+	ServiceDoc `yaml:",inline"`
+	shallow    `yaml:"-"`
+}
+
+func (d *checkService) problem() (field, reason string) {
+	for _, m := range d.NotRepeatable {
+		switch m {
+		case "ALL", "GET", "POST", "PUT", "PATCH", "DELETE":
+		default:
+			return "not_repeatable", fmt.Sprintf("has %q, which is no method", m)
+		}
+	}
+	if d.Deadline < 0 {
+		return "deadline", "must not be negative"
+	}
+	return "", ""
+}
+
+type checkCaller struct {
+	CallerDoc `yaml:",inline"`
+	shallow   `yaml:"-"`
+}
+
+var digestForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func (d *checkCaller) problem() (field, reason string) {
+	for _, k := range d.KeyDigests {
+		if !digestForm.MatchString(k) {
+			return "key_digests", "must be SHA-256 in hexadecimal"
+		}
+	}
+	switch {
+	case d.Rate < 0:
+		return "rate", "must not be negative"
+	case d.Burst < 0:
+		return "burst", "must not be negative"
+	case d.Concurrency < 0:
+		return "concurrency", "must not be negative"
+	}
+	return "", ""
+}
+
+type checkTeam struct {
+	TeamDoc `yaml:",inline"`
+	shallow `yaml:"-"`
+}
+
+func (d *checkTeam) problem() (field, reason string) {
+	for _, k := range d.Operators {
+		if !digestForm.MatchString(k) {
+			return "operators", "must be SHA-256 in hexadecimal"
+		}
+	}
+	if d.Share < 0 {
+		return "share", "must not be negative"
+	}
+	return "", ""
+}
+
+type checkPolicy struct {
+	PolicyDoc `yaml:",inline"`
+}
+
+func (d *checkPolicy) problem() (field, reason string) {
+	if d.Active && d.Shadow {
+		return "shadow", "must not be set for an active policy"
+	}
+	return "", ""
+}
+
+// deep checks the program; the line is that of the document.
+func (d *checkPolicy) deep(file string, body []byte) error {
+	_, err := policy.Check(file, d.Source)
+	var p *policy.Problem
+	if !errors.As(err, &p) {
+		return err
+	}
+	return docProblem(file, lineOfField(body, "source")+p.Line, p.Reason)
+}
+
+type checkObjective struct {
+	ObjectiveDoc `yaml:",inline"`
+	shallow      `yaml:"-"`
+}
+
+func (d *checkObjective) problem() (field, reason string) {
+	switch {
+	case d.Indicator == "":
+		return "indicator", "must be set"
+	case d.Target <= 0 || d.Target >= 1:
+		return "target", "must be between 0 and 1"
+	case d.Window <= 0:
+		return "window", "must be positive"
+	}
+	return "", ""
+}
+
+type checkDrain struct {
+	DrainDoc `yaml:",inline"`
+	shallow  `yaml:"-"`
+}
+
+func (d *checkDrain) problem() (field, reason string) {
+	if d.Reason == "" {
+		return "reason", "must be set"
+	}
+	return "", ""
+}
+
+func newDoc(kind string) (document, error) {
+	switch kind {
+	case KindAdapter:
+		return &checkAdapter{}, nil
+	case KindService:
+		return &checkService{}, nil
+	case KindCaller:
+		return &checkCaller{}, nil
+	case KindTeam:
+		return &checkTeam{}, nil
+	case KindPolicy:
+		return &checkPolicy{}, nil
+	case KindObjective:
+		return &checkObjective{}, nil
+	case KindDrain:
+		return &checkDrain{}, nil
+	}
+	return nil, errors.Newf("unknown kind %q", kind)
+}
+
+// Repeatable reports whether a method of the service may be repeated.
+func (d ServiceDoc) Repeatable(method string) bool {
+	return !slices.Contains(d.NotRepeatable, "ALL") && !slices.Contains(d.NotRepeatable, method)
+}
+
+// ServiceOf returns a service's configuration, or the zero value.
+func ServiceOf(r *Replica, name wardturn.ServiceName) ServiceDoc {
+	var d ServiceDoc
+	if doc, ok := r.Get(KeyOf(KindService, string(name))); ok {
+		_ = yaml.Unmarshal(doc.Body, &d) // checked before publication
+	}
+	return d
+}
+
+// NamedPolicy is a policy of the configuration with its name and version.
+type NamedPolicy struct {
+	PolicyDoc
+	Name    string
+	Version wardturn.Offset
+}
+
+// ActivePolicy returns the active policy. If several are, the newest is.
+func ActivePolicy(r *Replica) (NamedPolicy, bool) {
+	var best NamedPolicy
+	for _, d := range r.Docs(KindPolicy) {
+		var p PolicyDoc
+		if yaml.Unmarshal(d.Body, &p) != nil || !p.Active || d.Version <= best.Version {
+			continue
+		}
+		best = NamedPolicy{
+			PolicyDoc: p,
+			Name:      NameOf(d.Key),
+			Version:   d.Version,
+		}
+	}
+	return best, best.Version > 0
+}
+
+// EncodeDocs encodes documents for a peer.
+func EncodeDocs(docs []Doc) ([]byte, error) {
+	data, err := msgpack.Marshal(docs)
+	return data, errors.Wrap(err, "control: encode documents")
+}
+
+// DecodeDocs decodes documents from a peer.
+func DecodeDocs(data []byte) (docs []Doc, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Wrapf(ErrBadRecord, "%v", p)
+		}
+	}()
+	if err := msgpack.Unmarshal(data, &docs); err != nil {
+		return nil, errors.Wrapf(ErrBadRecord, "%v", err)
+	}
+	return docs, nil
+}
--- /dev/null
+++ b/control/replica.go
@@ -0,0 +1,282 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"wardturn"
+)
+
+const (
+	readLimit   = 500
+	readWait    = 2 * time.Second
+	minBackoff  = 50 * time.Millisecond
+	maxBackoff  = 2 * time.Second
+	appendTries = 3
+)
+
+// ErrConflict is wrapped by the error of a publication that another overtook.
+var ErrConflict = errors.New("control: version is no longer in force")
+
+// Replica is a process's copy of the configuration. It follows the log in a
+// goroutine of its own until Close.
+type Replica struct {
+	log    wardturn.Log
+	clock  wardturn.Clock
+	logger hclog.Logger
+
+	mu       sync.Mutex
+	state    *State
+	changed  chan struct{} // closed and replaced after each page
+	watchers []func(Key)
+	lastRead time.Time // of the latest successful read
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// NewReplica starts to follow the log from its oldest record.
+func NewReplica(log wardturn.Log, clock wardturn.Clock, logger hclog.Logger, keepClaims bool) *Replica {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Replica{
+		log:     log,
+		clock:   clock,
+		logger:  logger.Named("control"),
+		state:   NewState(keepClaims),
+		changed: make(chan struct{}),
+		cancel:  cancel,
+		done:    make(chan struct{}),
+	}
+	var dirty []Key
+	r.state.onChange = func(k Key) {
+		dirty = append(dirty, k)
+	}
+	go func() {
+		defer close(r.done)
+		r.follow(ctx, &dirty)
+	}()
+	return r
+}
+
+// Close stops following.
+func (r *Replica) Close() {
+	r.cancel()
+	<-r.done
+}
+
+// Watch calls f for each document that changes from now on, from the goroutine
+// that follows the log. Register watchers before they matter and read the
+// present state after.
+func (r *Replica) Watch(f func(Key)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watchers = append(r.watchers, f)
+}
+
+// Applied returns the newest offset applied.
+func (r *Replica) Applied() wardturn.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Applied()
+}
+
+// Get returns a document in force.
+func (r *Replica) Get(key Key) (Doc, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Get(key)
+}
+
+// Docs returns the documents of a kind, or all.
+func (r *Replica) Docs(kind string) []Doc {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Docs(kind)
+}
+
+// Fence returns the fence of an upstream's newest agent.
+func (r *Replica) Fence(id wardturn.UpstreamID) wardturn.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Fence(id)
+}
+
+// LastRead returns when the log was last read with success.
+func (r *Replica) LastRead() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastRead
+}
+
+// Seed adopts a peer's documents; see State.Seed.
+func (r *Replica) Seed(docs []Doc, applied wardturn.Offset) {
+	r.mu.Lock()
+	r.state.Seed(docs, applied)
+	watchers := r.watchers
+	r.announce()
+	r.mu.Unlock()
+	for _, d := range docs {
+		for _, f := range watchers {
+			f(d.Key)
+		}
+	}
+}
+
+func (r *Replica) follow(ctx context.Context, dirty *[]Key) {
+	wait := minBackoff
+	for ctx.Err() == nil {
+		next := r.Applied() + 1
+		page, err := r.log.Read(ctx, next, readLimit, readWait)
+		switch {
+		case err == nil:
+			wait = minBackoff
+			r.apply(page, dirty)
+		case errors.Is(err, wardturn.ErrOutOfRetention):
+			r.skip(next, page.First)
+		default:
+			if wait == minBackoff && ctx.Err() == nil {
+				r.logger.Warn("log unreadable", "next", next, "error", err)
+			}
+			r.pause(ctx, wait)
+			wait = min(2*wait, maxBackoff)
+		}
+	}
+}
+
+func (r *Replica) skip(next, first wardturn.Offset) {
+	r.logger.Warn("records out of retention", "next", next, "first", first)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Skip(first)
+	r.announce()
+}
+
+func (r *Replica) apply(page wardturn.LogPage, dirty *[]Key) {
+	r.mu.Lock()
+	*dirty = (*dirty)[:0]
+	for _, rec := range page.Records {
+		r.state.Apply(rec)
+	}
+	r.lastRead = r.clock.Now()
+	watchers := r.watchers
+	if len(page.Records) > 0 {
+		r.announce()
+	}
+	r.mu.Unlock()
+	for _, key := range *dirty {
+		for _, f := range watchers {
+			f(key)
+		}
+	}
+}
+
+// announce wakes those that wait for records. The lock is held.
+func (r *Replica) announce() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Replica) pause(ctx context.Context, d time.Duration) {
+	woken := make(chan struct{})
+	timer := r.clock.AfterFunc(d/2+rand.N(d), func() {
+		close(woken)
+	})
+	defer timer.Stop()
+	select {
+	case <-woken:
+	case <-ctx.Done():
+	}
+}
+
+// WaitFor returns when the record at an offset has been applied.
+func (r *Replica) WaitFor(ctx context.Context, offset wardturn.Offset) error {
+	return r.wait(ctx, func(s *State) bool {
+		return s.Applied() >= offset
+	})
+}
+
+// wait returns when a condition holds for the state.
+func (r *Replica) wait(ctx context.Context, holds func(*State) bool) error {
+	for {
+		r.mu.Lock()
+		ok := holds(r.state)
+		changed := r.changed
+		r.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Wrap(wardturn.ErrUnavailable, "control: log not read in time")
+		}
+	}
+}
+
+// Publish appends a change and returns what became of it. An error other than
+// ErrConflict leaves open whether the change was accepted; publishing it again
+// with the same id settles that without harm.
+func (r *Replica) Publish(ctx context.Context, c Change) (Result, error) {
+	data, err := Encode(Record{
+		Change: &c,
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	if err := r.append(ctx, data); err != nil {
+		return Result{}, err
+	}
+	var res Result
+	err = r.wait(ctx, func(s *State) bool {
+		var ok bool
+		res, ok = s.Result(c.ID)
+		return ok
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	if !res.Accepted {
+		return res, errors.Wrapf(ErrConflict, "%s is at version %d", res.Conflict, res.InForce)
+	}
+	return res, nil
+}
+
+// append appends a record whose repetition is harmless.
+func (r *Replica) append(ctx context.Context, data []byte) error {
+	var err error
+	wait := minBackoff
+	for range appendTries {
+		if _, err = r.log.Append(ctx, data); err == nil {
+			return nil
+		}
+		if errors.Is(err, wardturn.ErrReplyLost) {
+			// It may be on the log: the caller reads on to find out, and the
+			// next try repeats it without harm.
+			r.pause(ctx, wait)
+		} else {
+			r.pause(ctx, 2*wait)
+		}
+		wait *= 2
+	}
+	return err
+}
+
+// AppendStart appends the agent's start record and returns its fence.
+func (r *Replica) AppendStart(ctx context.Context, s Start) (wardturn.Fence, error) {
+	data, err := Encode(Record{
+		Start: &s,
+	})
+	if err != nil {
+		return 0, err
+	}
+	offset, err := r.log.Append(ctx, data)
+	if err != nil {
+		return 0, err
+	}
+	return wardturn.Fence(offset), nil
+}
--- a/decide/place.go
+++ b/decide/place.go
@@ -221,3 +221,24 @@
 	x ^= x >> 31
 	return x
 }
+
+// AllocatorOf returns the host whose agent shares the store of a model in a
+// region: the first by rendezvous hashing over the live hosts.
+func AllocatorOf(hosts []wardturn.Host, model wardturn.BaseModel, region wardturn.Region) (wardturn.Host, bool) {
+	var best wardturn.Host
+	var bestScore uint64
+	found := false
+	key := hashString("allocator/" + string(model) + "/" + string(region))
+	for _, h := range hosts {
+		if h.Model != model || h.Region != region || h.State != wardturn.HostLive {
+			continue
+		}
+		score := mix(key ^ hashString(string(h.Upstream)))
+		if !found || score > bestScore {
+			best = h
+			bestScore = score
+			found = true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/decide/retry.go
@@ -0,0 +1,86 @@
+package decide
+
+import "time"
+
+// RetryBudget bounds retries to a share of recent requests, so that retries do
+// not multiply an overload. The zero value allows none; use NewRetryBudget.
+type RetryBudget struct {
+	share  float64
+	tokens float64
+	burst  float64
+	at     time.Time
+	floor  float64 // retries a second that are always allowed
+}
+
+// NewRetryBudget allows retries for a share of the requests, and a few a second
+// when there is little traffic.
+func NewRetryBudget(share, floor, burst float64) *RetryBudget {
+	return &RetryBudget{
+		share:  share,
+		tokens: burst,
+		burst:  burst,
+		floor:  floor,
+	}
+}
+
+// Request records a first try.
+func (b *RetryBudget) Request(now time.Time) {
+	b.fill(now)
+	b.tokens = min(b.burst, b.tokens+b.share)
+}
+
+// Retry reports whether a retry is within the budget, and takes it.
+func (b *RetryBudget) Retry(now time.Time) bool {
+	b.fill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *RetryBudget) fill(now time.Time) {
+	if !b.at.IsZero() {
+		b.tokens = min(b.burst, b.tokens+b.floor*now.Sub(b.at).Seconds())
+	}
+	b.at = now
+}
+
+// Quota limits one caller: a rate with a burst, and requests at once. Zero
+// limits do not limit.
+type Quota struct {
+	Rate        float64
+	Burst       float64
+	Concurrency int
+
+	bucket bucket
+	open   int
+}
+
+// Enter reports whether a request may be admitted now, and when to come back if
+// not. Each admitted request ends with Leave.
+func (q *Quota) Enter(now time.Time) (retryAfter time.Duration, ok bool) {
+	if q.Concurrency > 0 && q.open >= q.Concurrency {
+		return time.Second, false
+	}
+	if q.Rate > 0 {
+		q.bucket.rate = q.Rate
+		q.bucket.burst = max(q.Burst, 1)
+		if !q.bucket.take(now) {
+			missing := 1 - q.bucket.tokens
+			return time.Duration(missing / q.Rate * float64(time.Second)), false
+		}
+	}
+	q.open++
+	return 0, true
+}
+
+// Leave records the end of an admitted request.
+func (q *Quota) Leave() {
+	q.open--
+}
+
+// Open returns the number of admitted requests that have not ended.
+func (q *Quota) Open() int {
+	return q.open
+}
--- /dev/null
+++ b/demo/system.go
@@ -0,0 +1,341 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+
+	"wardturn"
+	"wardturn/agent"
+	"wardturn/control"
+	"wardturn/decide"
+	"wardturn/entry"
+	"wardturn/platform"
+	"wardturn/policy"
+	"wardturn/standin"
+)
+
+// Config sizes a system.
+type Config struct {
+	Engines  int
+	Services int
+	Entries  int
+	Domains  int
+	Adapters int
+	Slots    int
+	Batch    int
+	Store    standin.StoreConfig
+	Log      standin.LogConfig
+	HostLag  time.Duration
+	Engine   standin.EngineConfig
+	Work     time.Duration // of a call to a plain service
+	Logger   hclog.Logger
+	Clock    wardturn.Clock
+}
+
+// Zurich returns the sizes of Zurich today.
+func Zurich() Config {
+	return Config{
+		Engines:  18,
+		Services: 3,
+		Entries:  3,
+		Domains:  3,
+		Adapters: 3000,
+		Slots:    8,
+		Batch:    16,
+		Store: standin.StoreConfig{
+			Rate:     9,
+			Parallel: 4,
+			Fetch:    400 * time.Millisecond,
+		},
+		HostLag: 2 * time.Second,
+		Engine:  standin.DefaultEngine(),
+		Work:    5 * time.Millisecond,
+		Logger:  hclog.NewNullLogger(),
+		Clock:   platform.Clock{},
+	}
+}
+
+// The names in a system's configuration.
+const (
+	Model   wardturn.BaseModel   = "base"
+	Service wardturn.ServiceName = "fares"
+	Region  wardturn.Region      = "local"
+)
+
+// Upstream is one upstream of a system with its agent.
+type Upstream struct {
+	ID      wardturn.UpstreamID
+	Host    wardturn.Host
+	Engine  *standin.Engine  // nil for a plain service
+	Service *standin.Service // nil for a model engine
+	Agent   *agent.Agent
+	addr    string // of the upstream itself
+	stop    func()
+}
+
+// System is a running system.
+type System struct {
+	cfg       Config
+	Log       *standin.Log
+	Hosts     *standin.HostList
+	Store     *standin.Store
+	Upstreams []*Upstream
+	Entries   []*entry.Entry
+	LogAddr   string
+	HostsAddr string
+	metrics   []*platform.Metrics
+	stops     []func()
+	processes int
+}
+
+// Start starts a system and publishes its configuration. It returns once every
+// entry is ready.
+func Start(ctx context.Context, cfg Config) (*System, error) {
+	s := &System{
+		cfg:   cfg,
+		Log:   standin.NewLog(cfg.Clock, cfg.Log),
+		Hosts: standin.NewHostList(cfg.Clock, cfg.HostLag),
+		Store: standin.NewStore(cfg.Clock, cfg.Store),
+	}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start(ctx context.Context) error {
+	var err error
+	if s.LogAddr, err = s.serve(standin.LogHandler(s.Log)); err != nil {
+		return err
+	}
+	if s.HostsAddr, err = s.serve(standin.HostsHandler(s.Hosts)); err != nil {
+		return err
+	}
+	for i := range s.cfg.Engines + s.cfg.Services {
+		if err := s.addUpstream(i); err != nil {
+			return err
+		}
+	}
+	for i := range s.cfg.Entries {
+		if err := s.addEntry(i); err != nil {
+			return err
+		}
+	}
+	if err := s.publish(ctx); err != nil {
+		return err
+	}
+	return s.waitReady(ctx)
+}
+
+func listen() (net.Listener, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return ln, errors.Wrap(err, "listen")
+}
+
+// serve runs a handler on a port of its own until Close.
+func (s *System) serve(h fasthttp.RequestHandler) (string, error) {
+	ln, err := listen()
+	if err != nil {
+		return "", err
+	}
+	s.stops = append(s.stops, standin.Serve(ln, h))
+	return ln.Addr().String(), nil
+}
+
+func (s *System) domain(i int) wardturn.FailureDomain {
+	return wardturn.FailureDomain(fmt.Sprintf("d%d", i%s.cfg.Domains))
+}
+
+func (s *System) process(kind string) wardturn.Incarnation {
+	s.processes++
+	return wardturn.Incarnation(fmt.Sprintf("%s%d", kind, s.processes))
+}
+
+func (s *System) addUpstream(i int) error {
+	u := &Upstream{
+		ID: wardturn.UpstreamID(fmt.Sprintf("u%02d", i)),
+	}
+	u.Host = wardturn.Host{
+		Upstream: u.ID,
+		Region:   Region,
+		Domain:   s.domain(i),
+	}
+	ln, err := listen()
+	if err != nil {
+		return err
+	}
+	u.addr = ln.Addr().String()
+	if i < s.cfg.Engines {
+		cfg := s.cfg.Engine
+		cfg.Slots = s.cfg.Slots
+		cfg.Batch = s.cfg.Batch
+		u.Engine = standin.NewEngine(s.cfg.Clock, s.Store, cfg)
+		u.Host.Model = Model
+		u.stop = standin.Serve(ln, standin.EngineHandler(u.Engine))
+	} else {
+		u.Service = standin.NewService(s.cfg.Clock, s.cfg.Work)
+		u.Host.Service = Service
+		u.stop = standin.Serve(ln, u.Service.Handler())
+	}
+	s.Upstreams = append(s.Upstreams, u)
+	return s.StartAgent(u, "127.0.0.1:0")
+}
+
+// StartAgent starts a new agent beside an upstream and lists it.
+func (s *System) StartAgent(u *Upstream, addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	metrics := platform.NewMetrics()
+	s.metrics = append(s.metrics, metrics)
+	deps := agent.Deps{
+		Config: agent.Config{
+			Upstream: u.ID,
+			Process:  s.process("a"),
+			Region:   u.Host.Region,
+			Domain:   u.Host.Domain,
+			Model:    u.Host.Model,
+			Service:  u.Host.Service,
+			Store: decide.StoreLimit{
+				Rate:     s.cfg.Store.Rate,
+				Parallel: s.cfg.Store.Parallel,
+			},
+			StoreAgents:  s.cfg.Engines,
+			MaxRunning:   s.cfg.Batch,
+			ChecksFences: true,
+			RequireFence: true,
+		},
+		Clock:    s.cfg.Clock,
+		Logger:   s.cfg.Logger.Named("agent"),
+		Metrics:  agent.NewMetrics(metrics.Scope),
+		Log:      platform.NewLog(s.LogAddr),
+		Hosts:    platform.NewHostList(s.HostsAddr),
+		Policy:   policy.Default{},
+		Listener: ln,
+	}
+	if u.Engine != nil {
+		deps.Engine = platform.NewEngine(u.addr)
+		deps.Config.Slots = s.cfg.Slots
+	} else {
+		deps.Service = platform.NewService(u.addr)
+	}
+	u.Agent = agent.New(deps)
+	u.Host.Addr = u.Agent.Addr()
+	u.Host.State = wardturn.HostLive
+	s.Hosts.Set(u.Host)
+	return nil
+}
+
+func (s *System) addEntry(i int) error {
+	ln, err := listen()
+	if err != nil {
+		return err
+	}
+	metrics := platform.NewMetrics()
+	s.metrics = append(s.metrics, metrics)
+	s.Entries = append(s.Entries, entry.New(entry.Deps{
+		Config: entry.Config{
+			Process:      s.process("e"),
+			Region:       Region,
+			Domain:       s.domain(i),
+			Open:         true,
+			OperatorKeys: []entry.KeyGrant{{Name: "demo", Digest: control.KeyDigest(OperatorKey)}},
+		},
+		Clock:    s.cfg.Clock,
+		Logger:   s.cfg.Logger.Named("entry"),
+		Metrics:  entry.NewMetrics(metrics.Scope, metrics.Handler),
+		Log:      platform.NewLog(s.LogAddr),
+		Hosts:    platform.NewHostList(s.HostsAddr),
+		Listener: ln,
+	}))
+	return nil
+}
+
+// OperatorKey is the operators' key of a demo system. It is public: the system
+// listens on loopback only.
+const OperatorKey = "demo-operator"
+
+// docsPerChange bounds the documents in one publication of the demo.
+const docsPerChange = 500
+
+// publish publishes the adapters and the service.
+func (s *System) publish(ctx context.Context) error {
+	docs := []control.DocChange{{
+		Key:  control.KeyOf(control.KindService, string(Service)),
+		Body: []byte("team: demo\nnot_repeatable: [POST]\n"),
+	}}
+	for i := range s.cfg.Adapters {
+		docs = append(docs, control.DocChange{
+			Key:  control.KeyOf(control.KindAdapter, fmt.Sprintf("a%04d", i)),
+			Body: []byte("base_model: base\nteam: demo\nversion: 1\n"),
+		})
+	}
+	for n := 0; len(docs) > 0; n++ {
+		part := docs[:min(docsPerChange, len(docs))]
+		docs = docs[len(part):]
+		_, err := s.Entries[0].Replica().Publish(ctx, control.Change{
+			ID:   control.PublicationID(fmt.Sprintf("demo-%d", n)),
+			Who:  "demo",
+			At:   s.cfg.Clock.Now(),
+			Docs: part,
+		})
+		if err != nil {
+			return errors.Wrap(err, "publish")
+		}
+	}
+	return nil
+}
+
+// waitReady waits until every entry knows hosts and the whole configuration.
+func (s *System) waitReady(ctx context.Context) error {
+	last := s.Entries[0].Replica().Applied()
+	for _, e := range s.Entries {
+		if err := e.Replica().WaitFor(ctx, last); err != nil {
+			return err
+		}
+		for !e.Ready() {
+			if ctx.Err() != nil {
+				return errors.Wrap(ctx.Err(), "entry not ready")
+			}
+			s.pause()
+		}
+	}
+	return nil
+}
+
+const readyPoll = 10 * time.Millisecond
+
+func (s *System) pause() {
+	woken := make(chan struct{})
+	s.cfg.Clock.AfterFunc(readyPoll, func() {
+		close(woken)
+	})
+	<-woken
+}
+
+// Close stops everything at once.
+func (s *System) Close() {
+	for _, e := range s.Entries {
+		e.Close()
+	}
+	for _, u := range s.Upstreams {
+		if u.Agent != nil {
+			u.Agent.Close()
+		}
+		u.stop()
+	}
+	for _, stop := range s.stops {
+		stop()
+	}
+	for _, m := range s.metrics {
+		m.Close()
+	}
+}
--- /dev/null
+++ b/demo/totals.go
@@ -0,0 +1,41 @@
+package demo
+
+// Totals sums up what the agents and engines of a system did.
+type Totals struct {
+	Running    int
+	Queued     int
+	Loads      int
+	Steps      int
+	Efficiency float64 // mean part of an engine step's places that was used
+}
+
+// Addrs returns the addresses of the entries.
+func (s *System) Addrs() []string {
+	list := make([]string, 0, len(s.Entries))
+	for _, e := range s.Entries {
+		list = append(list, e.Addr())
+	}
+	return list
+}
+
+// Totals returns the present sums.
+func (s *System) Totals() Totals {
+	var t Totals
+	sequences := 0
+	for _, u := range s.Upstreams {
+		if u.Engine == nil {
+			continue
+		}
+		h := u.Agent.Status().Hint
+		t.Running += h.Running
+		t.Queued += h.Queued
+		st := u.Engine.Stats()
+		t.Steps += st.Steps
+		sequences += st.Sequences
+	}
+	t.Loads, _ = s.Store.Counts()
+	if t.Steps > 0 {
+		t.Efficiency = float64(sequences) / float64(t.Steps*s.cfg.Batch)
+	}
+	return t
+}
--- /dev/null
+++ b/entry/api.go
@@ -0,0 +1,388 @@
+package entry
+
+import (
+	"bufio"
+	"strconv"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"wardturn"
+	"wardturn/control"
+)
+
+// The headers of the callers' API.
+const (
+	HeaderRequestID     = "X-Request-Id"
+	HeaderClass         = "X-Wardturn-Class"
+	HeaderDeadline      = "X-Wardturn-Deadline-Ms"
+	HeaderNotRepeatable = "X-Wardturn-Not-Repeatable"
+	HeaderKey           = "Idempotency-Key"
+	HeaderKeyCreated    = "Idempotency-Key-Created"
+	HeaderAdapter       = "X-Wardturn-Adapter"
+	HeaderVersion       = "X-Wardturn-Version"
+	HeaderOutcome       = "X-Wardturn-Outcome"
+	HeaderReason        = "X-Wardturn-Reason"
+	HeaderStall         = "X-Wardturn-Load-Stall-Ms"
+)
+
+func (e *Entry) handler() fasthttp.RequestHandler {
+	r := router.New()
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.NotFound = func(ctx *fasthttp.RequestCtx) {
+		writeProblem(ctx, problem{
+			status:  fasthttp.StatusNotFound,
+			code:    "not_found",
+			message: "no such path",
+		})
+	}
+	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
+		writeProblem(ctx, problem{
+			status:  fasthttp.StatusMethodNotAllowed,
+			code:    "method_not_allowed",
+			message: "the path does not take this method",
+		})
+	}
+	r.POST("/v1/completions", e.asCaller(e.complete))
+	r.POST("/v1/chat/completions", e.asCaller(e.complete))
+	r.GET("/v1/models", e.asCaller(e.models))
+	r.ANY("/v1/services/{name}/{path:*}", e.asCaller(e.callService))
+	r.GET("/healthz", healthz)
+	r.GET("/readyz", e.readyz)
+	r.GET("/metrics", e.metrics.handler)
+	e.routeAdmin(r)
+	return r.Handler
+}
+
+func healthz(ctx *fasthttp.RequestCtx) {
+	ctx.SetBodyString("ok\n")
+}
+
+func (e *Entry) readyz(ctx *fasthttp.RequestCtx) {
+	if !e.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+// callerHandler is a handler that knows who calls.
+type callerHandler func(ctx *fasthttp.RequestCtx, caller wardturn.CallerID)
+
+// asCaller authenticates a caller and applies its quota.
+func (e *Entry) asCaller(h callerHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set(HeaderRequestID, string(e.requestID(ctx)))
+		caller, ok := e.authenticate(ctx)
+		if !ok {
+			writeProblem(ctx, unauthorized())
+			return
+		}
+		h(ctx, caller)
+	}
+}
+
+// requestID returns the caller's own request id if it is a name, or a new one.
+func (e *Entry) requestID(ctx *fasthttp.RequestCtx) wardturn.RequestID {
+	given := string(ctx.Request.Header.Peek(HeaderRequestID))
+	if wardturn.ValidName(given) {
+		return wardturn.RequestID(given)
+	}
+	n := e.reqSeq.Add(1)
+	return wardturn.RequestID(string(e.cfg.Process) + "-r" + strconv.FormatUint(n, 10))
+}
+
+func idOf(ctx *fasthttp.RequestCtx) wardturn.RequestID {
+	return wardturn.RequestID(ctx.Response.Header.Peek(HeaderRequestID))
+}
+
+// complete serves both completion paths.
+func (e *Entry) complete(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) {
+	c, p := parseCompletion(ctx.PostBody(), e.cfg.DefaultOutput)
+	if p.code != "" {
+		writeProblem(ctx, p)
+		return
+	}
+	ref, model, ok := e.catalog.Resolve(c.ref)
+	if !ok {
+		writeProblem(ctx, unknownAdapter(c.ref))
+		return
+	}
+	if !e.mayUse(caller, string(ref.Adapter), adaptersOf) {
+		writeProblem(ctx, forbidden("adapter "+string(ref.Adapter)))
+		return
+	}
+	req, p := e.newRequest(ctx, caller)
+	if p.code != "" {
+		writeProblem(ctx, p)
+		return
+	}
+	req.Adapter = ref
+	req.Prompt = c.prompt
+	req.Output = c.output
+	req.Body = c.rewrite(ref, req.Class)
+	req.Repeatable = true
+	x := &exchange{
+		entry:   e,
+		req:     req,
+		model:   model,
+		arrived: e.clock.Now(),
+	}
+	e.admit(ctx, x, c.stream)
+}
+
+// callService passes a request through to a plain service.
+func (e *Entry) callService(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) {
+	name := wardturn.ServiceName(ctx.UserValue("name").(string))
+	doc, ok := e.catalog.Service(name)
+	if !ok {
+		writeProblem(ctx, unknownService(name))
+		return
+	}
+	if !e.mayUse(caller, string(name), servicesOf) {
+		writeProblem(ctx, forbidden("service "+string(name)))
+		return
+	}
+	req, p := e.newRequest(ctx, caller)
+	if p.code != "" {
+		writeProblem(ctx, p)
+		return
+	}
+	path, _ := ctx.UserValue("path").(string)
+	req.Service = name
+	req.Path = "/" + path
+	if q := ctx.URI().QueryString(); len(q) > 0 {
+		req.Path += "?" + string(q)
+	}
+	req.Header = passHeader(ctx)
+	req.Body = append([]byte(nil), ctx.PostBody()...)
+	req.Repeatable = doc.Repeatable(req.Method) && !flag(ctx, HeaderNotRepeatable)
+	if p := e.setKey(ctx, &req); p.code != "" {
+		writeProblem(ctx, p)
+		return
+	}
+	x := &exchange{
+		entry:   e,
+		req:     req,
+		arrived: e.clock.Now(),
+	}
+	e.admit(ctx, x, false)
+}
+
+// newRequest reads what all requests have in common.
+func (e *Entry) newRequest(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) (wardturn.Request, problem) {
+	class, ok := wardturn.ParseClass(string(ctx.Request.Header.Peek(HeaderClass)))
+	if !ok {
+		return wardturn.Request{}, badRequest(HeaderClass, "must be interactive or batch")
+	}
+	limit := e.cfg.Deadline
+	if v := ctx.Request.Header.Peek(HeaderDeadline); len(v) > 0 {
+		ms, err := strconv.ParseInt(string(v), 10, 64)
+		if err != nil || ms < 1 || ms > e.cfg.MaxDeadline.Milliseconds() {
+			return wardturn.Request{}, badRequest(HeaderDeadline, "must be milliseconds from 1 to "+strconv.FormatInt(e.cfg.MaxDeadline.Milliseconds(), 10))
+		}
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	return wardturn.Request{
+		ID:       idOf(ctx),
+		Caller:   caller,
+		Class:    class,
+		Method:   string(ctx.Method()),
+		Path:     string(ctx.Path()),
+		Deadline: e.clock.Now().Add(limit),
+	}, problem{}
+}
+
+// keyFuture is how far ahead of this host's clock a key's time may be.
+const keyFuture = time.Minute
+
+// setKey reads the idempotency key of a request that may not be repeated. One
+// without a key gets its own: it still reaches an upstream at most once.
+func (e *Entry) setKey(ctx *fasthttp.RequestCtx, req *wardturn.Request) problem {
+	key := string(ctx.Request.Header.Peek(HeaderKey))
+	if req.Repeatable {
+		return problem{}
+	}
+	now := e.clock.Now()
+	req.Digest = digestOf(req)
+	if key == "" {
+		req.Key = wardturn.IdempotencyKey(string(e.cfg.Process) + "/" + string(req.ID))
+		req.KeyCreated = now
+		return problem{}
+	}
+	if len(key) > maxKeyLength {
+		return badRequest(HeaderKey, "must not be longer than 256 bytes")
+	}
+	created, err := time.Parse(time.RFC3339, string(ctx.Request.Header.Peek(HeaderKeyCreated)))
+	if err != nil {
+		return badRequest(HeaderKeyCreated, "must be the time the key was made, as in 2026-01-02T15:04:05Z")
+	}
+	if created.After(now.Add(keyFuture)) {
+		return badRequest(HeaderKeyCreated, "is in the future")
+	}
+	if now.Sub(created) > control.ClaimWindow {
+		return problem{
+			status:  fasthttp.StatusConflict,
+			code:    string(wardturn.ReasonKeyTooOld),
+			message: "the idempotency key is older than the remembered window; the request did not run",
+			outcome: wardturn.Refused(wardturn.ReasonKeyTooOld, 0),
+		}
+	}
+	req.Key = wardturn.IdempotencyKey(key)
+	req.KeyCreated = created
+	return problem{}
+}
+
+const maxKeyLength = 256
+
+func flag(ctx *fasthttp.RequestCtx, name string) bool {
+	return string(ctx.Request.Header.Peek(name)) == "true"
+}
+
+// passHeader returns the headers that a plain service gets: all but those of
+// the connection and of wardturn itself.
+func passHeader(ctx *fasthttp.RequestCtx) []wardturn.HeaderField {
+	var list []wardturn.HeaderField
+	for k, v := range ctx.Request.Header.All() {
+		switch string(k) {
+		case "Host", "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Upgrade", "Authorization", HeaderRequestID:
+			continue
+		}
+		list = append(list, wardturn.HeaderField{
+			Name:  string(k),
+			Value: string(v),
+		})
+	}
+	return list
+}
+
+// admit applies the limits of the entry and of the caller, then runs the
+// request.
+func (e *Entry) admit(ctx *fasthttp.RequestCtx, x *exchange, stream bool) {
+	if e.leaving.Load() {
+		e.reply(ctx, x, wardturn.Refused(wardturn.ReasonLeaving, time.Second))
+		return
+	}
+	if e.open.Add(1) > int64(e.cfg.MaxRequests) {
+		e.open.Add(-1)
+		e.reply(ctx, x, wardturn.Refused(wardturn.ReasonQueueFull, time.Second))
+		return
+	}
+	if retryAfter, ok := e.enter(x.req.Caller); !ok {
+		e.open.Add(-1)
+		e.reply(ctx, x, wardturn.Refused(wardturn.ReasonQuota, retryAfter))
+		return
+	}
+	e.routerMu.Lock()
+	e.retries.Request(e.clock.Now())
+	e.routerMu.Unlock()
+	data, ended := x.advance()
+	if stream && !ended {
+		e.stream(ctx, x, data)
+		return
+	}
+	e.whole(ctx, x, data, ended)
+	e.close(x)
+}
+
+// close records the end of an admitted request.
+func (e *Entry) close(x *exchange) {
+	e.leave(x.req.Caller)
+	e.open.Add(-1)
+	e.metrics.ended(x)
+	e.logger.Debug("request ended",
+		"request", x.req.ID,
+		"caller", x.req.Caller,
+		"adapter", x.req.Adapter,
+		"service", x.req.Service,
+		"upstream", x.upstream,
+		"attempts", x.attempts,
+		"outcome", x.outcome.Kind,
+		"reason", x.outcome.Reason,
+		"bytes", x.passed,
+	)
+}
+
+// maxWhole bounds an answer that is not streamed, in bytes.
+const maxWhole = 16 << 20
+
+// whole collects the answer, and passes nothing of it on unless it is whole.
+func (e *Entry) whole(ctx *fasthttp.RequestCtx, x *exchange, data []byte, ended bool) {
+	var body []byte
+	for !ended {
+		body = append(body, data...)
+		if len(body) > maxWhole {
+			x.abandon()
+			break
+		}
+		data, ended = x.advance()
+	}
+	if x.outcome.Kind != wardturn.Done {
+		e.reply(ctx, x, x.outcome)
+		return
+	}
+	e.setHeaders(ctx, x, x.outcome)
+	status := fasthttp.StatusOK
+	if x.head != nil && x.head.Status != 0 {
+		status = x.head.Status
+		for _, h := range x.head.Header {
+			ctx.Response.Header.Add(h.Name, h.Value)
+		}
+	} else {
+		ctx.SetContentType("application/json")
+	}
+	ctx.SetStatusCode(status)
+	ctx.Response.SetBodyRaw(body)
+}
+
+// stream passes the answer on as it comes. An answer that is cut short ends
+// with an error event and without the end marker, so it never looks whole.
+func (e *Entry) stream(ctx *fasthttp.RequestCtx, x *exchange, first []byte) {
+	e.setHeaders(ctx, x, wardturn.Outcome{})
+	ctx.SetContentType("text/event-stream")
+	ctx.Response.Header.Set("Cache-Control", "no-cache")
+	data := append([]byte(nil), first...)
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer e.close(x)
+		ended := false
+		for !ended {
+			if _, err := w.Write(data); err != nil || w.Flush() != nil {
+				x.abandon()
+				return
+			}
+			data, ended = x.advance()
+		}
+		if x.outcome.Kind != wardturn.Done {
+			writeErrorEvent(w, x.outcome)
+		}
+		_ = w.Flush()
+	})
+}
+
+// reply answers with an outcome that is not Done.
+func (e *Entry) reply(ctx *fasthttp.RequestCtx, x *exchange, outcome wardturn.Outcome) {
+	e.setHeaders(ctx, x, outcome)
+	writeProblem(ctx, problemOf(outcome))
+}
+
+// setHeaders tells the caller what ran. Before the end of a stream the outcome
+// is not known.
+func (e *Entry) setHeaders(ctx *fasthttp.RequestCtx, x *exchange, outcome wardturn.Outcome) {
+	h := &ctx.Response.Header
+	if !x.req.Adapter.IsZero() {
+		h.Set(HeaderAdapter, string(x.req.Adapter.Adapter))
+		h.Set(HeaderVersion, strconv.FormatInt(int64(x.req.Adapter.Version), 10))
+	}
+	if x.head != nil {
+		h.Set(HeaderStall, strconv.FormatInt(x.head.Stalled.Milliseconds(), 10))
+	}
+	if outcome.Kind != 0 {
+		h.Set(HeaderOutcome, outcome.Kind.String())
+		if outcome.Reason != wardturn.ReasonNone {
+			h.Set(HeaderReason, string(outcome.Reason))
+		}
+	}
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn"
+	"wardturn/control"
+	"wardturn/decide"
+)
+
+// Config holds an entry's settings.
+type Config struct {
+	Process       wardturn.Incarnation
+	Region        wardturn.Region
+	Domain        wardturn.FailureDomain
+	Router        decide.RouterConfig
+	HostsEvery    time.Duration // between reads of the host list
+	MaxBody       int           // bytes of a request
+	MaxRequests   int           // at once
+	Deadline      time.Duration // of requests that name none
+	MaxDeadline   time.Duration
+	AttachLimit   time.Duration // to find a lost attempt again
+	ConnectLimit  time.Duration // for a first connection to an agent
+	IdleLink      time.Duration // after which an unused connection is closed
+	Tries         int           // upstreams tried for one request
+	RetryShare    float64       // retries as a part of the requests
+	Open          bool          // callers need no key; only for loopback
+	CallerKeys    []KeyGrant    // beside those of the configuration
+	OperatorKeys  []KeyGrant
+	DefaultOutput wardturn.Tokens // expected for requests that set no maximum
+}
+
+// KeyGrant gives a role to whoever holds a key.
+type KeyGrant struct {
+	Name   string
+	Digest string // SHA-256 in hexadecimal
+}
+
+// The defaults of Config.
+const (
+	DefaultHostsEvery   = time.Second
+	DefaultMaxBody      = 1 << 20
+	DefaultMaxRequests  = 20_000
+	DefaultDeadline     = 60 * time.Second
+	DefaultMaxDeadline  = 24 * time.Hour
+	DefaultAttachLimit  = 5 * time.Second
+	DefaultConnectLimit = 500 * time.Millisecond
+	DefaultIdleLink     = 2 * time.Minute
+	DefaultTries        = 3
+	DefaultRetryShare   = 0.1
+	DefaultOutput       = 64
+)
+
+// WithDefaults returns the configuration with zero values replaced.
+func (c Config) WithDefaults() Config {
+	setDefault(&c.HostsEvery, DefaultHostsEvery)
+	setDefault(&c.MaxBody, DefaultMaxBody)
+	setDefault(&c.MaxRequests, DefaultMaxRequests)
+	setDefault(&c.Deadline, DefaultDeadline)
+	setDefault(&c.MaxDeadline, DefaultMaxDeadline)
+	setDefault(&c.AttachLimit, DefaultAttachLimit)
+	setDefault(&c.ConnectLimit, DefaultConnectLimit)
+	setDefault(&c.IdleLink, DefaultIdleLink)
+	setDefault(&c.Tries, DefaultTries)
+	setDefault(&c.RetryShare, DefaultRetryShare)
+	setDefault(&c.DefaultOutput, DefaultOutput)
+	c.Router.Region = c.Region
+	c.Router.Domain = c.Domain
+	return c
+}
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+// ErrBadConfig is wrapped by the problems that Check returns.
+var ErrBadConfig = errors.New("entry: bad setting")
+
+// Check returns every problem of the configuration.
+func (c Config) Check() []error {
+	var list []error
+	add := func(ok bool, text string) {
+		if !ok {
+			list = append(list, errors.Wrap(ErrBadConfig, text))
+		}
+	}
+	add(wardturn.ValidName(string(c.Region)), "region must be a name")
+	add(wardturn.ValidName(string(c.Domain)), "failure domain must be a name")
+	add(c.MaxBody >= 0, "max body must not be negative")
+	add(c.MaxRequests >= 0, "max requests must not be negative")
+	add(c.Deadline >= 0, "deadline must not be negative")
+	add(c.RetryShare >= 0 && c.RetryShare <= 1, "retry share must be from 0 to 1")
+	for _, k := range append(c.CallerKeys, c.OperatorKeys...) {
+		add(wardturn.ValidName(k.Name) && len(k.Digest) == len(control.KeyDigest("")), "a key must be name:sha256")
+	}
+	return list
+}
+
+// ParseKeyGrant reads "name:digest".
+func ParseKeyGrant(s string) (KeyGrant, error) {
+	name, digest, ok := strings.Cut(s, ":")
+	if !ok || !wardturn.ValidName(name) || len(digest) != len(control.KeyDigest("")) {
+		return KeyGrant{}, errors.Wrap(ErrBadConfig, "a key must be name:sha256 in hexadecimal")
+	}
+	return KeyGrant{
+		Name:   name,
+		Digest: strings.ToLower(digest),
+	}, nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,292 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+
+	"wardturn"
+	"wardturn/control"
+	"wardturn/decide"
+	"wardturn/peer"
+)
+
+const (
+	sweepEvery   = 5 * time.Second
+	retryFloor   = 5  // retries a second that are always allowed
+	retryBurst   = 50 // retries at once
+	maxReadAhead = 16 << 10
+	headerLimit  = 16 << 10
+	readLimit    = 30 * time.Second
+	idleLimit    = 2 * time.Minute
+)
+
+// Deps are what an entry is built from.
+type Deps struct {
+	Config   Config
+	Clock    wardturn.Clock
+	Logger   hclog.Logger
+	Metrics  *Metrics
+	Log      wardturn.Log
+	Hosts    wardturn.HostList
+	Listener net.Listener
+	TLS      *tls.Config // towards agents; nil: plain
+	HTTPS    *tls.Config // towards callers; nil: plain
+}
+
+// Entry serves callers and operators on one entry host.
+type Entry struct {
+	cfg     Config
+	clock   wardturn.Clock
+	logger  hclog.Logger
+	metrics *Metrics
+	list    wardturn.HostList
+	replica *control.Replica
+	catalog *control.Catalog
+	tls     *tls.Config
+	server  *fasthttp.Server
+	ln      net.Listener
+	seq     atomic.Uint64
+	reqSeq  atomic.Uint64
+	open    atomic.Int64
+	leaving atomic.Bool
+
+	routerMu sync.Mutex
+	router   *decide.Router
+	retries  *decide.RetryBudget
+
+	quotaMu sync.Mutex
+	quotas  map[wardturn.CallerID]*decide.Quota
+
+	mu       sync.Mutex
+	hosts    map[wardturn.UpstreamID]wardturn.Host
+	listedAt time.Time
+	links    map[wardturn.UpstreamID]*link
+	timers   map[string]wardturn.Timer
+	closed   bool
+
+	ctx     context.Context
+	stop    context.CancelFunc
+	spawnMu sync.Mutex // orders spawn against Close
+	wg      sync.WaitGroup
+}
+
+// New starts an entry. It serves at once; Ready tells when it knows enough.
+func New(d Deps) *Entry {
+	cfg := d.Config.WithDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Entry{
+		cfg:     cfg,
+		clock:   d.Clock,
+		logger:  d.Logger,
+		metrics: d.Metrics,
+		list:    d.Hosts,
+		tls:     d.TLS,
+		ln:      d.Listener,
+		router:  decide.NewRouter(cfg.Router),
+		retries: decide.NewRetryBudget(cfg.RetryShare, retryFloor, retryBurst),
+		quotas:  make(map[wardturn.CallerID]*decide.Quota),
+		hosts:   make(map[wardturn.UpstreamID]wardturn.Host),
+		links:   make(map[wardturn.UpstreamID]*link),
+		timers:  make(map[string]wardturn.Timer),
+		ctx:     ctx,
+		stop:    stop,
+	}
+	e.replica = control.NewReplica(d.Log, d.Clock, d.Logger, false)
+	e.catalog = control.NewCatalog(e.replica)
+	e.server = e.newServer()
+	if d.HTTPS != nil {
+		e.ln = tls.NewListener(e.ln, d.HTTPS)
+	}
+	e.begin()
+	return e
+}
+
+func (e *Entry) newServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               e.handler(),
+		Name:                  "wardturn",
+		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    e.cfg.MaxBody,
+		ReadBufferSize:        headerLimit,
+		ReadTimeout:           readLimit,
+		IdleTimeout:           idleLimit,
+		CloseOnShutdown:       true,
+		ErrorHandler:          e.onProtocolError,
+		Logger:                discardLogger{},
+	}
+}
+
+// discardLogger drops the library's own lines; the entry logs its events.
+type discardLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLogger) Printf(string, ...any) {}
+
+func (e *Entry) begin() {
+	e.every("sweep", sweepEvery, e.sweepLinks)
+	e.spawn(e.watchHosts)
+	e.spawn(func() {
+		if err := e.server.Serve(e.ln); err != nil {
+			e.logger.Error("server ended", "error", err)
+		}
+	})
+	e.logger.Info("entry started", "addr", e.ln.Addr(), "process", e.cfg.Process)
+}
+
+// spawn runs f until it returns; Close waits for it, and nothing is started
+// after Close.
+func (e *Entry) spawn(f func()) {
+	e.spawnMu.Lock()
+	defer e.spawnMu.Unlock()
+	if e.ctx.Err() != nil {
+		return
+	}
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		f()
+	}()
+}
+
+// every calls f again and again until Close.
+func (e *Entry) every(name string, d time.Duration, f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return
+	}
+	e.timers[name] = e.clock.AfterFunc(d, func() {
+		f()
+		e.every(name, d, f)
+	})
+}
+
+func (e *Entry) identity() peer.Identity {
+	return peer.Identity{
+		Role:    peer.RoleEntry,
+		Process: e.cfg.Process,
+		Config:  e.replica.Applied,
+	}
+}
+
+func (e *Entry) nextAttempt() wardturn.AttemptID {
+	return wardturn.AttemptID{
+		Entry: e.cfg.Process,
+		Seq:   e.seq.Add(1),
+	}
+}
+
+// Addr returns the address of the API.
+func (e *Entry) Addr() string {
+	return e.ln.Addr().String()
+}
+
+// Ready reports whether the entry can serve: it knows hosts and has read the
+// configuration, and it is not leaving.
+func (e *Entry) Ready() bool {
+	if e.leaving.Load() || e.replica.Applied() == 0 {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.hosts) > 0
+}
+
+// Replica returns the entry's copy of the configuration.
+func (e *Entry) Replica() *control.Replica {
+	return e.replica
+}
+
+// Leave turns readiness off and refuses new requests as not run. It returns
+// when the requests under way have ended, or when ctx ends.
+func (e *Entry) Leave(ctx context.Context) {
+	e.leaving.Store(true)
+	e.logger.Info("leaving", "requests", e.open.Load())
+	for e.open.Load() > 0 && ctx.Err() == nil {
+		if !e.pause(ctx, leavePoll) {
+			return
+		}
+	}
+}
+
+const leavePoll = 20 * time.Millisecond
+
+func (e *Entry) pause(ctx context.Context, d time.Duration) bool {
+	woken := make(chan struct{})
+	timer := e.clock.AfterFunc(d, func() {
+		close(woken)
+	})
+	defer timer.Stop()
+	select {
+	case <-woken:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Close ends the entry at once.
+func (e *Entry) Close() {
+	e.mu.Lock()
+	e.closed = true
+	for _, t := range e.timers {
+		t.Stop()
+	}
+	links := make([]*link, 0, len(e.links))
+	for _, l := range e.links {
+		links = append(links, l)
+	}
+	e.mu.Unlock()
+	e.spawnMu.Lock()
+	e.stop()
+	e.spawnMu.Unlock()
+	e.ln.Close()
+	for _, l := range links {
+		l.client.Close()
+	}
+	_ = e.server.ShutdownWithContext(closedContext())
+	e.replica.Close()
+	e.wg.Wait()
+}
+
+// closedContext returns a context that has ended, for a shutdown that does not
+// wait.
+func closedContext() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func (e *Entry) watchHosts() {
+	for {
+		hosts, err := e.list.Hosts(e.ctx)
+		if err == nil && len(hosts) > 0 {
+			e.setHosts(hosts)
+		}
+		if !e.pause(e.ctx, e.cfg.HostsEvery) {
+			return
+		}
+	}
+}
+
+// setHosts takes a new list. An empty one is taken to be a fault of the list.
+func (e *Entry) setHosts(hosts []wardturn.Host) {
+	byID := make(map[wardturn.UpstreamID]wardturn.Host, len(hosts))
+	for _, h := range hosts {
+		byID[h.Upstream] = h
+	}
+	e.mu.Lock()
+	e.hosts = byID
+	e.listedAt = e.clock.Now()
+	e.mu.Unlock()
+	e.routerMu.Lock()
+	defer e.routerMu.Unlock()
+	e.router.SetHosts(hosts)
+}
--- /dev/null
+++ b/entry/openai.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
+
+	"wardturn"
+)
+
+const (
+	bytesPerToken   = 4
+	maxOutputTokens = 1 << 20
+	maxJSONDepth    = 64
+)
+
+// completion is what the entry needs of a completion request.
+type completion struct {
+	ref    wardturn.AdapterRef
+	stream bool
+	prompt wardturn.Tokens
+	output wardturn.Tokens
+	doc    *fastjson.Value
+}
+
+// parseCompletion reads a request in the shape of the OpenAI API. The document
+// belongs to the caller: its parser is not reused.
+func parseCompletion(body []byte, defaultOutput wardturn.Tokens) (completion, problem) {
+	if tooDeep(body) {
+		return completion{}, badRequest("", "the body nests too deeply")
+	}
+	var parser fastjson.Parser
+	doc, err := parser.ParseBytes(body)
+	if err != nil || doc.Type() != fastjson.TypeObject {
+		return completion{}, badRequest("", "the body is not a JSON object")
+	}
+	c := completion{
+		stream: doc.GetBool("stream"),
+		prompt: wardturn.Tokens(max(1, len(body)/bytesPerToken)),
+		output: defaultOutput,
+		doc:    doc,
+	}
+	c.ref, err = wardturn.ParseAdapterRef(string(doc.GetStringBytes("model")))
+	if err != nil {
+		return completion{}, badRequest("model", "must be adapter or adapter@version")
+	}
+	for _, field := range []string{"max_tokens", "max_completion_tokens"} {
+		v := doc.Get(field)
+		if v == nil || v.Type() == fastjson.TypeNull {
+			continue
+		}
+		n, err := v.Int()
+		if err != nil || n < 1 || n > maxOutputTokens {
+			return completion{}, badRequest(field, "must be a number from 1 to 1048576")
+		}
+		c.output = wardturn.Tokens(n)
+	}
+	if !doc.Exists("prompt") && !doc.Exists("messages") {
+		return completion{}, badRequest("prompt", "prompt or messages must be set")
+	}
+	return c, problem{}
+}
+
+// tooDeep reports whether a body nests beyond what any request needs, without
+// parsing it.
+func tooDeep(body []byte) bool {
+	depth, inString, escaped := 0, false, false
+	for _, b := range body {
+		switch {
+		case escaped:
+			escaped = false
+		case inString && b == '\\':
+			escaped = true
+		case b == '"':
+			inString = !inString
+		case inString:
+		case b == '{' || b == '[':
+			depth++
+			if depth > maxJSONDepth {
+				return true
+			}
+		case b == '}' || b == ']':
+			depth--
+		}
+	}
+	return false
+}
+
+// rewrite names the resolved adapter version and the engine's priority in the
+// body.
+func (c completion) rewrite(ref wardturn.AdapterRef, class wardturn.Class) []byte {
+	var arena fastjson.Arena
+	c.doc.Set("model", arena.NewString(ref.String()))
+	c.doc.Set("priority", arena.NewNumberInt(int(class)))
+	return c.doc.MarshalTo(nil)
+}
+
+// models answers /v1/models.
+func (e *Entry) models(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) {
+	var buf bytes.Buffer
+	buf.WriteString(`{"object":"list","data":[`)
+	first := true
+	for _, id := range e.catalog.Adapters() {
+		if !e.mayUse(caller, string(id), adaptersOf) {
+			continue
+		}
+		if !first {
+			buf.WriteByte(',')
+		}
+		first = false
+		buf.WriteString(`{"id":`)
+		buf.WriteString(strconv.Quote(string(id)))
+		buf.WriteString(`,"object":"model","owned_by":"wardturn"}`)
+	}
+	buf.WriteString("]}\n")
+	ctx.SetContentType("application/json")
+	ctx.SetBody(buf.Bytes())
+}
+
+// digestOf tells two requests with the same key apart.
+func digestOf(req *wardturn.Request) wardturn.Digest {
+	h := sha256.New()
+	for _, part := range []string{string(req.Service), req.Method, req.Path} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(req.Body)
+	return wardturn.Digest(hex.EncodeToString(h.Sum(nil)))
+}
--- /dev/null
+++ b/entry/problem.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/json"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"wardturn"
+	"wardturn/platform"
+)
+
+// problem is an error answer. Its zero value is none.
+type problem struct {
+	status  int
+	code    string
+	message string
+	param   string
+	outcome wardturn.Outcome
+}
+
+// errorAnswer is the error shape of the OpenAI API, and whether the request ran.
+type errorAnswer struct {
+	Error platform.ErrorDetail `json:"error"`
+	Ran   string               `json:"ran"` // no, yes or unknown
+}
+
+func (p problem) answer() errorAnswer {
+	kind := "server_error"
+	if p.status < fasthttp.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	ran := "no"
+	if p.outcome.Kind == wardturn.Unknown {
+		ran = "unknown"
+	}
+	return errorAnswer{
+		Error: platform.ErrorDetail{
+			Message: p.message,
+			Type:    kind,
+			Code:    p.code,
+			Param:   p.param,
+		},
+		Ran: ran,
+	}
+}
+
+func writeProblem(ctx *fasthttp.RequestCtx, p problem) {
+	ctx.SetStatusCode(p.status)
+	ctx.SetContentType("application/json")
+	if p.outcome.Kind == 0 {
+		p.outcome = wardturn.Refused(wardturn.Reason(p.code), 0)
+		ctx.Response.Header.Set(HeaderOutcome, p.outcome.Kind.String())
+	}
+	if after := p.outcome.RetryAfter; after > 0 {
+		seconds := int(math.Ceil(after.Seconds()))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+	}
+	body, _ := json.Marshal(p.answer())
+	ctx.SetBody(append(body, '\n'))
+}
+
+// writeErrorEvent ends a stream that was cut short.
+func writeErrorEvent(w *bufio.Writer, outcome wardturn.Outcome) {
+	body, _ := json.Marshal(problemOf(outcome).answer())
+	_, _ = w.WriteString("event: error\ndata: ")
+	_, _ = w.Write(body)
+	_, _ = w.WriteString("\n\n")
+}
+
+// problemOf turns an outcome into an answer. A request that was given up gets
+// it at once, with the time to come back.
+func problemOf(o wardturn.Outcome) problem {
+	p := problem{
+		status:  statusOf(o),
+		code:    string(o.Reason),
+		outcome: o,
+	}
+	if o.Kind == wardturn.Unknown {
+		p.message = "the request may have run: " + describe(o.Reason)
+		return p
+	}
+	p.message = "the request did not run: " + describe(o.Reason)
+	return p
+}
+
+func statusOf(o wardturn.Outcome) int {
+	if o.Kind == wardturn.Unknown {
+		if o.Reason == wardturn.ReasonDeadline {
+			return fasthttp.StatusGatewayTimeout
+		}
+		return fasthttp.StatusBadGateway
+	}
+	switch o.Reason {
+	case wardturn.ReasonQuota, wardturn.ReasonQueueFull:
+		return fasthttp.StatusTooManyRequests
+	case wardturn.ReasonKeyReused:
+		return fasthttp.StatusUnprocessableEntity
+	case wardturn.ReasonKeyTooOld, wardturn.ReasonKeyInProgress, wardturn.ReasonDuplicate:
+		return fasthttp.StatusConflict
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+// describe says a reason in words.
+func describe(r wardturn.Reason) string {
+	switch r {
+	case wardturn.ReasonQueueFull:
+		return "too many requests are waiting"
+	case wardturn.ReasonDeadline:
+		return "it could not be answered before its deadline"
+	case wardturn.ReasonLeaving:
+		return "this host is leaving"
+	case wardturn.ReasonQuota:
+		return "the caller's quota is used up"
+	case wardturn.ReasonNoUpstream:
+		return "no upstream can take it now"
+	case wardturn.ReasonUnreachable:
+		return "the upstream's agent cannot be reached"
+	case wardturn.ReasonLogUnavailable:
+		return "the log is out, and without it the request cannot be kept from running twice"
+	case wardturn.ReasonKeyReused:
+		return "the idempotency key was used for another request"
+	case wardturn.ReasonKeyTooOld:
+		return "the idempotency key is older than the remembered window"
+	case wardturn.ReasonKeyInProgress:
+		return "an earlier request with the same idempotency key is still running"
+	case wardturn.ReasonDuplicate:
+		return "an earlier request with the same idempotency key ran, and its answer is not known"
+	case wardturn.ReasonUpstreamLost:
+		return "the upstream was lost"
+	case wardturn.ReasonAgentRestarted:
+		return "the upstream's agent restarted"
+	}
+	return strings.ReplaceAll(string(r), "_", " ")
+}
+
+func badRequest(param, message string) problem {
+	return problem{
+		status:  fasthttp.StatusBadRequest,
+		code:    string(wardturn.ReasonBadRequest),
+		message: strings.TrimSpace(param + " " + message),
+		param:   param,
+	}
+}
+
+func unauthorized() problem {
+	return problem{
+		status:  fasthttp.StatusUnauthorized,
+		code:    "unauthorized",
+		message: "a known key is needed, as Authorization: Bearer KEY",
+	}
+}
+
+func forbidden(what string) problem {
+	return problem{
+		status:  fasthttp.StatusForbidden,
+		code:    string(wardturn.ReasonForbidden),
+		message: "the key does not allow " + what,
+	}
+}
+
+func unknownAdapter(ref wardturn.AdapterRef) problem {
+	return problem{
+		status:  fasthttp.StatusNotFound,
+		code:    string(wardturn.ReasonUnknownAdapter),
+		message: "no adapter " + ref.String(),
+		param:   "model",
+	}
+}
+
+func unknownService(name wardturn.ServiceName) problem {
+	return problem{
+		status:  fasthttp.StatusNotFound,
+		code:    string(wardturn.ReasonUnknownService),
+		message: "no service " + string(name),
+	}
+}
+
+// onProtocolError answers what is no proper HTTP request.
+func (e *Entry) onProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	p := badRequest("", "the request cannot be read")
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		p.status = fasthttp.StatusRequestEntityTooLarge
+		p.code = string(wardturn.ReasonTooLarge)
+		p.message = "the body is larger than " + strconv.Itoa(e.cfg.MaxBody) + " bytes"
+	case errors.As(err, &small):
+		p.status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		p.code = string(wardturn.ReasonTooLarge)
+		p.message = "the headers are larger than 16 KiB"
+	}
+	writeProblem(ctx, p)
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,287 @@
+// Package load sends open-loop traffic to entry hosts and measures it.
+//
+// Requests leave at the times of a plan, whether or not earlier ones have been
+// answered, and each is timed from its planned departure: a slow system cannot
+// hide its delays by slowing the load down (coordinated omission).
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"wardturn"
+	"wardturn/entry"
+	"wardturn/experiment"
+)
+
+// Plan says what to send where.
+type Plan struct {
+	Addrs  []string // of entry hosts, IP:port; used in turn
+	Trace  []experiment.Request
+	Key    string // bearer key; empty: none
+	Stream bool
+	Clock  wardturn.Clock
+	// Limit bounds the requests under way; beyond it a request counts as
+	// skipped.
+	Limit int
+}
+
+// The range of the histograms, in microseconds.
+const (
+	histMin    = 1
+	histMax    = 3_600_000_000
+	histDigits = 3
+)
+
+// Summary is what became of the traffic. Times are in milliseconds.
+type Summary struct {
+	Sent    int            `json:"sent"`
+	Done    int            `json:"done"`
+	NotRun  int            `json:"not_run"`
+	Unknown int            `json:"unknown"`
+	Failed  int            `json:"failed"` // no answer that could be read
+	Skipped int            `json:"skipped"`
+	Reasons map[string]int `json:"reasons,omitempty"`
+	Whole   Latency        `json:"whole_ms"`
+	First   Latency        `json:"first_byte_ms"`
+	Stall   Latency        `json:"load_stall_ms"`
+	Seconds float64        `json:"seconds"`
+	PerSec  float64        `json:"done_per_second"`
+}
+
+// Latency holds quantiles in milliseconds.
+type Latency struct {
+	Mean float64 `json:"mean"`
+	P50  float64 `json:"p50"`
+	P95  float64 `json:"p95"`
+	P99  float64 `json:"p99"`
+	Max  float64 `json:"max"`
+}
+
+// Runner sends a plan.
+type Runner struct {
+	plan   Plan
+	client *fasthttp.Client
+	open   atomic.Int64
+
+	mu    sync.Mutex
+	sum   Summary
+	whole *hdrhistogram.Histogram
+	first *hdrhistogram.Histogram
+	stall *hdrhistogram.Histogram
+}
+
+// DefaultLimit bounds the requests under way.
+const DefaultLimit = 20_000
+
+// NewRunner returns a runner for a plan.
+func NewRunner(p Plan) *Runner {
+	if p.Limit == 0 {
+		p.Limit = DefaultLimit
+	}
+	return &Runner{
+		plan: p,
+		client: &fasthttp.Client{
+			MaxConnsPerHost:           p.Limit,
+			StreamResponseBody:        true,
+			MaxIdemponentCallAttempts: 1,
+		},
+		sum: Summary{
+			Reasons: make(map[string]int),
+		},
+		whole: hdrhistogram.New(histMin, histMax, histDigits),
+		first: hdrhistogram.New(histMin, histMax, histDigits),
+		stall: hdrhistogram.New(histMin, histMax, histDigits),
+	}
+}
+
+// Run sends the plan and waits for the answers.
+func (r *Runner) Run(ctx context.Context) Summary {
+	start := r.plan.Clock.Now()
+	var wg sync.WaitGroup
+	for i, req := range r.plan.Trace {
+		due := start.Add(req.At())
+		if !r.sleep(ctx, due) {
+			break
+		}
+		if r.open.Load() >= int64(r.plan.Limit) {
+			r.count(func(s *Summary) { s.Skipped++ })
+			continue
+		}
+		r.open.Add(1)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer r.open.Add(-1)
+			r.send(i, req, due)
+		}()
+	}
+	wg.Wait()
+	return r.summary(r.plan.Clock.Now().Sub(start))
+}
+
+func (r *Runner) sleep(ctx context.Context, due time.Time) bool {
+	wait := due.Sub(r.plan.Clock.Now())
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	woken := make(chan struct{})
+	timer := r.plan.Clock.AfterFunc(wait, func() {
+		close(woken)
+	})
+	defer timer.Stop()
+	select {
+	case <-woken:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Runner) count(f func(*Summary)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.sum)
+}
+
+// Snapshot returns the counts so far.
+func (r *Runner) Snapshot() Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sum
+}
+
+func (r *Runner) send(i int, t experiment.Request, due time.Time) {
+	req := fasthttp.AcquireRequest()
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	r.fill(req, i, t)
+	r.count(func(s *Summary) { s.Sent++ })
+	if err := r.client.Do(req, res); err != nil {
+		r.count(func(s *Summary) { s.Failed++ })
+		return
+	}
+	first, whole, err := r.read(res)
+	stall, _ := strconv.Atoi(string(res.Header.Peek(entry.HeaderStall)))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.classify(res, whole, err)
+	if err == nil && res.StatusCode() == fasthttp.StatusOK {
+		_ = r.whole.RecordValue(max(histMin, r.plan.Clock.Now().Sub(due).Microseconds()))
+		_ = r.first.RecordValue(max(histMin, first.Sub(due).Microseconds()))
+		_ = r.stall.RecordValue(max(histMin, int64(stall)*1000))
+	}
+}
+
+// classify counts an answer; the lock is held.
+func (r *Runner) classify(res *fasthttp.Response, whole bool, err error) {
+	reason := string(res.Header.Peek(entry.HeaderReason))
+	switch {
+	case err != nil:
+		r.sum.Failed++
+	case res.StatusCode() == fasthttp.StatusOK && whole:
+		r.sum.Done++
+	case string(res.Header.Peek(entry.HeaderOutcome)) == wardturn.NotRun.String():
+		r.sum.NotRun++
+		r.sum.Reasons[reason]++
+	default:
+		r.sum.Unknown++
+		r.sum.Reasons[reason]++
+	}
+}
+
+// promptFiller makes prompts of the planned length.
+var promptFiller = bytes.Repeat([]byte("wait "), 1<<16)
+
+const bytesPerToken = 4
+
+func (r *Runner) fill(req *fasthttp.Request, i int, t experiment.Request) {
+	req.SetRequestURI("http://" + r.plan.Addrs[i%len(r.plan.Addrs)] + "/v1/completions")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.Header.Set(entry.HeaderClass, t.Class)
+	if r.plan.Key != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+r.plan.Key)
+	}
+	if t.DeadlineMS > 0 {
+		req.Header.Set(entry.HeaderDeadline, strconv.FormatInt(t.DeadlineMS, 10))
+	}
+	n := min(len(promptFiller), int(t.PromptTokens)*bytesPerToken)
+	body := make([]byte, 0, n+128)
+	body = append(body, `{"model":"`...)
+	body = append(body, t.Adapter...)
+	body = append(body, `","max_tokens":`...)
+	body = strconv.AppendInt(body, int64(t.OutputTokens), 10)
+	if r.plan.Stream {
+		body = append(body, `,"stream":true`...)
+	}
+	body = append(body, `,"prompt":"`...)
+	body = append(body, promptFiller[:n]...)
+	body = append(body, `"}`...)
+	req.SetBodyRaw(body)
+}
+
+var doneMark = []byte("data: [DONE]")
+
+// read reads an answer to its end. A stream is whole if it has its end marker.
+func (r *Runner) read(res *fasthttp.Response) (first time.Time, whole bool, err error) {
+	body := res.BodyStream()
+	if body == nil {
+		return r.plan.Clock.Now(), true, nil
+	}
+	defer res.CloseBodyStream()
+	br := bufio.NewReader(body)
+	if _, err := br.Peek(1); err != nil {
+		return r.plan.Clock.Now(), false, err
+	}
+	first = r.plan.Clock.Now()
+	whole = !r.plan.Stream
+	for {
+		line, err := br.ReadSlice('\n')
+		if bytes.HasPrefix(line, doneMark) {
+			whole = true
+		}
+		switch err {
+		case nil, bufio.ErrBufferFull:
+		case io.EOF:
+			return first, whole, nil
+		default:
+			return first, false, err
+		}
+	}
+}
+
+func (r *Runner) summary(took time.Duration) Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.sum
+	s.Whole = latency(r.whole)
+	s.First = latency(r.first)
+	s.Stall = latency(r.stall)
+	s.Seconds = took.Seconds()
+	if took > 0 {
+		s.PerSec = float64(s.Done) / took.Seconds()
+	}
+	return s
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	const perMilli = 1000.0
+	return Latency{
+		Mean: h.Mean() / perMilli,
+		P50:  float64(h.ValueAtQuantile(50)) / perMilli,
+		P95:  float64(h.ValueAtQuantile(95)) / perMilli,
+		P99:  float64(h.ValueAtQuantile(99)) / perMilli,
+		Max:  float64(h.Max()) / perMilli,
+	}
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"wardturn"
+)
+
+const (
+	dialLimit    = 2 * time.Second
+	minRedial    = 50 * time.Millisecond
+	maxRedial    = 2 * time.Second
+	redialFactor = 2
+)
+
+// Client keeps one connection to a process, and dials again when it is lost.
+type Client struct {
+	addr    string
+	conf    *tls.Config
+	clock   wardturn.Clock
+	id      Identity
+	handler ClientHandler
+
+	mu     sync.Mutex
+	conn   *Conn
+	closed chan struct{}
+	done   chan struct{}
+}
+
+// ClientHandler is a Handler that also learns of new connections.
+type ClientHandler interface {
+	Handler
+	// Connected is called before the first Handle of a connection.
+	Connected(c *Conn)
+}
+
+// NewClient returns a client that dials addr until Close.
+func NewClient(addr string, conf *tls.Config, clock wardturn.Clock, id Identity, h ClientHandler) *Client {
+	c := &Client{
+		addr:    addr,
+		conf:    conf,
+		clock:   clock,
+		id:      id,
+		handler: h,
+		closed:  make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	go func() {
+		defer close(c.done)
+		c.run()
+	}()
+	return c
+}
+
+// Conn returns the present connection, or nil.
+func (c *Client) Conn() *Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn
+}
+
+// Addr returns the address that the client dials.
+func (c *Client) Addr() string {
+	return c.addr
+}
+
+// Close ends the connection and waits for its last call to the handler.
+func (c *Client) Close() {
+	c.mu.Lock()
+	select {
+	case <-c.closed:
+	default:
+		close(c.closed)
+	}
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+	<-c.done
+}
+
+func (c *Client) run() {
+	wait := minRedial
+	for {
+		if c.serve() {
+			wait = minRedial
+		}
+		if !c.pause(wait) {
+			return
+		}
+		wait = min(wait*redialFactor, maxRedial)
+	}
+}
+
+// serve dials once and serves the connection. It reports whether there was one.
+func (c *Client) serve() bool {
+	nc, err := c.dial()
+	if err != nil {
+		return false
+	}
+	conn, r, err := establish(nc, c.clock, c.id)
+	if err != nil {
+		nc.Close()
+		return false
+	}
+	if !c.setConn(conn) {
+		conn.Close()
+		return false
+	}
+	c.handler.Connected(conn)
+	conn.run(r, c.handler)
+	c.setConn(nil)
+	return true
+}
+
+func (c *Client) dial() (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: dialLimit,
+	}
+	if c.conf != nil {
+		return tls.DialWithDialer(&d, "tcp", c.addr, c.conf)
+	}
+	return d.Dial("tcp", c.addr)
+}
+
+// setConn records the connection and reports false after Close.
+func (c *Client) setConn(conn *Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+	select {
+	case <-c.closed:
+		return false
+	default:
+		return true
+	}
+}
+
+// pause waits about d, with jitter so that many clients do not dial together,
+// and reports false after Close.
+func (c *Client) pause(d time.Duration) bool {
+	d = d/2 + rand.N(d)
+	woken := make(chan struct{})
+	timer := c.clock.AfterFunc(d, func() {
+		close(woken)
+	})
+	defer timer.Stop()
+	select {
+	case <-woken:
+		return true
+	case <-c.closed:
+		return false
+	}
+}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,256 @@
+package peer
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn"
+)
+
+// The limits of a connection.
+const (
+	maxBuffered   = 32 << 20
+	readBuffer    = 64 << 10
+	pingEvery     = time.Second
+	silenceLimit  = 4 * time.Second
+	helloLimit    = 3 * time.Second
+	keepWriteBuff = 1 << 20
+)
+
+var (
+	// ErrClosed is returned by Send on a connection that has ended.
+	ErrClosed = errors.New("peer: connection closed")
+	// ErrProtocol is returned for a peer that does not speak the protocol.
+	ErrProtocol = errors.New("peer: protocol violated")
+	// ErrSlowPeer ends a connection whose peer takes its bytes too slowly.
+	ErrSlowPeer = errors.New("peer: too many bytes buffered")
+	// ErrSilent ends a connection on which nothing arrived for too long.
+	ErrSilent = errors.New("peer: nothing received")
+)
+
+// Handler receives the messages of a connection. Handle is called from the
+// connection's reading goroutine, one message at a time, and must not block.
+type Handler interface {
+	Handle(c *Conn, m Message)
+	// Closed is called once, after the last Handle.
+	Closed(c *Conn, err error)
+}
+
+// Conn is an established connection: both sides have said Hello.
+type Conn struct {
+	nc     net.Conn
+	clock  wardturn.Clock
+	peer   Hello
+	config func() wardturn.Offset
+
+	mu       sync.Mutex
+	ready    *sync.Cond // out is not empty, or the connection ended
+	out      []byte
+	err      error
+	ping     wardturn.Timer
+	lastRead atomic.Int64 // clock time in nanoseconds
+	seq      uint64
+}
+
+// Identity is what a process says of itself.
+type Identity struct {
+	Role     Role
+	Process  wardturn.Incarnation
+	Upstream wardturn.UpstreamID
+	// Config returns the newest configuration applied.
+	Config func() wardturn.Offset
+}
+
+func (id Identity) hello() *Hello {
+	return &Hello{
+		Protocol: Protocol,
+		Role:     id.Role,
+		Process:  id.Process,
+		Upstream: id.Upstream,
+		Config:   id.Config(),
+	}
+}
+
+// establish exchanges Hello on a new connection.
+func establish(nc net.Conn, clock wardturn.Clock, id Identity) (*Conn, *bufio.Reader, error) {
+	timer := clock.AfterFunc(helloLimit, func() {
+		nc.Close()
+	})
+	defer timer.Stop()
+	frame, err := AppendFrame(nil, id.hello())
+	if err != nil {
+		return nil, nil, err
+	}
+	if _, err := nc.Write(frame); err != nil {
+		return nil, nil, errors.Wrap(err, "peer: hello")
+	}
+	r := bufio.NewReaderSize(nc, readBuffer)
+	m, _, err := ReadFrame(r, nil)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "peer: hello")
+	}
+	hello, ok := m.(*Hello)
+	if !ok || hello.Protocol != Protocol {
+		return nil, nil, errors.Wrap(ErrProtocol, "hello")
+	}
+	c := &Conn{
+		nc:     nc,
+		clock:  clock,
+		peer:   *hello,
+		config: id.Config,
+	}
+	c.ready = sync.NewCond(&c.mu)
+	c.lastRead.Store(clock.Now().UnixNano())
+	return c, r, nil
+}
+
+// Peer returns what the other side said at the start.
+func (c *Conn) Peer() Hello {
+	return c.peer
+}
+
+// Send queues a message. It does not block: a peer that does not take its bytes
+// loses the connection. An error means that the message was not queued; nil
+// does not mean that it arrives.
+func (c *Conn) Send(m Message) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return ErrClosed
+	}
+	if len(c.out) > maxBuffered {
+		c.fail(ErrSlowPeer)
+		return ErrClosed
+	}
+	empty := len(c.out) == 0
+	out, err := AppendFrame(c.out, m)
+	if err != nil {
+		return err
+	}
+	c.out = out
+	if empty {
+		c.ready.Signal()
+	}
+	return nil
+}
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail(ErrClosed)
+}
+
+// fail ends the connection with its first error. The lock is held.
+func (c *Conn) fail(err error) {
+	if c.err != nil {
+		return
+	}
+	c.err = err
+	if c.ping != nil {
+		c.ping.Stop()
+	}
+	c.nc.Close()
+	c.ready.Broadcast()
+}
+
+func (c *Conn) failed(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail(err)
+}
+
+// run serves the connection until it ends.
+func (c *Conn) run(r *bufio.Reader, h Handler) {
+	c.schedulePing()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.write()
+	}()
+	c.read(r, h)
+	<-done
+	c.mu.Lock()
+	err := c.err
+	c.mu.Unlock()
+	h.Closed(c, err)
+}
+
+func (c *Conn) read(r *bufio.Reader, h Handler) {
+	var scratch []byte
+	for {
+		m, buf, err := ReadFrame(r, scratch)
+		if err != nil {
+			c.failed(err)
+			return
+		}
+		scratch = buf
+		c.lastRead.Store(c.clock.Now().UnixNano())
+		switch m := m.(type) {
+		case *Ping:
+			h.Handle(c, m)
+			_ = c.Send(&Pong{
+				Seq:    m.Seq,
+				Config: c.config(),
+			})
+		default:
+			h.Handle(c, m)
+		}
+	}
+}
+
+// write sends what is queued, everything that came together in one call.
+func (c *Conn) write() {
+	var spare []byte
+	for {
+		c.mu.Lock()
+		for len(c.out) == 0 && c.err == nil {
+			c.ready.Wait()
+		}
+		if c.err != nil {
+			c.mu.Unlock()
+			return
+		}
+		batch := c.out
+		c.out = spare[:0]
+		c.mu.Unlock()
+		if _, err := c.nc.Write(batch); err != nil {
+			c.failed(err)
+			return
+		}
+		spare = batch
+		if cap(spare) > keepWriteBuff {
+			spare = nil
+		}
+	}
+}
+
+func (c *Conn) schedulePing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.ping = c.clock.AfterFunc(pingEvery, c.heartbeat)
+	}
+}
+
+func (c *Conn) heartbeat() {
+	silent := c.clock.Now().Sub(time.Unix(0, c.lastRead.Load()))
+	if silent > silenceLimit {
+		c.failed(ErrSilent)
+		return
+	}
+	c.seq++
+	_ = c.Send(&Ping{
+		Seq:    c.seq,
+		Config: c.config(),
+	})
+	c.schedulePing()
+}
+
+// Window is how far beyond the bytes that it passed on an entry gives credit.
+const Window = 256 << 10
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// MaxFrame bounds a frame, in bytes, its kind included.
+	MaxFrame = 4 << 20
+	// headerSize is the length and the kind.
+	headerSize = 5
+)
+
+var (
+	// ErrFrameTooLarge is returned for a frame over MaxFrame.
+	ErrFrameTooLarge = errors.New("peer: frame too large")
+	// ErrBadFrame is returned for a frame that holds no known message.
+	ErrBadFrame = errors.New("peer: malformed frame")
+)
+
+// encoder is a reusable msgpack encoder with its buffer.
+type encoder struct {
+	buf bytes.Buffer
+	enc *msgpack.Encoder
+}
+
+var encoders = sync.Pool{
+	New: func() any {
+		e := &encoder{}
+		e.enc = msgpack.NewEncoder(&e.buf)
+		return e
+	},
+}
+
+// AppendFrame appends a message as a frame to buf.
+func AppendFrame(buf []byte, m Message) ([]byte, error) {
+	e := encoders.Get().(*encoder)
+	defer encoders.Put(e)
+	e.buf.Reset()
+	e.enc.Reset(&e.buf)
+	e.enc.UseCompactInts(true)
+	if err := e.enc.Encode(m); err != nil {
+		return buf, errors.Wrap(err, "peer: encode")
+	}
+	size := e.buf.Len() + 1
+	if size > MaxFrame {
+		return buf, ErrFrameTooLarge
+	}
+	buf = binary.BigEndian.AppendUint32(buf, uint32(size))
+	buf = append(buf, byte(m.Kind()))
+	return append(buf, e.buf.Bytes()...), nil
+}
+
+// decoder is a reusable msgpack decoder.
+type decoder struct {
+	r   bytes.Reader
+	dec *msgpack.Decoder
+}
+
+var decoders = sync.Pool{
+	New: func() any {
+		d := &decoder{}
+		d.dec = msgpack.NewDecoder(&d.r)
+		return d
+	},
+}
+
+// ReadFrame reads one frame from r. Scratch is reused if it is large enough;
+// messages do not keep it. A hostile length costs no memory before its bytes
+// arrive.
+func ReadFrame(r io.Reader, scratch []byte) (Message, []byte, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, scratch, err
+	}
+	size := binary.BigEndian.Uint32(header[:4])
+	if size == 0 {
+		return nil, scratch, errors.Wrap(ErrBadFrame, "empty")
+	}
+	if size > MaxFrame {
+		return nil, scratch, ErrFrameTooLarge
+	}
+	body, err := readBody(r, scratch[:0], int(size)-1)
+	if err != nil {
+		return nil, body, err
+	}
+	m, err := decode(Kind(header[4]), body)
+	return m, body, err
+}
+
+// readBody reads n bytes and grows buf only as they arrive.
+func readBody(r io.Reader, buf []byte, n int) ([]byte, error) {
+	const step = 64 << 10
+	for len(buf) < n {
+		more := min(n-len(buf), max(step, cap(buf)-len(buf)))
+		at := len(buf)
+		if cap(buf) < at+more {
+			grown := make([]byte, at, at+more)
+			copy(grown, buf)
+			buf = grown
+		}
+		buf = buf[:at+more]
+		if _, err := io.ReadFull(r, buf[at:]); err != nil {
+			return buf, errors.Wrap(io.ErrUnexpectedEOF, "peer: truncated frame")
+		}
+	}
+	return buf, nil
+}
+
+// decode turns a frame's body into a message. The library panics on a few
+// hostile inputs; a frame must never stop the process.
+func decode(k Kind, body []byte) (m Message, err error) {
+	m = newMessage(k)
+	if m == nil {
+		return nil, errors.Wrapf(ErrBadFrame, "kind %d", k)
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			m = nil
+			err = errors.Wrapf(ErrBadFrame, "kind %d: %v", k, p)
+		}
+	}()
+	d := decoders.Get().(*decoder)
+	defer decoders.Put(d)
+	d.r.Reset(body)
+	d.dec.Reset(&d.r)
+	if err := d.dec.Decode(m); err != nil {
+		return nil, errors.Wrapf(ErrBadFrame, "kind %d: %v", k, err)
+	}
+	if d.r.Len() > 0 {
+		return nil, errors.Wrapf(ErrBadFrame, "kind %d: %d bytes left over", k, d.r.Len())
+	}
+	return m, nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"wardturn"
+)
+
+// Server accepts connections of other processes.
+type Server struct {
+	clock   wardturn.Clock
+	id      Identity
+	handler Handler
+	ln      net.Listener
+
+	mu     sync.Mutex
+	conns  map[*Conn]bool
+	fresh  map[net.Conn]bool // accepted, Hello not yet exchanged
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewServer serves connections on ln until Close. With a TLS configuration that
+// asks for client certificates, the connections are mutually authenticated.
+func NewServer(ln net.Listener, conf *tls.Config, clock wardturn.Clock, id Identity, h Handler) *Server {
+	if conf != nil {
+		ln = tls.NewListener(ln, conf)
+	}
+	s := &Server{
+		clock:   clock,
+		id:      id,
+		handler: h,
+		ln:      ln,
+		conns:   make(map[*Conn]bool),
+		fresh:   make(map[net.Conn]bool),
+	}
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		s.accept()
+	}()
+	return s
+}
+
+// Addr returns the address of the listener.
+func (s *Server) Addr() net.Addr {
+	return s.ln.Addr()
+}
+
+func (s *Server) accept() {
+	for {
+		nc, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.serve(nc)
+		}()
+	}
+}
+
+func (s *Server) serve(nc net.Conn) {
+	if !s.track(nc) {
+		nc.Close()
+		return
+	}
+	c, r, err := establish(nc, s.clock, s.id)
+	if !s.promote(nc, c, err) {
+		nc.Close()
+		return
+	}
+	c.run(r, s.handler)
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// track records an accepted connection and reports false after Close.
+func (s *Server) track(nc net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.fresh[nc] = true
+	return true
+}
+
+// promote records that Hello was exchanged and reports whether to go on.
+func (s *Server) promote(nc net.Conn, c *Conn, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.fresh, nc)
+	if err != nil || s.closed {
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+// Broadcast queues a message on every connection.
+func (s *Server) Broadcast(m Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Send(m)
+	}
+}
+
+// Close ends the listener and all connections, and waits for them.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for nc := range s.fresh {
+		nc.Close()
+	}
+	conns := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	s.ln.Close()
+	for _, c := range conns {
+		c.Close()
+	}
+	s.wg.Wait()
+}
--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn"
+)
+
+// LogFaults are the ways in which the log fails.
+type LogFaults struct {
+	Down bool
+	// LoseReply, if set, is asked after each append; true loses the reply.
+	LoseReply func() bool
+}
+
+// LogConfig sizes the log.
+type LogConfig struct {
+	Retention time.Duration // zero: for ever
+	Latency   time.Duration // of an append
+	Rate      float64       // appends a second; zero: unlimited
+}
+
+// Log is the platform's append-only log in memory.
+type Log struct {
+	clock wardturn.Clock
+	cfg   LogConfig
+
+	mu      sync.Mutex
+	faults  LogFaults
+	records []wardturn.LogRecord
+	first   wardturn.Offset
+	next    wardturn.Offset
+	grown   chan struct{} // closed and replaced when a record is added
+	tokens  float64
+	tokenAt time.Time
+	appends int
+}
+
+// NewLog returns an empty log.
+func NewLog(clock wardturn.Clock, cfg LogConfig) *Log {
+	return &Log{
+		clock:   clock,
+		cfg:     cfg,
+		first:   1,
+		next:    1,
+		grown:   make(chan struct{}),
+		tokens:  cfg.Rate,
+		tokenAt: clock.Now(),
+	}
+}
+
+// SetFaults replaces the log's faults.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+	l.wake()
+}
+
+// Appends returns the number of records ever added.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Append implements wardturn.Log.
+func (l *Log) Append(ctx context.Context, data []byte) (wardturn.Offset, error) {
+	if l.cfg.Latency > 0 {
+		if err := l.sleep(ctx, l.cfg.Latency); err != nil {
+			return 0, errors.Wrap(wardturn.ErrReplyLost, "standin log")
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down || !l.takeToken() {
+		return 0, wardturn.ErrUnavailable
+	}
+	offset := l.next
+	l.next++
+	l.appends++
+	l.records = append(l.records, wardturn.LogRecord{
+		Offset: offset,
+		Time:   l.clock.Now(),
+		Data:   slices.Clone(data),
+	})
+	l.wake()
+	if l.faults.LoseReply != nil && l.faults.LoseReply() {
+		return 0, wardturn.ErrReplyLost
+	}
+	return offset, nil
+}
+
+// wake ends the waits of readers. The lock is held.
+func (l *Log) wake() {
+	close(l.grown)
+	l.grown = make(chan struct{})
+}
+
+func (l *Log) takeToken() bool {
+	if l.cfg.Rate <= 0 {
+		return true
+	}
+	now := l.clock.Now()
+	l.tokens = min(l.cfg.Rate, l.tokens+l.cfg.Rate*now.Sub(l.tokenAt).Seconds())
+	l.tokenAt = now
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// Read implements wardturn.Log.
+func (l *Log) Read(ctx context.Context, from wardturn.Offset, limit int, wait time.Duration) (wardturn.LogPage, error) {
+	woken := make(chan struct{})
+	timer := l.clock.AfterFunc(wait, func() {
+		close(woken)
+	})
+	defer timer.Stop()
+	for {
+		page, grown, err := l.read(from, limit)
+		if err != nil || len(page.Records) > 0 {
+			return page, err
+		}
+		select {
+		case <-grown:
+		case <-woken:
+			return page, nil
+		case <-ctx.Done():
+			return page, errors.Wrap(wardturn.ErrUnavailable, "standin log: read canceled")
+		}
+	}
+}
+
+func (l *Log) read(from wardturn.Offset, limit int) (wardturn.LogPage, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop()
+	page := wardturn.LogPage{
+		First: l.first,
+		Next:  l.next,
+	}
+	if l.faults.Down {
+		return page, l.grown, wardturn.ErrUnavailable
+	}
+	if from < l.first {
+		return page, l.grown, wardturn.ErrOutOfRetention
+	}
+	at := int(from - l.first)
+	if at < len(l.records) {
+		page.Records = slices.Clone(l.records[at:min(at+limit, len(l.records))])
+	}
+	return page, l.grown, nil
+}
+
+// drop removes the records that are out of retention.
+func (l *Log) drop() {
+	if l.cfg.Retention <= 0 {
+		return
+	}
+	limit := l.clock.Now().Add(-l.cfg.Retention)
+	n := 0
+	for n < len(l.records) && l.records[n].Time.Before(limit) {
+		n++
+	}
+	l.records = l.records[n:]
+	l.first += wardturn.Offset(n)
+}
+
+func (l *Log) sleep(ctx context.Context, d time.Duration) error {
+	woken := make(chan struct{})
+	timer := l.clock.AfterFunc(d, func() {
+		close(woken)
+	})
+	defer timer.Stop()
+	select {
+	case <-woken:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/standin/serve.go
@@ -0,0 +1,384 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"wardturn"
+	"wardturn/platform"
+)
+
+// Serve runs a handler on a listener until the listener is closed. The result
+// stops the server.
+func Serve(ln net.Listener, h fasthttp.RequestHandler) (stop func()) {
+	s := &fasthttp.Server{
+		Handler:               h,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ln)
+	}()
+	return func() {
+		ln.Close()
+		_ = s.Shutdown()
+		<-done
+	}
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	_ = json.NewEncoder(ctx).Encode(v)
+}
+
+func writeError(ctx *fasthttp.RequestCtx, status int, code, message string) {
+	writeJSON(ctx, status, platform.ErrorBody{
+		Error: platform.ErrorDetail{
+			Message: message,
+			Type:    "engine_error",
+			Code:    code,
+		},
+	})
+}
+
+// LogHandler serves a log over HTTP.
+func LogHandler(l *Log) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		switch {
+		case string(ctx.Path()) != platform.PathRecords:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		case ctx.IsPost():
+			appendRecord(ctx, l)
+		default:
+			readRecords(ctx, l)
+		}
+	}
+}
+
+func appendRecord(ctx *fasthttp.RequestCtx, l *Log) {
+	offset, err := l.Append(ctx, ctx.PostBody())
+	switch {
+	case errors.Is(err, wardturn.ErrUnavailable):
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	case err != nil:
+		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+	default:
+		writeJSON(ctx, fasthttp.StatusOK, platform.Appended{
+			Offset: offset,
+		})
+	}
+}
+
+func readRecords(ctx *fasthttp.RequestCtx, l *Log) {
+	args := ctx.QueryArgs()
+	from, err := strconv.ParseInt(string(args.Peek("from")), 10, 64)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	wait := time.Duration(args.GetUintOrZero("wait_ms")) * time.Millisecond
+	page, err := l.Read(ctx, wardturn.Offset(from), args.GetUintOrZero("limit"), wait)
+	status := fasthttp.StatusOK
+	switch {
+	case errors.Is(err, wardturn.ErrOutOfRetention):
+		status = fasthttp.StatusGone
+	case err != nil:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	wire := platform.WirePage{
+		First: page.First,
+		Next:  page.Next,
+	}
+	for _, r := range page.Records {
+		wire.Records = append(wire.Records, platform.WireRecord{
+			Offset: r.Offset,
+			Time:   r.Time,
+			Data:   r.Data,
+		})
+	}
+	writeJSON(ctx, status, wire)
+}
+
+// HostsHandler serves a list of hosts over HTTP.
+func HostsHandler(l *HostList) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		hosts, err := l.Hosts(ctx)
+		if err != nil {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		if hosts == nil {
+			hosts = []wardturn.Host{}
+		}
+		writeJSON(ctx, fasthttp.StatusOK, hosts)
+	}
+}
+
+// EngineHandler serves an engine over HTTP.
+func EngineHandler(e *Engine) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case platform.PathCompletions, platform.PathChatCompletions:
+			generate(ctx, e)
+		case platform.PathLoadAdapter:
+			orderSlot(ctx, e.Load)
+		case platform.PathUnloadAdapter:
+			orderSlot(ctx, e.Unload)
+		case platform.PathReport:
+			writeJSON(ctx, fasthttp.StatusOK, e.Report())
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	}
+}
+
+func orderSlot(ctx *fasthttp.RequestCtx, do func(wardturn.SlotOrder, func(error))) {
+	var body platform.AdapterOrder
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	ref, err := wardturn.ParseAdapterRef(body.Name)
+	if err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	fence, _ := strconv.ParseInt(string(ctx.Request.Header.Peek(platform.HeaderFence)), 10, 64)
+	id, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(platform.HeaderOrder)), 10, 64)
+	ended := make(chan error, 1)
+	do(wardturn.SlotOrder{
+		ID:      wardturn.OrderID(id),
+		Fence:   wardturn.Fence(fence),
+		Adapter: ref,
+	}, func(err error) {
+		ended <- err
+	})
+	if err := <-ended; err != nil {
+		writeError(ctx, fasthttp.StatusConflict, errorCode(err), err.Error())
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+func errorCode(err error) string {
+	switch {
+	case errors.Is(err, wardturn.ErrFenced):
+		return platform.CodeFenced
+	case errors.Is(err, wardturn.ErrAdapterBusy):
+		return platform.CodeAdapterBusy
+	case errors.Is(err, wardturn.ErrNoSlot):
+		return platform.CodeNoSlot
+	case errors.Is(err, wardturn.ErrStoreBusy):
+		return platform.CodeStoreBusy
+	case errors.Is(err, wardturn.ErrNotLoaded):
+		return platform.CodeNotLoaded
+	}
+	return platform.CodeUnavailable
+}
+
+// generateBody is the part of a completion request that the stand-in heeds.
+type generateBody struct {
+	Model     string `json:"model"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	Priority  int    `json:"priority"`
+}
+
+const (
+	defaultMaxTokens = 16
+	bytesPerToken    = 4
+)
+
+// streamEvent is what the engine's callbacks pass to the HTTP stream.
+type streamEvent struct {
+	token int
+	end   bool
+	err   error
+}
+
+func generate(ctx *fasthttp.RequestCtx, e *Engine) {
+	var body generateBody
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	ref, err := wardturn.ParseAdapterRef(body.Model)
+	if err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	if body.MaxTokens <= 0 {
+		body.MaxTokens = defaultMaxTokens
+	}
+	a := answer{
+		model: body.Model,
+		id:    string(ctx.Request.Header.Peek(platform.HeaderAttempt)),
+		chat:  string(ctx.Path()) == platform.PathChatCompletions,
+	}
+	attempt := wardturn.AttemptID{
+		Entry: wardturn.Incarnation(a.id),
+	}
+	events := make(chan streamEvent, body.MaxTokens+1)
+	err = e.Submit(Generation{
+		Request: wardturn.EngineRequest{
+			Attempt:  attempt,
+			Adapter:  ref,
+			Priority: body.Priority,
+			Prompt:   wardturn.Tokens(max(1, len(ctx.PostBody())/bytesPerToken)),
+			Output:   wardturn.Tokens(body.MaxTokens),
+		},
+		Token: func(i int) {
+			events <- streamEvent{
+				token: i,
+			}
+		},
+		End: func(_ wardturn.EngineResult, err error) {
+			events <- streamEvent{
+				end: true,
+				err: err,
+			}
+		},
+	})
+	if err != nil {
+		writeError(ctx, fasthttp.StatusNotFound, errorCode(err), err.Error())
+		return
+	}
+	if body.Stream {
+		ctx.SetContentType("text/event-stream")
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+			if !a.stream(w, events) {
+				e.Cancel(attempt)
+			}
+		})
+		return
+	}
+	a.whole(ctx, events)
+}
+
+// answer formats an answer in the shape of the OpenAI API.
+type answer struct {
+	model string
+	id    string
+	chat  bool
+}
+
+// choice is one choice of a completion, streamed or whole.
+type choice struct {
+	Index   int      `json:"index"`
+	Text    string   `json:"text,omitempty"`
+	Delta   *message `json:"delta,omitempty"`
+	Message *message `json:"message,omitempty"`
+	Finish  *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+func tokenText(i int) string {
+	return " w" + strconv.Itoa(i)
+}
+
+// stream writes the events as server-sent events and reports whether the other
+// side took them all.
+func (a answer) stream(w *bufio.Writer, events <-chan streamEvent) bool {
+	for ev := range events {
+		if ev.err != nil {
+			return true // cut short: the end marker is missing
+		}
+		if ev.end {
+			_, _ = w.WriteString("data: [DONE]\n\n")
+			return w.Flush() == nil
+		}
+		data, _ := json.Marshal(a.piece(tokenText(ev.token)))
+		_, _ = w.WriteString("data: ")
+		_, _ = w.Write(data)
+		_, _ = w.WriteString("\n\n")
+		if w.Flush() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (a answer) piece(text string) completion {
+	c := choice{
+		Text: text,
+	}
+	object := "text_completion"
+	if a.chat {
+		object = "chat.completion.chunk"
+		c.Text = ""
+		c.Delta = &message{
+			Content: text,
+		}
+	}
+	return completion{
+		ID:      a.id,
+		Object:  object,
+		Model:   a.model,
+		Choices: []choice{c},
+	}
+}
+
+func (a answer) whole(ctx *fasthttp.RequestCtx, events <-chan streamEvent) {
+	text := ""
+	n := 0
+	for ev := range events {
+		if ev.err != nil {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
+		if ev.end {
+			break
+		}
+		text += tokenText(ev.token)
+		n++
+	}
+	finish := "stop"
+	c := choice{
+		Text:   text,
+		Finish: &finish,
+	}
+	object := "text_completion"
+	if a.chat {
+		object = "chat.completion"
+		c.Text = ""
+		c.Message = &message{
+			Role:    "assistant",
+			Content: text,
+		}
+	}
+	writeJSON(ctx, fasthttp.StatusOK, completion{
+		ID:      a.id,
+		Object:  object,
+		Model:   a.model,
+		Choices: []choice{c},
+		Usage: &usage{
+			CompletionTokens: n,
+		},
+	})
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wardturn"
+)
+
+// Service is a plain service that counts what it runs: lookups that may be
+// repeated, and actions that may not.
+type Service struct {
+	clock wardturn.Clock
+	work  time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int // by body
+	hold chan struct{}  // if set, calls wait for it to close
+}
+
+// NewService returns a service whose calls take a time.
+func NewService(clock wardturn.Clock, work time.Duration) *Service {
+	return &Service{
+		clock: clock,
+		work:  work,
+		runs:  make(map[string]int),
+	}
+}
+
+// Runs returns how often a call with this body has run.
+func (s *Service) Runs(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[body]
+}
+
+// Hold makes calls wait, after they have taken effect, until the result is
+// called.
+func (s *Service) Hold() (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hold := make(chan struct{})
+	s.hold = hold
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.hold = nil
+		close(hold)
+	}
+}
+
+// receipt is the answer to a call.
+type receipt struct {
+	Path  string `json:"path"`
+	Body  string `json:"body"`
+	Count int    `json:"count"`
+}
+
+// Handler serves the service over HTTP.
+func (s *Service) Handler() fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		body := string(ctx.PostBody())
+		s.mu.Lock()
+		s.runs[body]++
+		n := s.runs[body]
+		hold := s.hold
+		s.mu.Unlock()
+		s.wait(hold)
+		writeJSON(ctx, fasthttp.StatusOK, receipt{
+			Path:  string(ctx.Path()),
+			Body:  body,
+			Count: n,
+		})
+	}
+}
+
+func (s *Service) wait(hold <-chan struct{}) {
+	if hold != nil {
+		<-hold
+	}
+	if s.work <= 0 {
+		return
+	}
+	done := make(chan struct{})
+	s.clock.AfterFunc(s.work, func() {
+		close(done)
+	})
+	<-done
+}
