Encode messages as arrays by the encoder's option

Cause: the linter took the marker fields of the messages for unused. Change: the option on the encoder; no field is needed.

--- a/peer/frame.go
+++ b/peer/frame.go
@@ -45,6 +45,7 @@
 	e.buf.Reset()
 	e.enc.Reset(&e.buf)
 	e.enc.UseCompactInts(true)
+	e.enc.UseArrayEncodedStructs(true)
 	if err := e.enc.Encode(m); err != nil {
 		return buf, errors.Wrap(err, "peer: encode")
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -50,7 +50,6 @@
 
 // Hello is the first message in both directions.
 type Hello struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Protocol int
 	Role     Role
 	Process  wardturn.Incarnation
@@ -60,7 +59,6 @@
 
 // Submit asks an agent to run an attempt.
 type Submit struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Attempt    wardturn.AttemptID
 	Request    wardturn.RequestID
 	Caller     wardturn.CallerID
@@ -80,45 +78,41 @@
 	Body       []byte
 	Supersedes wardturn.AttemptID // claimed the key and is known not to have run
 	Config     wardturn.Offset    // that the entry decided by
-	Credit     int64           // bytes of the answer that may be sent
+	Credit     int64              // bytes of the answer that may be sent
 }
 
 // Attach asks for an attempt again after a lost connection. With Follow it asks
 // for the answer of an attempt that another request started.
 type Attach struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Attempt  wardturn.AttemptID
-	Process  wardturn.Incarnation // of the agent that the attempt was sent to
-	Follow   bool
-	From     int64 // offset of the first byte still missing
-	Credit   int64
+	Attempt wardturn.AttemptID
+	Process wardturn.Incarnation // of the agent that the attempt was sent to
+	Follow  bool
+	From    int64 // offset of the first byte still missing
+	Credit  int64
 }
 
 // Head starts an answer: the attempt is running.
 type Head struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Attempt  wardturn.AttemptID
-	Status   int // of a plain service; zero for an engine
-	Header   []wardturn.HeaderField
-	Stalled  time.Duration // that the attempt waited for its adapter
-	Queued   time.Duration // that the attempt waited altogether
+	Attempt wardturn.AttemptID
+	Status  int // of a plain service; zero for an engine
+	Header  []wardturn.HeaderField
+	Stalled time.Duration // that the attempt waited for its adapter
+	Queued  time.Duration // that the attempt waited altogether
 }
 
 // Chunk is a piece of an answer.
 type Chunk struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Attempt  wardturn.AttemptID
-	Offset   int64
-	Data     []byte
+	Attempt wardturn.AttemptID
+	Offset  int64
+	Data    []byte
 }
 
 // End is the outcome of an attempt. With Done, Length is the whole answer's.
 type End struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Attempt  wardturn.AttemptID
-	Outcome  wardturn.Outcome
-	Length   int64
-	Hint     decide.Hint
+	Attempt wardturn.AttemptID
+	Outcome wardturn.Outcome
+	Length  int64
+	Hint    decide.Hint
 	// First names the attempt that holds the answer for an idempotency key that
 	// was claimed before, and the upstream that knows it.
 	First         wardturn.AttemptID
@@ -128,64 +122,55 @@
 
 // Credit allows an agent to send an answer up to an offset.
 type Credit struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Attempt  wardturn.AttemptID
-	Upto     int64
+	Attempt wardturn.AttemptID
+	Upto    int64
 }
 
 // Cancel says that nobody waits for an attempt any more.
 type Cancel struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Attempt  wardturn.AttemptID
+	Attempt wardturn.AttemptID
 }
 
 // Hint is an agent's load, sent when it changed much and with each Pong.
 type Hint struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Upstream wardturn.UpstreamID
 	Hint     decide.Hint
 }
 
 // Wish carries an agent's wish to its allocator.
 type Wish struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Wish     decide.Wish
+	Wish decide.Wish
 }
 
 // Grant carries an allocator's answer.
 type Grant struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Grant    decide.Grant
+	Grant decide.Grant
 }
 
 // Ping asks for a Pong. Both carry the newest configuration applied, so that
 // whoever is behind notices.
 type Ping struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Seq      uint64
-	Config   wardturn.Offset
+	Seq    uint64
+	Config wardturn.Offset
 }
 
 // Pong answers a Ping.
 type Pong struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Seq      uint64
-	Config   wardturn.Offset
+	Seq    uint64
+	Config wardturn.Offset
 }
 
 // ConfigPull asks a peer for its configuration, in pages.
 type ConfigPull struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Page     int
+	Page int
 }
 
 // ConfigPage is one page of a peer's configuration, encoded by package control.
 type ConfigPage struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Page     int
-	Pages    int
-	Config   wardturn.Offset
-	Data     []byte
+	Page   int
+	Pages  int
+	Config wardturn.Offset
+	Data   []byte
 }
 
 // Kind implements Message.
