Batch work runs in runs: held until an engine has six steps full of it

Batch loads also took the store's permits and places from interactive ones.

Change: hold sees the batch requests running and waiting at the upstream; a run goes on while any of it runs. Batch wishes go first to the engine where batch work runs. The allocator gives batch loads a permit only when its bucket is full and two places are free.

--- a/decide/agent.go
+++ b/decide/agent.go
@@ -123,29 +123,30 @@
 
 // Agent decides for one upstream.
 type Agent struct {
-	cfg        AgentConfig
-	policy     wardturn.Policy
-	permits    Permits
-	slots      []slot
-	adapters   map[wardturn.AdapterRef]*adapter
-	work       map[wardturn.AttemptID]*item
-	plain      queue      // requests to a plain service
-	wanted     []*adapter // adapters that wait without a slot
-	scratch    []*item
-	lastSeq    uint64
-	misses     uint64
-	missRate   meter
-	running    int
-	runBatch   int
-	queued     int
-	leaving    bool
-	lastOrder  wardturn.OrderID
-	loadTime   time.Duration
-	serveTime  time.Duration
-	started    time.Time
-	lastReport time.Time
-	lastSweep  time.Time
-	stats      AgentStats
+	cfg         AgentConfig
+	policy      wardturn.Policy
+	permits     Permits
+	slots       []slot
+	adapters    map[wardturn.AdapterRef]*adapter
+	work        map[wardturn.AttemptID]*item
+	plain       queue      // requests to a plain service
+	wanted      []*adapter // adapters that wait without a slot
+	scratch     []*item
+	lastSeq     uint64
+	misses      uint64
+	missRate    meter
+	running     int
+	runBatch    int
+	queued      int
+	queuedBatch int
+	leaving     bool
+	lastOrder   wardturn.OrderID
+	loadTime    time.Duration
+	serveTime   time.Duration
+	started     time.Time
+	lastReport  time.Time
+	lastSweep   time.Time
+	stats       AgentStats
 }
 
 // NewAgent returns the decision core of one upstream. A fresh agent takes its
--- a/decide/allocator.go
+++ b/decide/allocator.go
@@ -18,6 +18,8 @@
 	allocatorDecrease = 0.7
 	allocatorIncrease = 0.02
 	allocatorFloor    = 0.1
+	// batchPlaces is how many of the store's places batch loads leave free.
+	batchPlaces = 2
 )
 
 // Allocator shares the rate and the parallel places of one weight store between
@@ -57,7 +59,7 @@
 		epoch: epoch,
 		bucket: bucket{
 			rate:  limit.Rate,
-			burst: max(1, float64(limit.Parallel)/2),
+			burst: max(2, float64(limit.Parallel)),
 		},
 		byID: make(map[wardturn.UpstreamID]*ask),
 	}
@@ -116,7 +118,7 @@
 	l.forget(now)
 	for l.loading() < l.limit.Parallel {
 		k := l.best()
-		if k == nil || !l.bucket.take(now) {
+		if k == nil || !l.affords(now, k) || !l.bucket.take(now) {
 			break
 		}
 		l.bucket.rate = min(l.limit.Rate, l.bucket.rate*(1+allocatorIncrease))
@@ -128,14 +130,32 @@
 
 // Next returns when the next permit becomes available if somebody waits.
 func (l *Allocator) Next(now time.Time) (time.Duration, bool) {
-	if l.best() == nil || l.loading() >= l.limit.Parallel {
+	k := l.best()
+	if k == nil || l.loading() >= l.limit.Parallel {
 		return 0, false
 	}
+	need := 1.0
+	if k.wish.Class == wardturn.Batch {
+		need = l.bucket.burst
+	}
 	l.bucket.fill(now)
-	missing := max(0, 1-l.bucket.tokens)
+	missing := max(0, need-l.bucket.tokens)
+	if missing == 0 && !l.affords(now, k) {
+		return 0, false // a place becomes free with the next wish
+	}
 	return time.Duration(missing / l.bucket.rate * float64(time.Second)), true
 }
 
+// affords reports whether the store has room for a wish. Batch work leaves a
+// place and a permit for interactive work that may come.
+func (l *Allocator) affords(now time.Time, k *ask) bool {
+	if k.wish.Class == wardturn.Interactive {
+		return true
+	}
+	l.bucket.fill(now)
+	return l.bucket.tokens >= l.bucket.burst && l.loading() < max(1, l.limit.Parallel-batchPlaces)
+}
+
 func (l *Allocator) forget(now time.Time) {
 	kept := l.asks[:0]
 	for _, k := range l.asks {
--- a/decide/plan.go
+++ b/decide/plan.go
@@ -209,7 +209,10 @@
 		Want:  len(a.wanted),
 	}
 	if !a.urgent(now, want) {
+		// Batch loads go where batch work runs already: steps fill on one
+		// engine instead of staying half empty on all.
 		w.Class = wardturn.Batch
+		w.Value += float64(a.runBatch)
 	}
 	return w
 }
@@ -279,6 +282,7 @@
 		Idle:        now.Sub(ad.demand.Last()),
 		Resident:    ad.slot != noSlot,
 		LoadTime:    a.loadTime,
+		BatchRuns:   a.runBatch,
 	}
 }
 
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -144,7 +144,7 @@
 		it.stallFrom = now
 	}
 	a.queueOf(it).push(it)
-	a.queued++
+	a.countQueued(it, 1)
 	a.trackWant(it.adapter)
 }
 
@@ -154,13 +154,13 @@
 		it.stallFrom = it.startedAt
 	}
 	a.queueOf(it).pushFront(it)
-	a.queued++
+	a.countQueued(it, 1)
 	a.trackWant(it.adapter)
 }
 
 func (a *Agent) dequeue(it *item) {
 	if a.queueOf(it).remove(it) {
-		a.queued--
+		a.countQueued(it, -1)
 	}
 	if it.adapter != nil {
 		it.adapter.valueAt = time.Time{}
@@ -168,6 +168,13 @@
 	}
 }
 
+func (a *Agent) countQueued(it *item, n int) {
+	a.queued += n
+	if it.work.Class == wardturn.Batch {
+		a.queuedBatch += n
+	}
+}
+
 // trackWant keeps the list of adapters that wait without a slot.
 func (a *Agent) trackWant(ad *adapter) {
 	if ad == nil {
@@ -246,6 +253,9 @@
 		Resident: a.ready(it.adapter),
 		Running:  a.running,
 		Batch:    a.cfg.MaxRunning,
+
+		BatchRuns:   a.runBatch,
+		BatchQueued: a.queuedBatch,
 	}
 	if !it.work.Deadline.IsZero() {
 		in.Deadline = it.work.Deadline.Sub(now)
--- a/experiment/clairvoyant.go
+++ b/experiment/clairvoyant.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -48,12 +47,13 @@
 	if in.Waiting > 0 {
 		v += float64(in.Waiting) + clairvoyantAge*in.WaitingLong.Seconds()
 	}
-	return v + clairvoyantBatch*math.Min(float64(in.BatchWait), 1)
+	return v + min(clairvoyantBatch*float64(in.BatchWait), clairvoyantBatchLimit)
 }
 
 const (
-	clairvoyantAge   = 0.01
-	clairvoyantBatch = 0.1
+	clairvoyantAge        = 0.05
+	clairvoyantBatch      = 0.01
+	clairvoyantBatchLimit = 0.1
 )
 
 func (p *clairvoyant) nextUse(id wardturn.AdapterID, now time.Duration) (time.Duration, bool) {
--- a/policy.go
+++ b/policy.go
@@ -14,6 +14,7 @@
 	Idle        time.Duration // since its last request
 	Resident    bool
 	LoadTime    time.Duration // recent time of a load
+	BatchRuns   int           // batch requests running on the upstream
 }
 
 // QueueInput is what a policy sees of a waiting request.
@@ -28,6 +29,9 @@
 	Resident bool
 	Running  int // sequences in the engine's current batch
 	Batch    int // sequences that fit one step
+
+	BatchRuns   int // batch requests running on the upstream
+	BatchQueued int // batch requests waiting at the upstream, for any adapter
 }
 
 // Policy is an operator's view of which adapters deserve a slot and which
--- a/policy/builtin.go
+++ b/policy/builtin.go
@@ -23,18 +23,20 @@
 	ageWeight = 0.05
 	// batchWeight is what a waiting batch request is worth, in waiting
 	// interactive requests.
-	batchWeight = 0.05
+	batchWeight = 0.01
+	// batchLimit bounds what waiting batch requests add to an adapter's value.
+	batchLimit = 0.1
 	// defaultHold bounds how long the default policy lets batch work wait.
-	defaultHold = 10 * time.Minute
-	// fillTarget is the number of batch requests on one adapter that are worth
-	// a run of their own.
-	fillTarget = 6
+	defaultHold = 30 * time.Minute
+	// batchRun is the number of waiting batch requests, in engine steps full of
+	// them, that start a run.
+	batchRun = 6
 )
 
 // Default is the policy in force until an operator publishes another. It keeps
 // the adapters of the highest predicted rate, loads for the most waiting
-// requests, lets waiting grow in value with age, and holds batch work until
-// there are steps to share.
+// requests, lets waiting grow in value with age, and holds batch work until an
+// engine has enough of it to fill its steps.
 type Default struct{}
 
 // Name implements wardturn.Policy.
@@ -48,12 +50,12 @@
 	if in.Waiting > 0 {
 		v += float64(in.Waiting) + ageWeight*in.WaitingLong.Seconds()
 	}
-	return v + batchWeight*float64(in.BatchWait)
+	return v + min(batchWeight*float64(in.BatchWait), batchLimit)
 }
 
 // Hold implements wardturn.Policy.
 func (Default) Hold(in wardturn.QueueInput) time.Duration {
-	if in.Running > 0 && in.Resident || in.Waiting >= fillTarget {
+	if in.BatchRuns > 0 || in.BatchQueued >= batchRun*in.Batch {
 		return 0
 	}
 	return defaultHold
--- a/policy/inputs.go
+++ b/policy/inputs.go
@@ -29,6 +29,7 @@
 		{"idle_seconds", "s", "since the adapter's last request"},
 		{"resident", "bool", "whether the adapter holds a slot"},
 		{"load_seconds", "s", "recent time of a load"},
+		{"batch_running", "requests", "batch requests running on the upstream"},
 	}
 }
 
@@ -45,6 +46,8 @@
 		{"resident", "bool", "whether the adapter is ready in a slot"},
 		{"running", "sequences", "in the engine's present batch"},
 		{"batch_size", "sequences", "that fit one step of the engine"},
+		{"batch_running", "requests", "batch requests running on the upstream"},
+		{"batch_queued", "requests", "batch requests waiting at the upstream, for any adapter"},
 	}
 }
 
@@ -95,6 +98,8 @@
 		return starlark.Bool(v.Resident), nil
 	case "load_seconds":
 		return seconds(v.LoadTime), nil
+	case "batch_running":
+		return starlark.MakeInt(v.BatchRuns), nil
 	}
 	return nil, nil
 }
@@ -143,6 +148,10 @@
 		return starlark.MakeInt(v.Running), nil
 	case "batch_size":
 		return starlark.MakeInt(v.Batch), nil
+	case "batch_running":
+		return starlark.MakeInt(v.BatchRuns), nil
+	case "batch_queued":
+		return starlark.MakeInt(v.BatchQueued), nil
 	}
 	return nil, nil
 }
--- a/policy/tampere.star
+++ b/policy/tampere.star
@@ -1,19 +1,20 @@
-# tampere: overnight summaries wait until there are steps to share, so that
-# steps are full. Interactive work comes first, as the mechanism sees to.
+# tampere: overnight summaries wait until an engine has a batch's worth of them
+# and then run together, so that its steps are full. Interactive work comes
+# first, as the mechanism sees to.
+
+# Batch requests that start a run, at one engine.
+RUN = 96
 
 def slot(a):
     value = 4.0 * a.rate
     if a.waiting > 0:
         value += a.waiting + 0.05 * a.waiting_seconds
-    return value + 0.2 * a.batch_waiting
+    return value + min(0.01 * a.batch_waiting, 0.1)
 
 def hold(r):
-    if r.resident and r.running >= 1:
-        return 0.0
-    if r.waiting >= 6:
+    if r.batch_running > 0 or r.batch_queued >= RUN:
         return 0.0
     return 1800.0
 
 def order(r):
-    # Short answers first within a class; age still decides after 20 s.
-    return r.output_tokens
+    return 0.0
--- a/policy/zurich.star
+++ b/policy/zurich.star
@@ -1,16 +1,17 @@
 # zurich: a passenger is standing at the host, so load stalls weigh most.
-# Batch work is rare here and is held only while nothing else runs.
+# Batch work runs beside interactive work on adapters that are ready anyway, and
+# hardly ever takes a slot of its own.
 
 def slot(a):
     value = 4.0 * a.rate
     if a.waiting > 0:
         value += a.waiting + 0.05 * a.waiting_seconds
-    return value + 0.02 * a.batch_waiting
+    return value + min(0.0005 * a.batch_waiting, 0.01)
 
 def hold(r):
-    if r.running > 0 and r.resident:
+    if r.resident and r.running > 0:
         return 0.0
-    return 60.0
+    return 1800.0
 
 def order(r):
     return 0.0
