Test the allocator's order with its present burst

Cause: the test took two permits for the whole burst; the burst is now as large as the number of places, and the test found no permit left to give. Change: the test takes every place first, and a new one checks what batch loads leave free. As strict as before.

--- a/decide/allocator_test.go
+++ b/decide/allocator_test.go
@@ -27,14 +27,33 @@
 
 	It("gives a scarce permit to the most valuable wish", func() {
 		l := decide.NewAllocator(limit, 1)
-		for _, id := range []wardturn.UpstreamID{"x", "y"} {
-			l.Wish(start, wish(id, 1), nil) // use up the burst
+		for _, id := range []wardturn.UpstreamID{"w", "x", "y", "z"} {
+			l.Wish(start, wish(id, 1), nil) // takes the burst and every place
 		}
 		l.Wish(start, wish("low", 2), nil)
 		l.Wish(start, wish("high", 3), nil)
-		grants := l.Tick(start.Add(100*time.Millisecond), nil)
-		Expect(grants).To(HaveLen(1))
+		now := start.Add(100 * time.Millisecond)
+		Expect(l.Tick(now, nil)).To(BeEmpty(), "no place is free")
+		grants := l.Wish(now, decide.Wish{
+			Upstream: "w",
+			Epoch:    1,
+			Used:     1,
+		}, nil)
+		Expect(grants).NotTo(BeEmpty())
 		Expect(grants[0].Upstream).To(Equal(wardturn.UpstreamID("high")))
+		Expect(grants[0].Total).To(Equal(uint64(1)))
+	})
+
+	It("leaves permits and places for interactive work", func() {
+		l := decide.NewAllocator(limit, 1)
+		first := l.Wish(start, wish("interactive", 1), nil)
+		Expect(first[0].Total).To(Equal(uint64(1)))
+		batch := wish("batch", 100)
+		batch.Class = wardturn.Batch
+		grants := l.Wish(start, batch, nil)
+		Expect(grants[0].Total).To(BeZero(), "the bucket is not full")
+		grants = l.Wish(start.Add(time.Second), batch, nil)
+		Expect(grants[0].Total).To(Equal(uint64(1)))
 	})
 
 	It("counts on for an agent that was silent for long", func() {
