--- a/decide/agent.go
+++ b/decide/agent.go
@@ -140,6 +140,7 @@
 	queued      int
 	queuedBatch int
 	leaving     bool
+	informed    bool // a report newer than the start has come
 	lastOrder   wardturn.OrderID
 	loadTime    time.Duration
 	serveTime   time.Duration
@@ -149,8 +150,9 @@
 	stats       AgentStats
 }
 
-// NewAgent returns the decision core of one upstream. A fresh agent takes its
-// engine to be empty until the first report.
+// NewAgent returns the decision core of one upstream. A fresh agent does not know
+// what its engine holds: it orders no loads before the first report that is
+// newer than its start.
 func NewAgent(now time.Time, cfg AgentConfig, policy wardturn.Policy, permits Permits) *Agent {
 	cfg = cfg.withDefaults()
 	a := &Agent{
--- a/decide/plan.go
+++ b/decide/plan.go
@@ -179,7 +179,7 @@
 
 // planLoads turns wants into loads, the most valuable first.
 func (a *Agent) planLoads(now time.Time, out *Orders) {
-	if len(a.slots) == 0 {
+	if len(a.slots) == 0 || !a.informed {
 		return
 	}
 	for {
--- a/decide/slots.go
+++ b/decide/slots.go
@@ -225,11 +225,15 @@
 		return
 	}
 	a.lastReport = rep.At
+	a.informed = a.informed || !rep.At.Before(a.started)
 	for i := range a.slots {
 		a.settle(&a.slots[i], rep, now)
 	}
 	for _, res := range rep.Resident {
-		a.adopt(res, rep.At, now)
+		a.adopt(res.Adapter, SlotReady, rep.At, now)
+	}
+	for _, ref := range rep.Loading {
+		a.adopt(ref, SlotUncertain, rep.At, now)
 	}
 	a.plan(now, out)
 }
@@ -274,8 +278,10 @@
 	a.release(s, now)
 }
 
-func (a *Agent) adopt(res wardturn.ResidentAdapter, at, now time.Time) {
-	if !at.After(a.started) || a.slotOf(res.Adapter) != noSlot || a.unloadedSince(res.Adapter, at) {
+// adopt takes over an adapter that the engine holds, or loads, by order of an
+// earlier agent.
+func (a *Agent) adopt(ref wardturn.AdapterRef, state SlotState, at, now time.Time) {
+	if at.Before(a.started) || a.slotOf(ref) != noSlot || a.unloadedSince(ref, at) {
 		return
 	}
 	for i := range a.slots {
@@ -283,10 +289,10 @@
 		if s.state != SlotEmpty || !at.After(s.since) {
 			continue
 		}
-		s.enter(SlotReady, now)
-		s.ref = res.Adapter
+		s.enter(state, now)
+		s.ref = ref
 		s.foreign = true
-		ad := a.adapter(res.Adapter)
+		ad := a.adapter(ref)
 		ad.slot = i
 		a.trackWant(ad)
 		return
