Scenarios of failure over real connections, and what they found

Cause: the promises hold only if the whole path keeps them when connections, agents, engines, log and store fail.

Change: scenario/ runs scripts (testscript) against a whole system with a relay before each agent and a clock that runs ten times as fast.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -114,6 +114,9 @@
 func (a *Agent) tryEmit(t *attempt, data []byte) <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if t.ended {
+		return nil // canceled meanwhile
+	}
 	if len(t.buf) > 0 && len(t.buf)+len(data) > a.cfg.AnswerBuffer {
 		a.trim(t)
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -181,6 +181,9 @@
 func (a *Agent) ended(t *attempt, outcome wardturn.Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.closed {
+		return // whoever asks again learns that this process is gone
+	}
 	a.do(func(now time.Time, out *decide.Orders) {
 		a.core.Finished(now, t.id, out)
 	})
--- a/control/replica.go
+++ b/control/replica.go
@@ -32,6 +32,7 @@
 
 	mu       sync.Mutex
 	state    *State
+	visible  wardturn.Offset // applied, and the watchers were told
 	changed  chan struct{} // closed and replaced after each page
 	watchers []func(Key)
 	lastRead time.Time // of the latest successful read
@@ -78,11 +79,12 @@
 	r.watchers = append(r.watchers, f)
 }
 
-// Applied returns the newest offset applied.
+// Applied returns the newest offset that was applied and that all watchers have
+// been told of.
 func (r *Replica) Applied() wardturn.Offset {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.Applied()
+	return r.visible
 }
 
 // Get returns a document in force.
@@ -117,14 +119,28 @@
 func (r *Replica) Seed(docs []Doc, applied wardturn.Offset) {
 	r.mu.Lock()
 	r.state.Seed(docs, applied)
+	keys := make([]Key, 0, len(docs))
+	for _, d := range docs {
+		keys = append(keys, d.Key)
+	}
+	r.mu.Unlock()
+	r.tell(keys)
+}
+
+// tell tells the watchers of changed documents, then those that wait.
+func (r *Replica) tell(keys []Key) {
+	r.mu.Lock()
 	watchers := r.watchers
-	r.announce()
 	r.mu.Unlock()
-	for _, d := range docs {
+	for _, key := range keys {
 		for _, f := range watchers {
-			f(d.Key)
+			f(key)
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.visible = r.state.Applied()
+	r.announce()
 }
 
 func (r *Replica) follow(ctx context.Context, dirty *[]Key) {
@@ -151,9 +167,9 @@
 func (r *Replica) skip(next, first wardturn.Offset) {
 	r.logger.Warn("records out of retention", "next", next, "first", first)
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.state.Skip(first)
-	r.announce()
+	r.mu.Unlock()
+	r.tell(nil)
 }
 
 func (r *Replica) apply(page wardturn.LogPage, dirty *[]Key) {
@@ -163,15 +179,9 @@
 		r.state.Apply(rec)
 	}
 	r.lastRead = r.clock.Now()
-	watchers := r.watchers
-	if len(page.Records) > 0 {
-		r.announce()
-	}
 	r.mu.Unlock()
-	for _, key := range *dirty {
-		for _, f := range watchers {
-			f(key)
-		}
+	if len(page.Records) > 0 {
+		r.tell(*dirty)
 	}
 }
 
@@ -200,11 +210,12 @@
 	})
 }
 
-// wait returns when a condition holds for the state.
+// wait returns when a condition holds for the state that all watchers were told
+// of.
 func (r *Replica) wait(ctx context.Context, holds func(*State) bool) error {
 	for {
 		r.mu.Lock()
-		ok := holds(r.state)
+		ok := r.visible == r.state.Applied() && holds(r.state)
 		changed := r.changed
 		r.mu.Unlock()
 		if ok {
--- a/control/state.go
+++ b/control/state.go
@@ -42,6 +42,7 @@
 	deleted  map[Key]wardturn.Offset // since the newest whole snapshot
 	claims   map[claimKey]ClaimResult
 	order    []claimKey // of claims, by offset
+	gap      bool       // records before the next one were not read
 	horizon  time.Time  // claims before this may have been missed
 	starts   map[wardturn.UpstreamID]wardturn.Offset
 	results  map[PublicationID]Result
@@ -134,7 +135,8 @@
 	if lr.Time.After(s.logTime) {
 		s.logTime = lr.Time
 	}
-	if s.horizon.IsZero() {
+	if s.gap {
+		s.gap = false
 		s.horizon = lr.Time
 	}
 	rec, err := Decode(lr.Data)
@@ -159,7 +161,7 @@
 	if first-1 > s.applied {
 		s.applied = first - 1
 		s.from = first
-		s.horizon = time.Time{}
+		s.gap = true
 	}
 }
 
@@ -281,7 +283,7 @@
 	}
 	s.applied = applied
 	s.from = applied + 1
-	s.horizon = time.Time{}
+	s.gap = true
 }
 
 func (s *State) applyClaims(lr wardturn.LogRecord, c *Claims) {
--- a/demo/system.go
+++ b/demo/system.go
@@ -36,6 +36,7 @@
 	Work     time.Duration // of a call to a plain service
 	Logger   hclog.Logger
 	Clock    wardturn.Clock
+	Relays   bool // put a relay before each agent, so that its network can fail
 }
 
 // Zurich returns the sizes of Zurich today.
@@ -75,6 +76,7 @@
 	Engine  *standin.Engine  // nil for a plain service
 	Service *standin.Service // nil for a model engine
 	Agent   *agent.Agent
+	Relay   *standin.Relay // before the agent, if the system has relays
 	addr    string // of the upstream itself
 	stop    func()
 }
@@ -228,12 +230,32 @@
 		deps.Service = platform.NewService(u.addr)
 	}
 	u.Agent = agent.New(deps)
-	u.Host.Addr = u.Agent.Addr()
+	if err := s.relay(u); err != nil {
+		return err
+	}
 	u.Host.State = wardturn.HostLive
 	s.Hosts.Set(u.Host)
 	return nil
 }
 
+// relay sets the address by which others reach an agent.
+func (s *System) relay(u *Upstream) error {
+	u.Host.Addr = u.Agent.Addr()
+	if !s.cfg.Relays {
+		return nil
+	}
+	if u.Relay == nil {
+		r, err := standin.NewRelay(u.Agent.Addr())
+		if err != nil {
+			return err
+		}
+		u.Relay = r
+	}
+	u.Relay.SetTarget(u.Agent.Addr())
+	u.Host.Addr = u.Relay.Addr()
+	return nil
+}
+
 func (s *System) addEntry(i int) error {
 	ln, err := listen()
 	if err != nil {
@@ -330,6 +352,9 @@
 		if u.Agent != nil {
 			u.Agent.Close()
 		}
+		if u.Relay != nil {
+			u.Relay.Close()
+		}
 		u.stop()
 	}
 	for _, stop := range s.stops {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -28,6 +28,7 @@
 	spare    []byte
 	attempts int
 
+	takeOvers  int
 	supersedes wardturn.AttemptID // the latest attempt known not to have run
 }
 
@@ -192,6 +193,10 @@
 	notRun := end.Outcome.Kind == wardturn.NotRun
 	if notRun && end.Outcome.Reason != wardturn.ReasonKeyInProgress {
 		x.supersedes = x.call.id
+		if x.call.follows {
+			x.takeOver(end.Outcome)
+			return
+		}
 	}
 	x.onOutcome(end.Outcome, notRun)
 }
@@ -283,6 +288,19 @@
 	x.call.ask()
 }
 
+// takeOver starts anew after the attempt that had claimed the key turned out not
+// to have run. Its claim is superseded; any upstream may run the request.
+func (x *exchange) takeOver(outcome wardturn.Outcome) {
+	x.endAttempt(true)
+	x.outcome = outcome
+	x.takeOvers++
+	if x.takeOvers > x.entry.cfg.Tries {
+		x.ended = true
+		return
+	}
+	x.tried = nil
+}
+
 // pick chooses an upstream and counts the request there.
 func (e *Entry) pick(x *exchange) (wardturn.UpstreamID, bool) {
 	e.routerMu.Lock()
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -54,8 +54,9 @@
 	ctx.SetContentType("application/json")
 	if p.outcome.Kind == 0 {
 		p.outcome = wardturn.Refused(wardturn.Reason(p.code), 0)
-		ctx.Response.Header.Set(HeaderOutcome, p.outcome.Kind.String())
 	}
+	ctx.Response.Header.Set(HeaderOutcome, p.outcome.Kind.String())
+	ctx.Response.Header.Set(HeaderReason, string(p.outcome.Reason))
 	if after := p.outcome.RetryAfter; after > 0 {
 		seconds := int(math.Ceil(after.Seconds()))
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
--- /dev/null
+++ b/scenario/scenario_test.go
@@ -0,0 +1,467 @@
+package scenario_test
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
+
+	"wardturn/agent"
+	"wardturn/demo"
+	"wardturn/entry"
+	"wardturn/standin"
+)
+
+const (
+	speed = 10 // of the scenarios' clock
+	// patience bounds how long a scenario waits for something that must come.
+	// It decides nothing but when a broken run is given up.
+	patience = 30 * time.Second
+	poll     = 2 * time.Millisecond
+)
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			w := &world{
+				clock: standin.NewFastClock(speed),
+				calls: make(map[string]*reply),
+			}
+			env.Values[worldKey{}] = w
+			env.Defer(w.close)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"system":  command(startSystem),
+			"call":    command(startCall),
+			"service": command(startService),
+			"ended":   command(waitCall),
+			"running": command(waitRunning),
+			"expect":  command(expectReply),
+			"runs":    command(expectRuns),
+			"charged": command(waitRuns),
+			"log":     command(logFault),
+			"store":   command(storeFault),
+			"net":     command(netFault),
+			"agent":   command(agentFault),
+			"engine":  command(engineFault),
+			"hold":    command(holdService),
+			"ready":   command(waitSlots),
+		},
+	})
+}
+
+type worldKey struct{}
+
+// world is the state of one scenario.
+type world struct {
+	clock   *standin.FastClock
+	sys     *demo.System
+	calls   map[string]*reply
+	release func()
+	wg      sync.WaitGroup
+}
+
+// reply is what a caller got.
+type reply struct {
+	mu     sync.Mutex
+	body   strings.Builder
+	status int
+	header map[string]string
+	err    error
+	done   chan struct{}
+}
+
+func command(f func(*testscript.TestScript, *world, []string)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg {
+			ts.Fatalf("this command has no negation")
+		}
+		f(ts, ts.Value(worldKey{}).(*world), args)
+	}
+}
+
+func (w *world) close() {
+	if w.release != nil {
+		w.release()
+	}
+	if w.sys != nil {
+		w.sys.Close()
+	}
+	w.wg.Wait()
+}
+
+// options reads key=value arguments.
+func options(args []string) (map[string]string, []string) {
+	opts := make(map[string]string)
+	var rest []string
+	for _, a := range args {
+		if k, v, ok := strings.Cut(a, "="); ok {
+			opts[k] = v
+			continue
+		}
+		rest = append(rest, a)
+	}
+	return opts, rest
+}
+
+func number(opts map[string]string, name string, def int) int {
+	n, err := strconv.Atoi(opts[name])
+	if err != nil {
+		return def
+	}
+	return n
+}
+
+// until polls until a condition holds.
+func until(ts *testscript.TestScript, what string, holds func() bool) {
+	end := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(end) {
+			ts.Fatalf("did not come: %s", what)
+		}
+		time.Sleep(poll)
+	}
+}
+
+// system engines=N services=N entries=N adapters=N slots=N
+func startSystem(ts *testscript.TestScript, w *world, args []string) {
+	opts, _ := options(args)
+	cfg := demo.Zurich()
+	cfg.Clock = w.clock
+	cfg.Relays = true
+	cfg.Logger = hclog.NewNullLogger()
+	cfg.HostLag = 0
+	cfg.Work = 0
+	cfg.Engines = number(opts, "engines", 1)
+	cfg.Services = number(opts, "services", 0)
+	cfg.Entries = number(opts, "entries", 1)
+	cfg.Adapters = number(opts, "adapters", 5)
+	cfg.Slots = number(opts, "slots", 2)
+	cfg.Log.Retention = time.Duration(number(opts, "retention", 0)) * time.Second
+	cfg.Store.Rate = 100
+	sys, err := demo.Start(context.Background(), cfg)
+	ts.Check(err)
+	w.sys = sys
+	for _, u := range sys.Upstreams {
+		if u.Engine != nil {
+			until(ts, "fence of "+string(u.ID), func() bool { return u.Agent.Status().Fence > 0 })
+		}
+	}
+}
+
+func (w *world) upstream(ts *testscript.TestScript, id string) *demo.Upstream {
+	for _, u := range w.sys.Upstreams {
+		if string(u.ID) == id {
+			return u
+		}
+	}
+	ts.Fatalf("no upstream %s", id)
+	return nil
+}
+
+// call NAME ADAPTER [entry=N] [tokens=N] [whole=1] [class=C] [deadline=MS]
+func startCall(ts *testscript.TestScript, w *world, args []string) {
+	opts, rest := options(args)
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI("http://" + w.sys.Addrs()[number(opts, "entry", 0)] + "/v1/completions")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	if c := opts["class"]; c != "" {
+		req.Header.Set(entry.HeaderClass, c)
+	}
+	if d := opts["deadline"]; d != "" {
+		req.Header.Set(entry.HeaderDeadline, d)
+	}
+	stream := opts["whole"] == ""
+	req.SetBodyString(fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":%d,"stream":%v}`, rest[1], number(opts, "tokens", 3), stream))
+	w.start(rest[0], req)
+}
+
+// service NAME METHOD PATH BODY [entry=N] [key=K] [age=SECONDS]
+func startService(_ *testscript.TestScript, w *world, args []string) {
+	opts, rest := options(args)
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI("http://" + w.sys.Addrs()[number(opts, "entry", 0)] + "/v1/services/" + string(demo.Service) + rest[2])
+	req.Header.SetMethod(rest[1])
+	if k := opts["key"]; k != "" {
+		created := w.clock.Now().Add(-time.Duration(number(opts, "age", 0)) * time.Second)
+		req.Header.Set(entry.HeaderKey, k)
+		req.Header.Set(entry.HeaderKeyCreated, created.UTC().Format(time.RFC3339))
+	}
+	if len(rest) > 3 {
+		req.SetBodyString(rest[3])
+	}
+	w.start(rest[0], req)
+}
+
+func (w *world) start(name string, req *fasthttp.Request) {
+	r := &reply{
+		header: make(map[string]string),
+		done:   make(chan struct{}),
+	}
+	w.calls[name] = r
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		defer close(r.done)
+		r.run(req)
+	}()
+}
+
+func (r *reply) run(req *fasthttp.Request) {
+	client := fasthttp.Client{
+		StreamResponseBody:        true,
+		MaxIdemponentCallAttempts: 1,
+	}
+	res := fasthttp.AcquireResponse()
+	err := client.Do(req, res)
+	r.mu.Lock()
+	r.err = err
+	if err != nil {
+		r.mu.Unlock()
+		return
+	}
+	r.status = res.StatusCode()
+	for k, v := range res.Header.All() {
+		r.header[string(k)] = string(v)
+	}
+	r.mu.Unlock()
+	buf := make([]byte, 4096)
+	for {
+		n, err := res.BodyStream().Read(buf)
+		r.mu.Lock()
+		r.body.Write(buf[:n])
+		r.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *reply) text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.body.String()
+}
+
+func (w *world) reply(ts *testscript.TestScript, name string) *reply {
+	r := w.calls[name]
+	if r == nil {
+		ts.Fatalf("no call %s", name)
+	}
+	return r
+}
+
+// ended NAME...
+func waitCall(ts *testscript.TestScript, w *world, args []string) {
+	for _, name := range args {
+		select {
+		case <-w.reply(ts, name).done:
+		case <-time.After(patience):
+			ts.Fatalf("call %s did not end", name)
+		}
+	}
+}
+
+// running NAME: waits for the first bytes of an answer.
+func waitRunning(ts *testscript.TestScript, w *world, args []string) {
+	r := w.reply(ts, args[0])
+	until(ts, "first bytes of "+args[0], func() bool { return r.text() != "" })
+}
+
+// expect NAME status=N [outcome=O] [reason=R] [body=REGEXP] [tokens=N]
+func expectReply(ts *testscript.TestScript, w *world, args []string) {
+	opts, rest := options(args)
+	waitCall(ts, w, rest[:1])
+	r := w.reply(ts, rest[0])
+	if r.err != nil {
+		ts.Fatalf("%s: %v", rest[0], r.err)
+	}
+	check := func(name, got string) {
+		if want, ok := opts[name]; ok && want != got {
+			ts.Fatalf("%s: %s is %q, want %q; answer: %s", rest[0], name, got, want, r.text())
+		}
+	}
+	check("status", strconv.Itoa(r.status))
+	check("outcome", r.header[entry.HeaderOutcome])
+	check("reason", r.header[entry.HeaderReason])
+	check("version", r.header[entry.HeaderVersion])
+	check("tokens", strconv.Itoa(wholeTokens(r.text())))
+	if re, ok := opts["body"]; ok {
+		re, err := url.QueryUnescape(re)
+		ts.Check(err)
+		if !regexp.MustCompile(re).MatchString(r.text()) {
+			ts.Fatalf("%s: answer %q does not match %q", rest[0], r.text(), re)
+		}
+	}
+}
+
+// wholeTokens counts the tokens of a stream, and is -1 unless they come once, in
+// order, and with the end marker.
+func wholeTokens(body string) int {
+	n := 0
+	for _, m := range regexp.MustCompile(`"text":" w(\d+)"`).FindAllStringSubmatch(body, -1) {
+		if m[1] != strconv.Itoa(n) {
+			return -1
+		}
+		n++
+	}
+	if !strings.HasSuffix(body, "data: [DONE]\n\n") {
+		return -1
+	}
+	return n
+}
+
+// runs BODY N: how often the services ran a call with this body.
+func expectRuns(ts *testscript.TestScript, w *world, args []string) {
+	n := 0
+	for _, u := range w.sys.Upstreams {
+		if u.Service != nil {
+			n += u.Service.Runs(args[0])
+		}
+	}
+	if strconv.Itoa(n) != args[1] {
+		ts.Fatalf("%q ran %d times, want %s", args[0], n, args[1])
+	}
+}
+
+// charged BODY: waits until some service has run a call with this body.
+func waitRuns(ts *testscript.TestScript, w *world, args []string) {
+	until(ts, "run of "+args[0], func() bool {
+		for _, u := range w.sys.Upstreams {
+			if u.Service != nil && u.Service.Runs(args[0]) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// log down|up|lose
+func logFault(ts *testscript.TestScript, w *world, args []string) {
+	var f standin.LogFaults
+	switch args[0] {
+	case "down":
+		f.Down = true
+	case "lose":
+		f.LoseReply = func() bool { return true }
+	case "up":
+	default:
+		ts.Fatalf("log %s", args[0])
+	}
+	w.sys.Log.SetFaults(f)
+}
+
+// store down|up|slow
+func storeFault(ts *testscript.TestScript, w *world, args []string) {
+	var f standin.StoreFaults
+	switch args[0] {
+	case "down":
+		f.Down = true
+	case "slow":
+		f.Slow = 10
+	case "up":
+	default:
+		ts.Fatalf("store %s", args[0])
+	}
+	w.sys.Store.SetFaults(f)
+}
+
+// net cut|block|freeze|heal UPSTREAM
+func netFault(ts *testscript.TestScript, w *world, args []string) {
+	r := w.upstream(ts, args[1]).Relay
+	switch args[0] {
+	case "cut":
+		r.Cut()
+	case "block":
+		r.Block(true)
+	case "freeze":
+		r.Freeze(true)
+	case "heal":
+		r.Block(false)
+		r.Freeze(false)
+	default:
+		ts.Fatalf("net %s", args[0])
+	}
+}
+
+// agent kill|restart|leave|list-leaving|gone UPSTREAM
+func agentFault(ts *testscript.TestScript, w *world, args []string) {
+	u := w.upstream(ts, args[1])
+	switch args[0] {
+	case "kill":
+		u.Agent.Close()
+	case "restart":
+		u.Agent.Close()
+		ts.Check(w.sys.StartAgent(u, "127.0.0.1:0"))
+	case "leave":
+		u.Agent.Leave()
+	case "list-leaving":
+		w.sys.Hosts.Leave(u.ID)
+		until(ts, "leaving of "+args[1], func() bool { return u.Agent.Status().Leaving })
+	case "gone":
+		select {
+		case <-u.Agent.Leave():
+		case <-time.After(patience):
+			ts.Fatalf("%s did not finish", args[1])
+		}
+	default:
+		ts.Fatalf("agent %s", args[0])
+	}
+}
+
+// engine restart UPSTREAM
+func engineFault(ts *testscript.TestScript, w *world, args []string) {
+	switch args[0] {
+	case "restart":
+		w.upstream(ts, args[1]).Engine.Restart()
+	default:
+		ts.Fatalf("engine %s", args[0])
+	}
+}
+
+// hold on|off: services keep their answers back, after they ran.
+func holdService(ts *testscript.TestScript, w *world, args []string) {
+	if args[0] == "off" {
+		w.release()
+		w.release = nil
+		return
+	}
+	var all []func()
+	for _, u := range w.sys.Upstreams {
+		if u.Service != nil {
+			all = append(all, u.Service.Hold())
+		}
+	}
+	w.release = func() {
+		for _, f := range all {
+			f()
+		}
+	}
+}
+
+// ready UPSTREAM running=N | queued=N | leaving=true
+func waitSlots(ts *testscript.TestScript, w *world, args []string) {
+	opts, rest := options(args)
+	a := func() agent.Status { return w.upstream(ts, rest[0]).Agent.Status() }
+	until(ts, strings.Join(args, " "), func() bool {
+		st := a()
+		return matches(opts, "running", st.Hint.Running) && matches(opts, "queued", st.Hint.Queued)
+	})
+}
+
+func matches(opts map[string]string, name string, got int) bool {
+	want, ok := opts[name]
+	return !ok || want == strconv.Itoa(got)
+}
+
