--- a/control/record.go
+++ b/control/record.go
@@ -51,6 +51,7 @@
 	Part    int             `msgpack:"p"`
 	Parts   int             `msgpack:"n"`
 	Docs    []Doc           `msgpack:"d"`
+	Results []Result        `msgpack:"r,omitempty"` // of recent publications
 }
 
 // Doc is a document in force.
--- a/control/replica.go
+++ b/control/replica.go
@@ -33,7 +33,7 @@
 	mu       sync.Mutex
 	state    *State
 	visible  wardturn.Offset // applied, and the watchers were told
-	changed  chan struct{} // closed and replaced after each page
+	changed  chan struct{}   // closed and replaced after each page
 	watchers []func(Key)
 	lastRead time.Time // of the latest successful read
 
@@ -146,7 +146,7 @@
 func (r *Replica) follow(ctx context.Context, dirty *[]Key) {
 	wait := minBackoff
 	for ctx.Err() == nil {
-		next := r.Applied() + 1
+		next := r.next()
 		page, err := r.log.Read(ctx, next, readLimit, readWait)
 		switch {
 		case err == nil:
@@ -164,6 +164,13 @@
 	}
 }
 
+// next returns the offset to read from.
+func (r *Replica) next() wardturn.Offset {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Read() + 1
+}
+
 func (r *Replica) skip(next, first wardturn.Offset) {
 	r.logger.Warn("records out of retention", "next", next, "first", first)
 	r.mu.Lock()
--- /dev/null
+++ b/control/replica_test.go
@@ -0,0 +1,185 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/control"
+	"wardturn/platform"
+	"wardturn/standin"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+func replica(log wardturn.Log) *control.Replica {
+	r := control.NewReplica(log, platform.Clock{}, hclog.NewNullLogger(), true)
+	DeferCleanup(r.Close)
+	return r
+}
+
+func change(id string, base wardturn.Offset, body string) control.Change {
+	return control.Change{
+		ID:  control.PublicationID(id),
+		Who: "test",
+		Docs: []control.DocChange{{
+			Key:  "adapter/a",
+			Base: base,
+			Body: []byte(body),
+		}},
+	}
+}
+
+var _ = Describe("Replica", func() {
+	var log *standin.Log
+	ctx := context.Background()
+
+	BeforeEach(func() {
+		log = standin.NewLog(platform.Clock{}, standin.LogConfig{})
+	})
+
+	It("accepts exactly one of two racing publications, everywhere", func() {
+		x, y, z := replica(log), replica(log), replica(log)
+		var wg sync.WaitGroup
+		errs := make([]error, 2)
+		for i, r := range []*control.Replica{x, y} {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				_, errs[i] = r.Publish(ctx, change(fmt.Sprint("p", i), 0, fmt.Sprint(i)))
+			}()
+		}
+		wg.Wait()
+		Expect(errs).To(ContainElement(BeNil()))
+		Expect(errs).To(ContainElement(MatchError(control.ErrConflict)))
+		Eventually(z.Applied).Should(BeNumerically(">=", 2))
+		want, _ := x.Get("adapter/a")
+		for _, r := range []*control.Replica{y, z} {
+			got, ok := r.Get("adapter/a")
+			Expect(ok).To(BeTrue())
+			Expect(got).To(Equal(want))
+		}
+	})
+
+	It("publishes once although replies are lost", func() {
+		lost := 0
+		log.SetFaults(standin.LogFaults{
+			LoseReply: func() bool {
+				lost++
+				return lost <= 2
+			},
+		})
+		r := replica(log)
+		res, err := r.Publish(ctx, change("p", 0, "body"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Version).To(Equal(wardturn.Offset(1)), "the first copy counts")
+		Expect(log.Appends()).To(Equal(3))
+	})
+
+	It("refuses to publish while the log is out, and goes on with what it has", func() {
+		r := replica(log)
+		_, err := r.Publish(ctx, change("p", 0, "body"))
+		Expect(err).NotTo(HaveOccurred())
+		log.SetFaults(standin.LogFaults{
+			Down: true,
+		})
+		_, err = r.Publish(ctx, change("q", 1, "other"))
+		Expect(errors.Is(err, wardturn.ErrUnavailable)).To(BeTrue())
+		doc, _ := r.Get("adapter/a")
+		Expect(string(doc.Body)).To(Equal("body"))
+	})
+
+	It("starts from a snapshot when the first records are out of retention", func() {
+		clock := standin.NewClock()
+		log = standin.NewLog(clock, standin.LogConfig{
+			Retention: time.Hour,
+		})
+		first := replica(log)
+		_, err := first.Publish(ctx, change("p", 0, "body"))
+		Expect(err).NotTo(HaveOccurred())
+		clock.Advance(50 * time.Minute)
+		Expect(first.Snapshot(ctx)).To(Succeed())
+		clock.Advance(20 * time.Minute)
+		late := replica(log)
+		Eventually(func() bool {
+			_, ok := late.Get("adapter/a")
+			return ok
+		}).Should(BeTrue())
+		doc, _ := late.Get("adapter/a")
+		Expect(doc.Version).To(Equal(wardturn.Offset(1)), "the original version")
+	})
+
+	It("takes a peer's documents while the log is out, and never older ones", func() {
+		r := replica(log)
+		_, err := r.Publish(ctx, change("p", 0, "new"))
+		Expect(err).NotTo(HaveOccurred())
+		old := control.Doc{
+			Key:  "adapter/a",
+			Body: []byte("old"),
+		}
+		r.Seed([]control.Doc{old}, 1)
+		doc, _ := r.Get("adapter/a")
+		Expect(string(doc.Body)).To(Equal("new"))
+	})
+})
+
+var _ = Describe("Claimer", func() {
+	It("lets one of many racing claims run and appends them in batches", func() {
+		log := standin.NewLog(platform.Clock{}, standin.LogConfig{
+			Latency: 5 * time.Millisecond,
+		})
+		const agents, each = 3, 40
+		var mu sync.Mutex
+		ran := make(map[wardturn.IdempotencyKey]int)
+		var wg sync.WaitGroup
+		var claimers []*control.Claimer
+		created := time.Now()
+		for i := range agents {
+			c := control.NewClaimer(replica(log), platform.Clock{}, wardturn.UpstreamID(fmt.Sprint("u", i)), "p")
+			claimers = append(claimers, c)
+			for j := range each {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					id := wardturn.AttemptID{
+						Entry: wardturn.Incarnation(fmt.Sprint("e", i)),
+						Seq:   uint64(j) + 1,
+					}
+					key := wardturn.IdempotencyKey(fmt.Sprint("k", j))
+					res, err := c.Claim(context.Background(), control.Claim{
+						Caller:  "c",
+						Key:     key,
+						Created: created,
+						Attempt: id,
+					})
+					if err == nil && res.Claim.Attempt == id && !res.TooOld {
+						mu.Lock()
+						ran[key]++
+						mu.Unlock()
+					}
+				}()
+			}
+		}
+		wg.Wait()
+		Expect(ran).To(HaveLen(each))
+		for key, n := range ran {
+			Expect(n).To(Equal(1), string(key))
+		}
+		for _, c := range claimers {
+			claims, appends := c.Counts()
+			Expect(claims).To(Equal(each))
+			Expect(appends).To(BeNumerically("<", each/2))
+		}
+	})
+})
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"wardturn"
 )
@@ -32,16 +35,25 @@
 	r.mu.Lock()
 	through := r.state.Applied()
 	docs := r.state.Docs("")
+	results := r.state.Recent()
+	based := r.state.Based()
 	r.mu.Unlock()
+	if !based {
+		return errors.Wrap(wardturn.ErrUnavailable, "control: nothing to make a snapshot from")
+	}
 	list := parts(docs)
 	for i, part := range list {
+		snap := Snapshot{
+			Through: through,
+			Part:    i,
+			Parts:   len(list),
+			Docs:    part,
+		}
+		if i == 0 {
+			snap.Results = results
+		}
 		data, err := Encode(Record{
-			Snapshot: &Snapshot{
-				Through: through,
-				Part:    i,
-				Parts:   len(list),
-				Docs:    part,
-			},
+			Snapshot: &snap,
 		})
 		if err != nil {
 			return err
@@ -53,6 +65,40 @@
 	return nil
 }
 
+// snapshotDue reports whether the newest snapshot is older than a time, by the
+// log's own clock, and something has happened since.
+func (r *Replica) snapshotDue(age time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.state.Based() || len(r.state.docs) == 0 {
+		return false
+	}
+	return r.clock.Now().Sub(r.state.SnapshotTime()) > age
+}
+
+// KeepSnapshots makes a snapshot whenever the newest is older than a time, until
+// ctx ends. Every entry host does this; each waits a random part of the time
+// first, so that nearly always one is first and the others see its snapshot.
+func (r *Replica) KeepSnapshots(ctx context.Context, every time.Duration) {
+	for ctx.Err() == nil {
+		r.pause(ctx, every/snapshotChecks)
+		if !r.snapshotDue(every) {
+			continue
+		}
+		r.pause(ctx, every/snapshotChecks)
+		if ctx.Err() != nil || !r.snapshotDue(every) {
+			continue
+		}
+		if err := r.Snapshot(ctx); err != nil && ctx.Err() == nil {
+			r.logger.Warn("snapshot failed", "error", err)
+		}
+	}
+}
+
+// snapshotChecks is how often within the time between two snapshots it is
+// checked whether one is due.
+const snapshotChecks = 4
+
 // Page returns one page of the documents for a peer, the number of pages, and
 // the offset that they stand for.
 func (r *Replica) Page(i int) (docs []Doc, pages int, applied wardturn.Offset) {
--- a/control/state.go
+++ b/control/state.go
@@ -12,16 +12,25 @@
 // was created longer ago is refused.
 const ClaimWindow = 10 * time.Minute
 
-// publicationsKept bounds the publications whose results are remembered.
-const publicationsKept = 4096
+// KeySkew is how far the clock by which a key was created may be ahead of the
+// log's.
+const KeySkew = time.Minute
+
+const (
+	// publicationsKept bounds the publications whose results are remembered.
+	publicationsKept = 4096
+	// resultsInSnapshot bounds those that a snapshot passes on. A publisher
+	// repeats itself only within seconds.
+	resultsInSnapshot = 256
+)
 
 // Result says what became of a publication.
 type Result struct {
-	ID       PublicationID
-	Accepted bool
-	Version  wardturn.Offset // of the record
-	Conflict Key             // the first document whose version differed
-	InForce  wardturn.Offset // that document's version
+	ID       PublicationID   `msgpack:"i"`
+	Accepted bool            `msgpack:"a"`
+	Version  wardturn.Offset `msgpack:"v"`           // of the record
+	Conflict Key             `msgpack:"c,omitempty"` // the first document whose version differed
+	InForce  wardturn.Offset `msgpack:"f,omitempty"` // that document's version
 }
 
 // ClaimResult says who claimed a key first.
@@ -34,12 +43,21 @@
 }
 
 // State is the fold of the log's records. It is not safe for concurrent use.
+//
+// A process that cannot read the log from its first record has no base: it does
+// not know which versions were in force, so it cannot tell which publications
+// were accepted. It keeps them until a whole snapshot gives it a base, then
+// replays those that came after. Until then it holds the documents that it held
+// before. A process with a base has no use for snapshots and ignores them.
 type State struct {
-	applied  wardturn.Offset
-	from     wardturn.Offset // every record since this one was read
+	read     wardturn.Offset // newest record taken
+	applied  wardturn.Offset // the documents are those in force after this record
+	from     wardturn.Offset // every record since this one was taken
+	based    bool
+	backlog  []pendingChange // while there is no base
 	logTime  time.Time
+	snapAt   time.Time // of the newest whole snapshot
 	docs     map[Key]Doc
-	deleted  map[Key]wardturn.Offset // since the newest whole snapshot
 	claims   map[claimKey]ClaimResult
 	order    []claimKey // of claims, by offset
 	gap      bool       // records before the next one were not read
@@ -57,11 +75,17 @@
 	key    wardturn.IdempotencyKey
 }
 
+// pendingChange is a publication that waits for a base.
+type pendingChange struct {
+	record wardturn.LogRecord
+	change *Change
+}
+
 // partial is a snapshot whose parts are still coming.
 type partial struct {
-	parts int
-	have  map[int]bool
-	keys  map[Key]bool
+	have    map[int]bool
+	docs    map[Key]Doc
+	results []Result
 }
 
 // NewState returns the fold of an empty log. Claims are kept only if asked for:
@@ -69,8 +93,8 @@
 func NewState(keepClaims bool) *State {
 	return &State{
 		from:     1,
+		based:    true,
 		docs:     make(map[Key]Doc),
-		deleted:  make(map[Key]wardturn.Offset),
 		claims:   make(map[claimKey]ClaimResult),
 		starts:   make(map[wardturn.UpstreamID]wardturn.Offset),
 		results:  make(map[PublicationID]Result),
@@ -80,7 +104,18 @@
 	}
 }
 
-// Applied returns the offset of the newest record applied.
+// Read returns the offset of the newest record taken.
+func (s *State) Read() wardturn.Offset {
+	return s.read
+}
+
+// Based reports whether the documents follow the log.
+func (s *State) Based() bool {
+	return s.based
+}
+
+// Applied returns the offset of the record after which the documents held were
+// in force. Without a base it lags behind Read.
 func (s *State) Applied() wardturn.Offset {
 	return s.applied
 }
@@ -128,10 +163,11 @@
 // Apply folds one record. Records come in the order of their offsets; one that
 // was applied before is ignored.
 func (s *State) Apply(lr wardturn.LogRecord) {
-	if lr.Offset <= s.applied {
+	if lr.Offset <= s.read {
 		return
 	}
-	s.applied = lr.Offset
+	s.read = lr.Offset
+	defer s.advance()
 	if lr.Time.After(s.logTime) {
 		s.logTime = lr.Time
 	}
@@ -144,10 +180,15 @@
 		return
 	}
 	switch {
-	case rec.Change != nil:
+	case rec.Change != nil && s.based:
 		s.applyChange(lr, rec.Change)
+	case rec.Change != nil:
+		s.backlog = append(s.backlog, pendingChange{
+			record: lr,
+			change: rec.Change,
+		})
 	case rec.Snapshot != nil:
-		s.applySnapshot(rec.Snapshot)
+		s.applySnapshot(lr, rec.Snapshot)
 	case rec.Claims != nil && s.keepAll:
 		s.applyClaims(lr, rec.Claims)
 	case rec.Start != nil:
@@ -155,14 +196,24 @@
 	}
 }
 
-// Skip records that the records up to an offset are out of retention. Claims
-// that were among them can no longer be known.
+func (s *State) advance() {
+	if s.based {
+		s.applied = s.read
+	}
+}
+
+// Skip records that the records before an offset are out of retention. What was
+// published and claimed by them can no longer be known.
 func (s *State) Skip(first wardturn.Offset) {
-	if first-1 > s.applied {
-		s.applied = first - 1
-		s.from = first
-		s.gap = true
+	if first-1 <= s.read {
+		return
 	}
+	s.read = first - 1
+	s.from = first
+	s.based = false
+	s.backlog = nil
+	s.gap = true
+	clear(s.partial)
 }
 
 func (s *State) applyChange(lr wardturn.LogRecord, c *Change) {
@@ -196,7 +247,6 @@
 func (s *State) put(lr wardturn.LogRecord, c *Change, dc DocChange) {
 	if dc.Delete {
 		delete(s.docs, dc.Key)
-		s.deleted[dc.Key] = lr.Offset
 	} else {
 		s.docs[dc.Key] = Doc{
 			Key:     dc.Key,
@@ -209,6 +259,25 @@
 	s.onChange(dc.Key)
 }
 
+// Recent returns the results of the latest publications, for a snapshot.
+func (s *State) Recent() []Result {
+	list := make([]Result, 0, resultsInSnapshot)
+	for _, id := range s.recent[max(0, len(s.recent)-resultsInSnapshot):] {
+		list = append(list, s.results[id])
+	}
+	return list
+}
+
+// SnapshotTime returns the log's time of the newest whole snapshot.
+func (s *State) SnapshotTime() time.Time {
+	return s.snapAt
+}
+
+// LogTime returns the time of the newest record.
+func (s *State) LogTime() time.Time {
+	return s.logTime
+}
+
 func (s *State) remember(res Result) {
 	s.results[res.ID] = res
 	s.recent = append(s.recent, res.ID)
@@ -218,72 +287,81 @@
 	}
 }
 
-// applySnapshot takes documents that are newer than what is held. When all
-// parts of a snapshot have come, documents that it lacks were deleted before
-// it was made.
-//
-// A snapshot is made a while before its record. One made before the first
-// record that this process read is left alone: what was deleted between the two
-// would come back.
-func (s *State) applySnapshot(snap *Snapshot) {
-	if snap.Through+1 < s.from {
-		return
-	}
+// applySnapshot collects the parts of a snapshot. A whole one gives a base to a
+// process that has none, if it has read every record since the snapshot was
+// made.
+func (s *State) applySnapshot(lr wardturn.LogRecord, snap *Snapshot) {
 	p := s.partial[snap.Through]
 	if p == nil {
 		p = &partial{
-			parts: snap.Parts,
-			have:  make(map[int]bool),
-			keys:  make(map[Key]bool),
+			have: make(map[int]bool),
+			docs: make(map[Key]Doc),
 		}
 		s.partial[snap.Through] = p
 	}
 	p.have[snap.Part] = true
-	for _, d := range snap.Docs {
-		p.keys[d.Key] = true
-		s.take(d)
+	p.results = append(p.results, snap.Results...)
+	if !s.based {
+		for _, d := range snap.Docs {
+			p.docs[d.Key] = d
+		}
+	}
+	if len(p.have) < snap.Parts {
+		return
 	}
-	if len(p.have) == p.parts {
-		delete(s.partial, snap.Through)
-		s.complete(snap.Through, p)
+	delete(s.partial, snap.Through)
+	s.snapAt = lr.Time
+	if !s.based && snap.Through+1 >= s.from {
+		s.rebase(snap.Through, p)
 	}
 }
 
-func (s *State) complete(through wardturn.Offset, p *partial) {
-	for key, d := range s.docs {
-		if d.Version <= through && !p.keys[key] {
-			delete(s.docs, key)
+// rebase replaces the documents by a snapshot's and replays what came after it.
+func (s *State) rebase(through wardturn.Offset, p *partial) {
+	old := s.docs
+	s.docs = p.docs
+	s.based = true
+	for key := range old {
+		if s.docs[key].Version != old[key].Version {
 			s.onChange(key)
 		}
 	}
-	for key, at := range s.deleted {
-		if at <= through {
-			delete(s.deleted, key)
+	for key := range s.docs {
+		if _, had := old[key]; !had {
+			s.onChange(key)
 		}
 	}
-}
-
-// take adopts a document unless the one held, or its deletion, is as new.
-func (s *State) take(d Doc) {
-	if s.docs[d.Key].Version >= d.Version || s.deleted[d.Key] >= d.Version {
-		return
+	for _, res := range p.results {
+		if _, known := s.results[res.ID]; !known {
+			s.remember(res)
+		}
+	}
+	backlog := s.backlog
+	s.backlog = nil
+	for _, pc := range backlog {
+		if pc.record.Offset > through {
+			s.applyChange(pc.record, pc.change)
+		}
 	}
-	s.docs[d.Key] = d
-	s.onChange(d.Key)
 }
 
-// Seed adopts the documents of a peer while the log is out. The records up to
-// applied are taken to be read.
+// Seed adopts the documents of a peer while the log is out: those in force after
+// the record at applied. They are not taken if they are older than those held.
 func (s *State) Seed(docs []Doc, applied wardturn.Offset) {
 	if applied <= s.applied {
 		return
 	}
+	p := &partial{
+		docs: make(map[Key]Doc, len(docs)),
+	}
 	for _, d := range docs {
-		s.take(d)
+		p.docs[d.Key] = d
 	}
-	s.applied = applied
+	s.rebase(applied, p)
+	s.read = max(s.read, applied)
 	s.from = applied + 1
 	s.gap = true
+	s.advance()
 }
 
 func (s *State) applyClaims(lr wardturn.LogRecord, c *Claims) {
@@ -317,12 +395,14 @@
 }
 
 // tooOld reports whether an earlier claim of the key may have been forgotten,
-// or may have been out of retention before this process read the log.
+// or may have been out of retention before this process read the log. A key that
+// comes from the future could be claimed before its time, so it is refused too.
 func (s *State) tooOld(cl Claim) bool {
-	if s.logTime.Sub(cl.Created) > ClaimWindow {
+	age := s.logTime.Sub(cl.Created)
+	if age > ClaimWindow || age < -KeySkew {
 		return true
 	}
-	return cl.Created.Before(s.horizon)
+	return !s.horizon.IsZero() && cl.Created.Before(s.horizon.Add(KeySkew))
 }
 
 func (s *State) forgetClaims() {
--- a/demo/system.go
+++ b/demo/system.go
@@ -77,7 +77,7 @@
 	Service *standin.Service // nil for a model engine
 	Agent   *agent.Agent
 	Relay   *standin.Relay // before the agent, if the system has relays
-	addr    string // of the upstream itself
+	addr    string         // of the upstream itself
 	stop    func()
 }
 
@@ -125,8 +125,8 @@
 			return err
 		}
 	}
-	for i := range s.cfg.Entries {
-		if err := s.addEntry(i); err != nil {
+	for range s.cfg.Entries {
+		if err := s.StartEntry(); err != nil {
 			return err
 		}
 	}
@@ -256,7 +256,9 @@
 	return nil
 }
 
-func (s *System) addEntry(i int) error {
+// StartEntry adds an entry.
+func (s *System) StartEntry() error {
+	i := len(s.Entries)
 	ln, err := listen()
 	if err != nil {
 		return err
--- a/entry/api.go
+++ b/entry/api.go
@@ -196,9 +196,6 @@
 	}, problem{}
 }
 
-// keyFuture is how far ahead of this host's clock a key's time may be.
-const keyFuture = time.Minute
-
 // setKey reads the idempotency key of a request that may not be repeated. One
 // without a key gets its own: it still reaches an upstream at most once.
 func (e *Entry) setKey(ctx *fasthttp.RequestCtx, req *wardturn.Request) problem {
@@ -220,7 +217,7 @@
 	if err != nil {
 		return badRequest(HeaderKeyCreated, "must be the time the key was made, as in 2026-01-02T15:04:05Z")
 	}
-	if created.After(now.Add(keyFuture)) {
+	if created.After(now.Add(control.KeySkew)) {
 		return badRequest(HeaderKeyCreated, "is in the future")
 	}
 	if now.Sub(created) > control.ClaimWindow {
--- a/entry/config.go
+++ b/entry/config.go
@@ -26,6 +26,7 @@
 	ConnectLimit  time.Duration // for a first connection to an agent
 	IdleLink      time.Duration // after which an unused connection is closed
 	Tries         int           // upstreams tried for one request
+	SnapshotEvery time.Duration // between snapshots of the configuration
 	RetryShare    float64       // retries as a part of the requests
 	Open          bool          // callers need no key; only for loopback
 	CallerKeys    []KeyGrant    // beside those of the configuration
@@ -50,6 +51,7 @@
 	DefaultConnectLimit = 500 * time.Millisecond
 	DefaultIdleLink     = 2 * time.Minute
 	DefaultTries        = 3
+	DefaultSnapshot     = 10 * time.Minute
 	DefaultRetryShare   = 0.1
 	DefaultOutput       = 64
 )
@@ -65,6 +67,7 @@
 	setDefault(&c.ConnectLimit, DefaultConnectLimit)
 	setDefault(&c.IdleLink, DefaultIdleLink)
 	setDefault(&c.Tries, DefaultTries)
+	setDefault(&c.SnapshotEvery, DefaultSnapshot)
 	setDefault(&c.RetryShare, DefaultRetryShare)
 	setDefault(&c.DefaultOutput, DefaultOutput)
 	c.Router.Region = c.Region
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,7 @@
 	tls     *tls.Config
 	server  *fasthttp.Server
 	ln      net.Listener
+	seeds   seeds
 	seq     atomic.Uint64
 	reqSeq  atomic.Uint64
 	open    atomic.Int64
@@ -97,6 +98,9 @@
 		timers:  make(map[string]wardturn.Timer),
 		ctx:     ctx,
 		stop:    stop,
+		seeds: seeds{
+			pages: make(map[wardturn.UpstreamID]*seed),
+		},
 	}
 	e.replica = control.NewReplica(d.Log, d.Clock, d.Logger, false)
 	e.catalog = control.NewCatalog(e.replica)
@@ -132,6 +136,10 @@
 func (e *Entry) begin() {
 	e.every("sweep", sweepEvery, e.sweepLinks)
 	e.spawn(e.watchHosts)
+	e.spawn(e.seedFromPeers)
+	e.spawn(func() {
+		e.replica.KeepSnapshots(e.ctx, e.cfg.SnapshotEvery)
+	})
 	e.spawn(func() {
 		if err := e.server.Serve(e.ln); err != nil {
 			e.logger.Error("server ended", "error", err)
--- a/entry/link.go
+++ b/entry/link.go
@@ -82,6 +82,8 @@
 		if k := l.call(m.Attempt); k != nil {
 			k.onEnd(m)
 		}
+	case *peer.ConfigPage:
+		l.entry.onConfigPage(l.host.Upstream, m)
 	case *peer.Hint:
 		l.entry.hint(l.host.Upstream, m.Hint)
 	}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -56,6 +56,7 @@
 			"agent":   command(agentFault),
 			"engine":  command(engineFault),
 			"hold":    command(holdService),
+			"entry":   command(entryFault),
 			"ready":   command(waitSlots),
 		},
 	})
@@ -420,6 +421,16 @@
 	}
 }
 
+// entry start: adds an entry and waits until it is ready.
+func entryFault(ts *testscript.TestScript, w *world, args []string) {
+	if args[0] != "start" {
+		ts.Fatalf("entry %s", args[0])
+	}
+	ts.Check(w.sys.StartEntry())
+	e := w.sys.Entries[len(w.sys.Entries)-1]
+	until(ts, "new entry to be ready", e.Ready)
+}
+
 // engine restart UPSTREAM
 func engineFault(ts *testscript.TestScript, w *world, args []string) {
 	switch args[0] {
@@ -464,4 +475,3 @@
 	want, ok := opts[name]
 	return !ok || want == strconv.Itoa(got)
 }
-
