--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -7,6 +7,7 @@
 
 	"wardturn"
 	"wardturn/decide"
+	"wardturn/platform"
 )
 
 // Metrics are an agent's counters, gauges and histograms. Labels are bounded:
@@ -17,6 +18,7 @@
 	queued   tally.Gauge
 	wants    tally.Gauge
 	attempts tally.Gauge
+	outcomes *platform.OutcomeCounters
 	stall    tally.Histogram
 	loadTime tally.Histogram
 }
@@ -31,17 +33,14 @@
 		queued:   s.Gauge("queued_requests"),
 		wants:    s.Gauge("waiting_adapters"),
 		attempts: s.Gauge("remembered_attempts"),
+		outcomes: platform.NewOutcomeCounters(s, "attempts_total"),
 		stall:    s.Histogram("load_stall_seconds", buckets),
 		loadTime: s.Histogram("load_seconds", buckets),
 	}
 }
 
 func (m *Metrics) ended(class wardturn.Class, outcome wardturn.Outcome, stalled time.Duration) {
-	m.scope.Tagged(map[string]string{
-		"class":   class.String(),
-		"outcome": outcome.Kind.String(),
-		"reason":  string(outcome.Reason),
-	}).Counter("attempts_total").Inc(1)
+	m.outcomes.Count(class, outcome)
 	if outcome.Kind == wardturn.Done {
 		m.stall.RecordDuration(stalled)
 	}
--- a/demo/totals.go
+++ b/demo/totals.go
@@ -39,3 +39,8 @@
 	}
 	return t
 }
+
+// Addr returns the address of the upstream itself, without its agent.
+func (u *Upstream) Addr() string {
+	return u.addr
+}
--- a/entry/api.go
+++ b/entry/api.go
@@ -101,37 +101,45 @@
 
 // complete serves both completion paths.
 func (e *Entry) complete(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) {
-	c, p := parseCompletion(ctx.PostBody(), e.cfg.DefaultOutput)
+	x, p := e.readCompletion(ctx, caller)
 	if p.code != "" {
 		writeProblem(ctx, p)
 		return
 	}
+	e.admit(ctx, x, x.stream)
+}
+
+// readCompletion turns a completion request into an exchange.
+func (e *Entry) readCompletion(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) (*exchange, problem) {
+	parser := parsers.Get()
+	defer parsers.Put(parser)
+	c, p := parseCompletion(parser, ctx.PostBody(), e.cfg.DefaultOutput)
+	if p.code != "" {
+		return nil, p
+	}
 	ref, model, ok := e.catalog.Resolve(c.ref)
 	if !ok {
-		writeProblem(ctx, unknownAdapter(c.ref))
-		return
+		return nil, unknownAdapter(c.ref)
 	}
 	if !e.mayUse(caller, string(ref.Adapter), adaptersOf) {
-		writeProblem(ctx, forbidden("adapter "+string(ref.Adapter)))
-		return
+		return nil, forbidden("adapter " + string(ref.Adapter))
 	}
 	req, p := e.newRequest(ctx, caller)
 	if p.code != "" {
-		writeProblem(ctx, p)
-		return
+		return nil, p
 	}
 	req.Adapter = ref
 	req.Prompt = c.prompt
 	req.Output = c.output
 	req.Body = c.rewrite(ref, req.Class)
 	req.Repeatable = true
-	x := &exchange{
+	return &exchange{
 		entry:   e,
 		req:     req,
 		model:   model,
+		stream:  c.stream,
 		arrived: e.clock.Now(),
-	}
-	e.admit(ctx, x, c.stream)
+	}, problem{}
 }
 
 // callService passes a request through to a plain service.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -17,6 +17,7 @@
 	entry    *Entry
 	req      wardturn.Request
 	model    wardturn.BaseModel
+	stream   bool // the caller wants the answer as it comes
 	arrived  time.Time
 	tried    []wardturn.UpstreamID
 	upstream wardturn.UpstreamID // of the present attempt
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,15 +7,16 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn"
+	"wardturn/platform"
 )
 
 // Metrics are an entry's counters and histograms. Labels are bounded: none
 // carries an adapter, a caller or a request.
 type Metrics struct {
-	scope   tally.Scope
-	handler fasthttp.RequestHandler
-	stall   [2]tally.Histogram // by class
-	whole   [2]tally.Histogram
+	handler  fasthttp.RequestHandler
+	requests *platform.OutcomeCounters
+	stall    [2]tally.Histogram // by class
+	whole    [2]tally.Histogram
 }
 
 // NewMetrics registers an entry's metrics. The handler serves them all.
@@ -23,8 +24,8 @@
 	s := scope.SubScope("entry")
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
 	m := &Metrics{
-		scope:   s,
-		handler: handler,
+		handler:  handler,
+		requests: platform.NewOutcomeCounters(s, "requests_total"),
 	}
 	for _, class := range []wardturn.Class{wardturn.Interactive, wardturn.Batch} {
 		tagged := s.Tagged(map[string]string{
@@ -37,11 +38,7 @@
 }
 
 func (m *Metrics) ended(x *exchange) {
-	m.scope.Tagged(map[string]string{
-		"class":   x.req.Class.String(),
-		"outcome": x.outcome.Kind.String(),
-		"reason":  string(x.outcome.Reason),
-	}).Counter("requests_total").Inc(1)
+	m.requests.Count(x.req.Class, x.outcome)
 	if x.outcome.Kind != wardturn.Done {
 		return
 	}
--- a/entry/openai.go
+++ b/entry/openai.go
@@ -24,16 +24,17 @@
 	stream bool
 	prompt wardturn.Tokens
 	output wardturn.Tokens
-	doc    *fastjson.Value
+	doc    *fastjson.Value // good until the parser is used again
 }
 
-// parseCompletion reads a request in the shape of the OpenAI API. The document
-// belongs to the caller: its parser is not reused.
-func parseCompletion(body []byte, defaultOutput wardturn.Tokens) (completion, problem) {
+// parsers holds parsers with the memory of their last document.
+var parsers fastjson.ParserPool
+
+// parseCompletion reads a request in the shape of the OpenAI API.
+func parseCompletion(parser *fastjson.Parser, body []byte, defaultOutput wardturn.Tokens) (completion, problem) {
 	if tooDeep(body) {
 		return completion{}, badRequest("", "the body nests too deeply")
 	}
-	var parser fastjson.Parser
 	doc, err := parser.ParseBytes(body)
 	if err != nil || doc.Type() != fastjson.TypeObject {
 		return completion{}, badRequest("", "the body is not a JSON object")
