--- /dev/null
+++ b/peer/conn_test.go
@@ -0,0 +1,140 @@
+package peer_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"wardturn"
+	"wardturn/peer"
+	"wardturn/platform"
+	"wardturn/standin"
+)
+
+// recorder is a handler that keeps what it gets.
+type recorder struct {
+	mu     sync.Mutex
+	got    []peer.Message
+	conns  int
+	closed int
+	change chan struct{}
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		change: make(chan struct{}, 1024),
+	}
+}
+
+func (r *recorder) Connected(*peer.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns++
+	r.change <- struct{}{}
+}
+
+func (r *recorder) Handle(_ *peer.Conn, m peer.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.got = append(r.got, m)
+	r.change <- struct{}{}
+}
+
+func (r *recorder) Closed(*peer.Conn, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed++
+	r.change <- struct{}{}
+}
+
+// until waits for a condition that must come.
+func (r *recorder) until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	giveUp := time.After(20 * time.Second)
+	for {
+		r.mu.Lock()
+		ok := holds()
+		r.mu.Unlock()
+		if ok {
+			return
+		}
+		select {
+		case <-r.change:
+		case <-giveUp:
+			t.Fatalf("did not come: %s", what)
+		}
+	}
+}
+
+func identity(role peer.Role, process wardturn.Incarnation) peer.Identity {
+	return peer.Identity{
+		Role:    role,
+		Process: process,
+		Config:  func() wardturn.Offset { return 0 },
+	}
+}
+
+func TestClientComesBack(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := newRecorder()
+	server := peer.NewServer(ln, nil, platform.Clock{}, identity(peer.RoleAgent, "a1"), srv)
+	defer server.Close()
+	relay, err := standin.NewRelay(ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	cli := newRecorder()
+	client := peer.NewClient(relay.Addr(), nil, standin.NewFastClock(10), identity(peer.RoleEntry, "e1"), cli)
+	defer client.Close()
+
+	cli.until(t, "connection", func() bool { return cli.conns == 1 })
+	if got := client.Conn().Peer().Process; got != "a1" {
+		t.Fatalf("connected to %q", got)
+	}
+	if err := client.Conn().Send(&peer.Cancel{}); err != nil {
+		t.Fatal(err)
+	}
+	srv.until(t, "message", func() bool { return len(srv.got) > 0 })
+	relay.Cut()
+	cli.until(t, "second connection", func() bool { return cli.closed == 1 && cli.conns == 2 })
+	relay.Freeze(true)
+	cli.until(t, "end of a silent connection", func() bool { return cli.closed == 2 })
+	relay.Freeze(false)
+	cli.until(t, "third connection", func() bool { return cli.conns >= 3 })
+}
+
+func TestServerRefusesStrangers(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := newRecorder()
+	server := peer.NewServer(ln, nil, standin.NewFastClock(10), identity(peer.RoleAgent, "a1"), srv)
+	defer server.Close()
+	for _, hello := range []string{"GET / HTTP/1.1\r\n\r\n", ""} {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte(hello)); err != nil {
+			t.Fatal(err)
+		}
+		buf := make([]byte, 1024)
+		for err == nil { // the server's own Hello, then the end
+			_, err = c.Read(buf)
+		}
+		c.Close()
+	}
+	if len(srv.got) > 0 {
+		t.Fatal("a stranger's bytes reached the handler")
+	}
+}
--- /dev/null
+++ b/peer/frame_test.go
@@ -0,0 +1,117 @@
+package peer_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"reflect"
+	"testing"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/peer"
+)
+
+// samples holds one message of each kind, with every field set.
+func samples() []peer.Message {
+	id := wardturn.AttemptID{
+		Entry: "e1",
+		Seq:   7,
+	}
+	return []peer.Message{
+		&peer.Hello{Protocol: 1, Role: peer.RoleAgent, Process: "p", Upstream: "u", Config: 3},
+		&peer.Submit{Attempt: id, Request: "r", Caller: "c", Class: wardturn.Batch, Adapter: wardturn.AdapterRef{Adapter: "a", Version: 2}, Left: time.Second, Key: "k", Header: []wardturn.HeaderField{{Name: "n", Value: "v"}}, Body: []byte("body"), Credit: 5},
+		&peer.Attach{Attempt: id, Process: "p", Follow: true, From: 9, Credit: 10},
+		&peer.Head{Attempt: id, Status: 200, Stalled: time.Second},
+		&peer.Chunk{Attempt: id, Offset: 4, Data: []byte("data")},
+		&peer.End{Attempt: id, Outcome: wardturn.Refused(wardturn.ReasonQuota, time.Second), Length: 8, Hint: decide.Hint{Running: 1, Leaving: true}, FirstUpstream: "u"},
+		&peer.Credit{Attempt: id, Upto: 11},
+		&peer.Cancel{Attempt: id},
+		&peer.Hint{Upstream: "u", Hint: decide.Hint{Queued: 2}},
+		&peer.Wish{Wish: decide.Wish{Upstream: "u", Value: 1.5, Want: 2}},
+		&peer.Grant{Grant: decide.Grant{Upstream: "u", Total: 3}},
+		&peer.Ping{Seq: 1, Config: 2},
+		&peer.Pong{Seq: 1, Config: 2},
+		&peer.ConfigPull{Page: 1},
+		&peer.ConfigPage{Page: 1, Pages: 2, Config: 3, Data: []byte("docs")},
+	}
+}
+
+func TestFramesRoundTrip(t *testing.T) {
+	var buf []byte
+	for _, m := range samples() {
+		var err error
+		if buf, err = peer.AppendFrame(buf, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := bytes.NewReader(buf)
+	var scratch []byte
+	for _, want := range samples() {
+		got, next, err := peer.ReadFrame(r, scratch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		scratch = next
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %#v, want %#v", got, want)
+		}
+	}
+}
+
+func TestHostileFrames(t *testing.T) {
+	header := func(size uint32, rest ...byte) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, size), rest...)
+	}
+	for _, c := range []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"too large", header(peer.MaxFrame+1, byte(peer.KindPing)), peer.ErrFrameTooLarge},
+		{"empty", header(0, 0), peer.ErrBadFrame},
+		{"unknown kind", header(2, 250, 0), peer.ErrBadFrame},
+		{"not msgpack", header(3, byte(peer.KindPing), 0xc1, 0xc1), peer.ErrBadFrame},
+		{"bytes left over", header(5, byte(peer.KindPing), 0x92, 1, 1, 1), peer.ErrBadFrame},
+		{"huge array", header(6, byte(peer.KindSubmit), 0xdd, 0x7f, 0xff, 0xff, 0xff), peer.ErrBadFrame},
+		{"truncated", header(1000, byte(peer.KindPing), 0x92), io.ErrUnexpectedEOF},
+	} {
+		if _, _, err := peer.ReadFrame(bytes.NewReader(c.data), nil); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+	}
+}
+
+// TestTruncatedFrameCostsLittle announces the largest frame and sends nothing.
+func TestTruncatedFrameCostsLittle(t *testing.T) {
+	data := append(binary.BigEndian.AppendUint32(nil, peer.MaxFrame), byte(peer.KindChunk), 1, 2, 3)
+	_, scratch, err := peer.ReadFrame(bytes.NewReader(data), nil)
+	if err == nil {
+		t.Fatal("truncated frame was read")
+	}
+	const bound = 128 << 10
+	if cap(scratch) > bound {
+		t.Fatalf("%d bytes were set aside for 3 that came", cap(scratch))
+	}
+}
+
+func FuzzReadFrame(f *testing.F) {
+	for _, m := range samples() {
+		frame, err := peer.AppendFrame(nil, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, _, err := peer.ReadFrame(bytes.NewReader(data), nil)
+		if err != nil {
+			return
+		}
+		if _, err := peer.AppendFrame(nil, m); err != nil && !errors.Is(err, peer.ErrFrameTooLarge) {
+			t.Fatalf("message that was read cannot be written: %v", err)
+		}
+	})
+}
