Administration: API, command line, audit record, report on service-level burn

Cause: operators publish configuration and must trust and see it.

Change: versioned API on entry hosts (documents with ETag and If-Match, changes of several documents, history, status, windows, an OpenAPI document), roles for all and for a team; wardturn publish, diff, get, history, status, drain, report burn; histograms by minute on entries, burn rates over two pairs of windows, text, JSON and HTML with plots. Minutes that nobody counted are unknown.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -43,6 +43,13 @@
 	Trace   traceCmd   `cmd:"" help:"Generate a trace with a user's sizes."`
 	Compare compareCmd `cmd:"" help:"Compare policies on the same trace."`
 	Policy  policyCmd  `cmd:"" help:"Check policies."`
+	Publish publishCmd `cmd:"" help:"Publish documents: all or none."`
+	Diff    diffCmd    `cmd:"" help:"Compare files with what is in force."`
+	Get     getCmd     `cmd:"" help:"Print documents in force."`
+	History historyCmd `cmd:"" help:"Print who published what, when."`
+	Status  statusCmd  `cmd:"" help:"Print an entry's view of the system."`
+	Drain   drainCmd   `cmd:"" help:"Order an upstream to leave."`
+	Report  reportCmd  `cmd:"" help:"Reports."`
 	Demo    demoCmd    `cmd:"" help:"Run the whole system on embedded stand-ins and send it traffic."`
 	Load    loadCmd    `cmd:"" help:"Send a trace to running entry hosts."`
 }
--- /dev/null
+++ b/cli/client.go
@@ -0,0 +1,139 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"wardturn/control"
+	"wardturn/entry"
+	"wardturn/platform"
+)
+
+// entryFlags say which entry host to talk to, and as whom.
+type entryFlags struct {
+	Entry       []string `required:"" placeholder:"IP:PORT" help:"Address of an entry host; several are tried in turn."`
+	OperatorKey string   `required:"" help:"Key of the operator."`
+	HTTPS       bool     `name:"https" help:"Use TLS."`
+	Output      string   `default:"table" enum:"table,json" help:"Output for people or for programs: table or json."`
+}
+
+const clientLimit = 15 * time.Second
+
+// ErrRefused is wrapped by the error of a request that the entry refused.
+var ErrRefused = errors.New("refused")
+
+// client talks to the operators' API.
+type client struct {
+	flags entryFlags
+	http  fasthttp.Client
+}
+
+func (f entryFlags) client() *client {
+	return &client{
+		flags: f,
+	}
+}
+
+// do sends a request to the first entry that answers and decodes the answer.
+func (c *client) do(method, path string, body, into any) error {
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return errors.Wrap(err, "request")
+		}
+	}
+	var err error
+	for _, addr := range c.flags.Entry {
+		if err = c.doAt(addr, method, path, data, into); err == nil || errors.Is(err, ErrRefused) {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *client) doAt(addr, method, path string, body []byte, into any) error {
+	req := fasthttp.AcquireRequest()
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	scheme := "http"
+	if c.flags.HTTPS {
+		scheme = "https"
+	}
+	req.SetRequestURI(scheme + "://" + addr + path)
+	req.Header.SetMethod(method)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.flags.OperatorKey)
+	req.SetBody(body)
+	if err := c.http.DoTimeout(req, res, clientLimit); err != nil {
+		return errors.Wrapf(err, "entry %s", addr)
+	}
+	if res.StatusCode() != fasthttp.StatusOK {
+		return refusal(res)
+	}
+	return errors.Wrap(json.Unmarshal(res.Body(), into), "answer")
+}
+
+// refusedError is an entry's refusal with its code.
+type refusedError struct {
+	code    string
+	message string
+}
+
+// Error implements error.
+func (e *refusedError) Error() string {
+	return e.message + " (" + e.code + ")"
+}
+
+// Is makes every refusal an ErrRefused.
+func (e *refusedError) Is(target error) bool {
+	return target == ErrRefused
+}
+
+func refusal(res *fasthttp.Response) error {
+	var body platform.ErrorBody
+	if json.Unmarshal(res.Body(), &body) != nil || body.Error.Code == "" {
+		return &refusedError{
+			code:    "http_error",
+			message: fmt.Sprintf("status %d", res.StatusCode()),
+		}
+	}
+	return &refusedError{
+		code:    body.Error.Code,
+		message: body.Error.Message,
+	}
+}
+
+// doc returns a document in force, or false.
+func (c *client) doc(key control.Key) (entry.DocView, bool, error) {
+	var d entry.DocView
+	err := c.do(fasthttp.MethodGet, entry.PathDocs+"/"+string(key), nil, &d)
+	var refused *refusedError
+	if errors.As(err, &refused) && refused.code == entry.CodeUnknownDoc {
+		return d, false, nil
+	}
+	return d, err == nil, err
+}
+
+// docs returns all documents of a kind.
+func (c *client) docs(kind string) ([]entry.DocView, error) {
+	var all []entry.DocView
+	after := control.Key("")
+	for {
+		var page entry.DocPage
+		path := fmt.Sprintf("%s?kind=%s&limit=1000&after=%s", entry.PathDocs, url.QueryEscape(kind), url.QueryEscape(string(after)))
+		if err := c.do(fasthttp.MethodGet, path, nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Docs...)
+		if page.Next == "" {
+			return all, nil
+		}
+		after = page.Next
+	}
+}
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -145,8 +145,8 @@
 	return 0, false
 }
 
-// report prints every bad setting and returns the exit code for them.
-func report(name string, list []string, s Streams) int {
+// refuseSettings prints every bad setting and returns the exit code for them.
+func refuseSettings(name string, list []string, s Streams) int {
 	for _, p := range list {
 		fmt.Fprintln(s.Err, name+": bad setting:", p)
 	}
@@ -226,7 +226,7 @@
 		return code
 	}
 	if list := set.problems(); len(list) > 0 {
-		return report(name, list, s)
+		return refuseSettings(name, list, s)
 	}
 	if set.Check {
 		return ExitOK
--- a/cli/entryd.go
+++ b/cli/entryd.go
@@ -105,7 +105,7 @@
 		return code
 	}
 	if list := set.problems(); len(list) > 0 {
-		return report(name, list, s)
+		return refuseSettings(name, list, s)
 	}
 	if set.Check {
 		return ExitOK
--- a/control/docs.go
+++ b/control/docs.go
@@ -15,6 +15,7 @@
 
 	"wardturn"
 	"wardturn/policy"
+	"wardturn/report"
 )
 
 // The kinds of documents.
@@ -300,8 +301,8 @@
 
 func (d *checkObjective) problem() (field, reason string) {
 	switch {
-	case d.Indicator == "":
-		return "indicator", "must be set"
+	case !slices.Contains(report.Indicators(), report.Indicator(d.Indicator)):
+		return "indicator", fmt.Sprintf("must be one of %v", report.Indicators())
 	case d.Target <= 0 || d.Target >= 1:
 		return "target", "must be between 0 and 1"
 	case d.Window <= 0:
--- a/control/state.go
+++ b/control/state.go
@@ -65,6 +65,7 @@
 	starts   map[wardturn.UpstreamID]wardturn.Offset
 	results  map[PublicationID]Result
 	recent   []PublicationID
+	history  []Entry
 	partial  map[wardturn.Offset]*partial
 	keepAll  bool
 	onChange func(Key)
@@ -236,6 +237,7 @@
 		break
 	}
 	s.remember(res)
+	s.audit(lr, c, res)
 	if !res.Accepted {
 		return
 	}
--- a/decide/router.go
+++ b/decide/router.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"wardturn"
@@ -65,12 +66,12 @@
 // Hint is an agent's load as it rides on replies. It is out of date when it
 // arrives and expires soon after.
 type Hint struct {
-	Running  int  `msgpack:"r"`
-	Queued   int  `msgpack:"q"`
-	Capacity int  `msgpack:"c"` // requests that can run at once
-	Wants    int  `msgpack:"w"` // adapters that wait for a slot
-	Spare    int  `msgpack:"s"` // slots that could be reused at once
-	Leaving  bool `msgpack:"l"`
+	Running  int  `msgpack:"r" json:"running"`
+	Queued   int  `msgpack:"q" json:"queued"`
+	Capacity int  `msgpack:"c" json:"capacity"`         // requests that can run at once
+	Wants    int  `msgpack:"w" json:"waiting_adapters"` // that wait for a slot
+	Spare    int  `msgpack:"s" json:"spare_slots"`      // that could be reused at once
+	Leaving  bool `msgpack:"l" json:"leaving"`
 }
 
 // Hint returns the agent's present load.
@@ -182,22 +183,14 @@
 		}
 	}
 	for _, p := range pools {
-		slices.SortFunc(p.targets, byUpstream)
+		slices.SortFunc(p.targets, func(x, y *target) int {
+			return strings.Compare(string(x.host.Upstream), string(y.host.Upstream))
+		})
 	}
 	r.byID = byID
 	r.pools = pools
 }
 
-func byUpstream(x, y *target) int {
-	switch {
-	case x.host.Upstream < y.host.Upstream:
-		return -1
-	case x.host.Upstream > y.host.Upstream:
-		return 1
-	}
-	return 0
-}
-
 // Hint takes a load hint of an upstream.
 func (r *Router) Hint(now time.Time, id wardturn.UpstreamID, h Hint) {
 	t := r.byID[id]
@@ -385,3 +378,32 @@
 	near := x.host.Domain == r.cfg.Domain
 	return near && y.host.Domain != r.cfg.Domain
 }
+
+// TargetView is a copy of what a router knows of an upstream.
+type TargetView struct {
+	Host    wardturn.Host
+	Hint    Hint
+	HintAge time.Duration // negative without a hint
+	Ejected bool
+}
+
+// Targets returns what the router knows, in order of upstream.
+func (r *Router) Targets(now time.Time) []TargetView {
+	list := make([]TargetView, 0, len(r.byID))
+	for _, t := range r.byID {
+		v := TargetView{
+			Host:    t.host,
+			Hint:    t.hint,
+			HintAge: -time.Second,
+			Ejected: !t.breaker.Allows(now),
+		}
+		if !t.hintAt.IsZero() {
+			v.HintAge = now.Sub(t.hintAt)
+		}
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(x, y TargetView) int {
+		return strings.Compare(string(x.Host.Upstream), string(y.Host.Upstream))
+	})
+	return list
+}
--- a/entry/api.go
+++ b/entry/api.go
@@ -298,6 +298,7 @@
 	e.leave(x.req.Caller)
 	e.open.Add(-1)
 	e.metrics.ended(x)
+	e.record(x)
 	e.logger.Debug("request ended",
 		"request", x.req.ID,
 		"caller", x.req.Caller,
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -26,6 +26,7 @@
 	outcome  wardturn.Outcome
 	ended    bool
 	passed   int64 // bytes given to the caller
+	firstAt  time.Time
 	spare    []byte
 	attempts int
 
@@ -44,6 +45,9 @@
 		x.spare = st.data
 		x.head = st.head
 		if len(st.data) > 0 {
+			if x.passed == 0 {
+				x.firstAt = x.now()
+			}
 			x.passed += int64(len(st.data))
 			x.call.credit()
 			return st.data, false
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"wardturn/control"
 	"wardturn/decide"
 	"wardturn/peer"
+	"wardturn/report"
 )
 
 const (
@@ -53,6 +54,10 @@
 	server  *fasthttp.Server
 	ln      net.Listener
 	seeds   seeds
+	policy  atomic.Pointer[string] // name of the one in force
+
+	recorder *report.Recorder
+
 	seq     atomic.Uint64
 	reqSeq  atomic.Uint64
 	open    atomic.Int64
@@ -104,6 +109,9 @@
 	}
 	e.replica = control.NewReplica(d.Log, d.Clock, d.Logger, false)
 	e.catalog = control.NewCatalog(e.replica)
+	e.recorder = report.NewRecorder(d.Clock, cfg.Process)
+	e.replica.Watch(e.onConfig)
+	e.findPolicy()
 	e.server = e.newServer()
 	if d.HTTPS != nil {
 		e.ln = tls.NewListener(e.ln, d.HTTPS)
@@ -224,6 +232,17 @@
 	}
 }
 
+// limited returns a context that ends after a time of the entry's clock, or with
+// the entry.
+func (e *Entry) limited(d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	timer := e.clock.AfterFunc(d, cancel)
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 const leavePoll = 20 * time.Millisecond
 
 func (e *Entry) pause(ctx context.Context, d time.Duration) bool {
--- /dev/null
+++ b/report/burn.go
@@ -0,0 +1,242 @@
+package report
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"wardturn"
+)
+
+// Objective is a team's service-level objective.
+type Objective struct {
+	Name      string          `json:"name"`
+	Team      wardturn.TeamID `json:"team"`
+	Indicator Indicator       `json:"indicator"`
+	Threshold time.Duration   `json:"threshold_ns"` // zero: any answer is good
+	Target    float64         `json:"target"`       // part of good events
+	Window    time.Duration   `json:"window_ns"`
+}
+
+// Alert is a pair of windows and the burn rate at which both must be for it to
+// fire: at a rate of 14.4 over an hour, 2% of a 30-day budget is gone.
+type Alert struct {
+	Name  string
+	Long  time.Duration
+	Short time.Duration
+	Rate  float64
+}
+
+// Alerts returns the fast and the slow alert.
+func Alerts() []Alert {
+	return []Alert{
+		{
+			Name:  "fast",
+			Long:  time.Hour,
+			Short: 5 * time.Minute,
+			Rate:  14.4,
+		},
+		{
+			Name:  "slow",
+			Long:  6 * time.Hour,
+			Short: 30 * time.Minute,
+			Rate:  6,
+		},
+	}
+}
+
+// Span is what is known of one span of time.
+type Span struct {
+	Length time.Duration `json:"length_ns"`
+	Events uint64        `json:"events"`
+	Bad    uint64        `json:"bad"`
+	Burn   float64       `json:"burn"`    // rate; meaningless without events
+	Known  float64       `json:"known"`   // part of the process minutes that were counted
+	NoData bool          `json:"no_data"` // nothing is known: not the same as no burn
+}
+
+// Firing says whether an alert fires.
+type Firing struct {
+	Alert string `json:"alert"`
+	Long  Span   `json:"long"`
+	Short Span   `json:"short"`
+	Fires bool   `json:"fires"`
+}
+
+// Line is one objective's part of a report, for all policies or for one.
+type Line struct {
+	Objective Objective     `json:"objective"`
+	Policy    string        `json:"policy,omitempty"`
+	Alerts    []Firing      `json:"alerts"`
+	Minutes   []MinutePoint `json:"minutes"`
+}
+
+// MinutePoint is one minute of an objective for plots.
+type MinutePoint struct {
+	Start  time.Time `json:"start"`
+	Events uint64    `json:"events"`
+	Bad    uint64    `json:"bad"`
+	Known  bool      `json:"known"`
+}
+
+// Burn is a report on service-level burn.
+type Burn struct {
+	At        time.Time `json:"at"`
+	Processes int       `json:"processes"`
+	Missing   []string  `json:"missing"` // processes that did not answer
+	Lines     []Line    `json:"lines"`
+}
+
+// Compute makes a report from what the processes counted. Processes that did
+// not answer are named in missing; their minutes are unknown.
+func Compute(at time.Time, objectives []Objective, batches []Batch, missing []string) Burn {
+	b := Burn{
+		At:        at,
+		Processes: len(batches) + len(missing),
+		Missing:   missing,
+	}
+	for _, o := range objectives {
+		b.Lines = append(b.Lines, line(at, o, "", batches, len(missing)))
+		for _, policy := range policiesOf(o, batches) {
+			b.Lines = append(b.Lines, line(at, o, policy, batches, len(missing)))
+		}
+	}
+	return b
+}
+
+// policiesOf returns the policies under which an objective's events happened, if
+// there were several.
+func policiesOf(o Objective, batches []Batch) []string {
+	var list []string
+	for _, b := range batches {
+		for _, w := range b.Windows {
+			if matches(o, "", w.Key) && !slices.Contains(list, w.Policy) {
+				list = append(list, w.Policy)
+			}
+		}
+	}
+	if len(list) < 2 {
+		return nil
+	}
+	slices.Sort(list)
+	return list
+}
+
+func matches(o Objective, policy string, k Key) bool {
+	return k.Indicator == o.Indicator && (o.Team == "" || k.Team == o.Team) && (policy == "" || k.Policy == policy)
+}
+
+func line(at time.Time, o Objective, policy string, batches []Batch, missing int) Line {
+	l := Line{
+		Objective: o,
+		Policy:    policy,
+	}
+	for _, a := range Alerts() {
+		f := Firing{
+			Alert: a.Name,
+			Long:  span(at, a.Long, o, policy, batches, missing),
+			Short: span(at, a.Short, o, policy, batches, missing),
+		}
+		f.Fires = !f.Long.NoData && !f.Short.NoData && f.Long.Burn >= a.Rate && f.Short.Burn >= a.Rate
+		l.Alerts = append(l.Alerts, f)
+	}
+	l.Minutes = minutes(at, o, policy, batches)
+	return l
+}
+
+// span merges the whole minutes of the last length before at.
+func span(at time.Time, length time.Duration, o Objective, policy string, batches []Batch, missing int) Span {
+	end := at.Truncate(Minute)
+	start := end.Add(-length)
+	s := Span{
+		Length: length,
+	}
+	var sum Histogram
+	known := 0
+	for _, b := range batches {
+		known += knownMinutes(b, start, end)
+		for _, w := range b.Windows {
+			if !w.Start.Before(start) && w.Start.Before(end) && matches(o, policy, w.Key) {
+				sum.Merge(w.Histogram)
+			}
+		}
+	}
+	all := (len(batches) + missing) * int(length/Minute)
+	if all > 0 {
+		s.Known = float64(known) / float64(all)
+	}
+	s.Events = sum.Total()
+	s.NoData = known == 0 || s.Events == 0
+	if s.NoData {
+		return s
+	}
+	s.Bad = s.Events - sum.Good(o.Threshold)
+	s.Burn = float64(s.Bad) / float64(s.Events) / (1 - o.Target)
+	return s
+}
+
+// knownMinutes counts the whole minutes of a span during which a process was
+// counting.
+func knownMinutes(b Batch, start, end time.Time) int {
+	from := b.Started.Truncate(Minute)
+	if !from.Equal(b.Started) {
+		from = from.Add(Minute)
+	}
+	if from.Before(start) {
+		from = start
+	}
+	to := b.At.Truncate(Minute)
+	if to.After(end) {
+		to = end
+	}
+	return max(0, int(to.Sub(from)/Minute))
+}
+
+// plotMinutes is the length of the plots.
+const plotMinutes = 60
+
+func minutes(at time.Time, o Objective, policy string, batches []Batch) []MinutePoint {
+	end := at.Truncate(Minute)
+	var list []MinutePoint
+	for start := end.Add(-plotMinutes * Minute); start.Before(end); start = start.Add(Minute) {
+		p := MinutePoint{
+			Start: start,
+		}
+		var sum Histogram
+		for _, b := range batches {
+			if knownMinutes(b, start, start.Add(Minute)) > 0 {
+				p.Known = true
+			}
+			for _, w := range b.Windows {
+				if w.Start.Equal(start) && matches(o, policy, w.Key) {
+					sum.Merge(w.Histogram)
+				}
+			}
+		}
+		p.Events = sum.Total()
+		p.Bad = p.Events - sum.Good(o.Threshold)
+		list = append(list, p)
+	}
+	return list
+}
+
+// Firing returns the lines with an alert that fires.
+func (b Burn) Firing() []Line {
+	var list []Line
+	for _, l := range b.Lines {
+		if slices.ContainsFunc(l.Alerts, func(f Firing) bool { return f.Fires }) {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// SortObjectives orders objectives by team and name.
+func SortObjectives(list []Objective) {
+	slices.SortFunc(list, func(x, y Objective) int {
+		if c := strings.Compare(string(x.Team), string(y.Team)); c != 0 {
+			return c
+		}
+		return strings.Compare(x.Name, y.Name)
+	})
+}
