Heartbeats and host lists that cost little at 2,100 upstreams

Cause: an entry holds a connection to each upstream that it uses, 262 in a region of the size in two years. Heartbeats every second and the whole host list every second would cost 40 and 250 KB/s against a budget of 17 KB/s for all control.

--- a/entry/config.go
+++ b/entry/config.go
@@ -51,7 +51,7 @@
 	DefaultConnectLimit = 500 * time.Millisecond
 	DefaultIdleLink     = 2 * time.Minute
 	DefaultTries        = 3
-	DefaultSnapshot     = 10 * time.Minute
+	DefaultSnapshot     = time.Hour
 	DefaultRetryShare   = 0.1
 	DefaultOutput       = 64
 )
--- a/entry/link.go
+++ b/entry/link.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// Busy implements peer.Busier.
+func (l *link) Busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.calls) > 0
+}
+
 func (l *link) call(id wardturn.AttemptID) *call {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -16,8 +16,10 @@
 const (
 	maxBuffered   = 32 << 20
 	readBuffer    = 64 << 10
-	pingEvery     = time.Second
-	silenceLimit  = 4 * time.Second
+	busyPing      = time.Second     // between heartbeats of a connection in use
+	idlePing      = 4 * time.Second // and of one that is not
+	silenceLimit  = 4               // heartbeats without an answer
+	recentUse     = 2 * time.Second
 	helloLimit    = 3 * time.Second
 	keepWriteBuff = 1 << 20
 )
@@ -41,6 +43,12 @@
 	Closed(c *Conn, err error)
 }
 
+// Busier is a Handler that knows whether its connection has work under way. The
+// loss of such a connection is noticed sooner.
+type Busier interface {
+	Busy() bool
+}
+
 // Conn is an established connection: both sides have said Hello.
 type Conn struct {
 	nc     net.Conn
@@ -54,6 +62,8 @@
 	err      error
 	ping     wardturn.Timer
 	lastRead atomic.Int64 // clock time in nanoseconds
+	lastUse  atomic.Int64 // of a message other than a heartbeat
+	busier   Busier       // nil if the handler is none
 	seq      uint64
 }
 
@@ -132,6 +142,7 @@
 	if err != nil {
 		return err
 	}
+	c.noteUse(m)
 	c.out = out
 	if empty {
 		c.ready.Signal()
@@ -139,6 +150,27 @@
 	return nil
 }
 
+// noteUse remembers when the connection last carried an attempt: then its end
+// must be noticed soon. Thousands of idle connections must cost little.
+func (c *Conn) noteUse(m Message) {
+	switch m.Kind() {
+	case KindPing, KindPong, KindHint, KindHello:
+	default:
+		c.lastUse.Store(c.clock.Now().UnixNano())
+	}
+}
+
+// interval returns the present time between heartbeats.
+func (c *Conn) interval() time.Duration {
+	if c.busier != nil && c.busier.Busy() {
+		return busyPing
+	}
+	if c.clock.Now().Sub(time.Unix(0, c.lastUse.Load())) < recentUse {
+		return busyPing
+	}
+	return idlePing
+}
+
 // Close ends the connection.
 func (c *Conn) Close() {
 	c.mu.Lock()
@@ -167,6 +199,7 @@
 
 // run serves the connection until it ends.
 func (c *Conn) run(r *bufio.Reader, h Handler) {
+	c.busier, _ = h.(Busier)
 	c.schedulePing()
 	done := make(chan struct{})
 	go func() {
@@ -191,6 +224,7 @@
 		}
 		scratch = buf
 		c.lastRead.Store(c.clock.Now().UnixNano())
+		c.noteUse(m)
 		switch m := m.(type) {
 		case *Ping:
 			h.Handle(c, m)
@@ -231,16 +265,17 @@
 }
 
 func (c *Conn) schedulePing() {
+	wait := c.interval()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err == nil {
-		c.ping = c.clock.AfterFunc(pingEvery, c.heartbeat)
+		c.ping = c.clock.AfterFunc(wait, c.heartbeat)
 	}
 }
 
 func (c *Conn) heartbeat() {
 	silent := c.clock.Now().Sub(time.Unix(0, c.lastRead.Load()))
-	if silent > silenceLimit {
+	if silent > silenceLimit*c.interval() {
 		c.failed(ErrSilent)
 		return
 	}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"net"
 	"strconv"
@@ -120,7 +122,20 @@
 		if hosts == nil {
 			hosts = []wardturn.Host{}
 		}
-		writeJSON(ctx, fasthttp.StatusOK, hosts)
+		body, err := json.Marshal(hosts)
+		if err != nil {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
+		sum := sha256.Sum256(body)
+		etag := `"` + hex.EncodeToString(sum[:8]) + `"`
+		ctx.Response.Header.Set(fasthttp.HeaderETag, etag)
+		if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == etag {
+			ctx.SetStatusCode(fasthttp.StatusNotModified)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(body)
 	}
 }
 
