--- a/cli/cli.go
+++ b/cli/cli.go
@@ -50,6 +50,7 @@
 	Status  statusCmd  `cmd:"" help:"Print an entry's view of the system."`
 	Drain   drainCmd   `cmd:"" help:"Order an upstream to leave."`
 	Report  reportCmd  `cmd:"" help:"Reports."`
+	Bench   benchCmd   `cmd:"" help:"Measure costs at several sizes and work out the size in two years."`
 	Demo    demoCmd    `cmd:"" help:"Run the whole system on embedded stand-ins and send it traffic."`
 	Load    loadCmd    `cmd:"" help:"Send a trace to running entry hosts."`
 }
