Routing and heartbeats cost little at the large size

Cause: a routing decision scored every upstream with a logarithm and looked at every hint; both sides of every connection sent heartbeats.

Change: integer rendezvous scores among the region's upstreams, the others only when none of the own serves; hints are swept once a second; a warm adapter's home is looked up first. Only the dialing side sends heartbeats: 1 s with work under way, 10 s at rest, brought forward on use.

--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -309,8 +309,9 @@
 func (hinter) Connected(*peer.Conn) {}
 
 // Links measures the bytes a second, in both directions together, that an entry
-// spends on idle connections to agents, by their number. TCP's own headers are
-// added at 2 segments of 66 bytes for each message.
+// spends on connections to agents that rest, by their number. TCP's own headers
+// are added at four segments of 66 bytes for each heartbeat: the question, an
+// answer in up to two parts, and an acknowledgement.
 func Links() (Series, error) {
 	s := Series{
 		Name: "idle connections of an entry",
@@ -329,12 +330,13 @@
 
 const (
 	linkSpeed  = 10 // of the clock
-	linkPeriod = 6 * time.Second
-	// perMessage is what TCP and IP add to a small message and its
-	// acknowledgement.
-	perMessage = 2 * 66
-	// heartbeat is Ping, Pong and Hint in each direction where they occur.
-	heartbeatMessages = 5.0 / 4 // a second, of one idle connection
+	linkPeriod = 5 * time.Second
+	// perHeartbeat is what TCP and IP add to a heartbeat.
+	perHeartbeat = 4 * 66
+	// heartbeats is their number a second on a connection that rests.
+	heartbeats = 1.0 / 10
+	// restAfter is the time until a connection that carries nothing rests.
+	restAfter = 32 * time.Second
 )
 
 func linkBytes(n int) (float64, error) {
@@ -359,11 +361,11 @@
 			c.Close()
 		}
 	}()
-	time.Sleep(linkPeriod / 4)
+	time.Sleep(restAfter / linkSpeed)
 	before := bytes.Load()
 	time.Sleep(linkPeriod)
 	payload := float64(bytes.Load()-before) / (linkPeriod.Seconds() * linkSpeed)
-	return payload + float64(n)*heartbeatMessages*perMessage, nil
+	return payload + float64(n)*heartbeats*perHeartbeat, nil
 }
 
 // Force measures the time from the start of a publication until it is in force
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -227,7 +227,7 @@
 		{"entry", "routing, " + fmt.Sprintf("%.0f requests/s over %.0f upstreams", perEntry, perRegion), core(routing), budgetCore, routing > t.BudgetCore, "rendezvous over the region's upstreams, bounded map of places"},
 		{"entry", "following the configuration", core(applying), budgetCore, applying > t.BudgetCore, "each process folds the log by itself"},
 		{"entry", "configuration in memory", mb(memory), budgetMB, memory > t.BudgetMemory, "replica and typed catalog"},
-		{"entry", fmt.Sprintf("%.0f connections to agents", perRegion), kb(links), budgetKB, links > t.BudgetBytes, "dialed on demand, heartbeat every 4 s while idle, hints ride on it"},
+		{"entry", fmt.Sprintf("%.0f connections to agents that rest", perRegion), kb(links), budgetKB, links > t.BudgetBytes, "dialed on demand; a heartbeat every 10 s while it rests, 1 s while it carries an attempt; hints ride on the answers"},
 		{"entry", "reading the log and its snapshots", kb(config), budgetKB, links+config > t.BudgetBytes, "hourly snapshots; together with the connections " + kb(links+config)},
 		{"agent", fmt.Sprintf("decisions, %.1f requests/s", perWorker), core(agentCPU), budgetCore, agentCPU > t.BudgetCore, "pure core, one lock"},
 		{"agent", fmt.Sprintf("%.0f connections of entries", entriesPerRegion), kb(agentLinks), budgetKB, agentLinks > t.BudgetBytes, "as above, seen from the other side"},
--- a/decide/place.go
+++ b/decide/place.go
@@ -11,7 +11,7 @@
 // sticky sends an adapter where this entry sent it before. A new adapter goes to
 // the best of its first rendezvous candidates; one whose homes are all loaded
 // far over the average gets another home.
-func (r *Router) sticky(now time.Time, p *pool, usable []scored, ask Ask) *target {
+func (r *Router) sticky(now time.Time, p *pool, targets []*target, usable func(*target) bool, ask Ask) *target {
 	loc := r.locations.get(ask.Adapter)
 	loc.forgetIdle(now, r.cfg.LocationLife)
 	home := loc.lightest(usable)
@@ -19,12 +19,13 @@
 		loc.use(now, home)
 		return home
 	}
-	chosen := r.place(usable, loc)
-	if home != nil && (chosen == nil || !r.relieves(home, chosen)) {
+	list := p.candidates(targets, usable, ask.Adapter, r.cfg.Candidates+len(loc.homes))
+	chosen := place(list, loc)
+	if home != nil && (chosen == nil || !relieves(home, chosen)) {
 		chosen = home
 	}
 	if chosen == nil {
-		chosen = top(usable)
+		return nil
 	}
 	loc.use(now, chosen)
 	return chosen
@@ -33,10 +34,10 @@
 // overloaded reports whether a home carries so much that a replica elsewhere is
 // worth a load.
 func (r *Router) overloaded(p *pool, t *target) bool {
-	if t.hint.Capacity == 0 {
+	if t.hint.Capacity == 0 || len(p.near) == 0 {
 		return false
 	}
-	average := p.load / float64(len(p.targets))
+	average := p.load / float64(len(p.near))
 	bound := max(r.cfg.BoundFactor*average, busyShare*float64(t.hint.Capacity))
 	return t.load() >= bound
 }
@@ -46,15 +47,14 @@
 const busyShare = 0.8
 
 // relieves reports whether moving from home to other is a clear gain.
-func (r *Router) relieves(home, other *target) bool {
+func relieves(home, other *target) bool {
 	const share = 0.7
 	return other.load() < share*home.load()
 }
 
 // place chooses among the first rendezvous candidates the one where a load
 // would start soonest, preferring the first when the others are hardly better.
-func (r *Router) place(usable []scored, loc *location) *target {
-	candidates := topCandidates(usable, r.cfg.Candidates+len(loc.homes))
+func place(candidates []scored, loc *location) *target {
 	var best *target
 	var bestCost float64
 	for rank, s := range candidates {
@@ -88,22 +88,6 @@
 	return cost + queueCost*t.load()/float64(t.hint.Capacity)
 }
 
-// topCandidates returns the n highest scores in descending order. The list is
-// reordered.
-func topCandidates(list []scored, n int) []scored {
-	n = min(n, len(list))
-	for i := range n {
-		best := i
-		for j := i + 1; j < len(list); j++ {
-			if list[j].score > list[best].score {
-				best = j
-			}
-		}
-		list[i], list[best] = list[best], list[i]
-	}
-	return list[:n]
-}
-
 // location is where an entry sent an adapter lately.
 type location struct {
 	ref   wardturn.AdapterRef
@@ -143,28 +127,16 @@
 }
 
 // lightest returns the least loaded home that is usable, or nil.
-func (l *location) lightest(usable []scored) *target {
+func (l *location) lightest(usable func(*target) bool) *target {
 	var best *target
 	for _, h := range l.homes {
-		if !contains(usable, h.t) {
-			continue
-		}
-		if best == nil || h.t.load() < best.load() {
+		if usable(h.t) && (best == nil || h.t.load() < best.load()) {
 			best = h.t
 		}
 	}
 	return best
 }
 
-func contains(list []scored, t *target) bool {
-	for i := range list {
-		if list[i].t == t {
-			return true
-		}
-	}
-	return false
-}
-
 // locations is a bounded map that forgets the adapter asked for longest ago.
 type locations struct {
 	limit int
--- a/decide/router.go
+++ b/decide/router.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -117,8 +116,10 @@
 }
 
 type pool struct {
-	targets []*target // in order of upstream
-	load    float64   // sum over the targets, kept up to date
+	near    []*target // of the entry's region, in order of upstream
+	far     []*target
+	load    float64 // sum over the near targets, kept up to date
+	swept   time.Time
 	scratch []scored
 }
 
@@ -131,12 +132,14 @@
 	mine     int // requests of this entry under way
 	mineThen int // of them, those that the hint knows
 	breaker  Breaker
+	near     bool // in the entry's region
 	removed  bool
 }
 
+// scored is a target with its rendezvous score for an adapter: the highest wins.
 type scored struct {
 	t     *target
-	score float64
+	score uint64
 }
 
 // NewRouter returns a router that knows no hosts yet.
@@ -174,8 +177,13 @@
 			pools[key] = p
 		}
 		t.pool = p
-		p.targets = append(p.targets, t)
-		p.load += t.load()
+		t.near = h.Region == r.cfg.Region
+		if t.near {
+			p.near = append(p.near, t)
+			p.load += t.load()
+			continue
+		}
+		p.far = append(p.far, t)
 	}
 	for id, t := range r.byID {
 		if byID[id] != t {
@@ -183,14 +191,17 @@
 		}
 	}
 	for _, p := range pools {
-		slices.SortFunc(p.targets, func(x, y *target) int {
-			return strings.Compare(string(x.host.Upstream), string(y.host.Upstream))
-		})
+		slices.SortFunc(p.near, byUpstream)
+		slices.SortFunc(p.far, byUpstream)
 	}
 	r.byID = byID
 	r.pools = pools
 }
 
+func byUpstream(x, y *target) int {
+	return strings.Compare(string(x.host.Upstream), string(y.host.Upstream))
+}
+
 // Hint takes a load hint of an upstream.
 func (r *Router) Hint(now time.Time, id wardturn.UpstreamID, h Hint) {
 	t := r.byID[id]
@@ -235,7 +246,9 @@
 func (t *target) change(f func()) {
 	before := t.load()
 	f()
-	t.pool.load += t.load() - before
+	if t.near {
+		t.pool.load += t.load() - before
+	}
 }
 
 // load estimates the requests at a target: what it hinted, and what this entry
@@ -254,117 +267,113 @@
 		return "", false
 	}
 	r.expireHints(now, p)
-	usable := r.usable(now, p, ask)
-	if len(usable) == 0 {
+	t := r.choose(now, p, ask)
+	if t == nil {
 		return "", false
 	}
-	t := r.choose(now, p, usable, ask)
 	t.breaker.Tried(now)
 	return t.host.Upstream, true
 }
 
-func (r *Router) choose(now time.Time, p *pool, usable []scored, ask Ask) *target {
+// choose prefers the entry's region; another serves only when none of the own
+// does. When every breaker is open they are all tried: a fault that looks the
+// same everywhere is no reason to refuse everything.
+func (r *Router) choose(now time.Time, p *pool, ask Ask) *target {
+	for _, tryEjected := range []bool{false, true} {
+		for _, targets := range [][]*target{p.near, p.far} {
+			if t := r.chooseAmong(now, p, targets, ask, tryEjected); t != nil {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
+func (r *Router) chooseAmong(now time.Time, p *pool, targets []*target, ask Ask, tryEjected bool) *target {
+	usable := func(t *target) bool {
+		return t.takes(ask) && (tryEjected || t.breaker.Allows(now))
+	}
 	switch {
 	case ask.Adapter.IsZero(), r.cfg.Mode == RouteLeastLoaded:
-		return r.leastLoaded(usable)
+		return r.leastLoaded(targets, usable)
 	case r.cfg.Mode == RouteAffinity:
-		return top(usable)
+		list := p.candidates(targets, usable, ask.Adapter, 1)
+		if len(list) == 0 {
+			return nil
+		}
+		return list[0].t
 	}
-	return r.sticky(now, p, usable, ask)
+	return r.sticky(now, p, targets, usable, ask)
+}
+
+// takes reports whether a target may be given a request.
+func (t *target) takes(ask Ask) bool {
+	return t.host.State != wardturn.HostLeaving && !t.hint.Leaving && !slices.Contains(ask.Tried, t.host.Upstream)
 }
 
+// sweepEach is how often the hints of a pool are looked at for their age.
+const sweepEach = time.Second
+
 // expireHints forgets loads that are too old to mean anything.
 func (r *Router) expireHints(now time.Time, p *pool) {
-	for _, t := range p.targets {
-		if t.hintAt.IsZero() || now.Sub(t.hintAt) <= r.cfg.HintLifetime {
-			continue
-		}
-		t.change(func() {
-			leaving := t.hint.Leaving
-			t.hint = Hint{
-				Capacity: t.hint.Capacity,
-				Leaving:  leaving,
+	if now.Sub(p.swept) < sweepEach {
+		return
+	}
+	p.swept = now
+	for _, targets := range [][]*target{p.near, p.far} {
+		for _, t := range targets {
+			if !t.hintAt.IsZero() && now.Sub(t.hintAt) > r.cfg.HintLifetime {
+				t.forgetHint()
 			}
-			t.mineThen = 0
-			t.hintAt = time.Time{}
-		})
+		}
 	}
 }
 
-// usable lists the targets that may take a request, with their rendezvous
-// score. When every breaker is open they are all tried: a fault that looks the
-// same everywhere is no reason to refuse everything.
-func (r *Router) usable(now time.Time, p *pool, ask Ask) []scored {
-	key := hashString(string(ask.Adapter.Adapter))
-	list := p.scratch[:0]
-	open := 0
-	for _, t := range p.targets {
-		if t.host.State == wardturn.HostLeaving || t.hint.Leaving || slices.Contains(ask.Tried, t.host.Upstream) {
-			continue
-		}
-		if !t.breaker.Allows(now) {
-			open++
-			continue
+func (t *target) forgetHint() {
+	t.change(func() {
+		t.hint = Hint{
+			Capacity: t.hint.Capacity,
+			Leaving:  t.hint.Leaving,
 		}
-		list = append(list, scored{
-			t:     t,
-			score: r.score(key, t),
-		})
-	}
-	if len(list) == 0 && open > 0 {
-		list = r.ejected(p, ask, key, list)
-	}
-	p.scratch = list
-	return list
+		t.mineThen = 0
+		t.hintAt = time.Time{}
+	})
 }
 
-func (r *Router) ejected(p *pool, ask Ask, key uint64, list []scored) []scored {
-	for _, t := range p.targets {
-		if t.host.State == wardturn.HostLeaving || t.hint.Leaving || slices.Contains(ask.Tried, t.host.Upstream) {
+// candidates returns the n usable targets of the highest rendezvous scores for
+// an adapter, in descending order. All entry hosts of a region agree on them.
+func (p *pool) candidates(targets []*target, usable func(*target) bool, ref wardturn.AdapterRef, n int) []scored {
+	key := hashString(string(ref.Adapter))
+	list := p.scratch[:0]
+	for _, t := range targets {
+		score := mix(key ^ t.hash)
+		if len(list) == n && score <= list[n-1].score || !usable(t) {
 			continue
 		}
-		list = append(list, scored{
+		if len(list) < n {
+			list = append(list, scored{})
+		}
+		at := len(list) - 1
+		for at > 0 && list[at-1].score < score {
+			list[at] = list[at-1]
+			at--
+		}
+		list[at] = scored{
 			t:     t,
-			score: r.score(key, t),
-		})
-	}
-	return list
-}
-
-// The weights by which nearness counts in the rendezvous score. All entry hosts
-// of a region agree on it, so that an adapter has one home in each region.
-const (
-	weightRegion = 1.0
-	weightFar    = 0.05
-)
-
-// score is the weighted rendezvous score of a target for an adapter: the
-// highest wins, and a target of weight w wins in proportion to w.
-func (r *Router) score(key uint64, t *target) float64 {
-	w := weightRegion
-	if t.host.Region != r.cfg.Region {
-		w = weightFar
-	}
-	h := mix(key ^ t.hash)
-	unit := (float64(h>>11) + 0.5) / (1 << 53)
-	return -w / math.Log(unit)
-}
-
-func top(list []scored) *target {
-	best := 0
-	for i := range list {
-		if list[i].score > list[best].score {
-			best = i
+			score: score,
 		}
 	}
-	return list[best].t
+	p.scratch = list
+	return list
 }
 
-func (r *Router) leastLoaded(list []scored) *target {
-	best := list[0].t
-	for _, s := range list[1:] {
-		if r.lighter(s.t, best) {
-			best = s.t
+// leastLoaded returns the usable target of the least load; among equal ones,
+// one of the own failure domain.
+func (r *Router) leastLoaded(targets []*target, usable func(*target) bool) *target {
+	var best *target
+	for _, t := range targets {
+		if usable(t) && (best == nil || r.lighter(t, best)) {
+			best = t
 		}
 	}
 	return best
--- a/peer/client.go
+++ b/peer/client.go
@@ -108,6 +108,7 @@
 		nc.Close()
 		return false
 	}
+	conn.dialed = true
 	if !c.setConn(conn) {
 		conn.Close()
 		return false
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -16,10 +16,13 @@
 const (
 	maxBuffered   = 32 << 20
 	readBuffer    = 64 << 10
-	busyPing      = time.Second     // between heartbeats of a connection in use
-	idlePing      = 4 * time.Second // and of one that is not
-	silenceLimit  = 4               // heartbeats without an answer
+	busyPing      = time.Second      // between heartbeats of a connection in use
+	idlePing      = 4 * time.Second  // of one that was used lately
+	restPing      = 10 * time.Second // and of one that was not
+	answerLimit   = 4 * time.Second  // for the answer to a heartbeat
+	strangeLimit  = 60 * time.Second // without a heartbeat of the side that sends them
 	recentUse     = 2 * time.Second
+	restAfter     = 30 * time.Second
 	helloLimit    = 3 * time.Second
 	keepWriteBuff = 1 << 20
 )
@@ -61,9 +64,12 @@
 	out      []byte
 	err      error
 	ping     wardturn.Timer
-	lastRead atomic.Int64 // clock time in nanoseconds
-	lastUse  atomic.Int64 // of a message other than a heartbeat
-	busier   Busier       // nil if the handler is none
+	pingWait time.Duration // of the present timer
+	lastRead atomic.Int64  // clock time in nanoseconds
+	lastUse  atomic.Int64  // of a message other than a heartbeat
+	busier   Busier        // nil if the handler is none
+	dialed   bool          // this side sends the heartbeats, the other answers
+	askedAt  atomic.Int64  // of the oldest heartbeat without an answer; zero: none
 	seq      uint64
 }
 
@@ -143,6 +149,7 @@
 		return err
 	}
 	c.noteUse(m)
+	c.hurry(m)
 	c.out = out
 	if empty {
 		c.ready.Signal()
@@ -153,22 +160,44 @@
 // noteUse remembers when the connection last carried an attempt: then its end
 // must be noticed soon. Thousands of idle connections must cost little.
 func (c *Conn) noteUse(m Message) {
+	if !isHeartbeat(m) {
+		c.lastUse.Store(c.clock.Now().UnixNano())
+	}
+}
+
+func isHeartbeat(m Message) bool {
 	switch m.Kind() {
 	case KindPing, KindPong, KindHint, KindHello:
-	default:
-		c.lastUse.Store(c.clock.Now().UnixNano())
+		return true
+	}
+	return false
+}
+
+// hurry brings the next heartbeat forward when a resting connection is used
+// again; the lock is held.
+func (c *Conn) hurry(m Message) {
+	if !c.dialed || c.ping == nil || c.pingWait <= busyPing || isHeartbeat(m) {
+		return
+	}
+	if c.ping.Stop() {
+		c.pingWait = busyPing
+		c.ping = c.clock.AfterFunc(busyPing, c.heartbeat)
 	}
 }
 
 // interval returns the present time between heartbeats.
 func (c *Conn) interval() time.Duration {
-	if c.busier != nil && c.busier.Busy() {
+	if c.askedAt.Load() != 0 || c.busier != nil && c.busier.Busy() {
 		return busyPing
 	}
-	if c.clock.Now().Sub(time.Unix(0, c.lastUse.Load())) < recentUse {
+	unused := c.clock.Now().Sub(time.Unix(0, c.lastUse.Load()))
+	switch {
+	case unused < recentUse:
 		return busyPing
+	case unused < restAfter:
+		return idlePing
 	}
-	return idlePing
+	return restPing
 }
 
 // Close ends the connection.
@@ -224,6 +253,7 @@
 		}
 		scratch = buf
 		c.lastRead.Store(c.clock.Now().UnixNano())
+		c.askedAt.Store(0)
 		c.noteUse(m)
 		switch m := m.(type) {
 		case *Ping:
@@ -269,23 +299,37 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err == nil {
+		c.pingWait = wait
 		c.ping = c.clock.AfterFunc(wait, c.heartbeat)
 	}
 }
 
 func (c *Conn) heartbeat() {
-	silent := c.clock.Now().Sub(time.Unix(0, c.lastRead.Load()))
-	if silent > silenceLimit*c.interval() {
+	if c.silent() {
 		c.failed(ErrSilent)
 		return
 	}
-	c.seq++
-	_ = c.Send(&Ping{
-		Seq:    c.seq,
-		Config: c.config(),
-	})
+	if c.dialed {
+		c.askedAt.CompareAndSwap(0, c.clock.Now().UnixNano())
+		c.seq++
+		_ = c.Send(&Ping{
+			Seq:    c.seq,
+			Config: c.config(),
+		})
+	}
 	c.schedulePing()
 }
 
+// silent reports whether the other side is taken to be gone: a heartbeat has no
+// answer, or, on the side that answers, none came for long.
+func (c *Conn) silent() bool {
+	now := c.clock.Now()
+	if !c.dialed {
+		return now.Sub(time.Unix(0, c.lastRead.Load())) > strangeLimit
+	}
+	asked := c.askedAt.Load()
+	return asked != 0 && now.Sub(time.Unix(0, asked)) > answerLimit
+}
+
 // Window is how far beyond the bytes that it passed on an entry gives credit.
 const Window = 256 << 10
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -138,3 +139,57 @@
 		t.Fatal("a stranger's bytes reached the handler")
 	}
 }
+
+// busyRecorder is a recorder whose connection has work under way.
+type busyRecorder struct {
+	*recorder
+	busy atomic.Bool
+}
+
+func (b *busyRecorder) Busy() bool { return b.busy.Load() }
+
+// TestRestingConnectionIsNotLost uses a connection after it rested and then waits
+// in silence, as for a request in a long queue: heartbeats are answered, so the
+// connection lives.
+func TestRestingConnectionIsNotLost(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := standin.NewFastClock(100)
+	srv := newRecorder()
+	server := peer.NewServer(ln, nil, clock, identity(peer.RoleAgent, "a1"), srv)
+	defer server.Close()
+	cli := &busyRecorder{
+		recorder: newRecorder(),
+	}
+	client := peer.NewClient(ln.Addr().String(), nil, clock, identity(peer.RoleEntry, "e1"), cli)
+	defer client.Close()
+	cli.until(t, "connection", func() bool { return cli.conns == 1 })
+	pings := func() int {
+		n := 0
+		for _, m := range srv.got {
+			if m.Kind() == peer.KindPing {
+				n++
+			}
+		}
+		return n
+	}
+	srv.until(t, "a long rest", func() bool { return pings() >= 12 })
+	cli.busy.Store(true)
+	if err := client.Conn().Send(&peer.Cancel{}); err != nil {
+		t.Fatal(err)
+	}
+	before := 0
+	srv.until(t, "the message", func() bool {
+		before = pings()
+		return len(srv.got) > before
+	})
+	srv.until(t, "heartbeats of a busy connection", func() bool { return pings() >= before+20 })
+	cli.mu.Lock()
+	defer cli.mu.Unlock()
+	if cli.closed != 0 {
+		t.Fatal("a connection that answers was taken to be lost")
+	}
+}
