--- /dev/null
+++ b/chaos/chaos_test.go
@@ -0,0 +1,22 @@
+package chaos_test
+
+import (
+	"context"
+	"testing"
+
+	"wardturn/chaos"
+)
+
+// TestHistories is the short version of wardturn chaos.
+func TestHistories(t *testing.T) {
+	const histories = 6
+	for seed := range uint64(histories) {
+		out, err := chaos.Run(context.Background(), seed+1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range out.Violations {
+			t.Errorf("seed %d, %v: %s", out.Seed, out.Faults, v)
+		}
+	}
+}
--- /dev/null
+++ b/cli/chaos.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn/chaos"
+)
+
+// chaosCmd runs random histories of faults.
+type chaosCmd struct {
+	Seed      uint64 `default:"1" help:"Seed of the first history; the next ones follow."`
+	Histories int    `default:"20" help:"Number of histories."`
+	Parallel  int    `default:"2" help:"Histories at once."`
+}
+
+// Run plays the histories and prints what they showed.
+func (c *chaosCmd) Run(ctx context.Context, s Streams) error {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failed int
+	var firstErr error
+	var sum chaos.Counts
+	seeds := make(chan uint64)
+	for range max(c.Parallel, 1) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for seed := range seeds {
+				out, err := chaos.Run(ctx, seed)
+				mu.Lock()
+				if err != nil && firstErr == nil {
+					firstErr = err
+				}
+				if len(out.Violations) > 0 {
+					failed++
+				}
+				sum.Done += out.Counts.Done
+				sum.NotRun += out.Counts.NotRun
+				sum.Unknown += out.Counts.Unknown
+				sum.Cut += out.Counts.Cut
+				printHistory(s, out)
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := range c.Histories {
+		if ctx.Err() != nil {
+			break
+		}
+		seeds <- c.Seed + uint64(i)
+	}
+	close(seeds)
+	wg.Wait()
+	fmt.Fprintf(s.Out, "%d histories, %d broke a promise; answers: %d done, %d not run, %d unknown, %d streams cut visibly\n",
+		c.Histories, failed, sum.Done, sum.NotRun, sum.Unknown, sum.Cut)
+	if firstErr != nil {
+		return firstErr
+	}
+	if failed > 0 {
+		return errors.Newf("%d histories broke a promise", failed)
+	}
+	return nil
+}
+
+func printHistory(s Streams, out chaos.Outcome) {
+	verdict := "ok"
+	if len(out.Violations) > 0 {
+		verdict = "BROKEN"
+	}
+	fmt.Fprintf(s.Out, "seed %d: %s, %s: %s %+v\n", out.Seed, out.Faults[0], out.Faults[1], verdict, out.Counts)
+	for _, v := range out.Violations {
+		fmt.Fprintln(s.Out, "   ", v)
+	}
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -51,6 +51,7 @@
 	Drain   drainCmd   `cmd:"" help:"Order an upstream to leave."`
 	Report  reportCmd  `cmd:"" help:"Reports."`
 	Bench   benchCmd   `cmd:"" help:"Measure costs at several sizes and work out the size in two years."`
+	Chaos   chaosCmd   `cmd:"" help:"Run random histories of faults and check the promises."`
 	Demo    demoCmd    `cmd:"" help:"Run the whole system on embedded stand-ins and send it traffic."`
 	Load    loadCmd    `cmd:"" help:"Send a trace to running entry hosts."`
 }
