--- a/agent/config.go
+++ b/agent/config.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"wardturn"
 	"wardturn/decide"
 )
@@ -63,24 +61,25 @@
 	}
 }
 
-// ErrBadConfig is wrapped by the problems that Check returns.
-var ErrBadConfig = errors.New("agent: bad setting")
-
 // Check returns every problem of the configuration.
-func (c Config) Check() []error {
-	var list []error
-	add := func(ok bool, text string) {
+func (c Config) Check() []wardturn.SettingProblem {
+	var list []wardturn.SettingProblem
+	add := func(ok bool, setting, reason string) {
 		if !ok {
-			list = append(list, errors.Wrap(ErrBadConfig, text))
+			list = append(list, wardturn.SettingProblem{
+				Setting: setting,
+				Reason:  reason,
+			})
 		}
 	}
-	add(wardturn.ValidName(string(c.Upstream)), "upstream must be a name")
-	add(wardturn.ValidName(string(c.Region)), "region must be a name")
-	add(wardturn.ValidName(string(c.Domain)), "failure domain must be a name")
-	add((c.Model == "") != (c.Service == ""), "exactly one of model and service must be set")
-	add(c.Model == "" || c.Slots > 0, "slots must be positive for a model engine")
-	add(c.MaxRunning >= 0, "max running must not be negative")
-	add(c.Model == "" || c.Store.Rate > 0, "store rate must be positive")
-	add(c.Model == "" || c.Store.Parallel > 0, "store parallel must be positive")
+	add(wardturn.ValidName(string(c.Upstream)), "upstream", "must be a name")
+	add(wardturn.ValidName(string(c.Region)), "region", "must be a name")
+	add(wardturn.ValidName(string(c.Domain)), "domain", "must be a name")
+	add((c.Model == "") != (c.Service == ""), "model", "exactly one of --model and --service must be set")
+	add(c.Model == "" || c.Slots > 0, "slots", "must be positive for a model engine")
+	add(c.MaxRunning >= 0, "max-running", "must not be negative")
+	add(c.MaxQueue >= 0, "max-queue", "must not be negative")
+	add(c.Model == "" || c.Store.Rate > 0, "store-rate", "must be positive")
+	add(c.Model == "" || c.Store.Parallel > 0, "store-parallel", "must be positive")
 	return list
 }
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -37,32 +37,45 @@
 	Check    bool   `help:"Check the settings and exit."`
 }
 
-// problems returns every bad setting, named by flag and variable.
-func (s *processSettings) problems() []string {
-	var list []string
-	add := func(flag string, err error) {
-		if err != nil {
-			list = append(list, fmt.Sprintf("--%s (%s): %v", flag, variable(flag), err))
-		}
+// problems collects bad settings, one for each flag.
+type problems struct {
+	list []wardturn.SettingProblem
+}
+
+// add records a problem of a flag, unless there is none or the flag has one.
+func (p *problems) add(flag string, err error) {
+	if err == nil {
+		return
 	}
-	add("listen", checkAddr(s.Listen, s.Plain))
-	add("log-addr", checkAddr(s.LogAddr, false))
-	add("host-list", checkAddr(s.HostList, false))
-	if !wardturn.ValidName(s.Region) {
-		add("region", errNotName)
+	for _, have := range p.list {
+		if have.Setting == flag {
+			return
+		}
 	}
-	if !wardturn.ValidName(s.Domain) {
-		add("domain", errNotName)
+	p.list = append(p.list, wardturn.SettingProblem{
+		Setting: flag,
+		Reason:  err.Error(),
+	})
+}
+
+// check records the problems that a configuration found in itself.
+func (p *problems) check(list []wardturn.SettingProblem) {
+	for _, sp := range list {
+		p.add(sp.Setting, errors.New(sp.Reason))
 	}
+}
+
+// problems records the bad settings that all processes share.
+func (s *processSettings) problems(p *problems) {
+	p.add("listen", checkAddr(s.Listen, s.Plain))
+	p.add("log-addr", checkAddr(s.LogAddr, false))
+	p.add("host-list", checkAddr(s.HostList, false))
 	if !s.Plain {
 		_, err := s.tlsConfig()
-		add("tls-cert", err)
+		p.add("tls-cert", err)
 	}
-	return list
 }
 
-var errNotName = errors.New("must be a name of letters, digits, dots, dashes and underscores")
-
 // variable is the environment variable of a flag.
 func variable(flag string) string {
 	return "WARDTURN_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
@@ -145,10 +158,10 @@
 	return 0, false
 }
 
-// refuseSettings prints every bad setting and returns the exit code for them.
-func refuseSettings(name string, list []string, s Streams) int {
-	for _, p := range list {
-		fmt.Fprintln(s.Err, name+": bad setting:", p)
+// refuse prints every bad setting and returns the exit code for them.
+func (p *problems) refuse(name string, s Streams) int {
+	for _, sp := range p.list {
+		fmt.Fprintf(s.Err, "%s: bad setting: --%s (%s): %s\n", name, sp.Setting, variable(sp.Setting), sp.Reason)
 	}
 	return ExitUsage
 }
@@ -204,18 +217,15 @@
 	return cfg
 }
 
-func (s *agentSettings) problems() []string {
-	list := s.processSettings.problems()
-	if err := checkAddr(s.UpstreamAddr, false); err != nil {
-		list = append(list, fmt.Sprintf("--upstream-addr (%s): %v", variable("upstream-addr"), err))
-	}
-	for _, err := range s.config("check").Check() {
-		list = append(list, err.Error())
-	}
+func (s *agentSettings) problems() *problems {
+	p := &problems{}
+	s.processSettings.problems(p)
+	p.add("upstream-addr", checkAddr(s.UpstreamAddr, false))
+	p.check(s.config("check").Check())
 	if !s.ChecksFences && s.GuardAddr == "" {
-		list = append(list, fmt.Sprintf("--guard-addr (%s): must be set for an upstream that checks no fences", variable("guard-addr")))
+		p.add("guard-addr", errors.New("must be set for an upstream that checks no fences"))
 	}
-	return list
+	return p
 }
 
 // AgentMain runs wardturn-agent and returns its exit code.
@@ -225,8 +235,8 @@
 	if code, done := parse(name, "The process beside one upstream.", &set, args, s); done {
 		return code
 	}
-	if list := set.problems(); len(list) > 0 {
-		return refuseSettings(name, list, s)
+	if p := set.problems(); len(p.list) > 0 {
+		return p.refuse(name, s)
 	}
 	if set.Check {
 		return ExitOK
--- a/cli/entryd.go
+++ b/cli/entryd.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net"
 	"time"
 
@@ -59,23 +58,18 @@
 	return list, nil
 }
 
-func (s *entrySettings) problems() []string {
-	list := s.processSettings.problems()
-	for flag, texts := range map[string][]string{
-		"caller-keys":   s.CallerKeys,
-		"operator-keys": s.OperatorKeys,
-	} {
-		if _, err := parseKeys(texts); err != nil {
-			list = append(list, fmt.Sprintf("--%s (%s): %v", flag, variable(flag), err))
-		}
-	}
+func (s *entrySettings) problems() *problems {
+	p := &problems{}
+	s.processSettings.problems(p)
+	_, err := parseKeys(s.CallerKeys)
+	p.add("caller-keys", err)
+	_, err = parseKeys(s.OperatorKeys)
+	p.add("operator-keys", err)
 	if s.Open && !s.Plain {
-		list = append(list, fmt.Sprintf("--open (%s): only with --plain", variable("open")))
-	}
-	for _, err := range s.config("check").Check() {
-		list = append(list, err.Error())
+		p.add("open", errors.New("only with --plain"))
 	}
-	return list
+	p.check(s.config("check").Check())
+	return p
 }
 
 // httpsConfig returns the TLS configuration towards callers, or nil.
@@ -104,8 +98,8 @@
 	if code, done := parse(name, "The process on an entry host.", &set, args, s); done {
 		return code
 	}
-	if list := set.problems(); len(list) > 0 {
-		return refuseSettings(name, list, s)
+	if p := set.problems(); len(p.list) > 0 {
+		return p.refuse(name, s)
 	}
 	if set.Check {
 		return ExitOK
--- a/cli/experiment.go
+++ b/cli/experiment.go
@@ -86,10 +86,6 @@
 
 // Run compares the policies and prints the result.
 func (c *compareCmd) Run(ctx context.Context, s Streams) error {
-	trace, err := c.readTrace(s)
-	if err != nil {
-		return err
-	}
 	setup, err := c.setup()
 	if err != nil {
 		return errors.Mark(err, ErrUsage)
@@ -98,6 +94,10 @@
 	if err != nil {
 		return err
 	}
+	trace, err := c.readTrace(s)
+	if err != nil {
+		return err
+	}
 	var progress experiment.Progress
 	if !c.Quiet {
 		progress = newProgressLine(s.Err).update
--- /dev/null
+++ b/cli/helpers_test.go
@@ -0,0 +1,166 @@
+package cli_test
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wardturn"
+	"wardturn/cli"
+	"wardturn/control"
+	"wardturn/standin"
+)
+
+func digest(key string) string { return control.KeyDigest(key) }
+
+func hostAt(addr string) wardturn.Host {
+	return wardturn.Host{
+		Upstream: "u",
+		Addr:     addr,
+		Region:   "r",
+		Domain:   "d",
+		Model:    "base",
+	}
+}
+
+func listenAndServe(t *testing.T, h fasthttp.RequestHandler) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(standin.Serve(ln, h))
+	return ln.Addr().String()
+}
+
+// freeAddr returns an address whose port the kernel just chose and freed.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func publishAdapter(t *testing.T, log *standin.Log) {
+	t.Helper()
+	data, err := control.Encode(control.Record{
+		Change: &control.Change{
+			ID: "setup",
+			Docs: []control.DocChange{{
+				Key:  "adapter/a",
+				Body: []byte("base_model: base\nversion: 1\n"),
+			}},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(context.Background(), data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// start runs a daemon's main until the test ends, and then expects it to stop as
+// planned.
+func start(t *testing.T, main func(context.Context, []string, cli.Streams) int, args []string) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	code := make(chan int, 1)
+	go func() {
+		code <- main(ctx, args, cli.Streams{
+			Out: io.Discard,
+			Err: io.Discard,
+		})
+	}()
+	t.Cleanup(func() {
+		stop()
+		if c := <-code; c != cli.ExitOK {
+			t.Errorf("daemon ended with exit code %d", c)
+		}
+	})
+}
+
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	end := time.Now().Add(30 * time.Second)
+	for !holds() {
+		if time.Now().After(end) {
+			t.Fatalf("did not come: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+type client struct {
+	http fasthttp.Client
+}
+
+func httpsClient(t *testing.T, ca string) *client {
+	t.Helper()
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM([]byte(ca)) {
+		t.Fatal("bad CA")
+	}
+	return &client{
+		http: fasthttp.Client{
+			TLSConfig: &tls.Config{
+				RootCAs: pool,
+			},
+		},
+	}
+}
+
+func (c *client) status(url, key string) int {
+	return c.do("GET", url, key, "")
+}
+
+func (c *client) complete(url, key string) int {
+	return c.do("POST", url, key, `{"model":"a","prompt":"x","max_tokens":2}`)
+}
+
+func (c *client) do(method, url, key, body string) int {
+	req := fasthttp.AcquireRequest()
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI(url)
+	req.Header.SetMethod(method)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	req.SetBodyString(body)
+	if c.http.Do(req, res) != nil {
+		return 0
+	}
+	return res.StatusCode()
+}
+
+// dialTLS makes a connection to an agent and reads the first byte that it sends.
+func dialTLS(addr, cert, key, ca string) error {
+	pair, err := tls.X509KeyPair([]byte(cert), []byte(key))
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM([]byte(ca))
+	c, err := tls.Dial("tcp", addr, &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ServerName:   "wardturn",
+	})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_, err = c.Read(make([]byte, 1))
+	return err
+}
--- a/entry/config.go
+++ b/entry/config.go
@@ -82,26 +82,26 @@
 	}
 }
 
-// ErrBadConfig is wrapped by the problems that Check returns.
-var ErrBadConfig = errors.New("entry: bad setting")
+// ErrBadKey is returned by ParseKeyGrant.
+var ErrBadKey = errors.New("must be name:sha256 in hexadecimal")
 
 // Check returns every problem of the configuration.
-func (c Config) Check() []error {
-	var list []error
-	add := func(ok bool, text string) {
+func (c Config) Check() []wardturn.SettingProblem {
+	var list []wardturn.SettingProblem
+	add := func(ok bool, setting, reason string) {
 		if !ok {
-			list = append(list, errors.Wrap(ErrBadConfig, text))
+			list = append(list, wardturn.SettingProblem{
+				Setting: setting,
+				Reason:  reason,
+			})
 		}
 	}
-	add(wardturn.ValidName(string(c.Region)), "region must be a name")
-	add(wardturn.ValidName(string(c.Domain)), "failure domain must be a name")
-	add(c.MaxBody >= 0, "max body must not be negative")
-	add(c.MaxRequests >= 0, "max requests must not be negative")
-	add(c.Deadline >= 0, "deadline must not be negative")
-	add(c.RetryShare >= 0 && c.RetryShare <= 1, "retry share must be from 0 to 1")
-	for _, k := range append(c.CallerKeys, c.OperatorKeys...) {
-		add(wardturn.ValidName(k.Name) && len(k.Digest) == len(control.KeyDigest("")), "a key must be name:sha256")
-	}
+	add(wardturn.ValidName(string(c.Region)), "region", "must be a name")
+	add(wardturn.ValidName(string(c.Domain)), "domain", "must be a name")
+	add(c.MaxBody >= 0, "max-body", "must not be negative")
+	add(c.MaxRequests >= 0, "max-requests", "must not be negative")
+	add(c.Deadline >= 0, "deadline", "must not be negative")
+	add(c.RetryShare >= 0 && c.RetryShare <= 1, "retry-share", "must be from 0 to 1")
 	return list
 }
 
@@ -109,7 +109,7 @@
 func ParseKeyGrant(s string) (KeyGrant, error) {
 	name, digest, ok := strings.Cut(s, ":")
 	if !ok || !wardturn.ValidName(name) || len(digest) != len(control.KeyDigest("")) {
-		return KeyGrant{}, errors.Wrap(ErrBadConfig, "a key must be name:sha256 in hexadecimal")
+		return KeyGrant{}, ErrBadKey
 	}
 	return KeyGrant{
 		Name:   name,
