The stand-in engine delivers tokens in the order of its steps

Cause: 300 random histories found two streams with neighbouring tokens swapped. The stand-in engine made its callbacks after it had set the timer of the next step; a step that ended while the one before was still delivering overtook it. Ruled out: frames (offsets were in order) and the entry's buffer. Conclusion: a fault of the stand-in, not of the path.

--- a/control/state_model_test.go
+++ b/control/state_model_test.go
@@ -19,6 +19,9 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = f.Value.Set("1")
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("300")
+	}
 	os.Exit(m.Run())
 }
 
--- a/decide/decide_suite_test.go
+++ b/decide/decide_suite_test.go
@@ -16,6 +16,9 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = f.Value.Set("1")
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("2000")
+	}
 	os.Exit(m.Run())
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -76,6 +76,9 @@
 	prefixes []prefixKey // most recent last
 	starts   int
 	seq      uint64
+
+	pending    []event // callbacks to make
+	delivering bool    // a goroutine is making them
 }
 
 type residentAdapter struct {
@@ -279,9 +282,29 @@
 		e.unpin(s)
 	}
 	e.active = kept
+	e.pending = append(e.pending, events...)
 	e.beginStep()
 	e.mu.Unlock()
-	e.deliver(events)
+	e.deliverPending()
+}
+
+// deliverPending makes the callbacks in the order of the steps. The next step may
+// end while one goroutine is still at it; that one then delivers both.
+func (e *Engine) deliverPending() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.delivering {
+		return
+	}
+	e.delivering = true
+	for len(e.pending) > 0 {
+		events := e.pending
+		e.pending = nil
+		e.mu.Unlock()
+		e.deliver(events)
+		e.mu.Lock()
+	}
+	e.delivering = false
 }
 
 // advance lets one sequence take its part of a step and reports whether it goes
