--- a/agent/agent.go
+++ b/agent/agent.go
@@ -313,6 +313,7 @@
 	Fence   wardturn.Fence
 	Config  wardturn.Offset
 	Leaving bool
+	Policy  string               // in force
 	Shadow  *decide.ShadowStats // nil without a shadow policy
 }
 
@@ -326,6 +327,7 @@
 		Fence:   a.fence,
 		Config:  a.replica.Applied(),
 		Leaving: a.leaving,
+		Policy:  a.core.PolicyName(),
 	}
 	if sh, ok := a.core.Shadow(); ok {
 		st.Shadow = &sh
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -336,7 +336,7 @@
 	// heartbeats is their number a second on a connection that rests.
 	heartbeats = 1.0 / 10
 	// restAfter is the time until a connection that carries nothing rests.
-	restAfter = 32 * time.Second
+	restAfter = 60 * time.Second
 )
 
 func linkBytes(n int) (float64, error) {
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -71,6 +71,7 @@
 	Force      Series
 	Claims     Series
 	Applying   Series
+	Recovery   Series
 }
 
 // Measure runs every measurement. It takes about a minute.
@@ -104,11 +105,12 @@
 	step("force", failing(&m.Force, Force))
 	step("claims", failing(&m.Claims, Claims))
 	step("applying", failing(&m.Applying, Applying))
+	step("recovery", failing(&m.Recovery, Recovery))
 	return m, err
 }
 
 func (m Measured) all() []Series {
-	return []Series{m.Routing, m.Agent, m.Allocating, m.Memory, m.Links, m.Force, m.Claims, m.Applying}
+	return []Series{m.Routing, m.Agent, m.Allocating, m.Memory, m.Links, m.Force, m.Claims, m.Applying, m.Recovery}
 }
 
 // WriteTable writes the measured points and their fits for people.
@@ -216,6 +218,7 @@
 	claimsEach := claims / serviceAgents
 	records := serviceAgents * min(claimsEach, m.Claims.Fit().At(claimsEach))
 	claimBytes := claims * 200
+	recovery := m.Recovery.Fit().At(perRegion)
 	force := m.Force.Fit().At(t.Entries + t.Workers)
 	loads := t.LoadsPerWorker * t.Workers
 	waking := t.Adapters * t.Waking / 3600
@@ -237,6 +240,7 @@
 		{"log", fmt.Sprintf("appends for %.0f claims/s of %.0f service agents", claims, serviceAgents), fmt.Sprintf("%.0f appends/s", records), fmt.Sprintf("%.0f appends/s", t.LogAppends), records > t.LogAppends, "group commit by each agent; would change: one batch for each failure domain, carried by an agent found by rendezvous"},
 		{"log", "appends for configuration", fmt.Sprintf("%.2f appends/s", changes), fmt.Sprintf("%.0f appends/s", t.LogAppends), changes > t.LogAppends, "one record for each publication"},
 		{"log", "time to force a change in " + fmt.Sprintf("%.0f processes", t.Entries+t.Workers), fmt.Sprintf("%.1f s", force/1000), fmt.Sprintf("%.0f s", t.BudgetForceMS/1000), force > t.BudgetForceMS, "long reads of the log"},
+		{"log", fmt.Sprintf("all %.0f agents of a region restart", perRegion), fmt.Sprintf("%.1f s, %.0f records", recovery/1000, perRegion), fmt.Sprintf("%.0f s", t.BudgetForceMS/1000), recovery > t.BudgetForceMS, "one start record each; reads in pages; retries with jitter"},
 		{"stores", fmt.Sprintf("adapters that wake, %.1f/s", waking), fmt.Sprintf("%.1f%% of the loads", 100*waking/loads), fmt.Sprintf("%.0f loads/s", loads), waking > loads, "every load is earned: joined waits, value for store time, early refusal"},
 	}
 }
--- a/decide/agent.go
+++ b/decide/agent.go
@@ -181,6 +181,11 @@
 	}
 }
 
+// PolicyName returns the name of the policy in force.
+func (a *Agent) PolicyName() string {
+	return a.policy.Name()
+}
+
 // Admit takes a new attempt. It is run, queued, or refused in out.
 func (a *Agent) Admit(now time.Time, w Work, out *Orders) {
 	if refusal, refused := a.screen(now, w, out); refused {
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -57,6 +57,8 @@
 			"engine":  command(engineFault),
 			"hold":    command(holdService),
 			"entry":   command(entryFault),
+			"publish": command(publishDoc),
+			"policy":  command(waitPolicy),
 			"ready":   command(waitSlots),
 		},
 	})
@@ -421,6 +423,36 @@
 	}
 }
 
+// publish KEY FILE [entry=N]: an operator publishes a document.
+func publishDoc(ts *testscript.TestScript, w *world, args []string) {
+	opts, rest := options(args)
+	base := "http://" + w.sys.Addrs()[number(opts, "entry", 0)] + entry.PathDocs + "/" + rest[0]
+	req := fasthttp.AcquireRequest()
+	res := &fasthttp.Response{}
+	req.SetRequestURI(base)
+	req.Header.Set("Authorization", "Bearer "+demo.OperatorKey)
+	ts.Check(fasthttp.Do(req, res))
+	tag := string(res.Header.Peek("ETag"))
+	if tag == "" {
+		req.Header.Set("If-None-Match", "*")
+	} else {
+		req.Header.Set("If-Match", tag)
+	}
+	req.Header.SetMethod(fasthttp.MethodPut)
+	req.SetBodyString(ts.ReadFile(rest[1]))
+	ts.Check(fasthttp.Do(req, res))
+	if res.StatusCode() != fasthttp.StatusOK {
+		ts.Fatalf("publish %s: %s", rest[0], res.Body())
+	}
+}
+
+// policy UPSTREAM NAME: waits until a policy is in force at an agent.
+func waitPolicy(ts *testscript.TestScript, w *world, args []string) {
+	until(ts, "policy "+args[1], func() bool {
+		return w.upstream(ts, args[0]).Agent.Status().Policy == args[1]
+	})
+}
+
 // entry start: adds an entry and waits until it is ready.
 func entryFault(ts *testscript.TestScript, w *world, args []string) {
 	if args[0] != "start" {
@@ -467,6 +499,10 @@
 	a := func() agent.Status { return w.upstream(ts, rest[0]).Agent.Status() }
 	until(ts, strings.Join(args, " "), func() bool {
 		st := a()
+		leaving, ok := opts["leaving"]
+		if ok && leaving != strconv.FormatBool(st.Leaving) {
+			return false
+		}
 		return matches(opts, "running", st.Hint.Running) && matches(opts, "queued", st.Hint.Queued)
 	})
 }
