One place for goroutines, timers and pauses; rest is rest

Cause: entry and agent had the same life cycle written twice, and nine places waited on a clock with the same ten lines. Measuring again showed that a resting connection sent a heartbeat every second: a heartbeat without its answer made the next one hurry, and at the time of scheduling none has its answer.

Change: platform.Tasks, wardturn.Sleep and WithLimit; one function for changing a document; the interval no longer looks at open heartbeats. A test counts them.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"crypto/tls"
 	"net"
 	"sync"
@@ -14,6 +13,7 @@
 	"wardturn/control"
 	"wardturn/decide"
 	"wardturn/peer"
+	"wardturn/platform"
 )
 
 const (
@@ -63,12 +63,7 @@
 	leaving  bool
 	idle     chan struct{} // closed when leaving and nothing is left
 	closed   bool
-	timers   map[string]wardturn.Timer
-
-	ctx     context.Context
-	stop    context.CancelFunc
-	spawnMu sync.Mutex // orders spawn against Close
-	wg      sync.WaitGroup
+	tasks    *platform.Tasks
 }
 
 // New starts an agent. It serves at once with what its engine holds; orders to
@@ -76,7 +71,6 @@
 func New(d Deps) *Agent {
 	cfg := d.Config.WithDefaults()
 	now := d.Clock.Now()
-	ctx, stop := context.WithCancel(context.Background())
 	a := &Agent{
 		cfg:      cfg,
 		clock:    d.Clock,
@@ -90,9 +84,7 @@
 		attempts: make(map[wardturn.AttemptID]*attempt),
 		builtin:  d.Policy,
 		idle:     make(chan struct{}),
-		timers:   make(map[string]wardturn.Timer),
-		ctx:      ctx,
-		stop:     stop,
+		tasks:    platform.NewTasks(d.Clock),
 	}
 	a.core = decide.NewAgent(now, decide.AgentConfig{
 		Upstream:   cfg.Upstream,
@@ -123,12 +115,12 @@
 
 // begin starts what happens by itself.
 func (a *Agent) begin() {
-	a.every("tick", tickEvery, a.tick)
-	a.every("sweep", sweepEach, a.sweep)
-	a.spawn(a.watchHosts)
+	a.tasks.Every(tickEvery, a.tick)
+	a.tasks.Every(sweepEach, a.sweep)
+	a.tasks.Go(a.watchHosts)
 	if a.engine != nil {
-		a.spawn(a.takeFence)
-		a.spawn(a.watchEngine)
+		a.tasks.Go(a.takeFence)
+		a.tasks.Go(a.watchEngine)
 	}
 	a.replica.Watch(a.onConfig)
 	a.applyPolicy()
@@ -136,49 +128,6 @@
 	a.logger.Info("agent started", "addr", a.server.Addr(), "process", a.cfg.Process)
 }
 
-// spawn runs f until it returns; Close waits for it, and nothing is started
-// after Close.
-func (a *Agent) spawn(f func()) {
-	a.spawnMu.Lock()
-	defer a.spawnMu.Unlock()
-	if a.ctx.Err() != nil {
-		return
-	}
-	a.wg.Add(1)
-	go func() {
-		defer a.wg.Done()
-		f()
-	}()
-}
-
-// every calls f again and again until Close.
-func (a *Agent) every(name string, d time.Duration, f func()) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.closed {
-		return
-	}
-	a.timers[name] = a.clock.AfterFunc(d, func() {
-		f()
-		a.every(name, d, f)
-	})
-}
-
-// pause waits and reports false after Close.
-func (a *Agent) pause(d time.Duration) bool {
-	woken := make(chan struct{})
-	timer := a.clock.AfterFunc(d, func() {
-		close(woken)
-	})
-	defer timer.Stop()
-	select {
-	case <-woken:
-		return true
-	case <-a.ctx.Done():
-		return false
-	}
-}
-
 // Addr returns the address that peers connect to.
 func (a *Agent) Addr() string {
 	return a.server.Addr().String()
@@ -189,17 +138,12 @@
 func (a *Agent) Close() {
 	a.mu.Lock()
 	a.closed = true
-	for _, t := range a.timers {
-		t.Stop()
-	}
 	a.mu.Unlock()
-	a.spawnMu.Lock()
-	a.stop()
-	a.spawnMu.Unlock()
+	a.tasks.Stop()
 	a.alloc.close()
 	a.server.Close()
 	a.replica.Close()
-	a.wg.Wait()
+	a.tasks.Wait()
 }
 
 // Leave refuses new work, hands queued work back as not run, and returns a
@@ -313,7 +257,7 @@
 	Fence   wardturn.Fence
 	Config  wardturn.Offset
 	Leaving bool
-	Policy  string               // in force
+	Policy  string              // in force
 	Shadow  *decide.ShadowStats // nil without a shadow policy
 }
 
--- a/agent/allocator.go
+++ b/agent/allocator.go
@@ -128,7 +128,7 @@
 func (r *allocatorRole) grant(g decide.Grant) {
 	if g.Upstream == r.agent.cfg.Upstream {
 		// The agent's lock may be held by the caller: take the grant after.
-		r.agent.spawn(func() {
+		r.agent.tasks.Go(func() {
 			r.agent.granted(g)
 		})
 		return
--- a/agent/inbound.go
+++ b/agent/inbound.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"time"
 
 	"wardturn"
@@ -84,11 +83,9 @@
 		a.admit(c, m, true)
 		return
 	}
-	a.spawn(func() {
-		ctx, cancel := context.WithCancel(a.ctx)
+	a.tasks.Go(func() {
+		ctx, cancel := a.tasks.Limit(catchUpLimit)
 		defer cancel()
-		timer := a.clock.AfterFunc(catchUpLimit, cancel)
-		defer timer.Stop()
 		a.admit(c, m, a.replica.WaitFor(ctx, m.Config) == nil)
 	})
 }
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -24,7 +24,7 @@
 		Fence:   a.fence,
 		Adapter: so.Adapter,
 	}
-	a.spawn(func() {
+	a.tasks.Go(func() {
 		do(order)
 	})
 }
@@ -59,7 +59,7 @@
 	if order.Fence == 0 && a.cfg.RequireFence {
 		return wardturn.ErrFenced
 	}
-	return do(a.ctx, order)
+	return do(a.tasks.Context(), order)
 }
 
 // resultOf tells orders that were refused from those that may have been carried
@@ -84,8 +84,8 @@
 // agent's fence.
 func (a *Agent) takeFence() {
 	wait := fenceRetry
-	for a.ctx.Err() == nil {
-		fence, err := a.replica.AppendStart(a.ctx, control.Start{
+	for a.tasks.Context().Err() == nil {
+		fence, err := a.replica.AppendStart(a.tasks.Context(), control.Start{
 			Upstream: a.cfg.Upstream,
 			Process:  a.cfg.Process,
 		})
@@ -98,7 +98,7 @@
 		}
 		// After a lost reply another start record is appended: a fence of one's
 		// own that is too high is harmless.
-		if !a.pause(wait) {
+		if !a.tasks.Pause(wait) {
 			return
 		}
 		wait = min(2*wait, maxFenceRetry)
@@ -107,8 +107,8 @@
 
 // watchEngine reads the engine's report again and again.
 func (a *Agent) watchEngine() {
-	for a.pause(a.cfg.ReportEvery) {
-		rep, err := a.engine.Report(a.ctx)
+	for a.tasks.Pause(a.cfg.ReportEvery) {
+		rep, err := a.engine.Report(a.tasks.Context())
 		if err != nil {
 			continue
 		}
@@ -121,11 +121,11 @@
 // watchHosts reads the host list again and again.
 func (a *Agent) watchHosts() {
 	for {
-		hosts, err := a.hosts.Hosts(a.ctx)
+		hosts, err := a.hosts.Hosts(a.tasks.Context())
 		if err == nil {
 			a.onHosts(hosts)
 		}
-		if !a.pause(a.cfg.HostsEvery) {
+		if !a.tasks.Pause(a.cfg.HostsEvery) {
 			return
 		}
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -20,9 +20,9 @@
 		panic("agent: core started an attempt that has ended")
 	}
 	t.stalled = st.Stalled
-	ctx, cancel := context.WithCancel(a.ctx)
+	ctx, cancel := context.WithCancel(a.tasks.Context())
 	t.cancel = cancel
-	a.spawn(func() {
+	a.tasks.Go(func() {
 		defer cancel()
 		a.run(ctx, t)
 	})
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -22,6 +22,7 @@
 type demoCmd struct {
 	Duration time.Duration `default:"20s" help:"Time of traffic."`
 	Rate     float64       `default:"15" help:"Requests a second."`
+	Adapters int           `default:"3000" help:"Number of adapters."`
 	Seed     uint64        `default:"1" help:"Seed of the traffic."`
 	Serve    bool          `help:"Keep the system up after the traffic, until interrupted."`
 	LogLevel string        `default:"error" enum:"trace,debug,info,warn,error" help:"Least level of log lines: trace, debug, info, warn or error."`
@@ -34,6 +35,7 @@
 	if c.LogLevel == "error" {
 		cfg.Logger = hclog.NewNullLogger()
 	}
+	cfg.Adapters = c.Adapters
 	fmt.Fprintf(s.Out, "starting %d entries, %d engines and %d services in %d failure domains, %d adapters\n",
 		cfg.Entries, cfg.Engines, cfg.Services, cfg.Domains, cfg.Adapters)
 	sys, err := demo.Start(ctx, cfg)
@@ -47,6 +49,7 @@
 	}
 	profile.Rate = c.Rate
 	profile.Duration = c.Duration
+	profile.Adapters = c.Adapters
 	runner := load.NewRunner(load.Plan{
 		Addrs:  sys.Addrs(),
 		Trace:  profile.Generate(c.Seed),
@@ -113,6 +116,7 @@
 }
 
 func printCurl(w io.Writer, sys *demo.System) {
+	fmt.Fprintf(w, "log at %s, host list at %s, operator key %s\n", sys.LogAddr, sys.HostsAddr, demo.OperatorKey)
 	fmt.Fprintf(w, "serving; try:\ncurl -sN http://%s/v1/completions -H 'Content-Type: application/json' -d '{\"model\":\"a0001\",\"prompt\":\"Why is my fare 6.40?\",\"max_tokens\":12,\"stream\":true}'\n", sys.Addrs()[0])
 }
 
--- a/control/claims.go
+++ b/control/claims.go
@@ -61,10 +61,8 @@
 		claim: claim,
 		ready: make(chan struct{}),
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := wardturn.WithLimit(ctx, c.clock, claimLimit)
 	defer cancel()
-	timer := c.clock.AfterFunc(claimLimit, cancel)
-	defer timer.Stop()
 	c.enqueue(p)
 	select {
 	case <-p.ready:
@@ -157,9 +155,7 @@
 	if err != nil {
 		return 0, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := wardturn.WithLimit(context.Background(), c.clock, claimLimit)
 	defer cancel()
-	timer := c.clock.AfterFunc(claimLimit, cancel)
-	defer timer.Stop()
 	return c.replica.log.Append(ctx, data)
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -198,16 +198,9 @@
 	r.changed = make(chan struct{})
 }
 
+// pause waits about d, with jitter so that many processes do not act together.
 func (r *Replica) pause(ctx context.Context, d time.Duration) {
-	woken := make(chan struct{})
-	timer := r.clock.AfterFunc(d/2+rand.N(d), func() {
-		close(woken)
-	})
-	defer timer.Stop()
-	select {
-	case <-woken:
-	case <-ctx.Done():
-	}
+	wardturn.Sleep(ctx, r.clock, d/2+rand.N(d))
 }
 
 // WaitFor returns when the record at an offset has been applied.
--- a/demo/system.go
+++ b/demo/system.go
@@ -326,10 +326,9 @@
 			return err
 		}
 		for !e.Ready() {
-			if ctx.Err() != nil {
+			if !wardturn.Sleep(ctx, s.cfg.Clock, readyPoll) {
 				return errors.Wrap(ctx.Err(), "entry not ready")
 			}
-			s.pause()
 		}
 	}
 	return nil
@@ -337,14 +336,6 @@
 
 const readyPoll = 10 * time.Millisecond
 
-func (s *System) pause() {
-	woken := make(chan struct{})
-	s.cfg.Clock.AfterFunc(readyPoll, func() {
-		close(woken)
-	})
-	<-woken
-}
-
 // Close stops everything at once.
 func (s *System) Close() {
 	for _, e := range s.Entries {
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -205,32 +205,28 @@
 }
 
 func (e *Entry) putDoc(ctx *fasthttp.RequestCtx, op operator) {
-	base, p := precondition(ctx)
-	if p.code != "" {
-		writeProblem(ctx, p)
-		return
-	}
-	e.publish(ctx, op, control.Change{
-		Docs: []control.DocChange{{
-			Key:  docKey(ctx),
-			Base: base,
-			Body: append([]byte(nil), ctx.PostBody()...),
-		}},
+	e.changeDoc(ctx, op, control.DocChange{
+		Body: append([]byte(nil), ctx.PostBody()...),
 	})
 }
 
 func (e *Entry) deleteDoc(ctx *fasthttp.RequestCtx, op operator) {
+	e.changeDoc(ctx, op, control.DocChange{
+		Delete: true,
+	})
+}
+
+// changeDoc publishes a change of the document that the path names.
+func (e *Entry) changeDoc(ctx *fasthttp.RequestCtx, op operator, d control.DocChange) {
 	base, p := precondition(ctx)
 	if p.code != "" {
 		writeProblem(ctx, p)
 		return
 	}
+	d.Key = docKey(ctx)
+	d.Base = base
 	e.publish(ctx, op, control.Change{
-		Docs: []control.DocChange{{
-			Key:    docKey(ctx),
-			Base:   base,
-			Delete: true,
-		}},
+		Docs: []control.DocChange{d},
 	})
 }
 
@@ -288,7 +284,7 @@
 	}
 	c.Who = op.name
 	c.At = e.clock.Now()
-	limit, cancel := e.limited(publishLimit)
+	limit, cancel := e.tasks.Limit(publishLimit)
 	defer cancel()
 	res, err := e.replica.Publish(limit, c)
 	switch {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"wardturn/control"
 	"wardturn/decide"
 	"wardturn/peer"
+	"wardturn/platform"
 	"wardturn/report"
 )
 
@@ -74,19 +75,13 @@
 	hosts    map[wardturn.UpstreamID]wardturn.Host
 	listedAt time.Time
 	links    map[wardturn.UpstreamID]*link
-	timers   map[string]wardturn.Timer
 	closed   bool
-
-	ctx     context.Context
-	stop    context.CancelFunc
-	spawnMu sync.Mutex // orders spawn against Close
-	wg      sync.WaitGroup
+	tasks    *platform.Tasks
 }
 
 // New starts an entry. It serves at once; Ready tells when it knows enough.
 func New(d Deps) *Entry {
 	cfg := d.Config.WithDefaults()
-	ctx, stop := context.WithCancel(context.Background())
 	e := &Entry{
 		cfg:     cfg,
 		clock:   d.Clock,
@@ -100,9 +95,7 @@
 		quotas:  make(map[wardturn.CallerID]*decide.Quota),
 		hosts:   make(map[wardturn.UpstreamID]wardturn.Host),
 		links:   make(map[wardturn.UpstreamID]*link),
-		timers:  make(map[string]wardturn.Timer),
-		ctx:     ctx,
-		stop:    stop,
+		tasks:   platform.NewTasks(d.Clock),
 		seeds: seeds{
 			pages: make(map[wardturn.UpstreamID]*seed),
 		},
@@ -142,13 +135,13 @@
 func (discardLogger) Printf(string, ...any) {}
 
 func (e *Entry) begin() {
-	e.every("sweep", sweepEvery, e.sweepLinks)
-	e.spawn(e.watchHosts)
-	e.spawn(e.seedFromPeers)
-	e.spawn(func() {
-		e.replica.KeepSnapshots(e.ctx, e.cfg.SnapshotEvery)
+	e.tasks.Every(sweepEvery, e.sweepLinks)
+	e.tasks.Go(e.watchHosts)
+	e.tasks.Go(e.seedFromPeers)
+	e.tasks.Go(func() {
+		e.replica.KeepSnapshots(e.tasks.Context(), e.cfg.SnapshotEvery)
 	})
-	e.spawn(func() {
+	e.tasks.Go(func() {
 		if err := e.server.Serve(e.ln); err != nil {
 			e.logger.Error("server ended", "error", err)
 		}
@@ -156,34 +149,6 @@
 	e.logger.Info("entry started", "addr", e.ln.Addr(), "process", e.cfg.Process)
 }
 
-// spawn runs f until it returns; Close waits for it, and nothing is started
-// after Close.
-func (e *Entry) spawn(f func()) {
-	e.spawnMu.Lock()
-	defer e.spawnMu.Unlock()
-	if e.ctx.Err() != nil {
-		return
-	}
-	e.wg.Add(1)
-	go func() {
-		defer e.wg.Done()
-		f()
-	}()
-}
-
-// every calls f again and again until Close.
-func (e *Entry) every(name string, d time.Duration, f func()) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.closed {
-		return
-	}
-	e.timers[name] = e.clock.AfterFunc(d, func() {
-		f()
-		e.every(name, d, f)
-	})
-}
-
 func (e *Entry) identity() peer.Identity {
 	return peer.Identity{
 		Role:    peer.RoleEntry,
@@ -226,61 +191,31 @@
 	e.leaving.Store(true)
 	e.logger.Info("leaving", "requests", e.open.Load())
 	for e.open.Load() > 0 && ctx.Err() == nil {
-		if !e.pause(ctx, leavePoll) {
+		if !wardturn.Sleep(ctx, e.clock, leavePoll) {
 			return
 		}
 	}
 }
 
-// limited returns a context that ends after a time of the entry's clock, or with
-// the entry.
-func (e *Entry) limited(d time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(e.ctx)
-	timer := e.clock.AfterFunc(d, cancel)
-	return ctx, func() {
-		timer.Stop()
-		cancel()
-	}
-}
-
 const leavePoll = 20 * time.Millisecond
 
-func (e *Entry) pause(ctx context.Context, d time.Duration) bool {
-	woken := make(chan struct{})
-	timer := e.clock.AfterFunc(d, func() {
-		close(woken)
-	})
-	defer timer.Stop()
-	select {
-	case <-woken:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Close ends the entry at once.
 func (e *Entry) Close() {
 	e.mu.Lock()
 	e.closed = true
-	for _, t := range e.timers {
-		t.Stop()
-	}
 	links := make([]*link, 0, len(e.links))
 	for _, l := range e.links {
 		links = append(links, l)
 	}
 	e.mu.Unlock()
-	e.spawnMu.Lock()
-	e.stop()
-	e.spawnMu.Unlock()
+	e.tasks.Stop()
 	e.ln.Close()
 	for _, l := range links {
 		l.client.Close()
 	}
 	_ = e.server.ShutdownWithContext(closedContext())
 	e.replica.Close()
-	e.wg.Wait()
+	e.tasks.Wait()
 }
 
 // closedContext returns a context that has ended, for a shutdown that does not
@@ -293,11 +228,11 @@
 
 func (e *Entry) watchHosts() {
 	for {
-		hosts, err := e.list.Hosts(e.ctx)
+		hosts, err := e.list.Hosts(e.tasks.Context())
 		if err == nil && len(hosts) > 0 {
 			e.setHosts(hosts)
 		}
-		if !e.pause(e.ctx, e.cfg.HostsEvery) {
+		if !e.tasks.Pause(e.cfg.HostsEvery) {
 			return
 		}
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -172,7 +172,7 @@
 		return
 	}
 	l.retired = true
-	e.spawn(l.client.Close)
+	e.tasks.Go(l.client.Close)
 }
 
 // sweepLinks closes connections that were not used for a while.
--- a/entry/seed.go
+++ b/entry/seed.go
@@ -32,14 +32,14 @@
 // be read from the start of the process on. Each whole answer is offered to the
 // replica, which takes nothing older than what it holds.
 func (e *Entry) seedFromPeers() {
-	if !e.pause(e.ctx, seedAfter) {
+	if !e.tasks.Pause(seedAfter) {
 		return
 	}
 	for e.replica.LastRead().IsZero() {
 		for _, h := range e.spread(seedPeers) {
 			e.askConfig(h.Upstream, 0)
 		}
-		if !e.pause(e.ctx, seedEvery) {
+		if !e.tasks.Pause(seedEvery) {
 			return
 		}
 	}
@@ -102,7 +102,7 @@
 	}
 	e.seeds.mu.Unlock()
 	if !whole {
-		e.spawn(func() {
+		e.tasks.Go(func() {
 			e.askConfig(from, m.Page+1)
 		})
 		return
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -336,13 +336,17 @@
 	n.carryOut()
 }
 
-func (n *node) load(o decide.SlotOrder) {
-	order := wardturn.SlotOrder{
+// order returns an order of the agent core as the engine takes it.
+func order(o decide.SlotOrder) wardturn.SlotOrder {
+	return wardturn.SlotOrder{
 		ID:      o.ID,
 		Fence:   1,
 		Adapter: o.Adapter,
 	}
-	n.engine.Load(order, func(err error) {
+}
+
+func (n *node) load(o decide.SlotOrder) {
+	n.engine.Load(order(o), func(err error) {
 		n.event(func(now time.Time, out *decide.Orders) {
 			n.agent.Loaded(now, o.ID, orderResult(err), out)
 		})
@@ -350,12 +354,7 @@
 }
 
 func (n *node) unload(o decide.SlotOrder) {
-	order := wardturn.SlotOrder{
-		ID:      o.ID,
-		Fence:   1,
-		Adapter: o.Adapter,
-	}
-	n.engine.Unload(order, func(err error) {
+	n.engine.Unload(order(o), func(err error) {
 		n.event(func(now time.Time, out *decide.Orders) {
 			n.agent.Unloaded(now, o.ID, orderResult(err), out)
 		})
--- a/load/load.go
+++ b/load/load.go
@@ -110,7 +110,7 @@
 	var wg sync.WaitGroup
 	for i, req := range r.plan.Trace {
 		due := start.Add(req.At())
-		if !r.sleep(ctx, due) {
+		if !wardturn.Sleep(ctx, r.plan.Clock, due.Sub(r.plan.Clock.Now())) {
 			break
 		}
 		if r.open.Load() >= int64(r.plan.Limit) {
@@ -129,24 +129,6 @@
 	return r.summary(r.plan.Clock.Now().Sub(start))
 }
 
-func (r *Runner) sleep(ctx context.Context, due time.Time) bool {
-	wait := due.Sub(r.plan.Clock.Now())
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	woken := make(chan struct{})
-	timer := r.plan.Clock.AfterFunc(wait, func() {
-		close(woken)
-	})
-	defer timer.Stop()
-	select {
-	case <-woken:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (r *Runner) count(f func(*Summary)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -187,7 +187,7 @@
 
 // interval returns the present time between heartbeats.
 func (c *Conn) interval() time.Duration {
-	if c.askedAt.Load() != 0 || c.busier != nil && c.busier.Busy() {
+	if c.busier != nil && c.busier.Busy() {
 		return busyPing
 	}
 	unused := c.clock.Now().Sub(time.Unix(0, c.lastUse.Load()))
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -193,3 +193,25 @@
 		t.Fatal("a connection that answers was taken to be lost")
 	}
 }
+
+// TestRestCostsLittle counts the heartbeats of a connection that carries nothing.
+func TestRestCostsLittle(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := standin.NewFastClock(100)
+	srv := newRecorder()
+	server := peer.NewServer(ln, nil, clock, identity(peer.RoleAgent, "a1"), srv)
+	defer server.Close()
+	cli := newRecorder()
+	client := peer.NewClient(ln.Addr().String(), nil, clock, identity(peer.RoleEntry, "e1"), cli)
+	defer client.Close()
+	start := clock.Now()
+	const heartbeats = 6
+	srv.until(t, "heartbeats", func() bool { return len(srv.got) >= heartbeats })
+	if took := clock.Now().Sub(start); took < (heartbeats-1)*9*time.Second {
+		t.Fatalf("%d heartbeats in %v", heartbeats, took)
+	}
+}
--- /dev/null
+++ b/sleep.go
@@ -0,0 +1,35 @@
+package wardturn
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for d by a clock and reports whether it did: false means that ctx
+// ended first.
+func Sleep(ctx context.Context, clock Clock, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	woken := make(chan struct{})
+	timer := clock.AfterFunc(d, func() {
+		close(woken)
+	})
+	defer timer.Stop()
+	select {
+	case <-woken:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// WithLimit returns a context that ends after d by a clock, or with its parent.
+func WithLimit(parent context.Context, clock Clock, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	timer := clock.AfterFunc(d, cancel)
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
--- a/standin/log.go
+++ b/standin/log.go
@@ -72,7 +72,7 @@
 // Append implements wardturn.Log.
 func (l *Log) Append(ctx context.Context, data []byte) (wardturn.Offset, error) {
 	if l.cfg.Latency > 0 {
-		if err := l.sleep(ctx, l.cfg.Latency); err != nil {
+		if !wardturn.Sleep(ctx, l.clock, l.cfg.Latency) {
 			return 0, errors.Wrap(wardturn.ErrReplyLost, "standin log")
 		}
 	}
@@ -172,17 +172,3 @@
 	l.records = l.records[n:]
 	l.first += wardturn.Offset(n)
 }
-
-func (l *Log) sleep(ctx context.Context, d time.Duration) error {
-	woken := make(chan struct{})
-	timer := l.clock.AfterFunc(d, func() {
-		close(woken)
-	})
-	defer timer.Stop()
-	select {
-	case <-woken:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
