--- a/report/burn.go
+++ b/report/burn.go
@@ -166,7 +166,7 @@
 		s.Known = float64(known) / float64(all)
 	}
 	s.Events = sum.Total()
-	s.NoData = known == 0 || s.Events == 0
+	s.NoData = s.Events == 0
 	if s.NoData {
 		return s
 	}
--- a/report/text.go
+++ b/report/text.go
@@ -167,7 +167,6 @@
 	p := plot.New()
 	p.Title.Text = "burn rate by minute, last hour (gaps: unknown)"
 	p.X.Label.Text = "minutes ago"
-	p.Y.Min = 0
 	p.Add(plotter.NewGrid())
 	for _, pts := range l.segments() {
 		line, err := plotter.NewLine(pts)
@@ -185,6 +184,10 @@
 		dots.GlyphStyle.Radius = vg.Points(1.5)
 		p.Add(line, dots)
 	}
+	if p.Y.Max <= 0 {
+		p.Y.Max = 1
+	}
+	p.Y.Min = 0
 	p.X.Min = -plotMinutes
 	p.X.Max = 0
 	const width, height = 24 * vg.Centimeter, 7 * vg.Centimeter
@@ -206,7 +209,7 @@
 	var list []plotter.XYs
 	var run plotter.XYs
 	for i, m := range l.Minutes {
-		if !m.Known || m.Events == 0 {
+		if m.Events == 0 {
 			if len(run) > 0 {
 				list = append(list, run)
 			}
