--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,6 +56,8 @@
 	core     *decide.Agent
 	ledger   *decide.Ledger
 	attempts map[wardturn.AttemptID]*attempt
+	past     []*attempt // whose answers are kept, oldest first
+	kept     int        // bytes of them
 	orders   decide.Orders
 	fence    wardturn.Fence
 	builtin  wardturn.Policy // in force while none is published
@@ -245,6 +247,9 @@
 			delete(a.attempts, id)
 		}
 	}
+	for len(a.past) > 0 && now.Sub(a.past[0].endedAt) > a.cfg.Remember {
+		a.dropOldest()
+	}
 	a.ledger.Sweep(now)
 	a.ledger.SweepMarks(now)
 	a.metrics.observe(a.core, len(a.attempts))
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -21,6 +21,7 @@
 	base       int64              // offset of buf
 	buf        []byte
 	head       *peer.Head
+	headSent   bool
 	arrived    time.Time
 	stalled    time.Duration
 	ended      bool
@@ -40,6 +41,7 @@
 // attach directs the answer to a connection, from an offset on.
 func (t *attempt) attach(c *peer.Conn, from, credit int64) {
 	t.conn = c
+	t.headSent = false
 	t.sent = from
 	t.credit = credit
 	if t.orphan != nil {
@@ -57,7 +59,8 @@
 	if t.conn == nil {
 		return
 	}
-	if t.head != nil && t.sent == 0 {
+	if t.head != nil && !t.headSent {
+		t.headSent = true
 		a.send(t, t.head)
 	}
 	for t.conn != nil && t.sent < min(t.end(), t.credit) {
@@ -129,6 +132,27 @@
 	return nil
 }
 
+// keep remembers an ended answer for a lost entry, within the bytes that all of
+// them may take. An answer dropped for others is unknown to whoever asks again.
+func (a *Agent) keep(t *attempt) {
+	a.past = append(a.past, t)
+	a.kept += len(t.buf)
+	for a.kept > a.cfg.KeepBytes && len(a.past) > 1 {
+		a.dropOldest()
+	}
+}
+
+func (a *Agent) dropOldest() {
+	t := a.past[0]
+	a.past[0] = nil
+	a.past = a.past[1:]
+	a.kept -= len(t.buf)
+	if t.conn == nil {
+		t.base = t.end()
+		t.buf = nil
+	}
+}
+
 // trim drops the bytes that the entry has passed on: all but the last window
 // before its credit.
 func (a *Agent) trim(t *attempt) {
--- a/agent/config.go
+++ b/agent/config.go
@@ -25,6 +25,7 @@
 	ChecksFences  bool          // whether the upstream checks who gives orders
 	RequireFence  bool          // give no orders without a fence from the log
 	AnswerBuffer  int           // bytes of an answer kept for a slow or lost entry
+	KeepBytes     int           // of all ended answers together
 	Remember      time.Duration // time for which ended attempts are remembered
 	RememberCount int           // number of ended attempts remembered
 	OrphanGrace   time.Duration // time that an attempt runs on without an entry
@@ -35,6 +36,7 @@
 	DefaultReportEvery   = 500 * time.Millisecond
 	DefaultHostsEvery    = time.Second
 	DefaultAnswerBuffer  = 1 << 20
+	DefaultKeepBytes     = 16 << 20
 	DefaultRemember      = time.Minute
 	DefaultRememberCount = 20_000
 	DefaultOrphanGrace   = 10 * time.Second
@@ -46,6 +48,7 @@
 	setDefault(&c.ReportEvery, DefaultReportEvery)
 	setDefault(&c.HostsEvery, DefaultHostsEvery)
 	setDefault(&c.AnswerBuffer, DefaultAnswerBuffer)
+	setDefault(&c.KeepBytes, DefaultKeepBytes)
 	setDefault(&c.Remember, DefaultRemember)
 	setDefault(&c.RememberCount, DefaultRememberCount)
 	setDefault(&c.OrphanGrace, DefaultOrphanGrace)
--- a/agent/inbound.go
+++ b/agent/inbound.go
@@ -247,6 +247,7 @@
 		t.orphan = nil
 	}
 	a.flush(t)
+	a.keep(t)
 	a.metrics.ended(t.req.Class, outcome, t.stalled)
 	a.logger.Debug("attempt ended",
 		"request", t.req.ID,
--- a/agent/run.go
+++ b/agent/run.go
@@ -144,6 +144,7 @@
 	}
 	a.ledger.Unsend(t.id)
 	t.head = nil
+	t.headSent = false
 	a.do(func(now time.Time, out *decide.Orders) {
 		a.core.NotLoaded(now, t.id, out)
 	})
