--- a/control/replica.go
+++ b/control/replica.go
@@ -36,6 +36,9 @@
 	changed  chan struct{}   // closed and replaced after each page
 	watchers []func(Key)
 	lastRead time.Time // of the latest successful read
+	tailed   bool      // reading started near the log's end
+
+	keepClaims bool
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -51,7 +54,9 @@
 		state:   NewState(keepClaims),
 		changed: make(chan struct{}),
 		cancel:  cancel,
-		done:    make(chan struct{}),
+
+		keepClaims: keepClaims,
+		done:       make(chan struct{}),
 	}
 	var dirty []Key
 	r.state.onChange = func(k Key) {
@@ -143,7 +148,15 @@
 	r.announce()
 }
 
+// tailRecords is how many records before the log's end a process that needs only
+// the configuration starts to read. Snapshots come far more often; should none be
+// there, it starts again from the log's first record.
+const tailRecords = 20_000
+
 func (r *Replica) follow(ctx context.Context, dirty *[]Key) {
+	if !r.keepClaims {
+		r.startNearEnd(ctx)
+	}
 	wait := minBackoff
 	for ctx.Err() == nil {
 		next := r.next()
@@ -152,6 +165,9 @@
 		case err == nil:
 			wait = minBackoff
 			r.apply(page, dirty)
+			if r.next() >= page.Next {
+				r.startOver()
+			}
 		case errors.Is(err, wardturn.ErrOutOfRetention):
 			r.skip(next, page.First)
 		default:
@@ -171,6 +187,35 @@
 	return r.state.Read() + 1
 }
 
+// startNearEnd skips most of a long log. A log that cannot be read now is read
+// from its start later.
+func (r *Replica) startNearEnd(ctx context.Context) {
+	page, err := r.log.Read(ctx, 1, 1, 0)
+	if err != nil && !errors.Is(err, wardturn.ErrOutOfRetention) {
+		return
+	}
+	if page.Next-page.First > tailRecords {
+		r.mu.Lock()
+		r.state.Skip(page.Next - tailRecords)
+		r.tailed = true
+		r.mu.Unlock()
+	}
+}
+
+// startOver reads the log from its first record after no base was found near its
+// end.
+func (r *Replica) startOver() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.tailed || r.state.Based() {
+		return
+	}
+	r.tailed = false
+	onChange := r.state.onChange
+	r.state = NewState(r.keepClaims)
+	r.state.onChange = onChange
+}
+
 func (r *Replica) skip(next, first wardturn.Offset) {
 	r.logger.Warn("records out of retention", "next", next, "first", first)
 	r.mu.Lock()
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,18 @@
 	return r
 }
 
+// countingLog counts the records read.
+type countingLog struct {
+	wardturn.Log
+	records atomic.Int64
+}
+
+func (l *countingLog) Read(ctx context.Context, from wardturn.Offset, limit int, wait time.Duration) (wardturn.LogPage, error) {
+	page, err := l.Log.Read(ctx, from, limit, wait)
+	l.records.Add(int64(len(page.Records)))
+	return page, err
+}
+
 func change(id string, base wardturn.Offset, body string) control.Change {
 	return control.Change{
 		ID:  control.PublicationID(id),
@@ -120,6 +133,37 @@
 		Expect(doc.Version).To(Equal(wardturn.Offset(1)), "the original version")
 	})
 
+	It("starts near the end of a long log, and over again if there is no snapshot", func() {
+		first := replica(log)
+		_, err := first.Publish(ctx, change("p", 0, "body"))
+		Expect(err).NotTo(HaveOccurred())
+		fill := func() {
+			for range 21_000 {
+				_, err := log.Append(ctx, []byte("another's record"))
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		fill()
+		newcomer := func() int {
+			counting := &countingLog{
+				Log: log,
+			}
+			r := control.NewReplica(counting, platform.Clock{}, hclog.NewNullLogger(), false)
+			defer r.Close()
+			Eventually(func() bool {
+				_, ok := r.Get("adapter/a")
+				return ok
+			}).WithTimeout(10 * time.Second).Should(BeTrue())
+			return int(counting.records.Load())
+		}
+		Expect(newcomer()).To(BeNumerically(">", 20_002), "no snapshot: the end, then everything")
+		Expect(first.Snapshot(ctx)).To(Succeed())
+		fill()
+		Expect(newcomer()).To(BeNumerically(">", 20_002), "the snapshot is too far back")
+		Expect(first.Snapshot(ctx)).To(Succeed())
+		Expect(newcomer()).To(BeNumerically("<=", 20_002))
+	})
+
 	It("takes a peer's documents while the log is out, and never older ones", func() {
 		r := replica(log)
 		_, err := r.Publish(ctx, change("p", 0, "new"))
