--- a/agent/config.go
+++ b/agent/config.go
@@ -22,7 +22,6 @@
 	StoreAgents   int           // agents that share the store, as a first guess
 	ReportEvery   time.Duration // between reads of the engine's report
 	HostsEvery    time.Duration // between reads of the host list
-	ChecksFences  bool          // whether the upstream checks who gives orders
 	RequireFence  bool          // give no orders without a fence from the log
 	AnswerBuffer  int           // bytes of an answer kept for a slow or lost entry
 	KeepBytes     int           // of all ended answers together
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -206,7 +206,6 @@
 		MaxRunning:   s.MaxRunning,
 		MaxQueue:     s.MaxQueue,
 		StoreAgents:  s.StoreAgents,
-		ChecksFences: s.ChecksFences,
 		RequireFence: true,
 	}
 	cfg.Store.Rate = s.StoreRate
--- a/control/docs.go
+++ b/control/docs.go
@@ -41,7 +41,6 @@
 type ServiceDoc struct {
 	Team          wardturn.TeamID `yaml:"team"`
 	NotRepeatable []string        `yaml:"not_repeatable"` // methods; ALL for every one
-	ChecksFences  bool            `yaml:"checks_fences"`
 	Deadline      Duration        `yaml:"deadline"`
 }
 
@@ -59,7 +58,6 @@
 // TeamDoc configures a team.
 type TeamDoc struct {
 	Operators []string `yaml:"operators"` // SHA-256 of their keys in hexadecimal
-	Share     float64  `yaml:"share"`     // weight under overload; 0: 1
 }
 
 // PolicyDoc is a published policy.
@@ -267,9 +265,6 @@
 			return "operators", "must be SHA-256 in hexadecimal"
 		}
 	}
-	if d.Share < 0 {
-		return "share", "must not be negative"
-	}
 	return "", ""
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -65,14 +65,17 @@
 	return nil
 }
 
-// snapshotDue reports whether the newest snapshot is older than a time, by the
-// log's own clock, and something has happened since.
+// snapshotDue reports whether the newest snapshot is older than a time, or so far
+// back that a process which starts near the log's end would soon miss it.
 func (r *Replica) snapshotDue(age time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.state.Based() || len(r.state.docs) == 0 {
 		return false
 	}
+	if r.state.read-r.state.snapRead > tailRecords/2 {
+		return true
+	}
 	return r.clock.Now().Sub(r.state.SnapshotTime()) > age
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -57,6 +57,7 @@
 	backlog  []pendingChange // while there is no base
 	logTime  time.Time
 	snapAt   time.Time // of the newest whole snapshot
+	snapRead wardturn.Offset
 	docs     map[Key]Doc
 	claims   map[claimKey]ClaimResult
 	order    []claimKey // of claims, by offset
@@ -313,6 +314,7 @@
 	}
 	delete(s.partial, snap.Through)
 	s.snapAt = lr.Time
+	s.snapRead = lr.Offset
 	if !s.based && snap.Through+1 >= s.from {
 		s.rebase(snap.Through, p)
 	}
--- a/demo/system.go
+++ b/demo/system.go
@@ -212,7 +212,6 @@
 			},
 			StoreAgents:  s.cfg.Engines,
 			MaxRunning:   s.cfg.Batch,
-			ChecksFences: true,
 			RequireFence: true,
 		},
 		Clock:    s.cfg.Clock,
--- a/entry/api.go
+++ b/entry/api.go
@@ -161,6 +161,9 @@
 	}
 	path, _ := ctx.UserValue("path").(string)
 	req.Service = name
+	if limit := time.Duration(doc.Deadline); limit > 0 && len(ctx.Request.Header.Peek(HeaderDeadline)) == 0 {
+		req.Deadline = e.clock.Now().Add(limit)
+	}
 	req.Path = "/" + path
 	if q := ctx.URI().QueryString(); len(q) > 0 {
 		req.Path += "?" + string(q)
