Shares of teams when an upstream is full

Cause: one team's flood made every other wait behind it: four requests behind a flood of 100 started after it. Change: the team that used least of an upstream's time for its share goes first; shares stand in the team's document.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -126,6 +126,7 @@
 	}
 	a.replica.Watch(a.onConfig)
 	a.applyPolicy()
+	a.applyShares()
 	a.checkDrain()
 	a.logger.Info("agent started", "addr", a.server.Addr(), "process", a.cfg.Process)
 }
--- a/agent/inbound.go
+++ b/agent/inbound.go
@@ -133,6 +133,7 @@
 	r := wardturn.Request{
 		ID:         m.Request,
 		Caller:     m.Caller,
+		Team:       m.Team,
 		Class:      m.Class,
 		Adapter:    m.Adapter,
 		Service:    m.Service,
@@ -158,6 +159,7 @@
 		Attempt:  t.id,
 		Adapter:  t.req.Adapter,
 		Class:    t.req.Class,
+		Team:     t.req.Team,
 		Prompt:   t.req.Prompt,
 		Output:   t.req.Output,
 		Deadline: t.req.Deadline,
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -149,6 +149,8 @@
 		a.checkDrain()
 	case control.KindOf(key) == control.KindPolicy:
 		a.applyPolicy()
+	case control.KindOf(key) == control.KindTeam:
+		a.applyShares()
 	}
 }
 
@@ -188,6 +190,14 @@
 	a.logger.Info("policy in force", "policy", active.Name(), "config", a.replica.Applied())
 }
 
+// applyShares puts the teams' shares of the configuration in force.
+func (a *Agent) applyShares() {
+	weights := control.Shares(a.replica)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.SetShares(weights)
+}
+
 func (a *Agent) compile(doc control.NamedPolicy) wardturn.Policy {
 	p, err := policy.Compile(doc.Name, doc.Source)
 	if err != nil {
--- a/control/docs.go
+++ b/control/docs.go
@@ -58,6 +58,7 @@
 // TeamDoc configures a team.
 type TeamDoc struct {
 	Operators []string `yaml:"operators"` // SHA-256 of their keys in hexadecimal
+	Share     float64  `yaml:"share"`     // weight of its use of full upstreams; 0: 1
 }
 
 // PolicyDoc is a published policy.
@@ -265,6 +266,9 @@
 			return "operators", "must be SHA-256 in hexadecimal"
 		}
 	}
+	if d.Share < 0 {
+		return "share", "must not be negative"
+	}
 	return "", ""
 }
 
@@ -352,6 +356,18 @@
 	return d
 }
 
+// Shares returns the weights of the teams that have one.
+func Shares(r *Replica) map[wardturn.TeamID]float64 {
+	weights := make(map[wardturn.TeamID]float64)
+	for _, d := range r.Docs(KindTeam) {
+		var t TeamDoc
+		if yaml.Unmarshal(d.Body, &t) == nil && t.Share > 0 {
+			weights[wardturn.TeamID(NameOf(d.Key))] = t.Share
+		}
+	}
+	return weights
+}
+
 // NamedPolicy is a policy of the configuration with its name and version.
 type NamedPolicy struct {
 	PolicyDoc
--- a/decide/agent.go
+++ b/decide/agent.go
@@ -73,6 +73,7 @@
 	Attempt  wardturn.AttemptID
 	Adapter  wardturn.AdapterRef // zero for a plain service
 	Class    wardturn.Class
+	Team     wardturn.TeamID // that the caller belongs to
 	Prompt   wardturn.Tokens
 	Output   wardturn.Tokens
 	Deadline time.Time // zero: none
@@ -136,6 +137,7 @@
 	scratch     []*item
 	lastSeq     uint64
 	misses      uint64
+	shares      shares
 	missRate    meter
 	running     int
 	runBatch    int
@@ -166,6 +168,7 @@
 		work:      make(map[wardturn.AttemptID]*item),
 		loadTime:  cfg.LoadTime,
 		serveTime: cfg.ServiceTime,
+		shares:    newShares(),
 		started:   now,
 		lastSweep: now,
 	}
@@ -246,6 +249,7 @@
 	}
 	a.unpin(now, it)
 	a.observeService(now.Sub(it.startedAt))
+	a.shares.add(now, it.work.Team, now.Sub(it.startedAt))
 	delete(a.work, id)
 	a.plan(now, out)
 }
@@ -320,6 +324,7 @@
 	if now.Sub(a.lastSweep) >= sweepEvery {
 		a.lastSweep = now
 		a.sweep(now)
+		a.shares.sweep(now)
 	}
 	a.plan(now, out)
 }
--- a/decide/plan.go
+++ b/decide/plan.go
@@ -43,13 +43,13 @@
 
 // nextInteractive returns the interactive item to run now, or nil.
 func (a *Agent) nextInteractive(now time.Time) *item {
-	best := a.plain.best(now, a.cfg.StarveAfter)
+	best := a.first(now, &a.plain)
 	for i := range a.slots {
 		ad := a.servingSlot(i)
 		if ad == nil {
 			continue
 		}
-		best = a.earlier(now, best, ad.interactive.best(now, a.cfg.StarveAfter))
+		best = a.earlier(now, best, a.first(now, &ad.interactive))
 	}
 	return best
 }
@@ -71,7 +71,7 @@
 		if ad.running == 0 && pinned+a.cfg.ReserveSlots >= len(a.slots) {
 			continue
 		}
-		it := ad.batch.best(now, a.cfg.StarveAfter)
+		it := a.first(now, &ad.batch)
 		if a.held(now, it) {
 			continue
 		}
@@ -99,29 +99,12 @@
 	return n
 }
 
-// earlier picks the item to run first: starving ones by age, others by rank and
-// then by age.
+// earlier picks the item to run first; either may be nil.
 func (a *Agent) earlier(now time.Time, x, y *item) *item {
-	if x == nil {
-		return y
-	}
-	if y == nil {
-		return x
-	}
-	starvingX := now.Sub(x.arrived) > a.cfg.StarveAfter
-	starvingY := now.Sub(y.arrived) > a.cfg.StarveAfter
 	switch {
-	case starvingX != starvingY:
-		if starvingX {
-			return x
-		}
-		return y
-	case !starvingX && x.rank != y.rank:
-		if x.rank < y.rank {
-			return x
-		}
+	case x == nil:
 		return y
-	case x.seq < y.seq:
+	case y == nil || a.before(now, x, y):
 		return x
 	}
 	return y
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -80,25 +80,6 @@
 	return false
 }
 
-// best returns the item to run next: the one of the lowest rank, unless the
-// oldest has waited so long that age alone decides.
-func (q *queue) best(now time.Time, starveAfter time.Duration) *item {
-	if len(q.items) == 0 {
-		return nil
-	}
-	oldest := q.items[0]
-	if now.Sub(oldest.arrived) > starveAfter {
-		return oldest
-	}
-	best := oldest
-	for _, it := range q.items[1:] {
-		if it.rank < best.rank {
-			best = it
-		}
-	}
-	return best
-}
-
 func (q *queue) oldest(now time.Time) time.Duration {
 	if len(q.items) == 0 {
 		return 0
--- a/entry/api.go
+++ b/entry/api.go
@@ -200,6 +200,7 @@
 	return wardturn.Request{
 		ID:       idOf(ctx),
 		Caller:   caller,
+		Team:     e.teamOfCaller(caller),
 		Class:    class,
 		Method:   string(ctx.Method()),
 		Path:     string(ctx.Path()),
--- a/entry/auth.go
+++ b/entry/auth.go
@@ -56,6 +56,12 @@
 	return !ok || control.Allowed(patterns(d), name)
 }
 
+// teamOfCaller returns a caller's team; callers of the settings have none.
+func (e *Entry) teamOfCaller(caller wardturn.CallerID) wardturn.TeamID {
+	d, _ := e.catalog.Caller(caller)
+	return d.Team
+}
+
 // enter applies a caller's quota.
 func (e *Entry) enter(caller wardturn.CallerID) (time.Duration, bool) {
 	d, ok := e.catalog.Caller(caller)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -166,6 +166,7 @@
 		Attempt:    k.id,
 		Request:    x.req.ID,
 		Caller:     x.req.Caller,
+		Team:       x.req.Team,
 		Class:      x.req.Class,
 		Adapter:    x.req.Adapter,
 		Service:    x.req.Service,
--- a/peer/message.go
+++ b/peer/message.go
@@ -62,6 +62,7 @@
 	Attempt    wardturn.AttemptID
 	Request    wardturn.RequestID
 	Caller     wardturn.CallerID
+	Team       wardturn.TeamID
 	Class      wardturn.Class
 	Adapter    wardturn.AdapterRef
 	Service    wardturn.ServiceName
--- a/request.go
+++ b/request.go
@@ -36,6 +36,7 @@
 type Request struct {
 	ID         RequestID
 	Caller     CallerID
+	Team       TeamID
 	Class      Class
 	Adapter    AdapterRef
 	Service    ServiceName
