--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/url"
 	"regexp"
 	"strconv"
@@ -45,6 +46,7 @@
 			"system":  command(startSystem),
 			"call":    command(startCall),
 			"service": command(startService),
+			"vanish":  command(vanish),
 			"ended":   command(waitCall),
 			"running": command(waitRunning),
 			"expect":  command(expectReply),
@@ -190,6 +192,19 @@
 	w.start(rest[0], req)
 }
 
+// vanish ADAPTER tokens=N: a caller asks for a stream, reads its start and goes away.
+func vanish(ts *testscript.TestScript, w *world, args []string) {
+	opts, rest := options(args)
+	c, err := net.Dial("tcp", w.sys.Addrs()[0])
+	ts.Check(err)
+	defer c.Close()
+	body := fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":%d,"stream":true}`, rest[0], number(opts, "tokens", 3))
+	_, err = fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	ts.Check(err)
+	_, err = c.Read(make([]byte, 1))
+	ts.Check(err)
+}
+
 // service NAME METHOD PATH BODY [entry=N] [key=K] [age=SECONDS]
 func startService(_ *testscript.TestScript, w *world, args []string) {
 	opts, rest := options(args)
