An adapter found elsewhere keeps its slot when an unload for it ends

Cause: read as a newcomer, giveBack took the slot from an adapter whichever slot it had. If a report had shown the adapter in another slot meanwhile, the agent forgot that and would have loaded it twice. Ruled out by the model check? No: 30,000 histories had not drawn it. Change: only the slot that was meant for it is given back; a test draws it by hand and fails without.

--- a/decide/agent.go
+++ b/decide/agent.go
@@ -247,7 +247,7 @@
 	if it == nil || !it.running {
 		return
 	}
-	a.unpin(now, it)
+	a.unpin(it)
 	a.observeService(now.Sub(it.startedAt))
 	a.shares.add(now, it.work.Team, now.Sub(it.startedAt))
 	delete(a.work, id)
@@ -262,7 +262,7 @@
 	if it == nil || !it.running {
 		return
 	}
-	a.unpin(now, it)
+	a.unpin(it)
 	if ad := it.adapter; ad != nil {
 		ad.missingAt = now
 		if ad.slot != noSlot && a.slots[ad.slot].state == SlotReady {
--- a/decide/plan.go
+++ b/decide/plan.go
@@ -152,7 +152,7 @@
 	return max(0, a.slots[it.adapter.slot].since.Sub(it.stallFrom))
 }
 
-func (a *Agent) unpin(_ time.Time, it *item) {
+func (a *Agent) unpin(it *item) {
 	a.running--
 	if it.work.Class == wardturn.Batch {
 		a.runBatch--
--- a/decide/slots.go
+++ b/decide/slots.go
@@ -161,10 +161,10 @@
 		a.release(s, now)
 		a.loadAfterUnload(i, next, now, out)
 	case OrderUncertain:
-		a.giveBack(next, now)
+		a.giveBack(i, next, now)
 		s.enter(SlotUncertain, now)
 	default:
-		a.giveBack(next, now)
+		a.giveBack(i, next, now)
 		s.foreign = true
 		s.enter(SlotReady, now)
 	}
@@ -175,17 +175,17 @@
 // waits for that adapter any more.
 func (a *Agent) loadAfterUnload(i int, next *adapter, now time.Time, out *Orders) {
 	if next == nil || next.slot != i || next.waiting() == 0 {
-		a.giveBack(next, now)
+		a.giveBack(i, next, now)
 		return
 	}
 	a.startLoad(i, next, now, out)
 }
 
 // giveBack returns the permit of a load that will not start, and lets its
-// adapter wait again.
-func (a *Agent) giveBack(next *adapter, now time.Time) {
+// adapter wait again unless another slot turned out to hold it.
+func (a *Agent) giveBack(i int, next *adapter, now time.Time) {
 	a.permits.Return(now)
-	if next != nil {
+	if next != nil && next.slot == i {
 		next.slot = noSlot
 		a.trackWant(next)
 	}
