--- a/cli/cli.go
+++ b/cli/cli.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
+	"github.com/willabides/kongplete"
 )
 
 // The exit codes of Main.
@@ -40,20 +41,21 @@
 
 // commands is the grammar of the wardturn command.
 type commands struct {
-	Trace   traceCmd   `cmd:"" help:"Generate a trace with a user's sizes."`
-	Compare compareCmd `cmd:"" help:"Compare policies on the same trace."`
-	Policy  policyCmd  `cmd:"" help:"Check policies."`
-	Publish publishCmd `cmd:"" help:"Publish documents: all or none."`
-	Diff    diffCmd    `cmd:"" help:"Compare files with what is in force."`
-	Get     getCmd     `cmd:"" help:"Print documents in force."`
-	History historyCmd `cmd:"" help:"Print who published what, when."`
-	Status  statusCmd  `cmd:"" help:"Print an entry's view of the system."`
-	Drain   drainCmd   `cmd:"" help:"Order an upstream to leave."`
-	Report  reportCmd  `cmd:"" help:"Reports."`
-	Bench   benchCmd   `cmd:"" help:"Measure costs at several sizes and work out the size in two years."`
-	Chaos   chaosCmd   `cmd:"" help:"Run random histories of faults and check the promises."`
-	Demo    demoCmd    `cmd:"" help:"Run the whole system on embedded stand-ins and send it traffic."`
-	Load    loadCmd    `cmd:"" help:"Send a trace to running entry hosts."`
+	Trace      traceCmd                     `cmd:"" help:"Generate a trace with a user's sizes."`
+	Compare    compareCmd                   `cmd:"" help:"Compare policies on the same trace."`
+	Policy     policyCmd                    `cmd:"" help:"Check policies."`
+	Publish    publishCmd                   `cmd:"" help:"Publish documents: all or none."`
+	Diff       diffCmd                      `cmd:"" help:"Compare files with what is in force."`
+	Get        getCmd                       `cmd:"" help:"Print documents in force."`
+	History    historyCmd                   `cmd:"" help:"Print who published what, when."`
+	Status     statusCmd                    `cmd:"" help:"Print an entry's view of the system."`
+	Drain      drainCmd                     `cmd:"" help:"Order an upstream to leave."`
+	Report     reportCmd                    `cmd:"" help:"Reports."`
+	Bench      benchCmd                     `cmd:"" help:"Measure costs at several sizes and work out the size in two years."`
+	Chaos      chaosCmd                     `cmd:"" help:"Run random histories of faults and check the promises."`
+	Completion kongplete.InstallCompletions `cmd:"" help:"Print the line that makes the shell complete this command."`
+	Demo       demoCmd                      `cmd:"" help:"Run the whole system on embedded stand-ins and send it traffic."`
+	Load       loadCmd                      `cmd:"" help:"Send a trace to running entry hosts."`
 }
 
 // Main runs the wardturn command and returns its exit code.
@@ -76,6 +78,7 @@
 		fmt.Fprintln(s.Err, "wardturn:", err)
 		return ExitFailure
 	}
+	kongplete.Complete(parser) // ends the process if the shell asks for completions
 	k, err := parser.Parse(args)
 	if exit >= 0 {
 		return exit
