--- a/agent/agent.go
+++ b/agent/agent.go
@@ -60,6 +60,7 @@
 	kept     int        // bytes of them
 	orders   decide.Orders
 	fence    wardturn.Fence
+	unfenced int             // orders not given for want of a fence
 	builtin  wardturn.Policy // in force while none is published
 	alloc    *allocatorRole
 	leaving  bool
@@ -263,8 +264,10 @@
 	Fence   wardturn.Fence
 	Config  wardturn.Offset
 	Leaving bool
-	Policy  string              // in force
-	Shadow  *decide.ShadowStats // nil without a shadow policy
+	Policy  string // in force
+	// Refusals counts orders that the agent did not give for want of a fence.
+	Refusals int
+	Shadow   *decide.ShadowStats // nil without a shadow policy
 }
 
 // Status returns the agent's present state.
@@ -278,6 +281,8 @@
 		Config:  a.replica.Applied(),
 		Leaving: a.leaving,
 		Policy:  a.core.PolicyName(),
+
+		Refusals: a.unfenced,
 	}
 	if sh, ok := a.core.Shadow(); ok {
 		st.Shadow = &sh
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -24,7 +24,9 @@
 
 // fakeEngine holds one adapter and answers with what its test sends.
 type fakeEngine struct {
-	runs chan fakeRun
+	clock wardturn.Clock
+	runs  chan fakeRun
+	loads chan wardturn.SlotOrder
 }
 
 // fakeRun is one request under way. What is sent to answer is emitted; closing
@@ -33,9 +35,11 @@
 	answer chan<- []byte
 }
 
-func newFakeEngine() *fakeEngine {
+func newFakeEngine(clock wardturn.Clock) *fakeEngine {
 	return &fakeEngine{
-		runs: make(chan fakeRun, 16),
+		clock: clock,
+		runs:  make(chan fakeRun, 16),
+		loads: make(chan wardturn.SlotOrder, 1024),
 	}
 }
 
@@ -61,12 +65,16 @@
 	}
 }
 
-func (f *fakeEngine) Load(context.Context, wardturn.SlotOrder) error   { return nil }
+func (f *fakeEngine) Load(_ context.Context, o wardturn.SlotOrder) error {
+	f.loads <- o
+	return nil
+}
+
 func (f *fakeEngine) Unload(context.Context, wardturn.SlotOrder) error { return nil }
 
 func (f *fakeEngine) Report(context.Context) (wardturn.EngineReport, error) {
 	return wardturn.EngineReport{
-		At: time.Now(),
+		At: f.clock.Now(),
 		Resident: []wardturn.ResidentAdapter{{
 			Adapter: adapterA,
 		}},
@@ -78,6 +86,7 @@
 	t      *testing.T
 	agent  *agent.Agent
 	engine *fakeEngine
+	log    *standin.Log
 	client *peer.Client
 	got    chan peer.Message
 	up     chan *peer.Conn
@@ -97,12 +106,17 @@
 const process wardturn.Incarnation = "a1"
 
 func newTester(t *testing.T, cfg agent.Config) *tester {
+	t.Helper()
+	return newTesterWithLog(t, cfg, standin.LogFaults{})
+}
+
+func newTesterWithLog(t *testing.T, cfg agent.Config, faults standin.LogFaults) *tester {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	clock := platform.Clock{}
+	clock := standin.NewFastClock(10)
 	metrics := platform.NewMetrics()
 	t.Cleanup(metrics.Close)
 	cfg.Upstream = "u"
@@ -110,7 +124,8 @@
 	cfg.Region = "r"
 	cfg.Domain = "d"
 	cfg.Model = "m"
-	cfg.Slots = 1
+	cfg.Slots = 2
+	cfg.RequireFence = true
 	cfg.Store = decide.StoreLimit{
 		Rate:     100,
 		Parallel: 1,
@@ -118,16 +133,18 @@
 	cfg.ReportEvery = time.Millisecond
 	x := &tester{
 		t:      t,
-		engine: newFakeEngine(),
+		engine: newFakeEngine(clock),
+		log:    standin.NewLog(clock, standin.LogConfig{}),
 		got:    make(chan peer.Message, 1024),
 		up:     make(chan *peer.Conn, 16),
 	}
+	x.log.SetFaults(faults)
 	x.agent = agent.New(agent.Deps{
 		Config:   cfg,
 		Clock:    clock,
 		Logger:   hclog.NewNullLogger(),
 		Metrics:  agent.NewMetrics(metrics.Scope),
-		Log:      standin.NewLog(clock, standin.LogConfig{}),
+		Log:      x.log,
 		Hosts:    standin.NewHostList(clock, 0),
 		Engine:   x.engine,
 		Policy:   policy.Default{},
@@ -339,3 +356,37 @@
 		}
 	}
 }
+
+// TestNoOrdersWithoutFence starts an agent while the log is out: it serves what
+// its engine holds, and orders nothing until it has a fence from the log.
+func TestNoOrdersWithoutFence(t *testing.T) {
+	x := newTesterWithLog(t, agent.Config{}, standin.LogFaults{
+		Down: true,
+	})
+	x.send(&peer.Submit{
+		Attempt: attempt(1),
+		Adapter: wardturn.AdapterRef{
+			Adapter: "b",
+			Version: 1,
+		},
+		Repeatable: true,
+		Credit:     peer.Window,
+	})
+	x.submit(2, peer.Window)
+	run := <-x.engine.runs // what is loaded is served
+	close(run.answer)
+	if e, _ := x.end(); e.Attempt != attempt(2) || e.Outcome.Kind != wardturn.Done {
+		t.Fatalf("%+v", e)
+	}
+	// Let the agent refuse itself the load a few times.
+	for x.agent.Status().Refusals < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if len(x.engine.loads) != 0 {
+		t.Fatal("an order without a fence")
+	}
+	x.log.SetFaults(standin.LogFaults{})
+	if o := <-x.engine.loads; o.Fence == 0 {
+		t.Fatalf("%+v", o)
+	}
+}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -57,6 +57,9 @@
 // a later agent could not be told from it.
 func (a *Agent) give(order wardturn.SlotOrder, do func(context.Context, wardturn.SlotOrder) error) error {
 	if order.Fence == 0 && a.cfg.RequireFence {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.unfenced++
 		return wardturn.ErrFenced
 	}
 	return do(a.tasks.Context(), order)
--- a/control/state_model_test.go
+++ b/control/state_model_test.go
@@ -22,6 +22,9 @@
 	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
 		_ = f.Value.Set("300")
 	}
+	if f := flag.Lookup("rapid.steps"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("60") // a fault needs several events to show
+	}
 	os.Exit(m.Run())
 }
 
--- a/decide/decide_suite_test.go
+++ b/decide/decide_suite_test.go
@@ -17,7 +17,10 @@
 		_ = f.Value.Set("1")
 	}
 	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("2000")
+		_ = f.Value.Set("4000")
+	}
+	if f := flag.Lookup("rapid.steps"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("80") // a fault needs several events to show
 	}
 	os.Exit(m.Run())
 }
--- /dev/null
+++ b/decide/router_test.go
@@ -0,0 +1,221 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/policy"
+)
+
+var _ = Describe("Router", func() {
+	hosts := func(n int, region wardturn.Region) []wardturn.Host {
+		var list []wardturn.Host
+		for i := range n {
+			list = append(list, wardturn.Host{
+				Upstream: wardturn.UpstreamID(fmt.Sprintf("%s%d", region, i)),
+				Region:   region,
+			})
+		}
+		return list
+	}
+	router := func(list ...wardturn.Host) *decide.Router {
+		r := decide.NewRouter(decide.RouterConfig{
+			Region: "near",
+		})
+		r.SetHosts(list)
+		return r
+	}
+	ask := func(name string) decide.Ask {
+		return decide.Ask{
+			Adapter: wardturn.AdapterRef{
+				Adapter: wardturn.AdapterID(name),
+				Version: 1,
+			},
+		}
+	}
+	pick := func(r *decide.Router, now time.Time, a decide.Ask) wardturn.UpstreamID {
+		id, ok := r.Pick(now, a)
+		Expect(ok).To(BeTrue())
+		return id
+	}
+
+	It("prefers the own region and falls back to another", func() {
+		r := router(append(hosts(3, "near"), hosts(3, "far")...)...)
+		for i := range 50 {
+			Expect(string(pick(r, start, ask(fmt.Sprint("a", i))))).To(HavePrefix("near"))
+		}
+		near := hosts(3, "near")
+		for i := range near {
+			near[i].State = wardturn.HostLeaving
+		}
+		r.SetHosts(append(near, hosts(3, "far")...))
+		Expect(string(pick(r, start, ask("a1")))).To(HavePrefix("far"))
+	})
+
+	It("sends an adapter to the same upstream from every entry", func() {
+		x, y := router(hosts(9, "near")...), router(hosts(9, "near")...)
+		for i := range 50 {
+			a := ask(fmt.Sprint("a", i))
+			Expect(pick(x, start, a)).To(Equal(pick(y, start, a)))
+		}
+	})
+
+	It("moves few adapters when a host goes", func() {
+		x, y := router(hosts(10, "near")...), router(hosts(9, "near")...)
+		moved := 0
+		for i := range 1000 {
+			a := ask(fmt.Sprint("a", i))
+			if pick(x, start, a) != pick(y, start, a) {
+				moved++
+			}
+		}
+		Expect(moved).To(BeNumerically("~", 100, 50))
+	})
+
+	It("gives nothing to an upstream that hinted that it leaves, or was tried", func() {
+		r := router(hosts(2, "near")...)
+		first := pick(r, start, ask("a"))
+		a := ask("a")
+		a.Tried = []wardturn.UpstreamID{first}
+		other := pick(r, start, a)
+		Expect(other).NotTo(Equal(first))
+		r.Hint(start, other, decide.Hint{
+			Leaving: true,
+		})
+		_, ok := r.Pick(start, a)
+		Expect(ok).To(BeFalse())
+		Expect(pick(r, start, ask("a"))).To(Equal(first))
+	})
+
+	It("gives a hot adapter another home, and no home to a cold one", func() {
+		r := router(hosts(3, "near")...)
+		home := pick(r, start, ask("hot"))
+		for _, h := range hosts(3, "near") {
+			hint := decide.Hint{
+				Capacity: 16,
+				Spare:    4,
+			}
+			if h.Upstream == home {
+				hint.Running = 16
+				hint.Queued = 20
+			}
+			r.Hint(start, h.Upstream, hint)
+		}
+		Expect(pick(r, start, ask("hot"))).NotTo(Equal(home))
+	})
+
+	It("leaves a failing upstream alone and tries it again later", func() {
+		r := router(hosts(2, "near")...)
+		first := pick(r, start, ask("a"))
+		for range 3 {
+			r.Sent(first)
+			r.Ended(start, first, false)
+		}
+		Expect(pick(r, start, ask("a"))).NotTo(Equal(first))
+		// The adapter has a second home now; look at the failing one through a
+		// fresh adapter of which it is the first candidate.
+		later := start.Add(time.Minute)
+		tried := false
+		for i := range 50 {
+			tried = tried || pick(r, later, ask(fmt.Sprint("b", i))) == first
+		}
+		Expect(tried).To(BeTrue())
+	})
+
+	It("tries ejected upstreams when all are", func() {
+		list := hosts(3, "near")
+		r := router(list...)
+		for _, h := range list {
+			for range 3 {
+				r.Sent(h.Upstream)
+				r.Ended(start, h.Upstream, false)
+			}
+		}
+		pick(r, start, ask("a"))
+	})
+})
+
+var _ = Describe("RetryBudget", func() {
+	It("allows a part of the requests and a few a second", func() {
+		b := decide.NewRetryBudget(0.1, 1, 5)
+		now := start
+		retries := 0
+		for range 1000 {
+			b.Request(now)
+			if b.Retry(now) {
+				retries++
+			}
+		}
+		Expect(retries).To(BeNumerically("~", 105, 2), "a tenth, and the burst at the start")
+		now = now.Add(3 * time.Second)
+		for range 10 {
+			if b.Retry(now) {
+				retries++
+			}
+		}
+		Expect(retries).To(BeNumerically("~", 108, 2), "one a second without requests")
+	})
+})
+
+var _ = Describe("Admission", func() {
+	// congested returns an agent that heard of a backlog at its store.
+	congested := func(backlog int, load float64) (*decide.Agent, *decide.Orders) {
+		agent := decide.NewAgent(start, decide.AgentConfig{
+			Upstream:   "u",
+			Slots:      2,
+			MaxRunning: 4,
+		}, policy.Default{}, decide.NewAllocatedPermits(decide.StoreLimit{
+			Rate:     10,
+			Parallel: 4,
+		}, 1))
+		var out decide.Orders
+		agent.Report(start, wardturn.EngineReport{
+			At: start,
+		}, &out)
+		agent.Granted(start, decide.Grant{
+			Upstream: "u",
+			Epoch:    1,
+			Interval: 100 * time.Millisecond,
+			Backlog:  backlog,
+			Load:     load,
+		}, &out)
+		return agent, &out
+	}
+	admit := func(a *decide.Agent, out *decide.Orders, at time.Time) bool {
+		out.Reset()
+		a.Admit(at, decide.Work{
+			Attempt: wardturn.AttemptID{
+				Entry: "e",
+				Seq:   1,
+			},
+			Adapter: wardturn.AdapterRef{
+				Adapter: "a",
+				Version: 1,
+			},
+			Deadline: at.Add(10 * time.Second),
+		}, out)
+		return len(out.Refuse) == 0
+	}
+
+	It("admits while the store has room", func() {
+		a, out := congested(20, 0.5)
+		Expect(admit(a, out, start)).To(BeTrue())
+	})
+
+	It("refuses a load that would cost others more than it gains, and says when to come back", func() {
+		a, out := congested(40, 1.5)
+		Expect(admit(a, out, start)).To(BeFalse())
+		Expect(out.Refuse[0].Outcome.Kind).To(Equal(wardturn.NotRun))
+		Expect(out.Refuse[0].Outcome.RetryAfter).To(BeNumerically(">", time.Second))
+	})
+
+	It("takes an old backlog to be worked off", func() {
+		a, out := congested(40, 1.5)
+		Expect(admit(a, out, start.Add(5*time.Second))).To(BeTrue())
+	})
+})
--- a/demo/system.go
+++ b/demo/system.go
@@ -36,7 +36,8 @@
 	Work     time.Duration // of a call to a plain service
 	Logger   hclog.Logger
 	Clock    wardturn.Clock
-	Relays   bool // put a relay before each agent, so that its network can fail
+	Deadline time.Duration // of requests that name none; zero: the entry's default
+	Relays   bool          // put a relay before each agent, so that its network can fail
 }
 
 // Zurich returns the sizes of Zurich today.
@@ -270,6 +271,7 @@
 			Region:       Region,
 			Domain:       s.domain(i),
 			Open:         true,
+			Deadline:     s.cfg.Deadline,
 			OperatorKeys: []entry.KeyGrant{{Name: "demo", Digest: control.KeyDigest(OperatorKey)}},
 		},
 		Clock:    s.cfg.Clock,
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -154,6 +154,7 @@
 	cfg.Adapters = number(opts, "adapters", 5)
 	cfg.Slots = number(opts, "slots", 2)
 	cfg.Log.Retention = time.Duration(number(opts, "retention", 0)) * time.Second
+	cfg.Deadline = time.Duration(number(opts, "deadline", 0)) * time.Second
 	cfg.Store.Rate = 100
 	sys, err := demo.Start(context.Background(), cfg)
 	ts.Check(err)
