--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -380,11 +380,11 @@
 	}
 	// Let the agent refuse itself the load a few times.
 	for x.agent.Status().Refusals < 2 {
+		if len(x.engine.loads) != 0 {
+			t.Fatal("an order without a fence")
+		}
 		time.Sleep(time.Millisecond)
 	}
-	if len(x.engine.loads) != 0 {
-		t.Fatal("an order without a fence")
-	}
 	x.log.SetFaults(standin.LogFaults{})
 	if o := <-x.engine.loads; o.Fence == 0 {
 		t.Fatalf("%+v", o)
--- a/agent/config.go
+++ b/agent/config.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"time"
 
 	"wardturn"
@@ -44,25 +45,18 @@
 
 // WithDefaults returns the configuration with zero values replaced.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.ReportEvery, DefaultReportEvery)
-	setDefault(&c.HostsEvery, DefaultHostsEvery)
-	setDefault(&c.AnswerBuffer, DefaultAnswerBuffer)
-	setDefault(&c.KeepBytes, DefaultKeepBytes)
-	setDefault(&c.Remember, DefaultRemember)
-	setDefault(&c.RememberCount, DefaultRememberCount)
-	setDefault(&c.OrphanGrace, DefaultOrphanGrace)
-	setDefault(&c.MaxRunning, DefaultMaxRunning)
-	setDefault(&c.StoreAgents, 1)
+	c.ReportEvery = cmp.Or(c.ReportEvery, DefaultReportEvery)
+	c.HostsEvery = cmp.Or(c.HostsEvery, DefaultHostsEvery)
+	c.AnswerBuffer = cmp.Or(c.AnswerBuffer, DefaultAnswerBuffer)
+	c.KeepBytes = cmp.Or(c.KeepBytes, DefaultKeepBytes)
+	c.Remember = cmp.Or(c.Remember, DefaultRemember)
+	c.RememberCount = cmp.Or(c.RememberCount, DefaultRememberCount)
+	c.OrphanGrace = cmp.Or(c.OrphanGrace, DefaultOrphanGrace)
+	c.MaxRunning = cmp.Or(c.MaxRunning, DefaultMaxRunning)
+	c.StoreAgents = cmp.Or(c.StoreAgents, 1)
 	return c
 }
 
-func setDefault[T comparable](p *T, v T) {
-	var zero T
-	if *p == zero {
-		*p = v
-	}
-}
-
 // Check returns every problem of the configuration.
 func (c Config) Check() []wardturn.SettingProblem {
 	var list []wardturn.SettingProblem
--- a/decide/agent.go
+++ b/decide/agent.go
@@ -44,27 +44,13 @@
 }
 
 func (c AgentConfig) withDefaults() AgentConfig {
-	if c.MaxQueue == 0 {
-		c.MaxQueue = DefaultMaxQueue
-	}
-	if c.LoadTime == 0 {
-		c.LoadTime = DefaultLoadTime
-	}
-	if c.ReserveSlots == 0 {
-		c.ReserveSlots = DefaultReserveSlots
-	}
-	if c.ServiceTime == 0 {
-		c.ServiceTime = DefaultServiceTime
-	}
-	if c.ForgetAfter == 0 {
-		c.ForgetAfter = DefaultForgetAfter
-	}
-	if c.StarveAfter == 0 {
-		c.StarveAfter = DefaultStarveAfter
-	}
-	if c.DrainAfter == 0 {
-		c.DrainAfter = DefaultDrainAfter
-	}
+	c.MaxQueue = cmp.Or(c.MaxQueue, DefaultMaxQueue)
+	c.LoadTime = cmp.Or(c.LoadTime, DefaultLoadTime)
+	c.ReserveSlots = cmp.Or(c.ReserveSlots, DefaultReserveSlots)
+	c.ServiceTime = cmp.Or(c.ServiceTime, DefaultServiceTime)
+	c.ForgetAfter = cmp.Or(c.ForgetAfter, DefaultForgetAfter)
+	c.StarveAfter = cmp.Or(c.StarveAfter, DefaultStarveAfter)
+	c.DrainAfter = cmp.Or(c.DrainAfter, DefaultDrainAfter)
 	return c
 }
 
--- a/decide/router.go
+++ b/decide/router.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -44,21 +45,11 @@
 }
 
 func (c RouterConfig) withDefaults() RouterConfig {
-	if c.Candidates == 0 {
-		c.Candidates = DefaultCandidates
-	}
-	if c.MaxLocations == 0 {
-		c.MaxLocations = DefaultMaxLocations
-	}
-	if c.HintLifetime == 0 {
-		c.HintLifetime = DefaultHintLifetime
-	}
-	if c.LocationLife == 0 {
-		c.LocationLife = DefaultLocationLife
-	}
-	if c.BoundFactor == 0 {
-		c.BoundFactor = DefaultBoundFactor
-	}
+	c.Candidates = cmp.Or(c.Candidates, DefaultCandidates)
+	c.MaxLocations = cmp.Or(c.MaxLocations, DefaultMaxLocations)
+	c.HintLifetime = cmp.Or(c.HintLifetime, DefaultHintLifetime)
+	c.LocationLife = cmp.Or(c.LocationLife, DefaultLocationLife)
+	c.BoundFactor = cmp.Or(c.BoundFactor, DefaultBoundFactor)
 	return c
 }
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -58,30 +59,23 @@
 
 // WithDefaults returns the configuration with zero values replaced.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.HostsEvery, DefaultHostsEvery)
-	setDefault(&c.MaxBody, DefaultMaxBody)
-	setDefault(&c.MaxRequests, DefaultMaxRequests)
-	setDefault(&c.Deadline, DefaultDeadline)
-	setDefault(&c.MaxDeadline, DefaultMaxDeadline)
-	setDefault(&c.AttachLimit, DefaultAttachLimit)
-	setDefault(&c.ConnectLimit, DefaultConnectLimit)
-	setDefault(&c.IdleLink, DefaultIdleLink)
-	setDefault(&c.Tries, DefaultTries)
-	setDefault(&c.SnapshotEvery, DefaultSnapshot)
-	setDefault(&c.RetryShare, DefaultRetryShare)
-	setDefault(&c.DefaultOutput, DefaultOutput)
+	c.HostsEvery = cmp.Or(c.HostsEvery, DefaultHostsEvery)
+	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
+	c.MaxRequests = cmp.Or(c.MaxRequests, DefaultMaxRequests)
+	c.Deadline = cmp.Or(c.Deadline, DefaultDeadline)
+	c.MaxDeadline = cmp.Or(c.MaxDeadline, DefaultMaxDeadline)
+	c.AttachLimit = cmp.Or(c.AttachLimit, DefaultAttachLimit)
+	c.ConnectLimit = cmp.Or(c.ConnectLimit, DefaultConnectLimit)
+	c.IdleLink = cmp.Or(c.IdleLink, DefaultIdleLink)
+	c.Tries = cmp.Or(c.Tries, DefaultTries)
+	c.SnapshotEvery = cmp.Or(c.SnapshotEvery, DefaultSnapshot)
+	c.RetryShare = cmp.Or(c.RetryShare, DefaultRetryShare)
+	c.DefaultOutput = cmp.Or(c.DefaultOutput, DefaultOutput)
 	c.Router.Region = c.Region
 	c.Router.Domain = c.Domain
 	return c
 }
 
-func setDefault[T comparable](p *T, v T) {
-	var zero T
-	if *p == zero {
-		*p = v
-	}
-}
-
 // ErrBadKey is returned by ParseKeyGrant.
 var ErrBadKey = errors.New("must be name:sha256 in hexadecimal")
 
