Drivers and process matters leave platform/: the folder becomes the adapter to the users' platform

Cause: the users ask for one small folder, platform/, that only translates between their platform and the product. What stood there is something else: clients of the embedded system's interfaces, and the clock, goroutines and metrics of a process. Change: package driver takes the former, package process the latter; no logic changed. Verified by go vet and go test ./... (one identifier of a test that shadowed the new package was renamed).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,7 +13,7 @@
 	"wardturn/control"
 	"wardturn/decide"
 	"wardturn/peer"
-	"wardturn/platform"
+	"wardturn/process"
 )
 
 const (
@@ -66,7 +66,7 @@
 	leaving  bool
 	idle     chan struct{} // closed when leaving and nothing is left
 	closed   bool
-	tasks    *platform.Tasks
+	tasks    *process.Tasks
 }
 
 // New starts an agent. It serves at once with what its engine holds; orders to
@@ -87,7 +87,7 @@
 		attempts: make(map[wardturn.AttemptID]*attempt),
 		builtin:  d.Policy,
 		idle:     make(chan struct{}),
-		tasks:    platform.NewTasks(d.Clock),
+		tasks:    process.NewTasks(d.Clock),
 	}
 	a.core = decide.NewAgent(now, decide.AgentConfig{
 		Upstream:   cfg.Upstream,
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -12,8 +12,8 @@
 	"wardturn/agent"
 	"wardturn/decide"
 	"wardturn/peer"
-	"wardturn/platform"
 	"wardturn/policy"
+	"wardturn/process"
 	"wardturn/standin"
 )
 
@@ -103,7 +103,7 @@
 
 func (x *tester) Closed(*peer.Conn, error) {}
 
-const process wardturn.Incarnation = "a1"
+const agentProcess wardturn.Incarnation = "a1"
 
 func newTester(t *testing.T, cfg agent.Config) *tester {
 	t.Helper()
@@ -117,10 +117,10 @@
 		t.Fatal(err)
 	}
 	clock := standin.NewFastClock(10)
-	metrics := platform.NewMetrics()
+	metrics := process.NewMetrics()
 	t.Cleanup(metrics.Close)
 	cfg.Upstream = "u"
-	cfg.Process = process
+	cfg.Process = agentProcess
 	cfg.Region = "r"
 	cfg.Domain = "d"
 	cfg.Model = "m"
@@ -216,7 +216,7 @@
 	x.t.Helper()
 	x.send(&peer.Attach{
 		Attempt: attempt(seq),
-		Process: process,
+		Process: agentProcess,
 	})
 	if e, ok := x.next().(*peer.End); !ok || e.Attempt != attempt(seq) {
 		x.t.Fatal("the agent sent something that it must not send")
@@ -244,7 +244,7 @@
 	x := newTester(t, agent.Config{})
 	x.send(&peer.Attach{
 		Attempt: attempt(7),
-		Process: process,
+		Process: agentProcess,
 	})
 	if e, _ := x.end(); e.Outcome.Kind != wardturn.NotRun {
 		t.Fatalf("%+v", e.Outcome)
@@ -302,7 +302,7 @@
 	<-x.up
 	x.send(&peer.Attach{
 		Attempt: attempt(1),
-		Process: process,
+		Process: agentProcess,
 		From:    6,
 		Credit:  peer.Window,
 	})
@@ -348,7 +348,7 @@
 	for seq, want := range map[uint64]wardturn.OutcomeKind{1: wardturn.Unknown, 2: wardturn.Done} {
 		x.send(&peer.Attach{
 			Attempt: attempt(seq),
-			Process: process,
+			Process: agentProcess,
 			Credit:  peer.Window,
 		})
 		if e, _ := x.end(); e.Outcome.Kind != want {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -7,7 +7,7 @@
 
 	"wardturn"
 	"wardturn/decide"
-	"wardturn/platform"
+	"wardturn/process"
 )
 
 // Metrics are an agent's counters, gauges and histograms. Labels are bounded:
@@ -18,7 +18,7 @@
 	queued   tally.Gauge
 	wants    tally.Gauge
 	attempts tally.Gauge
-	outcomes *platform.OutcomeCounters
+	outcomes *process.OutcomeCounters
 	stall    tally.Histogram
 	loadTime tally.Histogram
 
@@ -39,7 +39,7 @@
 		queued:   s.Gauge("queued_requests"),
 		wants:    s.Gauge("waiting_adapters"),
 		attempts: s.Gauge("remembered_attempts"),
-		outcomes: platform.NewOutcomeCounters(s, "attempts_total"),
+		outcomes: process.NewOutcomeCounters(s, "attempts_total"),
 		stall:    s.Histogram("load_stall_seconds", buckets),
 		loadTime: s.Histogram("load_seconds", buckets),
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -9,8 +9,8 @@
 	"wardturn"
 	"wardturn/control"
 	"wardturn/decide"
+	"wardturn/driver"
 	"wardturn/peer"
-	"wardturn/platform"
 )
 
 // startRun runs an attempt that the core let go; the lock is held.
@@ -129,7 +129,7 @@
 		return
 	}
 	if err == nil && res.Adapter != t.req.Adapter {
-		err = platform.ErrWrongVersion
+		err = driver.ErrWrongVersion
 	}
 	a.ended(t, a.outcomeOf(t, err))
 }
@@ -169,7 +169,7 @@
 		return wardturn.Finished()
 	case errors.Is(err, wardturn.ErrNotStarted), errors.Is(err, wardturn.ErrNotLoaded):
 		return wardturn.Refused(wardturn.ReasonRefused, time.Second)
-	case errors.Is(err, platform.ErrWrongVersion):
+	case errors.Is(err, driver.ErrWrongVersion):
 		return wardturn.Uncertain(wardturn.ReasonWrongVersion)
 	case errors.Is(err, context.Canceled):
 		return wardturn.Uncertain(wardturn.ReasonCanceled)
--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -15,9 +15,10 @@
 	"wardturn"
 	"wardturn/control"
 	"wardturn/decide"
+	"wardturn/driver"
 	"wardturn/peer"
-	"wardturn/platform"
 	"wardturn/policy"
+	"wardturn/process"
 	"wardturn/standin"
 )
 
@@ -210,7 +211,7 @@
 }
 
 func configMemory(adapters int) (float64, error) {
-	log := standin.NewLog(platform.Clock{}, standin.LogConfig{})
+	log := standin.NewLog(process.Clock{}, standin.LogConfig{})
 	ctx := context.Background()
 	records := 0
 	for at := 0; at < adapters; at += 500 {
@@ -235,7 +236,7 @@
 		records++
 	}
 	before := heap()
-	r := control.NewReplica(log, platform.Clock{}, hclog.NewNullLogger(), false)
+	r := control.NewReplica(log, process.Clock{}, hclog.NewNullLogger(), false)
 	defer r.Close()
 	c := control.NewCatalog(r)
 	if err := r.WaitFor(ctx, wardturn.Offset(records)); err != nil {
@@ -387,7 +388,7 @@
 }
 
 func forceTime(n int) (float64, error) {
-	log := standin.NewLog(platform.Clock{}, standin.LogConfig{
+	log := standin.NewLog(process.Clock{}, standin.LogConfig{
 		Latency: 10 * time.Millisecond,
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -397,7 +398,7 @@
 	defer standin.Serve(ln, standin.LogHandler(log))()
 	replicas := make([]*control.Replica, 0, n)
 	for range n {
-		replicas = append(replicas, control.NewReplica(platform.NewLog(ln.Addr().String()), platform.Clock{}, hclog.NewNullLogger(), false))
+		replicas = append(replicas, control.NewReplica(driver.NewLog(ln.Addr().String()), process.Clock{}, hclog.NewNullLogger(), false))
 	}
 	defer func() {
 		var wg sync.WaitGroup
@@ -454,12 +455,12 @@
 }
 
 func claimRecords(rate int) (float64, error) {
-	log := standin.NewLog(platform.Clock{}, standin.LogConfig{
+	log := standin.NewLog(process.Clock{}, standin.LogConfig{
 		Latency: 10 * time.Millisecond,
 	})
-	r := control.NewReplica(log, platform.Clock{}, hclog.NewNullLogger(), true)
+	r := control.NewReplica(log, process.Clock{}, hclog.NewNullLogger(), true)
 	defer r.Close()
-	c := control.NewClaimer(r, platform.Clock{}, "u", "p")
+	c := control.NewClaimer(r, process.Clock{}, "u", "p")
 	const period = 2 * time.Second
 	var wg sync.WaitGroup
 	var failed atomic.Int64
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"wardturn/cli"
-	"wardturn/platform"
+	"wardturn/process"
 	"wardturn/standin"
 )
 
@@ -244,7 +244,7 @@
 
 func newPlatform(t *testing.T) testPlatform {
 	t.Helper()
-	clock := platform.Clock{}
+	clock := process.Clock{}
 	log := standin.NewLog(clock, standin.LogConfig{})
 	hosts := standin.NewHostList(clock, 0)
 	store := standin.NewStore(clock, standin.StoreConfig{
--- a/cli/client.go
+++ b/cli/client.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn/control"
+	"wardturn/driver"
 	"wardturn/entry"
-	"wardturn/platform"
 )
 
 // entryFlags say which entry host to talk to, and as whom.
@@ -96,7 +96,7 @@
 }
 
 func refusal(res *fasthttp.Response) error {
-	var body platform.ErrorBody
+	var body driver.ErrorBody
 	if json.Unmarshal(res.Body(), &body) != nil || body.Error.Code == "" {
 		return &refusedError{
 			code:    "http_error",
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -18,8 +18,9 @@
 
 	"wardturn"
 	"wardturn/agent"
-	"wardturn/platform"
+	"wardturn/driver"
 	"wardturn/policy"
+	"wardturn/process"
 )
 
 // processSettings are the settings that entry and agent share.
@@ -260,7 +261,7 @@
 	if err != nil {
 		return err
 	}
-	metrics := platform.NewMetrics()
+	metrics := process.NewMetrics()
 	defer metrics.Close()
 	if set.MetricsAddress != "" {
 		stop, err := serveMetrics(set.MetricsAddress, metrics)
@@ -272,11 +273,11 @@
 	c := dig.New()
 	err = provideAll(c,
 		func() agent.Config { return set.config(NewProcess()) },
-		func() wardturn.Clock { return platform.Clock{} },
+		func() wardturn.Clock { return process.Clock{} },
 		func() hclog.Logger { return logger },
 		func() *agent.Metrics { return agent.NewMetrics(metrics.Scope) },
-		func() wardturn.Log { return platform.NewLog(set.LogAddr) },
-		func() wardturn.HostList { return platform.NewHostList(set.HostList) },
+		func() wardturn.Log { return driver.NewLog(set.LogAddr) },
+		func() wardturn.HostList { return driver.NewHostList(set.HostList) },
 		func() wardturn.Policy { return policy.Default{} },
 		func() net.Listener { return ln },
 		func() *tls.Config { return conf },
@@ -286,9 +287,9 @@
 		return err
 	}
 	if set.Service != "" {
-		err = c.Provide(func() wardturn.Service { return platform.NewService(set.UpstreamAddr) })
+		err = c.Provide(func() wardturn.Service { return driver.NewService(set.UpstreamAddr) })
 	} else {
-		err = c.Provide(func() wardturn.Engine { return platform.NewEngine(set.UpstreamAddr) })
+		err = c.Provide(func() wardturn.Engine { return driver.NewEngine(set.UpstreamAddr) })
 	}
 	if err != nil {
 		return errors.Wrap(err, "wiring")
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -15,7 +15,7 @@
 	"wardturn/demo"
 	"wardturn/experiment"
 	"wardturn/load"
-	"wardturn/platform"
+	"wardturn/process"
 )
 
 // demoCmd runs the whole system on stand-ins.
@@ -54,7 +54,7 @@
 		Addrs:  sys.Addrs(),
 		Trace:  profile.Generate(c.Seed),
 		Stream: true,
-		Clock:  platform.Clock{},
+		Clock:  process.Clock{},
 	})
 	stop := showProgress(s.Err, runner, sys)
 	sum := runner.Run(ctx)
@@ -146,7 +146,7 @@
 		Trace:  trace,
 		Key:    c.Key,
 		Stream: c.Stream,
-		Clock:  platform.Clock{},
+		Clock:  process.Clock{},
 		Limit:  c.Limit,
 	}).Run(ctx)
 	enc := json.NewEncoder(s.Out)
--- a/cli/entryd.go
+++ b/cli/entryd.go
@@ -11,8 +11,9 @@
 	"go.uber.org/dig"
 
 	"wardturn"
+	"wardturn/driver"
 	"wardturn/entry"
-	"wardturn/platform"
+	"wardturn/process"
 )
 
 // entrySettings are the settings of wardturn-entry.
@@ -150,16 +151,16 @@
 	if err != nil {
 		return err
 	}
-	metrics := platform.NewMetrics()
+	metrics := process.NewMetrics()
 	defer metrics.Close()
 	c := dig.New()
 	err = provideAll(c,
 		func() entry.Config { return set.config(NewProcess()) },
-		func() wardturn.Clock { return platform.Clock{} },
+		func() wardturn.Clock { return process.Clock{} },
 		func() hclog.Logger { return logger },
 		func() *entry.Metrics { return entry.NewMetrics(metrics.Scope, metrics.Handler) },
-		func() wardturn.Log { return platform.NewLog(set.LogAddr) },
-		func() wardturn.HostList { return platform.NewHostList(set.HostList) },
+		func() wardturn.Log { return driver.NewLog(set.LogAddr) },
+		func() wardturn.HostList { return driver.NewHostList(set.HostList) },
 		func() net.Listener { return ln },
 		newEntry,
 	)
--- a/cli/metrics.go
+++ b/cli/metrics.go
@@ -6,11 +6,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"wardturn/platform"
+	"wardturn/process"
 )
 
 // serveMetrics serves /metrics and /healthz of a process without an API.
-func serveMetrics(addr string, m *platform.Metrics) (stop func(), err error) {
+func serveMetrics(addr string, m *process.Metrics) (stop func(), err error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -15,7 +15,7 @@
 
 	"wardturn"
 	"wardturn/control"
-	"wardturn/platform"
+	"wardturn/process"
 	"wardturn/standin"
 )
 
@@ -25,7 +25,7 @@
 }
 
 func replica(log wardturn.Log) *control.Replica {
-	r := control.NewReplica(log, platform.Clock{}, hclog.NewNullLogger(), true)
+	r := control.NewReplica(log, process.Clock{}, hclog.NewNullLogger(), true)
 	DeferCleanup(r.Close)
 	return r
 }
@@ -59,7 +59,7 @@
 	ctx := context.Background()
 
 	BeforeEach(func() {
-		log = standin.NewLog(platform.Clock{}, standin.LogConfig{})
+		log = standin.NewLog(process.Clock{}, standin.LogConfig{})
 	})
 
 	It("accepts exactly one of two racing publications, everywhere", func() {
@@ -148,7 +148,7 @@
 			counting := &countingLog{
 				Log: log,
 			}
-			r := control.NewReplica(counting, platform.Clock{}, hclog.NewNullLogger(), false)
+			r := control.NewReplica(counting, process.Clock{}, hclog.NewNullLogger(), false)
 			defer r.Close()
 			Eventually(func() bool {
 				_, ok := r.Get("adapter/a")
@@ -180,7 +180,7 @@
 
 var _ = Describe("Claimer", func() {
 	It("lets one of many racing claims run and appends them in batches", func() {
-		log := standin.NewLog(platform.Clock{}, standin.LogConfig{
+		log := standin.NewLog(process.Clock{}, standin.LogConfig{
 			Latency: 5 * time.Millisecond,
 		})
 		const agents, each = 3, 40
@@ -190,7 +190,7 @@
 		var claimers []*control.Claimer
 		created := time.Now()
 		for i := range agents {
-			c := control.NewClaimer(replica(log), platform.Clock{}, wardturn.UpstreamID(fmt.Sprint("u", i)), "p")
+			c := control.NewClaimer(replica(log), process.Clock{}, wardturn.UpstreamID(fmt.Sprint("u", i)), "p")
 			claimers = append(claimers, c)
 			for j := range each {
 				wg.Add(1)
--- a/demo/system.go
+++ b/demo/system.go
@@ -14,9 +14,10 @@
 	"wardturn/agent"
 	"wardturn/control"
 	"wardturn/decide"
+	"wardturn/driver"
 	"wardturn/entry"
-	"wardturn/platform"
 	"wardturn/policy"
+	"wardturn/process"
 	"wardturn/standin"
 )
 
@@ -59,7 +60,7 @@
 		Engine:  standin.DefaultEngine(),
 		Work:    5 * time.Millisecond,
 		Logger:  hclog.NewNullLogger(),
-		Clock:   platform.Clock{},
+		Clock:   process.Clock{},
 	}
 }
 
@@ -92,7 +93,7 @@
 	Entries   []*entry.Entry
 	LogAddr   string
 	HostsAddr string
-	metrics   []*platform.Metrics
+	metrics   []*process.Metrics
 	stops     []func()
 	processes int
 }
@@ -197,7 +198,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	metrics := platform.NewMetrics()
+	metrics := process.NewMetrics()
 	s.metrics = append(s.metrics, metrics)
 	deps := agent.Deps{
 		Config: agent.Config{
@@ -218,16 +219,16 @@
 		Clock:    s.cfg.Clock,
 		Logger:   s.cfg.Logger.Named("agent"),
 		Metrics:  agent.NewMetrics(metrics.Scope),
-		Log:      platform.NewLog(s.LogAddr),
-		Hosts:    platform.NewHostList(s.HostsAddr),
+		Log:      driver.NewLog(s.LogAddr),
+		Hosts:    driver.NewHostList(s.HostsAddr),
 		Policy:   policy.Default{},
 		Listener: ln,
 	}
 	if u.Engine != nil {
-		deps.Engine = platform.NewEngine(u.addr)
+		deps.Engine = driver.NewEngine(u.addr)
 		deps.Config.Slots = s.cfg.Slots
 	} else {
-		deps.Service = platform.NewService(u.addr)
+		deps.Service = driver.NewService(u.addr)
 	}
 	u.Agent = agent.New(deps)
 	if err := s.relay(u); err != nil {
@@ -263,7 +264,7 @@
 	if err != nil {
 		return err
 	}
-	metrics := platform.NewMetrics()
+	metrics := process.NewMetrics()
 	s.metrics = append(s.metrics, metrics)
 	s.Entries = append(s.Entries, entry.New(entry.Deps{
 		Config: entry.Config{
@@ -277,8 +278,8 @@
 		Clock:    s.cfg.Clock,
 		Logger:   s.cfg.Logger.Named("entry"),
 		Metrics:  entry.NewMetrics(metrics.Scope, metrics.Handler),
-		Log:      platform.NewLog(s.LogAddr),
-		Hosts:    platform.NewHostList(s.HostsAddr),
+		Log:      driver.NewLog(s.LogAddr),
+		Hosts:    driver.NewHostList(s.HostsAddr),
 		Listener: ln,
 	}))
 	return nil
--- a/doc.go
+++ b/doc.go
@@ -14,6 +14,6 @@
 // The package holds named types and the interfaces behind which behaviour
 // varies. Implementations live in the packages below it: decide is the pure
 // decision core, entry and agent are the daemons as libraries, control is the
-// configuration on the platform's log, platform has the drivers for outside
+// configuration on the platform's log, driver has the clients of outside
 // systems, and standin has small fakes of those systems.
 package wardturn
--- a/platform/engine.go
+++ b/driver/engine.go
@@ -1,4 +1,4 @@
-package platform
+package driver
 
 import (
 	"bytes"
@@ -29,8 +29,8 @@
 var (
 	// ErrWrongVersion is returned when an engine answers on another adapter
 	// version than the one asked for. No byte of the answer is passed on.
-	ErrWrongVersion = errors.New("platform: engine answered on another adapter version")
-	errBadAnswer    = errors.New("platform: unreadable answer of the engine")
+	ErrWrongVersion = errors.New("driver: engine answered on another adapter version")
+	errBadAnswer    = errors.New("driver: unreadable answer of the engine")
 )
 
 // Engine is a client of a model engine with an OpenAI-compatible API and
--- a/platform/engine_test.go
+++ b/driver/engine_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package driver_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn"
-	"wardturn/platform"
+	"wardturn/driver"
 	"wardturn/standin"
 )
 
@@ -26,12 +26,12 @@
 
 func run(addr string) (wardturn.EngineResult, string, error) {
 	got := ""
-	res, err := platform.NewEngine(addr).Run(context.Background(), wardturn.EngineRequest{
+	res, err := driver.NewEngine(addr).Run(context.Background(), wardturn.EngineRequest{
 		Adapter: wardturn.AdapterRef{
 			Adapter: "a",
 			Version: 3,
 		},
-		Path: platform.PathCompletions,
+		Path: driver.PathCompletions,
 		Body: []byte(`{}`),
 	}, func(data []byte) error {
 		got += string(data)
@@ -60,9 +60,9 @@
 	}{
 		{"whole stream", 200, rightStart + "data: [DONE]\n\n", nil, false, rightStart + "data: [DONE]\n\n"},
 		{"whole document", 200, `{"model":"a@3"}`, nil, false, `{"model":"a@3"}`},
-		{"another version", 200, "data: {\"model\":\"a@2\"}\n\ndata: [DONE]\n\n", platform.ErrWrongVersion, true, ""},
-		{"another adapter", 200, `{"model":"b@3"}`, platform.ErrWrongVersion, true, ""},
-		{"no model", 200, `{}`, platform.ErrWrongVersion, true, ""},
+		{"another version", 200, "data: {\"model\":\"a@2\"}\n\ndata: [DONE]\n\n", driver.ErrWrongVersion, true, ""},
+		{"another adapter", 200, `{"model":"b@3"}`, driver.ErrWrongVersion, true, ""},
+		{"no model", 200, `{}`, driver.ErrWrongVersion, true, ""},
 		{"no JSON", 200, `oops`, nil, true, ""},
 		{"stream cut short", 200, rightStart, nil, true, rightStart},
 		{"empty", 200, ``, nil, true, ""},
@@ -123,15 +123,15 @@
 
 func TestEngineOrders(t *testing.T) {
 	codes := map[string]error{
-		platform.CodeFenced:      wardturn.ErrFenced,
-		platform.CodeAdapterBusy: wardturn.ErrAdapterBusy,
-		platform.CodeNoSlot:      wardturn.ErrNoSlot,
-		platform.CodeStoreBusy:   wardturn.ErrStoreBusy,
-		platform.CodeUnavailable: wardturn.ErrUnavailable,
+		driver.CodeFenced:      wardturn.ErrFenced,
+		driver.CodeAdapterBusy: wardturn.ErrAdapterBusy,
+		driver.CodeNoSlot:      wardturn.ErrNoSlot,
+		driver.CodeStoreBusy:   wardturn.ErrStoreBusy,
+		driver.CodeUnavailable: wardturn.ErrUnavailable,
 	}
 	for code, want := range codes {
 		addr := serve(t, answer(409, `{"error":{"code":"`+code+`"}}`))
-		err := platform.NewEngine(addr).Load(context.Background(), wardturn.SlotOrder{
+		err := driver.NewEngine(addr).Load(context.Background(), wardturn.SlotOrder{
 			ID: 1,
 		})
 		if !errors.Is(err, want) {
--- a/platform/log.go
+++ b/driver/log.go
@@ -1,4 +1,4 @@
-package platform
+package driver
 
 import (
 	"context"
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,7 +15,7 @@
 	"wardturn/control"
 	"wardturn/decide"
 	"wardturn/peer"
-	"wardturn/platform"
+	"wardturn/process"
 	"wardturn/report"
 )
 
@@ -76,7 +76,7 @@
 	listedAt time.Time
 	links    map[wardturn.UpstreamID]*link
 	closed   bool
-	tasks    *platform.Tasks
+	tasks    *process.Tasks
 }
 
 // New starts an entry. It serves at once; Ready tells when it knows enough.
@@ -95,7 +95,7 @@
 		quotas:  make(map[wardturn.CallerID]*decide.Quota),
 		hosts:   make(map[wardturn.UpstreamID]wardturn.Host),
 		links:   make(map[wardturn.UpstreamID]*link),
-		tasks:   platform.NewTasks(d.Clock),
+		tasks:   process.NewTasks(d.Clock),
 		seeds: seeds{
 			pages: make(map[wardturn.UpstreamID]*seed),
 		},
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,14 +7,14 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn"
-	"wardturn/platform"
+	"wardturn/process"
 )
 
 // Metrics are an entry's counters and histograms. Labels are bounded: none
 // carries an adapter, a caller or a request.
 type Metrics struct {
 	handler  fasthttp.RequestHandler
-	requests *platform.OutcomeCounters
+	requests *process.OutcomeCounters
 	stall    [2]tally.Histogram // by class
 	whole    [2]tally.Histogram
 }
@@ -25,7 +25,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
 	m := &Metrics{
 		handler:  handler,
-		requests: platform.NewOutcomeCounters(s, "requests_total"),
+		requests: process.NewOutcomeCounters(s, "requests_total"),
 	}
 	for _, class := range []wardturn.Class{wardturn.Interactive, wardturn.Batch} {
 		tagged := s.Tagged(map[string]string{
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn"
-	"wardturn/platform"
+	"wardturn/driver"
 )
 
 // problem is an error answer. Its zero value is none.
@@ -25,8 +25,8 @@
 
 // errorAnswer is the error shape of the OpenAI API, and whether the request ran.
 type errorAnswer struct {
-	Error platform.ErrorDetail `json:"error"`
-	Ran   string               `json:"ran"` // no, yes or unknown
+	Error driver.ErrorDetail `json:"error"`
+	Ran   string             `json:"ran"` // no, yes or unknown
 }
 
 func (p problem) answer() errorAnswer {
@@ -39,7 +39,7 @@
 		ran = "unknown"
 	}
 	return errorAnswer{
-		Error: platform.ErrorDetail{
+		Error: driver.ErrorDetail{
 			Message: p.message,
 			Type:    kind,
 			Code:    p.code,
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -11,7 +11,7 @@
 
 	"wardturn"
 	"wardturn/peer"
-	"wardturn/platform"
+	"wardturn/process"
 	"wardturn/standin"
 )
 
@@ -85,7 +85,7 @@
 		t.Fatal(err)
 	}
 	srv := newRecorder()
-	server := peer.NewServer(ln, nil, platform.Clock{}, identity(peer.RoleAgent, "a1"), srv)
+	server := peer.NewServer(ln, nil, process.Clock{}, identity(peer.RoleAgent, "a1"), srv)
 	defer server.Close()
 	relay, err := standin.NewRelay(ln.Addr().String())
 	if err != nil {
--- a/platform/tasks.go
+++ b/process/tasks.go
@@ -1,4 +1,4 @@
-package platform
+package process
 
 import (
 	"context"
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -13,7 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn"
-	"wardturn/platform"
+	"wardturn/driver"
 )
 
 // Serve runs a handler on a listener until the listener is closed. The result
@@ -43,8 +43,8 @@
 }
 
 func writeError(ctx *fasthttp.RequestCtx, status int, code, message string) {
-	writeJSON(ctx, status, platform.ErrorBody{
-		Error: platform.ErrorDetail{
+	writeJSON(ctx, status, driver.ErrorBody{
+		Error: driver.ErrorDetail{
 			Message: message,
 			Type:    "engine_error",
 			Code:    code,
@@ -56,7 +56,7 @@
 func LogHandler(l *Log) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		switch {
-		case string(ctx.Path()) != platform.PathRecords:
+		case string(ctx.Path()) != driver.PathRecords:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		case ctx.IsPost():
 			appendRecord(ctx, l)
@@ -74,7 +74,7 @@
 	case err != nil:
 		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
 	default:
-		writeJSON(ctx, fasthttp.StatusOK, platform.Appended{
+		writeJSON(ctx, fasthttp.StatusOK, driver.Appended{
 			Offset: offset,
 		})
 	}
@@ -97,12 +97,12 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	wire := platform.WirePage{
+	wire := driver.WirePage{
 		First: page.First,
 		Next:  page.Next,
 	}
 	for _, r := range page.Records {
-		wire.Records = append(wire.Records, platform.WireRecord{
+		wire.Records = append(wire.Records, driver.WireRecord{
 			Offset: r.Offset,
 			Time:   r.Time,
 			Data:   r.Data,
@@ -143,13 +143,13 @@
 func EngineHandler(e *Engine) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
-		case platform.PathCompletions, platform.PathChatCompletions:
+		case driver.PathCompletions, driver.PathChatCompletions:
 			generate(ctx, e)
-		case platform.PathLoadAdapter:
+		case driver.PathLoadAdapter:
 			orderSlot(ctx, e.Load)
-		case platform.PathUnloadAdapter:
+		case driver.PathUnloadAdapter:
 			orderSlot(ctx, e.Unload)
-		case platform.PathReport:
+		case driver.PathReport:
 			writeJSON(ctx, fasthttp.StatusOK, e.Report())
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -158,7 +158,7 @@
 }
 
 func orderSlot(ctx *fasthttp.RequestCtx, do func(wardturn.SlotOrder, func(error))) {
-	var body platform.AdapterOrder
+	var body driver.AdapterOrder
 	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
 		return
@@ -168,8 +168,8 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
-	fence, _ := strconv.ParseInt(string(ctx.Request.Header.Peek(platform.HeaderFence)), 10, 64)
-	id, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(platform.HeaderOrder)), 10, 64)
+	fence, _ := strconv.ParseInt(string(ctx.Request.Header.Peek(driver.HeaderFence)), 10, 64)
+	id, _ := strconv.ParseUint(string(ctx.Request.Header.Peek(driver.HeaderOrder)), 10, 64)
 	ended := make(chan error, 1)
 	do(wardturn.SlotOrder{
 		ID:      wardturn.OrderID(id),
@@ -188,17 +188,17 @@
 func errorCode(err error) string {
 	switch {
 	case errors.Is(err, wardturn.ErrFenced):
-		return platform.CodeFenced
+		return driver.CodeFenced
 	case errors.Is(err, wardturn.ErrAdapterBusy):
-		return platform.CodeAdapterBusy
+		return driver.CodeAdapterBusy
 	case errors.Is(err, wardturn.ErrNoSlot):
-		return platform.CodeNoSlot
+		return driver.CodeNoSlot
 	case errors.Is(err, wardturn.ErrStoreBusy):
-		return platform.CodeStoreBusy
+		return driver.CodeStoreBusy
 	case errors.Is(err, wardturn.ErrNotLoaded):
-		return platform.CodeNotLoaded
+		return driver.CodeNotLoaded
 	}
-	return platform.CodeUnavailable
+	return driver.CodeUnavailable
 }
 
 // generateBody is the part of a completion request that the stand-in heeds.
@@ -237,8 +237,8 @@
 	}
 	a := answer{
 		model: body.Model,
-		id:    string(ctx.Request.Header.Peek(platform.HeaderAttempt)),
-		chat:  string(ctx.Path()) == platform.PathChatCompletions,
+		id:    string(ctx.Request.Header.Peek(driver.HeaderAttempt)),
+		chat:  string(ctx.Path()) == driver.PathChatCompletions,
 	}
 	attempt := wardturn.AttemptID{
 		Entry: wardturn.Incarnation(a.id),
