Load window follows the typical load; Fleet looks only at engines that hold an adapter

Change: an index of holders; homes are ranked only when a load is asked for; the window narrows on the smoothed time, outliers cut at four times it; start 24, 4 to 48.

--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -72,9 +72,9 @@
 	HoldPart       float64       `default:"0.7" help:"Part of its objective that a request may wait for its adapter."`
 	CrossDomain    bool          `help:"Send requests to other failure domains that hold their adapter."`
 	HomeEverywhere bool          `help:"Load a cold adapter once in all failure domains."`
-	LoadsAtStart   float64       `default:"4" help:"Adapter loads under way for this host, at the start."`
-	LoadsAtMost    float64       `default:"16" help:"Adapter loads under way for this host, at most."`
-	LoadSlowed     float64       `default:"2" help:"Factor over the quickest load that counts as an overloaded weight store."`
+	LoadsAtStart   float64       `default:"24" help:"Adapter loads under way for this host, at the start; 16 to 32 served a calm day equally well."`
+	LoadsAtMost    float64       `default:"48" help:"Adapter loads under way for this host, at most."`
+	LoadSlowed     float64       `default:"3" help:"Factor of the typical load over the quickest that counts as an overloaded weight store."`
 }
 
 type keeperCmd struct {
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -19,7 +19,8 @@
 	table    *wardturn.RouteTable
 	versions map[wardturn.ModelAdapter]wardturn.Version
 	members  map[wardturn.UpstreamID]*Member
-	services map[wardturn.ServiceName][]*Member // in order of id
+	services map[wardturn.ServiceName][]*Member  // in order of id
+	holders  map[wardturn.ModelAdapter][]*Member // engines that hold an adapter ready
 	wants    map[wardturn.ModelAdapter]*want
 	window   LoadWindow
 	asked    int // wants whose load was asked for
@@ -86,6 +87,7 @@
 		versions: make(map[wardturn.ModelAdapter]wardturn.Version),
 		members:  make(map[wardturn.UpstreamID]*Member),
 		services: make(map[wardturn.ServiceName][]*Member),
+		holders:  make(map[wardturn.ModelAdapter][]*Member),
 		wants:    make(map[wardturn.ModelAdapter]*want),
 		window:   NewLoadWindow(cfg.Window),
 		rates:    make(map[wardturn.ModelAdapter]*meter),
@@ -146,10 +148,36 @@
 			return strings.Compare(string(x.ID), string(y.ID))
 		})
 	}
+	for id, m := range f.members {
+		if members[id] != m {
+			f.release(m)
+		}
+	}
 	f.members = members
 	f.services = services
 }
 
+// release forgets what a member holds.
+func (f *Fleet) release(m *Member) {
+	for key, h := range m.held {
+		if h.ready {
+			f.unhold(m, key)
+		}
+	}
+	clear(m.held)
+}
+
+func (f *Fleet) unhold(m *Member, key wardturn.ModelAdapter) {
+	list := slices.DeleteFunc(f.holders[key], func(o *Member) bool {
+		return o == m
+	})
+	if len(list) == 0 {
+		delete(f.holders, key)
+		return
+	}
+	f.holders[key] = list
+}
+
 // Members returns the members of a service.
 func (f *Fleet) Members(s wardturn.ServiceName) []*Member {
 	return f.services[s]
@@ -172,7 +200,7 @@
 	m.holding = h
 	m.heldAt = now
 	m.atHold = m.running
-	m.held = make(map[wardturn.ModelAdapter]heldAdapter, len(h.Adapters))
+	f.release(m)
 	for _, a := range h.Adapters {
 		m.held[a.Adapter.Key()] = heldAdapter{
 			version: a.Adapter.Version,
@@ -181,6 +209,7 @@
 		}
 		if a.Ready {
 			m.everHeld[a.Adapter.Key()] = true
+			f.holders[a.Adapter.Key()] = append(f.holders[a.Adapter.Key()], m)
 		}
 	}
 	for _, a := range h.Adapters {
@@ -286,9 +315,14 @@
 // NotHeld records that an engine refused a request because it does not hold the
 // adapter version. It counts until the keeper's next word.
 func (f *Fleet) NotHeld(id wardturn.UpstreamID, key wardturn.ModelAdapter) {
-	if m := f.members[id]; m != nil {
-		delete(m.held, key)
+	m := f.members[id]
+	if m == nil {
+		return
+	}
+	if m.held[key].ready {
+		f.unhold(m, key)
 	}
+	delete(m.held, key)
 }
 
 // usable reports whether a member may be given a request.
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -60,7 +60,19 @@
 
 // Moves collects what a decision wants done.
 type Moves struct {
-	Asks []LoadAsk
+	Asks  []LoadAsk
+	Loads []LoadNote
+}
+
+// LoadNote says that an adapter that was asked for arrived.
+type LoadNote struct {
+	Adapter  wardturn.AdapterVersion
+	Upstream wardturn.UpstreamID
+	Took     time.Duration // since it was asked for
+	Waited   time.Duration // since the first request waited
+	Warm     bool          // its engine held it before
+	Window   int           // loads that may be under way
+	Asked    int           // loads that were under way
 }
 
 // want is an adapter that requests wait for, or that is loaded for those that
@@ -145,12 +157,16 @@
 func (f *Fleet) place(now time.Time, t *Ticket, out *Moves) bool {
 	newest := f.versions[t.Key]
 	ready := func(m *Member) bool {
-		if !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
+		if m.Service != t.Service || !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
 			return false
 		}
 		return m.serves(t.Key, newest)
 	}
-	m := f.best(f.services[t.Service], f.cfg.CrossDomain || t.Key.Adapter == "", ready)
+	list := f.services[t.Service]
+	if t.Key.Adapter != "" {
+		list = f.holders[t.Key]
+	}
+	m := f.best(list, f.cfg.CrossDomain || t.Key.Adapter == "", ready)
 	if m == nil {
 		return false
 	}
@@ -212,9 +228,24 @@
 	t.want = w
 	t.holdUntil = t.Arrived.Add(time.Duration(f.cfg.HoldPart * float64(t.Objective)))
 	w.waiting = append(w.waiting, t)
+	if !w.askedAt.IsZero() || w.key.Adapter == "" {
+		return
+	}
+	if len(w.waiting) == 1 {
+		f.askWarm(now, w, out)
+	}
 	f.pump(now, out)
 }
 
+// askWarm asks for a want at once if its home held the adapter before: the home
+// takes it from its own memory, not from the weight store.
+func (f *Fleet) askWarm(now time.Time, w *want, out *Moves) {
+	home := f.home(now, w.service, w.key)
+	if home != nil && home.everHeld[w.key] {
+		f.ask(now, w, home, out)
+	}
+}
+
 // home returns the engine that should load an adapter: the first in the order
 // of homes that does not hold it and has room on the way.
 func (f *Fleet) home(now time.Time, s wardturn.ServiceName, key wardturn.ModelAdapter) *Member {
@@ -238,10 +269,9 @@
 	return n
 }
 
-// pump asks for the worthiest wants while the window has room. Loads that the
-// home takes from its own memory do not count in it.
+// pump asks for the worthiest wants while the window has room.
 func (f *Fleet) pump(now time.Time, out *Moves) {
-	for {
+	for f.asked < f.window.Size() {
 		w := f.nextWant(now)
 		if w == nil {
 			return
@@ -257,15 +287,11 @@
 
 // nextWant returns the want to ask for next, or nil.
 func (f *Fleet) nextWant(now time.Time) *want {
-	room := f.asked < f.window.Size()
 	var best *want
 	for _, w := range f.wants {
 		if w.key.Adapter == "" || !w.askedAt.IsZero() || w.backlog() == 0 || now.Sub(w.toldAt) < wishRepeat {
 			continue
 		}
-		if !room && !f.isWarm(now, w) {
-			continue
-		}
 		if best == nil || w.before(best) {
 			best = w
 		}
@@ -273,11 +299,6 @@
 	return best
 }
 
-func (f *Fleet) isWarm(now time.Time, w *want) bool {
-	home := f.home(now, w.service, w.key)
-	return home != nil && home.everHeld[w.key]
-}
-
 func (w *want) backlog() int {
 	return len(w.waiting) + w.owed
 }
@@ -329,6 +350,17 @@
 	if !w.askedAt.IsZero() && w.home == m.ID && !w.warm {
 		f.window.Loaded(now, now.Sub(w.askedAt))
 	}
+	if !w.askedAt.IsZero() {
+		out.Loads = append(out.Loads, LoadNote{
+			Adapter:  a,
+			Upstream: m.ID,
+			Took:     now.Sub(w.askedAt),
+			Warm:     w.warm,
+			Waited:   now.Sub(w.first),
+			Window:   f.window.Size(),
+			Asked:    f.asked,
+		})
+	}
 	waiting := w.waiting
 	f.drop(w)
 	for _, t := range waiting {
@@ -374,6 +406,9 @@
 // placeWaiting tries to place the requests of a want: an engine that was full may
 // have room again.
 func (f *Fleet) placeWaiting(now time.Time, w *want, out *Moves) {
+	if len(w.waiting) == 0 || w.key.Adapter != "" && len(f.holders[w.key]) == 0 {
+		return
+	}
 	kept := w.waiting[:0]
 	for _, t := range w.waiting {
 		if !f.place(now, t, out) {
@@ -412,7 +447,6 @@
 		return
 	}
 	if now.Sub(w.askedAt) > loadGiveUp {
-		f.window.Failed(now)
 		f.unask(w)
 		return
 	}
--- a/decide/window.go
+++ b/decide/window.go
@@ -10,17 +10,17 @@
 	Start float64 // loads at once, at the start
 	Least float64
 	Most  float64
-	// Slowed is how many times the quickest recent load one may take before
-	// the weight store counts as overloaded.
+	// Slowed is how many times the quickest recent load the typical one may take
+	// before the weight store counts as overloaded.
 	Slowed float64
 }
 
 // The defaults of WindowConfig.
 const (
-	DefaultWindowStart  = 4
-	DefaultWindowLeast  = 1
-	DefaultWindowMost   = 16
-	DefaultWindowSlowed = 2.0
+	DefaultWindowStart  = 24
+	DefaultWindowLeast  = 4
+	DefaultWindowMost   = 48
+	DefaultWindowSlowed = 3.0
 )
 
 func (c WindowConfig) withDefaults() WindowConfig {
@@ -36,12 +36,14 @@
 	loadGuess    = 300 * time.Millisecond // before any load was seen
 	loadWeight   = 0.2                    // of a new observation of the typical time
 	quickForget  = 1.002                  // the quickest time is forgotten slowly, a load at a time
+	loadOutlier  = 4                      // times the typical time at which one load counts at most
 )
 
 // LoadWindow bounds the loads that one gateway has under way. All gateways share
 // the weight store and none sees the others' loads; each widens its window while
 // loads are quick and narrows it when they slow down, as congestion control
-// does. It adds one load per window and takes a fifth off.
+// does. It adds one load per window and takes a fifth off. Single loads may be
+// slow for reasons of their engine, so the typical time decides.
 type LoadWindow struct {
 	cfg      WindowConfig
 	size     float64
@@ -72,23 +74,19 @@
 
 // Loaded takes the time of a load.
 func (w *LoadWindow) Loaded(now time.Time, d time.Duration) {
+	d = min(d, loadOutlier*w.typical)
 	w.typical += time.Duration(loadWeight * float64(d-w.typical))
 	w.quickest = time.Duration(float64(w.quickest) * quickForget)
 	if w.quickest == 0 || d < w.quickest {
 		w.quickest = d
 	}
-	if float64(d) <= w.cfg.Slowed*float64(w.quickest) {
+	if float64(w.typical) <= w.cfg.Slowed*float64(w.quickest) {
 		w.size = min(w.cfg.Most, w.size+1/w.size)
 		return
 	}
 	w.shrink(now)
 }
 
-// Failed takes the word that a load did not come.
-func (w *LoadWindow) Failed(now time.Time) {
-	w.shrink(now)
-}
-
 // shrink narrows the window, once for the loads that were under way together.
 func (w *LoadWindow) shrink(now time.Time) {
 	if now.Sub(w.shrunkAt) < w.typical {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -68,6 +69,9 @@
 	notRun
 	// unknown: it may have run, and the caller has no byte of an answer.
 	unknown
+	// failed: it ran, the upstream answered with an error of its own, and the
+	// request may run once more; the budget has been asked.
+	failed
 	// cut: the caller has a part of the answer that cannot go on.
 	cut
 	// left: the caller is gone.
@@ -85,7 +89,10 @@
 	}
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	w.Header()["Date"] = nil // callers do not use it, and every byte between failure domains is paid for
+	w.Header()["Date"] = nil // callers do not use it
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if !x.resolve() || !x.readBody() {
 		return
 	}
@@ -182,6 +189,9 @@
 			x.g.logger.Warn("answer cut", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID)
 			x.g.metrics.finished(x, "cut")
 			panic(http.ErrAbortHandler)
+		case failed:
+			x.ran++
+			continue
 		case unknown:
 			x.ran++
 			if !x.mayRunAgain() {
@@ -330,12 +340,21 @@
 		// has not said.
 		ans.discard()
 		return unknown
+	case res.StatusCode >= http.StatusInternalServerError && x.tryAgain():
+		x.drain(ans)
+		return failed
 	case x.route.Streaming && res.StatusCode < http.StatusMultipleChoices:
 		return x.stream(ans)
 	}
 	return x.whole(ans)
 }
 
+// tryAgain reports whether a request that ran and failed may run once more, and
+// takes that from the budget.
+func (x *exchange) tryAgain() bool {
+	return x.repeatable() && x.ran+1 < x.route.MaxUpstreams && x.g.clock.Now().Before(x.end) && x.g.mayResend(x.service)
+}
+
 func (x *exchange) misdirected(a assignment, res *http.Response) {
 	if got := res.Header.Get(x.g.names.Instance); got != "" && got != string(a.Member.ID) {
 		x.g.logger.Info("another upstream at the address", "upstream", a.Member.ID, "found", got, "addr", a.Member.Addr)
@@ -379,10 +398,9 @@
 func (x *exchange) copyHead(res *http.Response) {
 	h := x.w.Header()
 	for name, values := range res.Header {
-		h[name] = values
-	}
-	for _, name := range hopHeaders {
-		delete(h, name)
+		if !slices.Contains(hopHeaders, name) {
+			h[name] = values
+		}
 	}
 	if h.Get("Content-Type") == "" {
 		h["Content-Type"] = nil // keeps the library from guessing one
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	configMaxRetry = 500 * time.Millisecond
 	serveLimit     = time.Second // after which requests are refused rather than kept waiting for a configuration
 	leavePoll      = 20 * time.Millisecond
+	closeLimit     = 200 * time.Millisecond // for answers that begin while the listener closes
 	defaultHeader  = 16 << 10
 	defaultIdle    = 15 * time.Second
 	defaultRead    = 3 * time.Second
@@ -84,7 +85,6 @@
 	mu      sync.Mutex
 	fleet   *decide.Fleet
 	budgets map[wardturn.ServiceName]*decide.RetryBudget
-	moves   decide.Moves
 }
 
 // New starts a gateway. It serves when it has a configuration, or after a
@@ -211,7 +211,7 @@
 		g.logger.Info("configuration in force", "version", c.Table.Version, "routes", len(c.Table.Routes))
 	}
 	g.mu.Unlock()
-	g.links.ask(out)
+	g.carry(out)
 	if c.Table == nil {
 		return
 	}
@@ -264,6 +264,14 @@
 	g.mu.Lock()
 	f(g.clock.Now(), &out)
 	g.mu.Unlock()
+	g.carry(out)
+}
+
+// carry does what a decision wants done, outside the lock.
+func (g *Gateway) carry(out decide.Moves) {
+	for _, n := range out.Loads {
+		g.logger.Info("adapter there", "adapter", n.Adapter.Adapter, "version", n.Adapter.Version, "upstream", n.Upstream, "took", n.Took, "waited", n.Waited, "warm", n.Warm, "window", n.Window, "asked", n.Asked)
+	}
 	g.links.ask(out)
 }
 
@@ -334,7 +342,6 @@
 // ctx ends.
 func (g *Gateway) Leave(ctx context.Context) {
 	g.leaving.Store(true)
-	g.server.SetKeepAlivesEnabled(false)
 	g.logger.Info("leaving", "requests", g.open.Load())
 	until := g.clock.Now().Add(g.cfg.LeaveAfter)
 	for g.clock.Now().Before(until) || g.open.Load() > 0 {
@@ -348,6 +355,9 @@
 // Close ends the gateway at once.
 func (g *Gateway) Close() {
 	g.tasks.Stop()
+	limit, cancel := context.WithTimeout(context.Background(), closeLimit)
+	defer cancel()
+	_ = g.server.Shutdown(limit)
 	_ = g.server.Close()
 	if g.ready != nil {
 		_ = g.ready.Close()
