--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -74,7 +74,7 @@
 	HomeEverywhere bool          `help:"Load a cold adapter once in all failure domains."`
 	LoadsAtStart   float64       `default:"24" help:"Adapter loads under way for this host, at the start; 16 to 32 served a calm day equally well."`
 	LoadsAtMost    float64       `default:"48" help:"Adapter loads under way for this host, at most."`
-	LoadSlowed     float64       `default:"3" help:"Factor of the typical load over the quickest that counts as an overloaded weight store."`
+	LoadTarget     time.Duration `default:"600ms" help:"Typical time of a load beyond which fewer are under way; a load without contention takes 260 ms."`
 }
 
 type keeperCmd struct {
@@ -192,7 +192,7 @@
 	b.require("hold-part", c.HoldPart >= 0, "must not be negative")
 	b.require("loads-at-start", c.LoadsAtStart >= 1, "must be at least 1")
 	b.require("loads-at-most", c.LoadsAtMost >= c.LoadsAtStart, "must not be under loads-at-start")
-	b.require("load-slowed", c.LoadSlowed > 1, "must be over 1")
+	b.require("load-target", c.LoadTarget > 0, "must be over 0")
 	return b.err()
 }
 
@@ -216,7 +216,7 @@
 			Window: decide.WindowConfig{
 				Start:  c.LoadsAtStart,
 				Most:   c.LoadsAtMost,
-				Slowed: c.LoadSlowed,
+				Target: c.LoadTarget,
 			},
 		},
 	}
--- a/decide/window.go
+++ b/decide/window.go
@@ -10,24 +10,25 @@
 	Start float64 // loads at once, at the start
 	Least float64
 	Most  float64
-	// Slowed is how many times the quickest recent load the typical one may take
-	// before the weight store counts as overloaded.
-	Slowed float64
+	// Target is the typical time of a load beyond which the weight store counts
+	// as overloaded: later loads come too late for those who wait.
+	Target time.Duration
 }
 
 // The defaults of WindowConfig.
 const (
-	DefaultWindowStart  = 24
-	DefaultWindowLeast  = 4
-	DefaultWindowMost   = 48
-	DefaultWindowSlowed = 3.0
+	DefaultWindowStart = 24
+	DefaultWindowLeast = 4
+	DefaultWindowMost  = 48
+	// DefaultWindowTarget is twice the time of a load without contention.
+	DefaultWindowTarget = 600 * time.Millisecond
 )
 
 func (c WindowConfig) withDefaults() WindowConfig {
 	c.Start = cmp.Or(c.Start, DefaultWindowStart)
 	c.Least = cmp.Or(c.Least, DefaultWindowLeast)
 	c.Most = cmp.Or(c.Most, DefaultWindowMost)
-	c.Slowed = cmp.Or(c.Slowed, DefaultWindowSlowed)
+	c.Target = cmp.Or(c.Target, DefaultWindowTarget)
 	return c
 }
 
@@ -35,7 +36,6 @@
 	windowShrink = 0.8                    // factor after a slow load
 	loadGuess    = 300 * time.Millisecond // before any load was seen
 	loadWeight   = 0.2                    // of a new observation of the typical time
-	quickForget  = 1.002                  // the quickest time is forgotten slowly, a load at a time
 	loadOutlier  = 4                      // times the typical time at which one load counts at most
 )
 
@@ -47,7 +47,6 @@
 type LoadWindow struct {
 	cfg      WindowConfig
 	size     float64
-	quickest time.Duration
 	typical  time.Duration
 	shrunkAt time.Time
 }
@@ -76,11 +75,7 @@
 func (w *LoadWindow) Loaded(now time.Time, d time.Duration) {
 	d = min(d, loadOutlier*w.typical)
 	w.typical += time.Duration(loadWeight * float64(d-w.typical))
-	w.quickest = time.Duration(float64(w.quickest) * quickForget)
-	if w.quickest == 0 || d < w.quickest {
-		w.quickest = d
-	}
-	if float64(w.typical) <= w.cfg.Slowed*float64(w.quickest) {
+	if w.typical <= w.cfg.Target {
 		w.size = min(w.cfg.Most, w.size+1/w.size)
 		return
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -21,7 +21,7 @@
 	fenceRetry    = 300 * time.Millisecond // after a failed start record, doubled up to the next
 	maxFenceRetry = 2 * time.Second
 	conflictPause = 20 * time.Millisecond  // after an order that met another
-	lostPause     = 150 * time.Millisecond // after an order without answer
+	lostPause     = 5 * time.Millisecond   // after an order without answer
 	invalidPause  = 500 * time.Millisecond // after one that makes no sense to the engine
 	loadStep      = 4                      // change of running and queued requests that is worth telling
 )
