Cold adapters are loaded once for all failure domains; keepers tell changes only

Change: the home of an adapter is chosen among all engines; requests go to other failure domains when the adapter is there; after 28 kB sent to one it is loaded near as well. Holdings carry changes. The typical load is the median of 15; a load that takes a second is asked for elsewhere; a wish takes back an eviction not yet ordered; a refusal by an engine counts 300 ms against its keeper's word.

--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -59,22 +59,21 @@
 
 type gatewayCmd struct {
 	common
-	Listen         string        `required:"" help:"Address for callers, IP:port."`
-	Ready          string        `required:"" help:"Address for the balancer's question, IP:port."`
-	MembersEvery   time.Duration `default:"500ms" help:"Time between readings of the list of upstreams; leaving ones must be known within 2 s."`
-	LapseGrace     time.Duration `default:"2200ms" help:"Time after the store's return in which a lapsed entry may come back; the platform promises 2 s."`
-	Grace          time.Duration `default:"8s" help:"Time between SIGTERM and SIGKILL."`
-	LeaveAfter     time.Duration `default:"2500ms" help:"Time after SIGTERM in which requests are still taken; the balancer notices within 2 s."`
-	RetryShare     float64       `default:"0.1" help:"Resends as a part of the requests of a service; the platform allows 0.2 over all entry hosts."`
-	RetryFloor     float64       `default:"0.5" help:"Resends a second that are always allowed."`
-	RetryBurst     float64       `default:"10" help:"Resends at once; the platform allows 52 in 10 s over all entry hosts."`
-	MaxBody        int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
-	HoldPart       float64       `default:"0.7" help:"Part of its objective that a request may wait for its adapter."`
-	CrossDomain    bool          `help:"Send requests to other failure domains that hold their adapter."`
-	HomeEverywhere bool          `help:"Load a cold adapter once in all failure domains."`
-	LoadsAtStart   float64       `default:"24" help:"Adapter loads under way for this host, at the start; 16 to 32 served a calm day equally well."`
-	LoadsAtMost    float64       `default:"48" help:"Adapter loads under way for this host, at most."`
-	LoadTarget     time.Duration `default:"600ms" help:"Typical time of a load beyond which fewer are under way; a load without contention takes 260 ms."`
+	Listen       string        `required:"" help:"Address for callers, IP:port."`
+	Ready        string        `required:"" help:"Address for the balancer's question, IP:port."`
+	MembersEvery time.Duration `default:"500ms" help:"Time between readings of the list of upstreams; leaving ones must be known within 2 s."`
+	LapseGrace   time.Duration `default:"2200ms" help:"Time after the store's return in which a lapsed entry may come back; the platform promises 2 s."`
+	Grace        time.Duration `default:"8s" help:"Time between SIGTERM and SIGKILL."`
+	LeaveAfter   time.Duration `default:"2500ms" help:"Time after SIGTERM in which requests are still taken; the balancer notices within 2 s."`
+	RetryShare   float64       `default:"0.1" help:"Resends as a part of the requests of a service; the platform allows 0.2 over all entry hosts."`
+	RetryFloor   float64       `default:"0.5" help:"Resends a second that are always allowed."`
+	RetryBurst   float64       `default:"10" help:"Resends at once; the platform allows 52 in 10 s over all entry hosts."`
+	MaxBody      int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
+	HoldPart     float64       `default:"0.7" help:"Part of its objective that a request may wait for its adapter."`
+	CrossBytes   int           `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
+	LoadsAtStart float64       `default:"24" help:"Adapter loads under way for this host, at the start; 16 to 32 served a calm day equally well."`
+	LoadsAtMost  float64       `default:"48" help:"Adapter loads under way for this host, at most."`
+	LoadTarget   time.Duration `default:"600ms" help:"Typical time of a load beyond which fewer are under way; a load without contention takes 260 ms."`
 }
 
 type keeperCmd struct {
@@ -209,10 +208,9 @@
 		RetryBurst:   c.RetryBurst,
 		LeaveAfter:   c.LeaveAfter,
 		Fleet: decide.FleetConfig{
-			Domain:         wardturn.FailureDomain(c.Domain),
-			HoldPart:       c.HoldPart,
-			CrossDomain:    c.CrossDomain,
-			HomeEverywhere: c.HomeEverywhere,
+			Domain:     wardturn.FailureDomain(c.Domain),
+			HoldPart:   c.HoldPart,
+			CrossBytes: c.CrossBytes,
 			Window: decide.WindowConfig{
 				Start:  c.LoadsAtStart,
 				Most:   c.LoadsAtMost,
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -23,8 +23,8 @@
 	holders  map[wardturn.ModelAdapter][]*Member // engines that hold an adapter ready
 	wants    map[wardturn.ModelAdapter]*want
 	window   LoadWindow
-	asked    int // wants whose load was asked for
-	rates    map[wardturn.ModelAdapter]*meter
+	asked    int                           // wants whose load was asked for
+	crossed  map[wardturn.ModelAdapter]int // bytes sent to other failure domains
 }
 
 // FleetConfig holds the limits of a Fleet.
@@ -33,13 +33,10 @@
 	// HoldPart is the part of a request's objective for which it may wait for
 	// its adapter before it is told when to come back.
 	HoldPart float64
-	// CrossDomain lets a request go to another failure domain when its adapter
-	// is ready there and not in its own.
-	CrossDomain bool
-	// HomeEverywhere chooses the engine that loads a cold adapter among all
-	// failure domains, so that it is loaded once.
-	HomeEverywhere bool
-	Window         WindowConfig
+	// CrossBytes is how much may be sent to an adapter in another failure domain
+	// before it is loaded in the own one as well.
+	CrossBytes int
+	Window     WindowConfig
 }
 
 // Member is an upstream with what this gateway knows of it.
@@ -54,7 +51,8 @@
 	held      map[wardturn.ModelAdapter]heldAdapter
 	everHeld  map[wardturn.ModelAdapter]bool
 	uses      map[wardturn.ModelAdapter]*AdapterCount
-	misplaced bool // it answered as another lifetime, or refused connections
+	doubts    map[wardturn.ModelAdapter]time.Time // adapters that it refused, until when that counts
+	misplaced bool                                // it answered as another lifetime, or refused connections
 }
 
 // Holding is what a keeper tells of its engine.
@@ -62,7 +60,9 @@
 	Connected bool // a keeper is there
 	Known     bool // and it knows its engine
 	Models    []wardturn.BaseModel
+	Full      bool // Adapters are all; otherwise those that changed
 	Adapters  []HeldVersion
+	Gone      []wardturn.ModelAdapter
 	Running   int
 	Queued    int
 }
@@ -90,7 +90,7 @@
 		holders:  make(map[wardturn.ModelAdapter][]*Member),
 		wants:    make(map[wardturn.ModelAdapter]*want),
 		window:   NewLoadWindow(cfg.Window),
-		rates:    make(map[wardturn.ModelAdapter]*meter),
+		crossed:  make(map[wardturn.ModelAdapter]int),
 	}
 }
 
@@ -133,6 +133,7 @@
 				hash:     hashString(string(e.ID)),
 				held:     make(map[wardturn.ModelAdapter]heldAdapter),
 				everHeld: make(map[wardturn.ModelAdapter]bool),
+				doubts:   make(map[wardturn.ModelAdapter]time.Time),
 				uses:     make(map[wardturn.ModelAdapter]*AdapterCount),
 			}
 		}
@@ -157,6 +158,24 @@
 	f.services = services
 }
 
+// forget removes what a holding says is no longer there, or is told anew.
+func (f *Fleet) forget(m *Member, h Holding) {
+	if h.Full {
+		f.release(m)
+		return
+	}
+	gone := h.Gone
+	for _, a := range h.Adapters {
+		gone = append(gone, a.Adapter.Key())
+	}
+	for _, key := range gone {
+		if m.held[key].ready {
+			f.unhold(m, key)
+		}
+		delete(m.held, key)
+	}
+}
+
 // release forgets what a member holds.
 func (f *Fleet) release(m *Member) {
 	for key, h := range m.held {
@@ -200,7 +219,7 @@
 	m.holding = h
 	m.heldAt = now
 	m.atHold = m.running
-	f.release(m)
+	f.forget(m, h)
 	for _, a := range h.Adapters {
 		m.held[a.Adapter.Key()] = heldAdapter{
 			version: a.Adapter.Version,
@@ -312,17 +331,23 @@
 	}
 }
 
+// doubtFor is how long an engine's refusal counts against what its keeper told:
+// the keeper's next word is on its way.
+const doubtFor = 300 * time.Millisecond
+
 // NotHeld records that an engine refused a request because it does not hold the
-// adapter version. It counts until the keeper's next word.
-func (f *Fleet) NotHeld(id wardturn.UpstreamID, key wardturn.ModelAdapter) {
+// adapter version.
+func (f *Fleet) NotHeld(now time.Time, id wardturn.UpstreamID, key wardturn.ModelAdapter) {
 	m := f.members[id]
 	if m == nil {
 		return
 	}
-	if m.held[key].ready {
-		f.unhold(m, key)
+	for k, until := range m.doubts {
+		if now.After(until) {
+			delete(m.doubts, k)
+		}
 	}
-	delete(m.held, key)
+	m.doubts[key] = now.Add(doubtFor)
 }
 
 // usable reports whether a member may be given a request.
@@ -343,9 +368,9 @@
 }
 
 // best returns the member of the least load among those that match; those of
-// the own failure domain go first, and others are taken only if far is set.
-func (f *Fleet) best(list []*Member, far bool, match func(*Member) bool) *Member {
-	var near, other *Member
+// the own failure domain go first.
+func (f *Fleet) best(list []*Member, match func(*Member) bool) *Member {
+	var near, far *Member
 	for _, m := range list {
 		if !match(m) {
 			continue
@@ -354,12 +379,12 @@
 			near = lighter(near, m)
 			continue
 		}
-		other = lighter(other, m)
+		far = lighter(far, m)
 	}
-	if near != nil || !far {
+	if near != nil {
 		return near
 	}
-	return other
+	return far
 }
 
 func lighter(x, y *Member) *Member {
@@ -374,23 +399,21 @@
 	return float64(m.load()) / float64(max(m.Slots, 1))
 }
 
-// homes returns the engines that may load an adapter, the first choice first:
-// all gateways of a failure domain agree on the order.
-func (f *Fleet) homes(now time.Time, s wardturn.ServiceName, key wardturn.ModelAdapter) []*Member {
+// homes returns the engines that may load an adapter, the first choice first: all
+// gateways agree on the order, so that a cold adapter is loaded once. With near
+// set only engines of the own failure domain count.
+func (f *Fleet) homes(now time.Time, s wardturn.ServiceName, key wardturn.ModelAdapter, near bool) []*Member {
 	h := hashString(string(key.Adapter))
 	var list []*Member
 	for _, m := range f.services[s] {
+		if near && m.Domain != f.cfg.Domain {
+			continue
+		}
 		if m.usable(now, nil) && m.holding.Connected && m.holding.Known && slices.Contains(m.holding.Models, key.Model) {
 			list = append(list, m)
 		}
 	}
 	slices.SortFunc(list, func(x, y *Member) int {
-		if !f.cfg.HomeEverywhere && (x.Domain == f.cfg.Domain) != (y.Domain == f.cfg.Domain) {
-			if x.Domain == f.cfg.Domain {
-				return -1
-			}
-			return 1
-		}
 		return cmp.Compare(mix(h^y.hash), mix(h^x.hash))
 	})
 	return list
--- a/decide/places.go
+++ b/decide/places.go
@@ -115,6 +115,11 @@
 		w = &wish{}
 		p.wishes[a.Key()] = w
 	}
+	if p.holds(a.Key(), a.Version) {
+		delete(p.leaving, a.Key()) // it is wanted after all
+		u := p.use(a.Key())
+		u.last = now
+	}
 	w.version = max(w.version, a.Version)
 	w.waiting = waiting
 	w.oldest = oldest
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -35,6 +35,7 @@
 	Arrived   time.Time
 	Objective time.Duration
 	Deadline  time.Time
+	Bytes     int // of the request and, by estimate, of its answer
 	Tried     []wardturn.UpstreamID
 	Assign    func(Assignment) // called once, under the fleet's lock
 
@@ -84,9 +85,10 @@
 	owed    int       // requests that were told to come back
 	first   time.Time // of the present wait
 	home    wardturn.UpstreamID
-	askedAt time.Time // of the first ask; zero: not yet
-	toldAt  time.Time // of the latest
-	warm    bool      // the home held it before: no load from the weight store
+	failed  wardturn.UpstreamID // a home that took too long
+	askedAt time.Time           // of the first ask; zero: not yet
+	toldAt  time.Time           // of the latest
+	warm    bool                // the home held it before: no load from the weight store
 }
 
 // Admit finds an upstream for a request, lets it wait, or refuses it.
@@ -96,28 +98,16 @@
 		f.admitPlain(now, t)
 		return
 	}
-	if t.Key.Adapter != "" {
-		f.rate(t.Key).add(now, 1)
-	}
 	if f.place(now, t, out) {
 		return
 	}
 	f.wait(now, t, out)
 }
 
-func (f *Fleet) rate(key wardturn.ModelAdapter) *meter {
-	r := f.rates[key]
-	if r == nil {
-		r = &meter{}
-		f.rates[key] = r
-	}
-	return r
-}
-
 func (f *Fleet) admitPlain(now time.Time, t *Ticket) {
 	list := f.services[t.Service]
 	for _, limit := range []float64{1, plainOverfill} {
-		m := f.best(list, true, func(m *Member) bool {
+		m := f.best(list, func(m *Member) bool {
 			return m.usable(now, t.Tried) && m.fill() < limit
 		})
 		if m != nil {
@@ -160,13 +150,13 @@
 		if m.Service != t.Service || !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
 			return false
 		}
-		return m.serves(t.Key, newest)
+		return m.serves(now, t.Key, newest)
 	}
 	list := f.services[t.Service]
 	if t.Key.Adapter != "" {
 		list = f.holders[t.Key]
 	}
-	m := f.best(list, f.cfg.CrossDomain || t.Key.Adapter == "", ready)
+	m := f.best(list, ready)
 	if m == nil {
 		return false
 	}
@@ -181,7 +171,7 @@
 
 // serves reports whether an engine holds an adapter at the newest version, or,
 // for a request without one, the model.
-func (m *Member) serves(key wardturn.ModelAdapter, newest wardturn.Version) bool {
+func (m *Member) serves(now time.Time, key wardturn.ModelAdapter, newest wardturn.Version) bool {
 	if key.Adapter == "" {
 		for _, have := range m.holding.Models {
 			if have == key.Model {
@@ -191,20 +181,29 @@
 		return false
 	}
 	h, ok := m.held[key]
-	return ok && h.ready && h.version >= newest
+	return ok && h.ready && h.version >= newest && !now.Before(m.doubts[key])
 }
 
-// spread asks for a hot adapter at one more engine.
+// spread asks for an adapter at one more engine: if the one that serves it is
+// filling up, or if it is far and as much has been sent there as a load costs.
 func (f *Fleet) spread(now time.Time, t *Ticket, m *Member, out *Moves) {
-	if m.fill() < spreadFill || f.wants[t.Key] != nil || f.asked >= f.window.Size() {
+	near := m.Domain == f.cfg.Domain
+	if !near {
+		f.crossed[t.Key] += t.Bytes
+	}
+	hot := m.fill() >= spreadFill
+	if !hot && (near || f.crossed[t.Key] < f.cfg.CrossBytes) {
 		return
 	}
-	home := f.home(now, t.Service, t.Key)
-	if home == nil || home.Domain != f.cfg.Domain {
+	if f.wants[t.Key] != nil || f.asked >= f.window.Size() {
 		return
 	}
-	w := f.want(now, t)
-	f.ask(now, w, home, out)
+	home := f.home(now, t.Service, t.Key, true, "")
+	if home == nil {
+		return
+	}
+	f.crossed[t.Key] = 0
+	f.ask(now, f.want(now, t), home, out)
 }
 
 // want returns the want of a request's adapter.
@@ -240,7 +239,7 @@
 // askWarm asks for a want at once if its home held the adapter before: the home
 // takes it from its own memory, not from the weight store.
 func (f *Fleet) askWarm(now time.Time, w *want, out *Moves) {
-	home := f.home(now, w.service, w.key)
+	home := f.home(now, w.service, w.key, false, w.failed)
 	if home != nil && home.everHeld[w.key] {
 		f.ask(now, w, home, out)
 	}
@@ -248,10 +247,10 @@
 
 // home returns the engine that should load an adapter: the first in the order
 // of homes that does not hold it and has room on the way.
-func (f *Fleet) home(now time.Time, s wardturn.ServiceName, key wardturn.ModelAdapter) *Member {
+func (f *Fleet) home(now time.Time, s wardturn.ServiceName, key wardturn.ModelAdapter, near bool, failed wardturn.UpstreamID) *Member {
 	newest := f.versions[key]
-	for _, m := range f.homes(now, s, key) {
-		if m.serves(key, newest) || m.loading() >= MaxComing || m.fill() >= engineOverfill {
+	for _, m := range f.homes(now, s, key, near) {
+		if m.ID == failed || m.serves(now, key, newest) || m.loading() >= MaxComing || m.fill() >= engineOverfill {
 			continue
 		}
 		return m
@@ -276,7 +275,7 @@
 		if w == nil {
 			return
 		}
-		home := f.home(now, w.service, w.key)
+		home := f.home(now, w.service, w.key, false, w.failed)
 		if home == nil {
 			w.toldAt = now // looked at again later
 			continue
@@ -344,23 +343,22 @@
 	if w == nil || a.Version < f.versions[a.Key()] {
 		return
 	}
-	if m.Domain != f.cfg.Domain && !f.cfg.CrossDomain && w.home != m.ID {
+	if w.home != m.ID {
+		f.placeWaiting(now, w, out)
 		return
 	}
-	if !w.askedAt.IsZero() && w.home == m.ID && !w.warm {
+	if !w.warm {
 		f.window.Loaded(now, now.Sub(w.askedAt))
 	}
-	if !w.askedAt.IsZero() {
-		out.Loads = append(out.Loads, LoadNote{
-			Adapter:  a,
-			Upstream: m.ID,
-			Took:     now.Sub(w.askedAt),
-			Warm:     w.warm,
-			Waited:   now.Sub(w.first),
-			Window:   f.window.Size(),
-			Asked:    f.asked,
-		})
-	}
+	out.Loads = append(out.Loads, LoadNote{
+		Adapter:  a,
+		Upstream: m.ID,
+		Took:     now.Sub(w.askedAt),
+		Warm:     w.warm,
+		Waited:   now.Sub(w.first),
+		Window:   f.window.Size(),
+		Asked:    f.asked,
+	})
 	waiting := w.waiting
 	f.drop(w)
 	for _, t := range waiting {
@@ -439,14 +437,16 @@
 // renew repeats the wish of a load under way, and gives up one that takes far
 // too long: another engine may do better.
 func (f *Fleet) renew(now time.Time, w *want, out *Moves) {
-	if len(w.waiting) == 0 && (w.askedAt.IsZero() || now.Sub(w.askedAt) > loadGiveUp) && now.Sub(w.first) > maxComeBack {
+	late := now.Sub(w.askedAt) > loadGiveUp
+	if len(w.waiting) == 0 && late && now.Sub(w.first) > maxComeBack {
 		f.drop(w)
 		return
 	}
 	if w.askedAt.IsZero() {
 		return
 	}
-	if now.Sub(w.askedAt) > loadGiveUp {
+	if late {
+		w.failed = w.home
 		f.unask(w)
 		return
 	}
@@ -471,9 +471,9 @@
 	w.home = ""
 }
 
-// loadGiveUp is how long a load may take: longer than any that a full weight
-// store has been seen to take.
-const loadGiveUp = 4 * time.Second
+// loadGiveUp is how long a load may take before another engine is asked: four
+// times one without contention.
+const loadGiveUp = time.Second
 
 // comeBack estimates when an adapter that is waited for will be there.
 func (f *Fleet) comeBack(now time.Time, w *want) time.Duration {
--- a/decide/window.go
+++ b/decide/window.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -33,10 +34,9 @@
 }
 
 const (
-	windowShrink = 0.8                    // factor after a slow load
-	loadGuess    = 300 * time.Millisecond // before any load was seen
-	loadWeight   = 0.2                    // of a new observation of the typical time
-	loadOutlier  = 4                      // times the typical time at which one load counts at most
+	windowShrink  = 0.8                    // factor after a slow load
+	loadGuess     = 300 * time.Millisecond // before any load was seen
+	windowSamples = 15                     // loads whose median is the typical time: single slow ones tell of their engine
 )
 
 // LoadWindow bounds the loads that one gateway has under way. All gateways share
@@ -47,7 +47,8 @@
 type LoadWindow struct {
 	cfg      WindowConfig
 	size     float64
-	typical  time.Duration
+	recent   []time.Duration
+	typical  time.Duration // the median of the recent ones
 	shrunkAt time.Time
 }
 
@@ -73,8 +74,12 @@
 
 // Loaded takes the time of a load.
 func (w *LoadWindow) Loaded(now time.Time, d time.Duration) {
-	d = min(d, loadOutlier*w.typical)
-	w.typical += time.Duration(loadWeight * float64(d-w.typical))
+	w.recent = append(w.recent, d)
+	if len(w.recent) > windowSamples {
+		w.recent = w.recent[1:]
+	}
+	sorted := slices.Sorted(slices.Values(w.recent))
+	w.typical = sorted[len(sorted)/2]
 	if w.typical <= w.cfg.Target {
 		w.size = min(w.cfg.Most, w.size+1/w.size)
 		return
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -24,6 +24,8 @@
 	// plainAnswerLimit bounds answers that are read whole before they are
 	// passed on; longer ones are passed on as they come.
 	plainAnswerLimit = 256 << 10
+	// answerGuess is what headers and an answer are taken to have, in bytes.
+	answerGuess = 1500
 	// defaultTimeout holds for routes that set none.
 	defaultTimeout = 30 * time.Second
 	// unreadyPause is told to callers while no configuration is known.
@@ -225,6 +227,7 @@
 		Arrived:   x.arrived,
 		Objective: x.route.Objective,
 		Deadline:  x.end,
+		Bytes:     len(x.body) + answerGuess,
 		Tried:     x.tried,
 		Assign: func(a assignment) {
 			got <- a
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -303,7 +303,7 @@
 func (g *Gateway) notHeld(id wardturn.UpstreamID, key wardturn.ModelAdapter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.NotHeld(id, key)
+	g.fleet.NotHeld(g.clock.Now(), id, key)
 }
 
 func (g *Gateway) budget(s wardturn.ServiceName) *decide.RetryBudget {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -30,6 +30,7 @@
 	member wardturn.Member
 	notice peer.EngineNotice
 	told   bool // the notice was sent on the present connection
+	synced bool // a full holding came on it
 	conn   *peer.Conn
 }
 
@@ -151,6 +152,7 @@
 func (l *link) Closed(_ *peer.Conn, err error) {
 	l.mu.Lock()
 	l.conn = nil
+	l.synced = false
 	id := l.member.ID
 	l.mu.Unlock()
 	l.links.g.logger.Info("keeper lost", "upstream", id, "error", err)
@@ -165,20 +167,32 @@
 	if !ok {
 		return
 	}
-	l.mu.Lock()
-	id := l.member.ID
-	l.mu.Unlock()
-	if h.Upstream != id {
-		return // of another lifetime of the engine
+	id, ok := l.accept(h)
+	if !ok {
+		return
 	}
 	l.links.g.decide(func(now time.Time, out *decide.Moves) {
 		l.links.g.fleet.SetHolding(now, id, holdingOf(h), out)
 	})
 }
 
+// accept reports whether a holding is to be taken, and of which upstream: not one
+// of another lifetime of the engine, and no change before the full one.
+func (l *link) accept(h *peer.Holding) (wardturn.UpstreamID, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h.Upstream != l.member.ID {
+		return "", false
+	}
+	l.synced = l.synced || h.Full
+	return l.member.ID, l.synced
+}
+
 func holdingOf(h *peer.Holding) decide.Holding {
 	out := decide.Holding{
 		Connected: true,
+		Full:      h.Full,
+		Gone:      h.Gone,
 		Known:     h.Known,
 		Models:    h.Models,
 		Running:   h.Running,
--- /dev/null
+++ b/keeper/holding.go
@@ -0,0 +1,134 @@
+package keeper
+
+import (
+	"slices"
+	"strings"
+
+	"wardturn"
+	"wardturn/peer"
+)
+
+// loadStep is the change in running and queued requests that is worth telling
+// the gateways: an eighth of a usual batch.
+const loadStep = 4
+
+// holding is what an engine holds, as its gateways are told.
+type holding struct {
+	known    bool
+	upstream wardturn.UpstreamID
+	models   []wardturn.BaseModel
+	adapters map[wardturn.ModelAdapter]peer.HeldAdapter
+	running  int
+	queued   int
+}
+
+// holding returns what the engine holds; the lock is held.
+func (k *Keeper) holding() *holding {
+	h := &holding{
+		known:    k.places.Known(),
+		upstream: k.upstream,
+		adapters: make(map[wardturn.ModelAdapter]peer.HeldAdapter),
+	}
+	if !h.known {
+		return h
+	}
+	st := k.places.State()
+	h.running = st.Running
+	h.queued = st.Queued
+	for _, a := range st.Loading {
+		h.add(a, peer.HeldLoading)
+	}
+	for _, m := range st.Models {
+		h.models = append(h.models, m.Name)
+		for _, a := range m.Adapters {
+			if k.places.Leaving(a.Key()) {
+				h.add(a, peer.HeldLeaving)
+				continue
+			}
+			h.add(a, peer.HeldReady)
+		}
+	}
+	return h
+}
+
+func (h *holding) add(a wardturn.AdapterVersion, state peer.HeldState) {
+	h.adapters[a.Key()] = peer.HeldAdapter{
+		Adapter: a,
+		State:   state,
+	}
+}
+
+// message returns a message without adapters.
+func (h *holding) message() *peer.Holding {
+	return &peer.Holding{
+		Known:    h.known,
+		Upstream: h.upstream,
+		Models:   h.models,
+		Running:  h.running,
+		Queued:   h.queued,
+	}
+}
+
+// full returns the message for a gateway that knows nothing.
+func (h *holding) full() *peer.Holding {
+	m := h.message()
+	m.Full = true
+	for _, a := range h.adapters {
+		m.Adapters = append(m.Adapters, a)
+	}
+	sortHeld(m.Adapters)
+	return m
+}
+
+// since returns the message for gateways that know an earlier holding, or nil if
+// there is nothing worth telling.
+func (h *holding) since(old *holding) *peer.Holding {
+	m := h.message()
+	for key, a := range h.adapters {
+		if old.adapters[key] != a {
+			m.Adapters = append(m.Adapters, a)
+		}
+	}
+	for key := range old.adapters {
+		if _, ok := h.adapters[key]; !ok {
+			m.Gone = append(m.Gone, key)
+		}
+	}
+	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream &&
+		slices.Equal(h.models, old.models) && !h.stepped(old) {
+		return nil
+	}
+	sortHeld(m.Adapters)
+	slices.SortFunc(m.Gone, func(x, y wardturn.ModelAdapter) int {
+		return strings.Compare(string(x.Adapter), string(y.Adapter))
+	})
+	return m
+}
+
+// stepped reports whether the load changed by a step.
+func (h *holding) stepped(old *holding) bool {
+	was, is := old.running+old.queued, h.running+h.queued
+	return max(was-is, is-was) >= loadStep
+}
+
+func sortHeld(list []peer.HeldAdapter) {
+	slices.SortFunc(list, func(x, y peer.HeldAdapter) int {
+		return strings.Compare(string(x.Adapter.Adapter), string(y.Adapter.Adapter))
+	})
+}
+
+// tell sends what changed to every gateway; the lock is held. A gateway that has
+// not got its full holding yet passes such a message over.
+func (k *Keeper) tell() {
+	h := k.holding()
+	if k.told == nil {
+		k.told = h
+		return
+	}
+	m := h.since(k.told)
+	if m == nil {
+		return
+	}
+	k.told = h
+	k.server.Broadcast(m)
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +22,6 @@
 	conflictPause = 20 * time.Millisecond  // after an order that met another
 	lostPause     = 5 * time.Millisecond   // after an order without answer
 	invalidPause  = 500 * time.Millisecond // after one that makes no sense to the engine
-	loadStep      = 4                      // change of running and queued requests that is worth telling
 )
 
 // Config holds the settings of a keeper.
@@ -61,8 +59,8 @@
 	config   int64               // version of the latest notice
 	upstream wardturn.UpstreamID // the engine's present lifetime, as gateways and the engine say
 	fence    wardturn.Fence
-	fencing  bool // a start record is being written
-	told     *peer.Holding
+	fencing  bool     // a start record is being written
+	told     *holding // what the gateways know; nil: nothing yet
 }
 
 // New starts a keeper.
@@ -250,62 +248,6 @@
 	return false
 }
 
-// holding returns what the engine holds; the lock is held.
-func (k *Keeper) holding() *peer.Holding {
-	h := &peer.Holding{
-		Known:    k.places.Known(),
-		Upstream: k.upstream,
-	}
-	if !h.Known {
-		return h
-	}
-	st := k.places.State()
-	h.Running = st.Running
-	h.Queued = st.Queued
-	for _, m := range st.Models {
-		h.Models = append(h.Models, m.Name)
-		for _, a := range m.Adapters {
-			state := peer.HeldReady
-			if k.places.Leaving(a.Key()) {
-				state = peer.HeldLeaving
-			}
-			h.Adapters = append(h.Adapters, peer.HeldAdapter{
-				Adapter: a,
-				State:   state,
-			})
-		}
-	}
-	for _, a := range st.Loading {
-		h.Adapters = append(h.Adapters, peer.HeldAdapter{
-			Adapter: a,
-			State:   peer.HeldLoading,
-		})
-	}
-	return h
-}
-
-// tell sends the holding to every gateway if it changed; the lock is held.
-func (k *Keeper) tell() {
-	h := k.holding()
-	if k.server == nil || k.told != nil && !changed(k.told, h) {
-		return
-	}
-	k.told = h
-	k.server.Broadcast(h)
-}
-
-// changed reports whether a holding is worth telling after another.
-func changed(old, h *peer.Holding) bool {
-	if old.Known != h.Known || old.Upstream != h.Upstream {
-		return true
-	}
-	if !slices.Equal(old.Models, h.Models) || !slices.Equal(old.Adapters, h.Adapters) {
-		return true
-	}
-	was, is := old.Running+old.Queued, h.Running+h.Queued
-	return max(was-is, is-was) >= loadStep
-}
-
 // Handle implements peer.Handler.
 func (k *Keeper) Handle(c *peer.Conn, m peer.Message) {
 	k.mu.Lock()
@@ -335,7 +277,7 @@
 			k.upstream = m.Upstream
 		}
 	}
-	_ = c.Send(k.holding())
+	_ = c.Send(k.holding().full())
 	k.signal()
 }
 
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -28,12 +28,15 @@
 	State   HeldState
 }
 
-// Holding is what an engine holds, sent when it changes and on a new connection.
+// Holding is what an engine holds. The first one on a connection is full; later
+// ones carry what changed since the one before.
 type Holding struct {
+	Full     bool
 	Known    bool // the keeper has a report of the engine
 	Upstream wardturn.UpstreamID
 	Models   []wardturn.BaseModel
-	Adapters []HeldAdapter
+	Adapters []HeldAdapter           // all if full, else new or changed ones
+	Gone     []wardturn.ModelAdapter // no longer there; never in a full one
 	Running  int
 	Queued   int
 }
