--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,384 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+var _ = Describe("Fleet", func() {
+	const service = wardturn.ServiceName("llm")
+	var (
+		f   *decide.Fleet
+		now time.Time
+		got map[string]decide.Assignment
+		out decide.Moves
+	)
+
+	key := func(name string) wardturn.ModelAdapter {
+		return wardturn.ModelAdapter{
+			Model:   "m",
+			Adapter: wardturn.AdapterID(name),
+		}
+	}
+	version := func(name string, v wardturn.Version) wardturn.AdapterVersion {
+		return wardturn.AdapterVersion{
+			Model:   "m",
+			Adapter: wardturn.AdapterID(name),
+			Version: v,
+		}
+	}
+	table := func(engine *wardturn.EngineSpec) *wardturn.RouteTable {
+		return &wardturn.RouteTable{
+			Version: 1,
+			Services: map[wardturn.ServiceName]wardturn.ServiceSpec{
+				service: {
+					Name:   service,
+					Engine: engine,
+				},
+			},
+		}
+	}
+	member := func(id, domain string) wardturn.Member {
+		return wardturn.Member{
+			ID:      wardturn.UpstreamID(id),
+			Service: service,
+			Addr:    id + ":1",
+			Domain:  wardturn.FailureDomain(domain),
+			Slots:   4,
+		}
+	}
+	members := func() []wardturn.Member {
+		return []wardturn.Member{
+			member("n0", "near"),
+			member("n1", "near"),
+			member("f0", "far"),
+			member("f1", "far"),
+		}
+	}
+	hold := func(id string, adapters ...decide.HeldVersion) {
+		f.SetHolding(now, wardturn.UpstreamID(id), decide.Holding{
+			Connected: true,
+			Known:     true,
+			Full:      true,
+			Models:    []wardturn.BaseModel{"m"},
+			Adapters:  adapters,
+		}, &out)
+	}
+	ready := func(name string, v wardturn.Version) decide.HeldVersion {
+		return decide.HeldVersion{
+			Adapter: version(name, v),
+			Ready:   true,
+		}
+	}
+	ticket := func(id, adapter string) *decide.Ticket {
+		return &decide.Ticket{
+			Service:   service,
+			Key:       key(adapter),
+			Arrived:   now,
+			Objective: 600 * time.Millisecond,
+			Deadline:  now.Add(5 * time.Second),
+			Bytes:     1000,
+			Assign: func(a decide.Assignment) {
+				got[id] = a
+			},
+		}
+	}
+	admit := func(id, adapter string) *decide.Ticket {
+		t := ticket(id, adapter)
+		f.Admit(now, t, &out)
+		return t
+	}
+	tick := func(d time.Duration) {
+		now = now.Add(d)
+		f.Tick(now, &out)
+	}
+
+	BeforeEach(func() {
+		now = start
+		out = decide.Moves{}
+		got = make(map[string]decide.Assignment)
+		f = decide.NewFleet(decide.FleetConfig{
+			Domain:     "near",
+			HoldPart:   0.7,
+			CrossBytes: 5000,
+			Window: decide.WindowConfig{
+				Start: 4,
+				Most:  4,
+			},
+		})
+		f.SetTable(table(&wardturn.EngineSpec{
+			Batch:        4,
+			AdapterSlots: 2,
+		}))
+		f.SetMembers(members())
+		for _, m := range members() {
+			hold(string(m.ID))
+		}
+	})
+
+	It("sends a request where its adapter is, the own failure domain first", func() {
+		hold("f0", ready("a", 1))
+		admit("r1", "a")
+		Expect(got["r1"].Member.ID).To(BeEquivalentTo("f0"))
+		hold("n1", ready("a", 1))
+		admit("r2", "a")
+		Expect(got["r2"].Member.ID).To(BeEquivalentTo("n1"))
+		Expect(out.Asks).To(BeEmpty())
+	})
+
+	It("asks one engine for an adapter that is nowhere, and lets all who want it wait", func() {
+		for i := range 5 {
+			admit(fmt.Sprint("r", i), "a")
+		}
+		Expect(out.Asks).To(HaveLen(1))
+		Expect(got).To(BeEmpty())
+		now = now.Add(250 * time.Millisecond)
+		hold(string(out.Asks[0].Upstream), ready("a", 1))
+		Expect(got).To(HaveLen(4)) // a batch is full
+		tick(100 * time.Millisecond)
+		for _, a := range got {
+			Expect(a.Member.ID).To(Equal(out.Asks[0].Upstream))
+		}
+	})
+
+	It("agrees with other gateways on the engine that loads a cold adapter", func() {
+		other := decide.NewFleet(decide.FleetConfig{
+			Domain: "far",
+		})
+		other.SetTable(table(&wardturn.EngineSpec{
+			Batch:        4,
+			AdapterSlots: 2,
+		}))
+		other.SetMembers(members())
+		var theirs decide.Moves
+		for _, m := range members() {
+			other.SetHolding(now, m.ID, decide.Holding{
+				Connected: true,
+				Known:     true,
+				Full:      true,
+				Models:    []wardturn.BaseModel{"m"},
+			}, &theirs)
+		}
+		for i := range 4 {
+			name := fmt.Sprint("a", i)
+			admit(name, name)
+			other.Admit(now, ticket(name, name), &theirs)
+		}
+		Expect(out.Asks).To(HaveLen(4))
+		Expect(theirs.Asks).To(Equal(out.Asks))
+	})
+
+	It("tells a request when to come back once it has waited its part, and loads for it meanwhile", func() {
+		admit("r", "a")
+		tick(400 * time.Millisecond)
+		Expect(got).To(BeEmpty())
+		tick(30 * time.Millisecond)
+		Expect(got["r"].Member.ID).To(BeEmpty())
+		Expect(got["r"].Reason).To(Equal(wardturn.ReasonLoading))
+		Expect(got["r"].RetryAfter).To(BeNumerically(">", 0))
+		hold(string(out.Asks[0].Upstream), ready("a", 1))
+		admit("again", "a")
+		Expect(got["again"].Member.ID).To(Equal(out.Asks[0].Upstream))
+	})
+
+	It("bounds the loads that it asked for, and asks for those most wanted first", func() {
+		for i := range 4 {
+			admit(fmt.Sprint("r", i), fmt.Sprint("a", i))
+		}
+		admit("one", "single")
+		admit("two", "wanted")
+		admit("three", "wanted")
+		Expect(out.Asks).To(HaveLen(4))
+		hold(string(out.Asks[0].Upstream), ready(string(out.Asks[0].Adapter.Adapter), 1))
+		Expect(out.Asks).To(HaveLen(5))
+		Expect(out.Asks[4].Adapter.Adapter).To(BeEquivalentTo("wanted"))
+	})
+
+	It("does not count a load from the engine's own memory in the window", func() {
+		hold("n0", ready("a", 1))
+		hold("n1", ready("a", 1))
+		hold("f0", ready("a", 1))
+		hold("f1", ready("a", 1))
+		for _, m := range members() {
+			hold(string(m.ID))
+		}
+		for i := range 4 {
+			admit(fmt.Sprint("r", i), fmt.Sprint("b", i))
+		}
+		admit("warm", "a")
+		Expect(out.Asks).To(HaveLen(5))
+	})
+
+	It("asks another engine when a load takes too long", func() {
+		admit("r", "a")
+		first := out.Asks[0].Upstream
+		for range 12 {
+			tick(100 * time.Millisecond)
+			admit("r", "a")
+		}
+		Expect(out.Asks[len(out.Asks)-1].Upstream).NotTo(Equal(first))
+	})
+
+	It("loads an adapter near once much was sent to a far one", func() {
+		hold("f0", ready("a", 1))
+		for range 4 {
+			t := admit("r", "a")
+			f.Ended(now, got["r"].Member.ID, t.Key, true)
+		}
+		Expect(out.Asks).To(BeEmpty())
+		admit("r", "a")
+		Expect(out.Asks).To(HaveLen(1))
+		Expect(string(out.Asks[0].Upstream)).To(HavePrefix("n"))
+	})
+
+	It("does not send to an engine with an old version, and asks for the newest", func() {
+		hold("n0", ready("a", 1))
+		f.SetVersion(now, version("a", 2), &out)
+		Expect(out.Asks).To(HaveLen(1))
+		Expect(out.Asks[0].Adapter).To(Equal(version("a", 2)))
+		admit("r", "a")
+		Expect(got).To(BeEmpty())
+		hold("n0", ready("a", 2))
+		Expect(got["r"].Version).To(BeEquivalentTo(2))
+	})
+
+	It("passes over engines that leave, refuse connections or answer as another", func() {
+		hold("n0", ready("a", 1))
+		hold("n1", ready("a", 1))
+		f.Misplaced("n0")
+		admit("r1", "a")
+		Expect(got["r1"].Member.ID).To(BeEquivalentTo("n1"))
+		list := members()
+		list[1].Draining = true
+		f.SetMembers(list)
+		admit("r2", "a")
+		Expect(got).NotTo(HaveKey("r2"))
+	})
+
+	It("doubts its keeper's word for a moment after an engine refused", func() {
+		hold("n0", ready("a", 1))
+		f.NotHeld(now, "n0", key("a"))
+		admit("r", "a")
+		Expect(got).To(BeEmpty())
+		tick(310 * time.Millisecond)
+		Expect(got["r"].Member.ID).To(BeEquivalentTo("n0"))
+	})
+
+	It("follows changes of a holding", func() {
+		hold("n0", ready("a", 1), ready("b", 1))
+		f.SetHolding(now, "n0", decide.Holding{
+			Connected: true,
+			Known:     true,
+			Models:    []wardturn.BaseModel{"m"},
+			Adapters:  []decide.HeldVersion{ready("c", 1)},
+			Gone:      []wardturn.ModelAdapter{key("a")},
+		}, &out)
+		admit("b", "b")
+		admit("c", "c")
+		admit("a", "a")
+		Expect(got).To(HaveLen(2))
+	})
+
+	It("keeps serving what an engine held when its keeper is lost, and asks it for nothing", func() {
+		hold("n0", ready("a", 1))
+		f.KeeperLost("n0")
+		admit("r", "a")
+		Expect(got["r"].Member.ID).To(BeEquivalentTo("n0"))
+		for i := range 20 {
+			admit(fmt.Sprint("x", i), fmt.Sprint("x", i))
+		}
+		for _, a := range out.Asks {
+			Expect(a.Upstream).NotTo(BeEquivalentTo("n0"))
+		}
+	})
+
+	It("withdraws a request whose caller left", func() {
+		t := admit("r", "a")
+		f.Withdraw(t)
+		hold(string(out.Asks[0].Upstream), ready("a", 1))
+		Expect(got).To(BeEmpty())
+		Expect(f.Usage(out.Asks[0].Upstream)).To(BeEmpty())
+	})
+
+	It("reports the use of adapters once", func() {
+		hold("n0", ready("a", 1))
+		admit("r", "a")
+		counts := f.Usage("n0")
+		Expect(counts).To(HaveLen(1))
+		Expect(counts[0].Started).To(Equal(1))
+		Expect(counts[0].Running).To(Equal(1))
+		Expect(f.Usage("n0")).To(BeEmpty())
+		f.Ended(now, "n0", key("a"), true)
+		Expect(f.Usage("n0")[0].Running).To(BeZero())
+	})
+
+	Context("for a plain service", func() {
+		BeforeEach(func() {
+			f.SetTable(table(nil))
+		})
+
+		It("takes the near upstreams until they are full, then the far ones", func() {
+			for i := range 8 {
+				admit(fmt.Sprint("r", i), "")
+				Expect(string(got[fmt.Sprint("r", i)].Member.ID)).To(HavePrefix("n"))
+			}
+			admit("more", "")
+			Expect(string(got["more"].Member.ID)).To(HavePrefix("f"))
+		})
+
+		It("refuses when all are full, and says when there are none", func() {
+			for i := range 32 {
+				admit(fmt.Sprint("r", i), "")
+			}
+			admit("over", "")
+			Expect(got["over"].Reason).To(Equal(wardturn.ReasonQueueFull))
+			f.SetMembers(nil)
+			admit("none", "")
+			Expect(got["none"].Reason).To(Equal(wardturn.ReasonNoUpstream))
+		})
+	})
+})
+
+var _ = Describe("LoadWindow", func() {
+	It("narrows while loads are slow and widens while they are quick", func() {
+		w := decide.NewLoadWindow(decide.WindowConfig{
+			Start:  10,
+			Most:   12,
+			Target: 500 * time.Millisecond,
+		})
+		now := start
+		for range 20 {
+			now = now.Add(time.Second)
+			w.Loaded(now, time.Second)
+		}
+		Expect(w.Size()).To(BeNumerically("<", 5))
+		for range 200 {
+			w.Loaded(now, 250*time.Millisecond)
+		}
+		Expect(w.Size()).To(Equal(12))
+	})
+
+	It("does not narrow for single slow loads", func() {
+		w := decide.NewLoadWindow(decide.WindowConfig{
+			Start:  10,
+			Most:   12,
+			Target: 500 * time.Millisecond,
+		})
+		now := start
+		for i := range 60 {
+			now = now.Add(time.Second)
+			d := 250 * time.Millisecond
+			if i%4 == 0 {
+				d = 5 * time.Second
+			}
+			w.Loaded(now, d)
+		}
+		Expect(w.Size()).To(BeNumerically(">=", 10))
+	})
+})
--- /dev/null
+++ b/decide/places_test.go
@@ -0,0 +1,234 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/policy"
+)
+
+var _ = Describe("Places", func() {
+	var (
+		p   *decide.Places
+		now time.Time
+	)
+	key := func(name string) wardturn.ModelAdapter {
+		return wardturn.ModelAdapter{
+			Model:   "m",
+			Adapter: wardturn.AdapterID(name),
+		}
+	}
+	version := func(name string, v wardturn.Version) wardturn.AdapterVersion {
+		return wardturn.AdapterVersion{
+			Model:   "m",
+			Adapter: wardturn.AdapterID(name),
+			Version: v,
+		}
+	}
+	report := func(loading []string, held ...string) {
+		st := wardturn.EngineState{
+			Models: []wardturn.LoadedModel{
+				{
+					Name: "m",
+				},
+			},
+		}
+		for _, name := range held {
+			st.Models[0].Adapters = append(st.Models[0].Adapters, version(name, 1))
+		}
+		for _, name := range loading {
+			st.Loading = append(st.Loading, version(name, 1))
+		}
+		p.Report(now, st)
+	}
+	wish := func(name string, waiting int) {
+		p.Wish(now, version(name, 1), waiting, 0)
+	}
+	next := func() (decide.PlaceOrder, bool) {
+		return p.Next(now)
+	}
+	none := func() {
+		GinkgoHelper()
+		_, ok := next()
+		Expect(ok).To(BeFalse())
+	}
+	expect := func(o decide.PlaceOrder) {
+		GinkgoHelper()
+		got, ok := next()
+		Expect(ok).To(BeTrue())
+		Expect(got).To(Equal(o))
+	}
+	pass := func(d time.Duration) {
+		now = now.Add(d)
+	}
+
+	BeforeEach(func() {
+		now = start
+		p = decide.NewPlaces(now, policy.Default{})
+		p.SetSpec(wardturn.EngineSpec{
+			AdapterSlots: 3,
+			Models: []wardturn.ModelSpec{
+				{
+					Name: "m",
+				},
+			},
+		})
+	})
+
+	It("gives no order before the engine has reported", func() {
+		wish("a", 1)
+		none()
+	})
+
+	It("loads the model into an empty engine, unless that is under way", func() {
+		p.Report(now, wardturn.EngineState{})
+		expect(decide.PlaceOrder{
+			Target: wardturn.ModelAdapter{
+				Model: "m",
+			},
+		})
+		p.Report(now, wardturn.EngineState{
+			Busy: true,
+		})
+		none()
+	})
+
+	It("loads a wished adapter into a free place", func() {
+		report(nil, "a")
+		wish("b", 1)
+		expect(decide.PlaceOrder{
+			Target:  key("b"),
+			Version: 1,
+		})
+	})
+
+	It("counts adapters on their way as taking places", func() {
+		report([]string{"x", "y"}, "a")
+		pass(time.Second)
+		wish("b", 1)
+		_, ok := next()
+		Expect(ok).To(BeFalse()) // only a notice of an eviction
+		pass(10 * time.Millisecond)
+		got, ok := next()
+		Expect(ok).To(BeTrue())
+		Expect(got.Unload).To(BeTrue())
+	})
+
+	It("has no more than the allowed number on their way", func() {
+		p.SetSpec(wardturn.EngineSpec{
+			AdapterSlots: 16,
+			Models: []wardturn.ModelSpec{
+				{
+					Name: "m",
+				},
+			},
+		})
+		report([]string{"w", "x", "y", "z"})
+		wish("b", 1)
+		none()
+	})
+
+	It("unloads the least used adapter, after it told the gateways", func() {
+		report(nil, "a", "b", "c")
+		for range 10 {
+			p.Use(now, "g", key("a"), 1, 0)
+			p.Use(now, "g", key("c"), 1, 0)
+		}
+		pass(2 * time.Second)
+		wish("d", 1)
+		none()
+		Expect(p.Leaving(key("b"))).To(BeTrue())
+		pass(5 * time.Millisecond)
+		expect(decide.PlaceOrder{
+			Unload: true,
+			Target: key("b"),
+		})
+	})
+
+	It("unloads nothing that runs or has just come", func() {
+		report(nil, "a", "b", "c")
+		for _, name := range []string{"a", "b", "c"} {
+			p.Use(now, "g", key(name), 1, 1)
+		}
+		pass(2 * time.Second)
+		wish("d", 1)
+		none()
+		Expect(p.Leaving(key("a")) || p.Leaving(key("b")) || p.Leaving(key("c"))).To(BeFalse())
+		p.GatewayLost("g")
+		none()
+		Expect(p.Leaving(key("a")) || p.Leaving(key("b")) || p.Leaving(key("c"))).To(BeTrue())
+	})
+
+	It("keeps an adapter that is wished for while it is about to leave", func() {
+		report(nil, "a", "b", "c")
+		p.Use(now, "g", key("a"), 5, 0)
+		p.Use(now, "g", key("b"), 5, 0)
+		pass(2 * time.Second)
+		wish("d", 1)
+		none()
+		Expect(p.Leaving(key("c"))).To(BeTrue())
+		wish("c", 1)
+		Expect(p.Leaving(key("c"))).To(BeFalse())
+		pass(5 * time.Millisecond)
+		none() // another one gets its notice first
+		Expect(p.Leaving(key("c"))).To(BeFalse())
+	})
+
+	It("replaces an old version, after it told the gateways", func() {
+		report(nil, "a")
+		p.Wish(now, version("a", 2), 1, 0)
+		none()
+		Expect(p.Leaving(key("a"))).To(BeTrue())
+		pass(5 * time.Millisecond)
+		expect(decide.PlaceOrder{
+			Target:  key("a"),
+			Version: 2,
+		})
+	})
+
+	It("forgets wishes that are not repeated", func() {
+		report(nil)
+		wish("a", 1)
+		pass(time.Second)
+		none()
+	})
+
+	It("never exceeds the places, whatever is wished and reported", func() {
+		held := map[string]bool{}
+		coming := map[string]bool{}
+		state := func() {
+			var h, c []string
+			for name := range held {
+				h = append(h, name)
+			}
+			for name := range coming {
+				c = append(c, name)
+			}
+			report(c, h...)
+		}
+		for i := range 2000 {
+			wish(fmt.Sprint("a", i*7%23), 1+i%3)
+			state()
+			pass(7 * time.Millisecond)
+			if o, ok := next(); ok {
+				if o.Unload {
+					delete(held, string(o.Target.Adapter))
+				} else {
+					coming[string(o.Target.Adapter)] = true
+				}
+			}
+			if i%5 == 0 {
+				for name := range coming {
+					held[name] = true
+				}
+				clear(coming)
+			}
+			Expect(len(held) + len(coming)).To(BeNumerically("<=", 3))
+		}
+	})
+})
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,245 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn/standin"
+)
+
+const wholeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+
+var _ = Describe("Gateway", func() {
+	var x *rig
+	BeforeEach(func() {
+		x = newRig()
+	})
+
+	It("passes a request and its answer through unchanged", func() {
+		r := x.send("POST", "id-1", "/charge/a%2Fb?q=1", "", "body")
+		Expect(r.status).To(Equal(http.StatusOK))
+		Expect(r.body).To(Equal("echo:body"))
+		Expect(r.header.Get("X-Wardturn-Server-Seal")).To(Equal("seal-id-1"))
+		Expect(x.runs("id-1")).To(Equal(1))
+	})
+
+	It("has an adapter loaded and streams the answer", func() {
+		r := x.get("ask", "/ask/x", "m0/a7")
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.status).To(Equal(http.StatusOK))
+		Expect(r.body).To(Equal(wholeStream))
+	})
+
+	It("never asks an engine for more adapters than it has places", func() {
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer GinkgoRecover()
+				x.get("many", "/ask/x", fmt.Sprintf("m0/a%d", i))
+			}()
+		}
+		wg.Wait()
+		for _, e := range x.engines {
+			Expect(e.Fell()).To(BeFalse())
+			Expect(e.Adapters()).To(BeNumerically("<=", 2))
+		}
+	})
+
+	It("answers 404 without a route and 400 without an id", func() {
+		Expect(x.get("none", "/other/", "").status).To(Equal(http.StatusNotFound))
+		Expect(x.send("POST", "", "/charge/", "", "").status).To(Equal(http.StatusBadRequest))
+	})
+
+	It("refuses a body over the limit before a worker sees it", func() {
+		r := x.send("POST", "big", "/charge/", "", strings.Repeat("x", 65537))
+		Expect(r.status).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(x.runs("big")).To(BeZero())
+	})
+
+	It("runs a request that may not be repeated once, and says nothing untrue of a lost answer", func() {
+		for _, a := range x.apps {
+			a.SetFaults(standin.WorkerFaults{
+				LoseAnswers: true,
+			})
+		}
+		r := x.send("POST", "once", "/charge/", "", "body")
+		Expect(r.status).To(Equal(http.StatusBadGateway))
+		Expect(x.runs("once")).To(Equal(1))
+	})
+
+	It("tries a repeatable request once more after a lost answer and after an error", func() {
+		for i, f := range []standin.WorkerFaults{{LoseAnswers: true}, {Error: true}} {
+			x.apps[0].SetFaults(f)
+			for n := range 4 { // both workers get some
+				id := fmt.Sprintf("again-%d-%d", i, n)
+				r := x.send("GET", id, "/look/", "", "")
+				Expect(r.status).To(Equal(http.StatusOK))
+				Expect(x.runs(id)).To(BeNumerically("<=", 2))
+			}
+		}
+	})
+
+	It("passes an error of a worker on when the request may not run again", func() {
+		for _, a := range x.apps {
+			a.SetFaults(standin.WorkerFaults{
+				Error: true,
+			})
+		}
+		r := x.send("POST", "err", "/charge/", "", "body")
+		Expect(r.status).To(Equal(http.StatusInternalServerError))
+		Expect(r.header.Get("X-Wardturn-Server-Seal")).To(Equal("seal-err"))
+		Expect(x.runs("err")).To(Equal(1))
+	})
+
+	It("tells the caller when to come back if every worker is full, and has not run it", func() {
+		for _, a := range x.apps {
+			a.SetFaults(standin.WorkerFaults{
+				Full: true,
+			})
+		}
+		r := x.send("POST", "full", "/charge/", "", "body")
+		Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after).To(BeNumerically(">", 0))
+		Expect(x.runs("full")).To(BeZero())
+	})
+
+	It("passes over an answer to another request", func() {
+		for _, a := range x.apps {
+			a.SetFaults(standin.WorkerFaults{
+				Stranger: true,
+			})
+		}
+		r := x.send("POST", "mine", "/charge/", "", "body")
+		Expect(r.body).To(Equal("mine"))
+	})
+
+	It("does not let a stream that was cut look whole", func() {
+		for _, e := range x.engines {
+			e.SetFaults(standin.WorkerFaults{
+				CutAfter: 2,
+			})
+		}
+		r := x.get("cut", "/ask/x", "m0/a1")
+		Expect(r.status).To(Equal(http.StatusOK))
+		Expect(r.err).To(HaveOccurred())
+	})
+
+	It("sends nothing to a worker that leaves", func() {
+		x.list(x.apps[0], "app", "a0", "draining")
+		Eventually(func() int {
+			before := x.apps[0].Total()
+			for range 4 {
+				x.get("drain", "/charge/", "")
+			}
+			return x.apps[0].Total() - before
+		}, soon, often).Should(BeZero())
+	})
+
+	It("reaches no other worker at a reused address", func() {
+		x.apps[0].Restart("other")
+		for range 6 {
+			Expect(x.get("reuse", "/charge/", "").status).To(Equal(http.StatusOK))
+		}
+		Expect(x.apps[0].Total()).To(BeZero())
+	})
+
+	It("puts a new configuration in force and keeps it when the store is away", func() {
+		Expect(x.get("new", "/new/", "").status).To(Equal(http.StatusNotFound))
+		x.store.PutConfig(config(2, `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		Eventually(func() int {
+			return x.get("new", "/new/", "").status
+		}, soon, often).Should(Equal(http.StatusOK))
+		x.store.SetFaults(standin.MetaFaults{
+			Away: true,
+		})
+		time.Sleep(100 * time.Millisecond)
+		Expect(x.get("new", "/new/", "").status).To(Equal(http.StatusOK))
+	})
+
+	It("keeps the last good configuration when one cannot be understood", func() {
+		x.store.PutConfig(`{"version":3,"routes":[{"name":"bad","type":"what"}]}`)
+		time.Sleep(50 * time.Millisecond)
+		Expect(x.get("kept", "/charge/", "").status).To(Equal(http.StatusOK))
+	})
+
+	It("reads the configuration anew after the store dropped its history", func() {
+		x.store.Compact("keyed.op")
+		x.store.Compact("keyed.servers")
+		x.store.PutConfig(config(4, `,{"name":"late","host":"h.example","path_prefix":"/late/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		Eventually(func() int {
+			return x.get("late", "/late/", "").status
+		}, soon, often).Should(Equal(http.StatusOK))
+	})
+
+	It("keeps entries that lapsed while the store was away, for a while", func() {
+		x.store.SetFaults(standin.MetaFaults{
+			Away: true,
+		})
+		time.Sleep(100 * time.Millisecond)
+		x.store.DropServer("a0")
+		x.store.DropServer("a1")
+		x.store.SetFaults(standin.MetaFaults{})
+		time.Sleep(60 * time.Millisecond)
+		Expect(x.get("lapsed", "/charge/", "").status).To(Equal(http.StatusOK))
+		Eventually(func() int {
+			return x.get("lapsed", "/charge/", "").status
+		}, soon, often).Should(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("serves a new version of an adapter once it is named", func() {
+		Expect(x.get("v", "/ask/x", "m0/a3").status).To(Equal(http.StatusOK))
+		for _, e := range x.engines {
+			e.Name("a3", 2)
+		}
+		x.store.Put("keyed.op", "version/m0.a3", []byte(`{"model":"m0","adapter":"a3","version":2}`))
+		time.Sleep(50 * time.Millisecond)
+		Expect(x.get("v", "/ask/x", "m0/a3").status).To(Equal(http.StatusOK))
+	})
+
+	It("loads model and adapter again after an engine restarted empty", func() {
+		Expect(x.get("r", "/ask/x", "m0/a5").status).To(Equal(http.StatusOK))
+		for i, e := range x.engines {
+			e.Restart(fmt.Sprintf("e%d-again", i))
+			x.store.DropServer(fmt.Sprintf("e%d", i))
+			x.list(e, "llm", fmt.Sprintf("e%d-again", i), "ready")
+		}
+		Eventually(func() int {
+			return x.get("r", "/ask/x", "m0/a5").status
+		}, soon, often).Should(Equal(http.StatusOK))
+	})
+
+	It("ends requests under way before it leaves, and is not ready meanwhile", func() {
+		done := make(chan reply, 1)
+		x.get("first", "/ask/x", "m0/a9")
+		go func() {
+			done <- x.get("last", "/ask/x", "m0/a9")
+		}()
+		time.Sleep(8 * time.Millisecond)
+		limit, cancel := context.WithTimeout(context.Background(), soon)
+		defer cancel()
+		x.gateway.Leave(limit)
+		Expect(x.gateway.Ready()).To(BeFalse())
+		r := <-done
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal(wholeStream))
+	})
+
+	It("tells the balancer whether it is ready", func() {
+		res, err := x.client.Get(x.ready)
+		Expect(err).NotTo(HaveOccurred())
+		res.Body.Close()
+		Expect(res.StatusCode).To(Equal(http.StatusOK))
+	})
+})
--- /dev/null
+++ b/gateway/rig_test.go
@@ -0,0 +1,237 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/gateway"
+	"wardturn/keeper"
+	"wardturn/platform"
+	"wardturn/policy"
+	"wardturn/process"
+	"wardturn/standin"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+const (
+	soon  = 5 * time.Second // by which everything of a test has happened
+	often = 5 * time.Millisecond
+)
+
+// rig is a gateway with a store, two engines with keepers and two application
+// workers, all in this process on loopback addresses.
+type rig struct {
+	store   *standin.MetaStore
+	engines []*standin.ModelWorker
+	apps    []*standin.ModelWorker
+	addrs   map[*standin.ModelWorker]string
+	gateway *gateway.Gateway
+	front   string
+	ready   string
+	keeper  string // port of the keepers
+	client  *http.Client
+}
+
+const rigConfig = `{"version":%d,"routes":[
+{"name":"ask","host":"h.example","path_prefix":"/ask/","type":"streaming","timeout_ms":3000,"slo_ms":600,"priority":1,"service":"llm","max_attempts":1},
+{"name":"resume","host":"h.example","path_prefix":"/resume/","type":"streaming","timeout_ms":3000,"slo_ms":600,"priority":1,"service":"llm","max_attempts":2,"resumable":true},
+{"name":"charge","host":"h.example","path_prefix":"/charge/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1},
+{"name":"look","host":"h.example","path_prefix":"/look/","type":"idempotent","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":2}%s],
+"services":[{"name":"llm","max_conns":50,"engine":{"slots":8,"adapter_slots":2,"models":[{"name":"m0","load_s":0.1}]}},{"name":"app","max_conns":50}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+func config(version int, more string) string {
+	return fmt.Sprintf(rigConfig, version, more)
+}
+
+func serve(ln net.Listener, h http.Handler) {
+	s := &http.Server{
+		Handler: h,
+	}
+	go func() {
+		_ = s.Serve(ln)
+	}()
+	DeferCleanup(func() {
+		_ = s.Close()
+	})
+}
+
+func listen(addr string) net.Listener {
+	ln, err := net.Listen("tcp", addr)
+	Expect(err).NotTo(HaveOccurred())
+	return ln
+}
+
+// addWorker serves a worker and enters it in the list.
+func (x *rig) addWorker(service, host string, cfg standin.ModelWorkerConfig) *standin.ModelWorker {
+	m := standin.NewModelWorker(cfg)
+	ln := listen(host + ":0")
+	serve(ln, m)
+	x.addrs[m] = ln.Addr().String()
+	x.list(m, service, cfg.ID, "ready")
+	return m
+}
+
+func (x *rig) list(m *standin.ModelWorker, service, id, state string) {
+	x.store.PutServer(id, m.Entry(service, x.addrs[m], "d", state))
+}
+
+func (x *rig) startKeeper(host string, m *standin.ModelWorker, store *platform.Store) {
+	addr := host + ":0"
+	if x.keeper != "" {
+		addr = host + ":" + x.keeper
+	}
+	ln := listen(addr)
+	_, x.keeper, _ = net.SplitHostPort(ln.Addr().String())
+	k := keeper.New(keeper.Deps{
+		Config: keeper.Config{
+			Process: wardturn.Incarnation("keeper-" + host),
+			Name:    host,
+		},
+		Clock:    process.Clock{},
+		Logger:   hclog.NewNullLogger(),
+		Scope:    tally.NoopScope,
+		Engine:   platform.NewWorker(x.addrs[m]),
+		Fences:   store,
+		Policy:   policy.Default{},
+		Listener: ln,
+	})
+	DeferCleanup(k.Close)
+}
+
+func newRig() *rig {
+	x := &rig{
+		store: standin.NewMetaStore(),
+		addrs: make(map[*standin.ModelWorker]string),
+		client: &http.Client{
+			Timeout:   soon,
+			Transport: &http.Transport{},
+		},
+	}
+	storeListener := listen("127.0.0.1:0")
+	serve(storeListener, x.store)
+	x.store.PutConfig(config(1, ""))
+	store := platform.NewStore(storeListener.Addr().String())
+	for i := range 2 {
+		host := fmt.Sprintf("127.0.0.%d", 11+i)
+		m := x.addWorker("llm", host, standin.ModelWorkerConfig{
+			ID:       fmt.Sprintf("e%d", i),
+			Model:    "m0",
+			Slots:    2,
+			LoadTime: 20 * time.Millisecond,
+			Pieces:   4,
+			Pause:    5 * time.Millisecond,
+		})
+		x.engines = append(x.engines, m)
+		x.startKeeper(host, m, store)
+		x.apps = append(x.apps, x.addWorker("app", host, standin.ModelWorkerConfig{
+			ID: fmt.Sprintf("a%d", i),
+		}))
+	}
+	front, ready := listen("127.0.0.1:0"), listen("127.0.0.1:0")
+	x.front = "http://" + front.Addr().String()
+	x.ready = "http://" + ready.Addr().String() + platform.ReadyPath
+	logger := hclog.NewNullLogger()
+	x.gateway = gateway.New(gateway.Deps{
+		Config: gateway.Config{
+			Process:      "gateway",
+			Domain:       "d",
+			KeeperPort:   x.keeper,
+			MembersEvery: 20 * time.Millisecond,
+			LapseGrace:   300 * time.Millisecond,
+			MaxBody:      1 << 20,
+			RetryShare:   0.1,
+			RetryFloor:   1,
+			RetryBurst:   10,
+			LeaveAfter:   50 * time.Millisecond,
+			Fleet: decide.FleetConfig{
+				Domain:     "d",
+				HoldPart:   2,
+				CrossBytes: 28000,
+			},
+		},
+		Clock:     process.Clock{},
+		Logger:    logger,
+		Metrics:   gateway.NewMetrics(tally.NoopScope),
+		Names:     platform.Headers(),
+		Source:    platform.NewConfiguration(store, logger),
+		Members:   platform.NewMembers(store, process.Clock{}, logger),
+		Front:     front,
+		Ready:     ready,
+		ReadyPath: platform.ReadyPath,
+	})
+	DeferCleanup(x.gateway.Close)
+	Eventually(x.gateway.Ready, soon, often).Should(BeTrue())
+	// A request without an adapter is served once an engine's keeper is there.
+	Eventually(func() int {
+		return x.get("warm", "/ask/x", "m0").status
+	}, soon, often).Should(Equal(http.StatusOK))
+	return x
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the answer was cut
+}
+
+var attempts int
+
+// get sends a request to the front and reads the answer. The attempt's id starts
+// with name.
+func (x *rig) send(method, id, path, model, body string) reply {
+	req, err := http.NewRequest(method, x.front+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("X-Wardturn-Attempt-Id", id)
+	req.Header.Set("X-Wardturn-Deadline-Ms", "3000")
+	if model != "" {
+		req.Header.Set("X-Wardturn-Model", model)
+	}
+	res, err := x.client.Do(req)
+	if err != nil {
+		return reply{
+			err: err,
+		}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	return reply{
+		status: res.StatusCode,
+		header: res.Header,
+		body:   string(data),
+		err:    err,
+	}
+}
+
+func (x *rig) get(name, path, model string) reply {
+	attempts++
+	return x.send("POST", fmt.Sprintf("%s-%d", name, attempts), path, model, "prompt")
+}
+
+// runs counts the runs of an attempt at all workers.
+func (x *rig) runs(id string) int {
+	n := 0
+	for _, m := range append(x.engines, x.apps...) {
+		n += m.Runs(id)
+	}
+	return n
+}
--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,266 @@
+package keeper_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"wardturn"
+	"wardturn/keeper"
+	"wardturn/peer"
+	"wardturn/policy"
+	"wardturn/process"
+)
+
+func TestKeeper(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "keeper")
+}
+
+const soon = 5 * time.Second
+
+// engine is an engine that records its orders.
+type engine struct {
+	mu      sync.Mutex
+	state   wardturn.EngineState
+	orders  []wardturn.EngineOrder
+	answers []wardturn.OrderAnswer // of the next orders; then all are taken
+	down    bool
+}
+
+func (e *engine) Report() (wardturn.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return wardturn.EngineState{}, wardturn.ErrUnavailable
+	}
+	return e.state, nil
+}
+
+func (e *engine) Order(o wardturn.EngineOrder) wardturn.OrderAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	if len(e.answers) > 0 {
+		a := e.answers[0]
+		e.answers = e.answers[1:]
+		if a != wardturn.OrderTaken {
+			return a
+		}
+	}
+	e.state.Seq++
+	e.state.Models[0].Adapters = append(e.state.Models[0].Adapters, wardturn.AdapterVersion{
+		Model:   o.Target.Model,
+		Adapter: o.Target.Adapter,
+		Version: max(o.Version, 1),
+	})
+	return wardturn.OrderTaken
+}
+
+func (e *engine) given() []wardturn.EngineOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]wardturn.EngineOrder(nil), e.orders...)
+}
+
+// fences numbers starts, or fails while away.
+type fences struct {
+	mu   sync.Mutex
+	next wardturn.Fence
+	away bool
+}
+
+func (f *fences) TakeFence(wardturn.Incarnation) (wardturn.Fence, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return 0, wardturn.ErrUnavailable
+	}
+	f.next++
+	return f.next, nil
+}
+
+// gatewayEnd is a gateway's end of the connection.
+type gatewayEnd struct {
+	conn     chan *peer.Conn
+	holdings chan *peer.Holding
+}
+
+func (g *gatewayEnd) Connected(c *peer.Conn)   { g.conn <- c }
+func (g *gatewayEnd) Closed(*peer.Conn, error) {}
+func (g *gatewayEnd) Handle(_ *peer.Conn, m peer.Message) {
+	if h, ok := m.(*peer.Holding); ok {
+		g.holdings <- h
+	}
+}
+
+var _ = Describe("Keeper", func() {
+	var (
+		e    *engine
+		f    *fences
+		g    *gatewayEnd
+		conn *peer.Conn
+	)
+	adapter := wardturn.AdapterVersion{
+		Model:   "m",
+		Adapter: "a",
+		Version: 1,
+	}
+	start := func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		k := keeper.New(keeper.Deps{
+			Config: keeper.Config{
+				Process: "k",
+			},
+			Clock:    process.Clock{},
+			Logger:   hclog.NewNullLogger(),
+			Scope:    tally.NoopScope,
+			Engine:   e,
+			Fences:   f,
+			Policy:   policy.Default{},
+			Listener: ln,
+		})
+		DeferCleanup(k.Close)
+		g = &gatewayEnd{
+			conn:     make(chan *peer.Conn, 8),
+			holdings: make(chan *peer.Holding, 100),
+		}
+		c := peer.NewClient(ln.Addr().String(), nil, process.Clock{}, peer.Identity{
+			Role:    peer.RoleEntry,
+			Process: "g",
+			Config: func() wardturn.Offset {
+				return 0
+			},
+		}, g)
+		DeferCleanup(c.Close)
+		Eventually(g.conn, soon).Should(Receive(&conn))
+	}
+	notice := func() {
+		Expect(conn.Send(&peer.EngineNotice{
+			Config:   1,
+			Upstream: "i-1",
+			Spec: wardturn.EngineSpec{
+				AdapterSlots: 4,
+				Models: []wardturn.ModelSpec{
+					{
+						Name: "m",
+					},
+				},
+			},
+		})).To(Succeed())
+	}
+	wish := func() {
+		Expect(conn.Send(&peer.LoadWish{
+			Adapter: adapter,
+			Waiting: 1,
+		})).To(Succeed())
+	}
+
+	BeforeEach(func() {
+		f = &fences{}
+		e = &engine{
+			state: wardturn.EngineState{
+				Seq: 7,
+				Models: []wardturn.LoadedModel{
+					{
+						Name: "m",
+					},
+				},
+			},
+		}
+	})
+
+	It("gives orders under its fence, to the engine's lifetime, at its sequence number", func() {
+		start()
+		notice()
+		wish()
+		Eventually(e.given, soon).Should(HaveLen(1))
+		o := e.given()[0]
+		Expect(o.Fence).To(BeEquivalentTo(1))
+		Expect(o.Upstream).To(BeEquivalentTo("i-1"))
+		Expect(o.Expected).To(BeEquivalentTo(7))
+		Expect(o.Holder).To(BeEquivalentTo("k"))
+	})
+
+	It("tells the whole holding first and then what changed", func() {
+		start()
+		notice()
+		var h *peer.Holding
+		Eventually(g.holdings, soon).Should(Receive(&h))
+		Expect(h.Full).To(BeTrue())
+		wish()
+		Eventually(func() int {
+			Eventually(g.holdings, soon).Should(Receive(&h))
+			Expect(h.Full).To(BeFalse())
+			return len(h.Adapters) // a change of the lifetime alone may come first
+		}, soon).Should(Equal(1))
+	})
+
+	It("gives no orders before it has a fence", func() {
+		f.away = true
+		start()
+		notice()
+		wish()
+		Consistently(e.given, 100*time.Millisecond).Should(BeEmpty())
+		f.mu.Lock()
+		f.away = false
+		f.mu.Unlock()
+		Eventually(func() int {
+			wish()
+			return len(e.given())
+		}, soon, 50*time.Millisecond).Should(BeNumerically(">", 0))
+	})
+
+	It("gives no orders before it knows the engine's lifetime", func() {
+		start()
+		wish()
+		Consistently(e.given, 100*time.Millisecond).Should(BeEmpty())
+	})
+
+	It("takes a new fence when a newer holder gave orders", func() {
+		e.answers = []wardturn.OrderAnswer{wardturn.OrderStale}
+		start()
+		notice()
+		wish()
+		Eventually(func() int {
+			wish()
+			return len(e.given())
+		}, soon, 50*time.Millisecond).Should(BeNumerically(">=", 2))
+		Expect(e.given()[1].Fence).To(BeEquivalentTo(2))
+	})
+
+	It("gives an order without answer again, at the sequence number that the engine reports then", func() {
+		e.answers = []wardturn.OrderAnswer{wardturn.OrderLost, wardturn.OrderConflict}
+		start()
+		notice()
+		wish()
+		Eventually(func() int {
+			wish()
+			return len(e.given())
+		}, soon, 20*time.Millisecond).Should(BeNumerically(">=", 3))
+		Expect(e.given()[2].Expected).To(BeEquivalentTo(7))
+	})
+
+	It("says so when the engine does not answer", func() {
+		start()
+		notice()
+		e.mu.Lock()
+		e.down = true
+		e.mu.Unlock()
+		Eventually(func() bool {
+			select {
+			case h := <-g.holdings:
+				return !h.Known
+			default:
+				return false
+			}
+		}, soon, 10*time.Millisecond).Should(BeTrue())
+	})
+})
