New versions are loaded beside the old ones; late answers are logged with their times

Replacing an adapter in place stops its requests for some 700 ms. Change: the newest version is loaded by another engine while the old one serves for at most 3 s, then the requests move and the old copies are replaced. Late answers log when they were placed, first came and paused. Conclusion: not what made answers late: the log shows pauses of 410 to 470 ms on engines that prefill long prompts. Kept, since a replaced hot adapter no longer stands still.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -17,7 +17,8 @@
 type Fleet struct {
 	cfg      FleetConfig
 	table    *wardturn.RouteTable
-	versions map[wardturn.ModelAdapter]wardturn.Version
+	versions map[wardturn.ModelAdapter]wardturn.Version // the newest named
+	rollouts map[wardturn.ModelAdapter]*rollout
 	members  map[wardturn.UpstreamID]*Member
 	services map[wardturn.ServiceName][]*Member  // in order of id
 	holders  map[wardturn.ModelAdapter][]*Member // engines that hold an adapter ready
@@ -85,6 +86,7 @@
 	return &Fleet{
 		cfg:      cfg,
 		versions: make(map[wardturn.ModelAdapter]wardturn.Version),
+		rollouts: make(map[wardturn.ModelAdapter]*rollout),
 		members:  make(map[wardturn.UpstreamID]*Member),
 		services: make(map[wardturn.ServiceName][]*Member),
 		holders:  make(map[wardturn.ModelAdapter][]*Member),
@@ -99,14 +101,6 @@
 	f.table = t
 }
 
-// SetVersion records the newest version of an adapter, and asks the engines of
-// the own failure domain that hold an older one to replace it.
-func (f *Fleet) SetVersion(now time.Time, v wardturn.AdapterVersion, out *Moves) {
-	key := v.Key()
-	f.versions[key] = max(f.versions[key], v.Version)
-	f.replace(now, key, out)
-}
-
 // Addrs returns the addresses of all upstreams.
 func (f *Fleet) Addrs() map[string]bool {
 	addrs := make(map[string]bool, len(f.members))
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -237,17 +237,41 @@
 		Expect(string(out.Asks[0].Upstream)).To(HavePrefix("n"))
 	})
 
-	It("does not send to an engine with an old version, and asks for the newest", func() {
+	It("does not send to an engine with an old version that was named before its start", func() {
 		hold("n0", ready("a", 1))
-		f.SetVersion(now, version("a", 2), &out)
+		f.SetVersion(now, version("a", 2), false, &out)
 		Expect(out.Asks).To(HaveLen(1))
 		Expect(out.Asks[0].Adapter).To(Equal(version("a", 2)))
+		Expect(out.Asks[0].Upstream).To(BeEquivalentTo("n0"))
 		admit("r", "a")
 		Expect(got).To(BeEmpty())
 		hold("n0", ready("a", 2))
 		Expect(got["r"].Version).To(BeEquivalentTo(2))
 	})
 
+	It("loads a new version beside the old one, moves the requests, and then replaces the old", func() {
+		hold("n0", ready("a", 1))
+		f.SetVersion(now, version("a", 2), true, &out)
+		Expect(out.Asks).To(HaveLen(1))
+		beside := out.Asks[0].Upstream
+		Expect(beside).NotTo(BeEquivalentTo("n0"))
+		admit("old", "a")
+		Expect(got["old"].Version).To(BeEquivalentTo(1))
+		hold(string(beside), ready("a", 2))
+		admit("new", "a")
+		Expect(got["new"].Member.ID).To(Equal(beside))
+		Expect(got["new"].Version).To(BeEquivalentTo(2))
+		Expect(out.Asks[len(out.Asks)-1].Upstream).To(BeEquivalentTo("n0"))
+	})
+
+	It("lets an old version serve no longer than its grace", func() {
+		hold("n0", ready("a", 1))
+		f.SetVersion(now, version("a", 2), true, &out)
+		now = now.Add(3 * time.Second)
+		admit("r", "a")
+		Expect(got).To(BeEmpty())
+	})
+
 	It("passes over engines that leave, refuse connections or answer as another", func() {
 		hold("n0", ready("a", 1))
 		hold("n1", ready("a", 1))
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -145,18 +145,10 @@
 
 // place gives a request to an engine that is ready for it.
 func (f *Fleet) place(now time.Time, t *Ticket, out *Moves) bool {
-	newest := f.versions[t.Key]
-	ready := func(m *Member) bool {
-		if m.Service != t.Service || !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
-			return false
-		}
-		return m.serves(now, t.Key, newest)
-	}
-	list := f.services[t.Service]
-	if t.Key.Adapter != "" {
-		list = f.holders[t.Key]
+	m := f.engineFor(now, t, f.versions[t.Key])
+	if m == nil && f.oldVersionServes(now, t.Key) {
+		m = f.engineFor(now, t, 0)
 	}
-	m := f.best(list, ready)
 	if m == nil {
 		return false
 	}
@@ -169,6 +161,21 @@
 	return true
 }
 
+// engineFor returns the engine that takes a request now, at a version or a newer
+// one, or nil.
+func (f *Fleet) engineFor(now time.Time, t *Ticket, least wardturn.Version) *Member {
+	list := f.services[t.Service]
+	if t.Key.Adapter != "" {
+		list = f.holders[t.Key]
+	}
+	return f.best(list, func(m *Member) bool {
+		if m.Service != t.Service || !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
+			return false
+		}
+		return m.serves(now, t.Key, least)
+	})
+}
+
 // serves reports whether an engine holds an adapter at the newest version, or,
 // for a request without one, the model.
 func (m *Member) serves(now time.Time, key wardturn.ModelAdapter, newest wardturn.Version) bool {
@@ -203,19 +210,19 @@
 		return
 	}
 	f.crossed[t.Key] = 0
-	f.ask(now, f.want(now, t), home, out)
+	f.ask(now, f.wantOf(now, t.Key, t.Service), home, out)
 }
 
-// want returns the want of a request's adapter.
-func (f *Fleet) want(now time.Time, t *Ticket) *want {
-	w := f.wants[t.Key]
+// wantOf returns the want of an adapter.
+func (f *Fleet) wantOf(now time.Time, key wardturn.ModelAdapter, s wardturn.ServiceName) *want {
+	w := f.wants[key]
 	if w == nil {
 		w = &want{
-			key:     t.Key,
-			service: t.Service,
+			key:     key,
+			service: s,
 			first:   now,
 		}
-		f.wants[t.Key] = w
+		f.wants[key] = w
 	}
 	return w
 }
@@ -223,7 +230,7 @@
 // wait lets a request wait for its adapter if that can be there in time, and
 // tells it when to come back if not.
 func (f *Fleet) wait(now time.Time, t *Ticket, out *Moves) {
-	w := f.want(now, t)
+	w := f.wantOf(now, t.Key, t.Service)
 	t.want = w
 	t.holdUntil = t.Arrived.Add(time.Duration(f.cfg.HoldPart * float64(t.Objective)))
 	w.waiting = append(w.waiting, t)
@@ -361,6 +368,9 @@
 	})
 	waiting := w.waiting
 	f.drop(w)
+	if r := f.rollouts[a.Key()]; r != nil {
+		f.advance(now, a.Key(), r, out)
+	}
 	for _, t := range waiting {
 		t.want = nil
 		if !f.place(now, t, out) {
@@ -398,6 +408,7 @@
 		f.expire(now, w)
 		f.renew(now, w, out)
 	}
+	f.advanceRollouts(now, out)
 	f.pump(now, out)
 }
 
@@ -483,24 +494,3 @@
 	}
 	return max(typical-now.Sub(w.askedAt), typical/4)
 }
-
-// replace asks the engines of the own failure domain that hold an old version of
-// an adapter for the newest.
-func (f *Fleet) replace(now time.Time, key wardturn.ModelAdapter, out *Moves) {
-	newest := f.versions[key]
-	for id, m := range f.members {
-		h, ok := m.held[key]
-		if !ok || h.version >= newest || m.Domain != f.cfg.Domain || m.Draining {
-			continue
-		}
-		out.Asks = append(out.Asks, LoadAsk{
-			Upstream: id,
-			Adapter: wardturn.AdapterVersion{
-				Model:   key.Model,
-				Adapter: key.Adapter,
-				Version: newest,
-			},
-			Waiting: 1,
-		})
-	}
-}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,6 +53,15 @@
 	ran     int  // upstreams that may have run it
 	begun   bool // the caller has the head of an answer
 	refusal *refusal
+	timing  timing
+}
+
+// timing is when the parts of an answer came.
+type timing struct {
+	placed time.Duration // from the arrival to the choice of the last upstream
+	first  time.Duration // from the arrival to the first bytes of the answer
+	last   time.Time     // of the latest bytes
+	pause  time.Duration // the longest between bytes
 }
 
 // refusal is the word that a request has not run.
@@ -182,6 +191,7 @@
 		x.tried = append(x.tried, a.Member.ID)
 		switch res {
 		case passed:
+			x.noteLate(a)
 			x.g.metrics.finished(x, "done")
 			return
 		case left:
@@ -208,6 +218,27 @@
 	}
 }
 
+// noteLate logs an answer that came later than the route's objective, with what
+// took the time.
+func (x *exchange) noteLate(a assignment) {
+	t := x.timing
+	if t.first <= x.route.Objective && (x.route.MaxPause == 0 || t.pause <= x.route.MaxPause) {
+		return
+	}
+	x.g.logger.Info("late", "id", x.attempt, "route", x.route.Name, "adapter", x.key.Adapter, "upstream", a.Member.ID, "placed", t.placed, "first", t.first, "pause", t.pause, "sends", len(x.tried)+1)
+}
+
+// arrivedBytes notes the time of bytes of the answer.
+func (x *exchange) arrivedBytes() {
+	now := x.g.clock.Now()
+	if x.timing.last.IsZero() {
+		x.timing.first = now.Sub(x.arrived)
+	} else {
+		x.timing.pause = max(x.timing.pause, now.Sub(x.timing.last))
+	}
+	x.timing.last = now
+}
+
 // repeatable reports whether the request may run more than once.
 func (x *exchange) repeatable() bool {
 	return x.route.Repeats == wardturn.RunAgain || x.route.Resumable
@@ -297,6 +328,7 @@
 // try sends the request to one upstream and passes its answer on.
 func (x *exchange) try(ctx context.Context, a assignment) result {
 	now := x.g.clock.Now()
+	x.timing.placed = now.Sub(x.arrived)
 	leftTime := x.end.Sub(now)
 	if leftTime <= 0 {
 		return notRun
@@ -391,6 +423,7 @@
 		return unknown
 	}
 	ans.release()
+	x.arrivedBytes()
 	x.copyHead(res)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(res.StatusCode)
@@ -425,6 +458,7 @@
 	for {
 		n, err := res.Body.Read(buf)
 		if n > 0 {
+			x.arrivedBytes()
 			if _, werr := x.w.Write(buf[:n]); werr != nil {
 				ans.discard()
 				return left
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,8 +198,9 @@
 	now := g.clock.Now()
 	var out decide.Moves
 	g.mu.Lock()
+	running := g.routes.Load() != nil
 	for _, v := range c.Versions {
-		g.fleet.SetVersion(now, v, &out)
+		g.fleet.SetVersion(now, v, running, &out)
 		g.logger.Info("version named", "model", v.Model, "adapter", v.Adapter, "version", v.Version)
 	}
 	present := g.routes.Load()
