Engines are chosen by what they have to read and run; busy ones share their hot adapters

Counts of requests against slots did not show it. Change: the cost of an engine is 3 ms a request, the prompts under way at 40 tokens a ms, and 30 ms for another failure domain; an engine of 1.4 times the mean load and over 8 requests has its adapter copied to the idlest.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -46,6 +46,7 @@
 	hash      uint64
 	breaker   Breaker
 	running   int // requests of this gateway under way
+	prefill   int // tokens of prompts of those that have no byte of an answer yet
 	holding   Holding
 	heldAt    time.Time // of the holding
 	atHold    int       // running when the holding arrived
@@ -234,8 +235,9 @@
 }
 
 // sent records that a request goes to an upstream.
-func (f *Fleet) sent(now time.Time, m *Member, key wardturn.ModelAdapter) {
+func (f *Fleet) sent(now time.Time, m *Member, key wardturn.ModelAdapter, prompt wardturn.Tokens) {
 	m.running++
+	m.prefill += int(prompt)
 	m.breaker.Tried(now)
 	if key.Adapter == "" {
 		return
@@ -252,7 +254,15 @@
 	u.changed = true
 }
 
-// Ended records the end of a request at an upstream.
+// Began records that the answer to a request began: its prompt has been read.
+func (f *Fleet) Began(id wardturn.UpstreamID, prompt wardturn.Tokens) {
+	if m := f.members[id]; m != nil {
+		m.prefill = max(0, m.prefill-int(prompt))
+	}
+}
+
+// Ended records the end of a request at an upstream. Call Began before, also for
+// a request that had no answer.
 func (f *Fleet) Ended(now time.Time, id wardturn.UpstreamID, key wardturn.ModelAdapter, healthy bool) {
 	m := f.members[id]
 	if m == nil {
@@ -361,31 +371,41 @@
 	return max(m.running, m.holding.Running+m.holding.Queued+m.running-m.atHold)
 }
 
-// best returns the member of the least load among those that match; those of
-// the own failure domain go first.
+// The costs of a choice, in milliseconds that a request is expected to lose.
+const (
+	// farCost stands for the price of traffic between failure domains, some
+	// thirtieth of a request's worth.
+	farCost = 30.0
+	// runCost is what each request at an engine costs another: its prompt is
+	// read and its tokens are made in the same steps.
+	runCost = 3.0
+	// prefillRate is how many tokens of prompts an engine of today reads in a
+	// millisecond. While it does, those that run there get their tokens later.
+	prefillRate = 40.0
+)
+
+// best returns the member of the least cost among those that match.
 func (f *Fleet) best(list []*Member, match func(*Member) bool) *Member {
-	var near, far *Member
+	var best *Member
+	least := 0.0
 	for _, m := range list {
 		if !match(m) {
 			continue
 		}
-		if m.Domain == f.cfg.Domain {
-			near = lighter(near, m)
-			continue
+		if c := f.cost(m); best == nil || c < least {
+			best = m
+			least = c
 		}
-		far = lighter(far, m)
-	}
-	if near != nil {
-		return near
 	}
-	return far
+	return best
 }
 
-func lighter(x, y *Member) *Member {
-	if x == nil || y.fill() < x.fill() {
-		return y
+func (f *Fleet) cost(m *Member) float64 {
+	c := float64(m.prefill)/prefillRate + runCost*float64(m.load())
+	if m.Domain != f.cfg.Domain {
+		c += farCost
 	}
-	return x
+	return c
 }
 
 // fill is the load as a part of what the member works on at once.
@@ -393,6 +413,11 @@
 	return float64(m.load()) / float64(max(m.Slots, 1))
 }
 
+// loads reports whether an engine can be asked for adapters of a model.
+func (m *Member) loads(now time.Time, model wardturn.BaseModel) bool {
+	return m.usable(now, nil) && m.holding.Connected && m.holding.Known && slices.Contains(m.holding.Models, model)
+}
+
 // homes returns the engines that may load an adapter, the first choice first: all
 // gateways agree on the order, so that a cold adapter is loaded once. With near
 // set only engines of the own failure domain count.
@@ -403,7 +428,7 @@
 		if near && m.Domain != f.cfg.Domain {
 			continue
 		}
-		if m.usable(now, nil) && m.holding.Connected && m.holding.Known && slices.Contains(m.holding.Models, key.Model) {
+		if m.loads(now, key.Model) {
 			list = append(list, m)
 		}
 	}
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -16,8 +16,15 @@
 	// engineOverfill is the same for engines: more run slower, and beyond the
 	// batch they queue.
 	engineOverfill = 1.0
-	// spreadFill is the fill beyond which a hot adapter gets another engine.
-	spreadFill = 0.5
+	// spreadLoad is the least number of requests at an engine for which an
+	// adapter gets another one; engines are quick up to there.
+	spreadLoad = 8
+	// spreadFactor is how many times the mean load that must be.
+	spreadFactor = 1.4
+	// spreadUse is how many of them must be this gateway's for that adapter.
+	spreadUse = 2
+	// copyCost is what a copy must save each request, in milliseconds.
+	copyCost = 10.0
 	// goneMargin is the least time that a leaving upstream must have left to be
 	// given a request; generations take about half a second.
 	goneMargin = time.Second
@@ -35,6 +42,7 @@
 	Arrived   time.Time
 	Objective time.Duration
 	Deadline  time.Time
+	Prompt    wardturn.Tokens
 	Bytes     int // of the request and, by estimate, of its answer
 	Tried     []wardturn.UpstreamID
 	Assign    func(Assignment) // called once, under the fleet's lock
@@ -47,6 +55,8 @@
 type Assignment struct {
 	Member     wardturn.Member // zero ID: none
 	Version    wardturn.Version
+	Load       int // requests that were at the member, as far as known
+	Prefill    int // tokens of prompts of this gateway that it was reading
 	Reason     wardturn.Reason
 	RetryAfter time.Duration
 }
@@ -136,11 +146,14 @@
 }
 
 func (f *Fleet) assign(now time.Time, t *Ticket, m *Member, v wardturn.Version) {
-	f.sent(now, m, t.Key)
-	t.Assign(Assignment{
+	a := Assignment{
 		Member:  m.Member,
 		Version: v,
-	})
+		Load:    m.load(),
+		Prefill: m.prefill,
+	}
+	f.sent(now, m, t.Key, t.Prompt)
+	t.Assign(a)
 }
 
 // place gives a request to an engine that is ready for it.
@@ -192,27 +205,55 @@
 }
 
 // spread asks for an adapter at one more engine: if the one that serves it is
-// filling up, or if it is far and as much has been sent there as a load costs.
+// busier than others, or if it is far and as much has been sent there as a load
+// costs.
 func (f *Fleet) spread(now time.Time, t *Ticket, m *Member, out *Moves) {
 	near := m.Domain == f.cfg.Domain
 	if !near {
 		f.crossed[t.Key] += t.Bytes
 	}
-	hot := m.fill() >= spreadFill
-	if !hot && (near || f.crossed[t.Key] < f.cfg.CrossBytes) {
+	costly := !near && f.crossed[t.Key] >= f.cfg.CrossBytes
+	if !costly && !f.overbusy(t, m) {
 		return
 	}
 	if f.wants[t.Key] != nil || f.asked >= f.window.Size() {
 		return
 	}
-	home := f.home(now, t.Service, t.Key, true, "")
-	if home == nil {
+	home := f.idlest(now, t, costly)
+	if home == nil || !costly && f.cost(home)+copyCost > f.cost(m) {
 		return
 	}
 	f.crossed[t.Key] = 0
 	f.ask(now, f.wantOf(now, t.Key, t.Service), home, out)
 }
 
+// overbusy reports whether an engine has far more to do than others, and not
+// because of others' requests alone.
+func (f *Fleet) overbusy(t *Ticket, m *Member) bool {
+	u := m.uses[t.Key]
+	if m.load() < spreadLoad || u == nil || u.Running < spreadUse {
+		return false
+	}
+	total := 0
+	list := f.services[t.Service]
+	for _, o := range list {
+		total += o.load()
+	}
+	return float64(m.load()) >= spreadFactor*float64(total)/float64(len(list))
+}
+
+// idlest returns the engine of the least cost that may load an adapter which it
+// does not hold.
+func (f *Fleet) idlest(now time.Time, t *Ticket, near bool) *Member {
+	return f.best(f.services[t.Service], func(m *Member) bool {
+		if near && m.Domain != f.cfg.Domain {
+			return false
+		}
+		_, holds := m.held[t.Key]
+		return !holds && m.loads(now, t.Key.Model) && m.loading() < MaxComing
+	})
+}
+
 // wantOf returns the want of an adapter.
 func (f *Fleet) wantOf(now time.Time, key wardturn.ModelAdapter, s wardturn.ServiceName) *want {
 	w := f.wants[key]
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -45,6 +45,7 @@
 	service wardturn.ServiceName
 	engine  bool // the service's upstreams are model engines
 	key     wardturn.ModelAdapter
+	prompt  wardturn.Tokens // zero if the caller does not say
 	attempt string
 	body    []byte
 	arrived time.Time
@@ -53,6 +54,7 @@
 	ran     int  // upstreams that may have run it
 	begun   bool // the caller has the head of an answer
 	refusal *refusal
+	reading wardturn.UpstreamID // that is reading the prompt
 	timing  timing
 }
 
@@ -144,6 +146,10 @@
 			Model:   wardturn.BaseModel(model),
 			Adapter: wardturn.AdapterID(adapter),
 		}
+		prompt, _, _ := strings.Cut(x.r.Header.Get(x.g.names.TokenCount), ",")
+		if n, err := strconv.Atoi(prompt); err == nil && n > 0 {
+			x.prompt = wardturn.Tokens(n)
+		}
 	}
 	return true
 }
@@ -187,6 +193,7 @@
 			return
 		}
 		res := x.try(ctx, a)
+		x.began(a)
 		x.g.ended(a.Member.ID, x.key, res)
 		x.tried = append(x.tried, a.Member.ID)
 		switch res {
@@ -225,7 +232,16 @@
 	if t.first <= x.route.Objective && (x.route.MaxPause == 0 || t.pause <= x.route.MaxPause) {
 		return
 	}
-	x.g.logger.Info("late", "id", x.attempt, "route", x.route.Name, "adapter", x.key.Adapter, "upstream", a.Member.ID, "placed", t.placed, "first", t.first, "pause", t.pause, "sends", len(x.tried)+1)
+	x.g.logger.Info("late", "id", x.attempt, "route", x.route.Name, "adapter", x.key.Adapter, "upstream", a.Member.ID, "placed", t.placed, "first", t.first, "pause", t.pause, "load", a.Load, "prefill", a.Prefill, "prompt", x.prompt, "sends", len(x.tried))
+}
+
+// began tells, once for each send, that the upstream has read the prompt or will
+// not.
+func (x *exchange) began(a assignment) {
+	if x.reading == a.Member.ID {
+		x.reading = ""
+		x.g.began(a.Member.ID, x.prompt)
+	}
 }
 
 // arrivedBytes notes the time of bytes of the answer.
@@ -258,6 +274,7 @@
 		Arrived:   x.arrived,
 		Objective: x.route.Objective,
 		Deadline:  x.end,
+		Prompt:    x.prompt,
 		Bytes:     len(x.body) + answerGuess,
 		Tried:     x.tried,
 		Assign: func(a assignment) {
@@ -274,6 +291,8 @@
 	select {
 	case a := <-got: // assigned just before
 		if a.Member.ID != "" {
+			x.reading = a.Member.ID
+			x.began(a)
 			x.g.ended(a.Member.ID, x.key, notRun)
 		}
 	default:
@@ -283,6 +302,7 @@
 
 func (x *exchange) assigned(a assignment) (assignment, bool) {
 	if a.Member.ID != "" {
+		x.reading = a.Member.ID
 		return a, true
 	}
 	x.refusal = &refusal{
@@ -379,9 +399,9 @@
 		x.drain(ans)
 		return failed
 	case x.route.Streaming && res.StatusCode < http.StatusMultipleChoices:
-		return x.stream(ans)
+		return x.stream(a, ans)
 	}
-	return x.whole(ans)
+	return x.whole(a, ans)
 }
 
 // tryAgain reports whether a request that ran and failed may run once more, and
@@ -409,10 +429,10 @@
 }
 
 // whole reads an answer to its end before the caller sees any of it.
-func (x *exchange) whole(ans *answer) result {
+func (x *exchange) whole(a assignment, ans *answer) result {
 	res := ans.res
 	if res.ContentLength > plainAnswerLimit {
-		return x.stream(ans)
+		return x.stream(a, ans)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, plainAnswerLimit+1))
 	if err != nil || len(body) > plainAnswerLimit {
@@ -445,7 +465,7 @@
 }
 
 // stream passes an answer on as it comes.
-func (x *exchange) stream(ans *answer) result {
+func (x *exchange) stream(a assignment, ans *answer) result {
 	res := ans.res
 	x.copyHead(res)
 	if res.ContentLength >= 0 {
@@ -458,6 +478,7 @@
 	for {
 		n, err := res.Body.Read(buf)
 		if n > 0 {
+			x.began(a)
 			x.arrivedBytes()
 			if _, werr := x.w.Write(buf[:n]); werr != nil {
 				ans.discard()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -286,6 +286,12 @@
 	g.fleet.Withdraw(t)
 }
 
+func (g *Gateway) began(id wardturn.UpstreamID, prompt wardturn.Tokens) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Began(id, prompt)
+}
+
 // ended records the end of a send.
 func (g *Gateway) ended(id wardturn.UpstreamID, key wardturn.ModelAdapter, r result) {
 	g.mu.Lock()
