--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -374,8 +374,8 @@
 // The costs of a choice, in milliseconds that a request is expected to lose.
 const (
 	// farCost stands for the price of traffic between failure domains, some
-	// thirtieth of a request's worth.
-	farCost = 30.0
+	// thirtieth of a request's worth. 0 to 30 measured alike.
+	farCost = 10.0
 	// runCost is what each request at an engine costs another: its prompt is
 	// read and its tokens are made in the same steps.
 	runCost = 3.0
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -115,19 +115,30 @@
 }
 
 func (f *Fleet) admitPlain(now time.Time, t *Ticket) {
-	list := f.services[t.Service]
-	for _, limit := range []float64{1, plainOverfill} {
-		m := f.best(list, func(m *Member) bool {
-			return m.usable(now, t.Tried) && m.fill() < limit
-		})
-		if m != nil {
-			f.assign(now, t, m, 0)
-			return
-		}
+	m := f.plainMember(now, t, true, 1)
+	if m == nil {
+		m = f.plainMember(now, t, false, 1)
+	}
+	if m == nil {
+		m = f.plainMember(now, t, false, plainOverfill)
+	}
+	if m != nil {
+		f.assign(now, t, m, 0)
+		return
 	}
 	t.refuse(f.emptiness(now, t), shortPause)
 }
 
+// plainMember returns the idlest member that is filled less than a limit, or nil.
+func (f *Fleet) plainMember(now time.Time, t *Ticket, near bool, limit float64) *Member {
+	return f.best(f.services[t.Service], func(m *Member) bool {
+		if near && m.Domain != f.cfg.Domain {
+			return false
+		}
+		return m.usable(now, t.Tried) && m.fill() < limit
+	})
+}
+
 // emptiness tells a full service from one without upstreams.
 func (f *Fleet) emptiness(now time.Time, t *Ticket) wardturn.Reason {
 	for _, m := range f.services[t.Service] {
