The entry written last names the upstream at an address; keepers are dialled again sooner

A dial to a machine still down hung until its packet was sent again after a second. Change: members carry the position of their latest entry, the latest at an address counts; dials give up after 300 ms and are repeated within 400 ms. Test: Fleet takes the entry written last.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -116,12 +116,25 @@
 	return f.versions[key]
 }
 
+// present leaves out entries of earlier lifetimes: an upstream that restarted
+// stands in the list twice until its old entry lapses. The entry written last is
+// the one that lives.
+func present(list []wardturn.Member) []wardturn.Member {
+	latest := make(map[string]int64, len(list))
+	for _, e := range list {
+		latest[e.Addr] = max(latest[e.Addr], e.Seen)
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(e wardturn.Member) bool {
+		return e.Seen < latest[e.Addr]
+	})
+}
+
 // SetMembers replaces the list of upstreams and keeps what is known of those
 // that stay.
 func (f *Fleet) SetMembers(list []wardturn.Member) {
 	members := make(map[wardturn.UpstreamID]*Member, len(list))
 	services := make(map[wardturn.ServiceName][]*Member)
-	for _, e := range list {
+	for _, e := range present(list) {
 		m := f.members[e.ID]
 		if m == nil {
 			m = &Member{
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -285,6 +285,19 @@
 		Expect(got).NotTo(HaveKey("r2"))
 	})
 
+	It("takes the entry written last for the upstream at an address", func() {
+		list := members()
+		again := list[0]
+		again.ID = "n0-again"
+		again.Seen = 9
+		list[0].Seen = 8
+		f.SetMembers(append(list, again))
+		hold("n0", ready("a", 1))
+		hold("n0-again", ready("a", 1))
+		admit("r", "a")
+		Expect(got["r"].Member.ID).To(BeEquivalentTo("n0-again"))
+	})
+
 	It("doubts its keeper's word for a moment after an engine refused", func() {
 		hold("n0", ready("a", 1))
 		f.NotHeld(now, "n0", key("a"))
--- a/peer/client.go
+++ b/peer/client.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	dialLimit    = 2 * time.Second
+	// dialLimit is far over the round trip between regions and far under the
+	// second after which a lost first packet is sent again: a new dial is sooner.
+	dialLimit    = 300 * time.Millisecond
 	minRedial    = 50 * time.Millisecond
-	maxRedial    = 2 * time.Second
+	maxRedial    = 400 * time.Millisecond // a process that starts again is found soon
 	redialFactor = 2
 )
 
--- a/routes.go
+++ b/routes.go
@@ -88,6 +88,7 @@
 	Slots    int // requests that it works on at once
 	Draining bool
 	GoneAt   time.Time // when it is taken away at short notice; zero: not known
+	Seen     int64     // position of its latest entry among all entries
 }
 
 // MemberList is one reading of the platform's list of upstreams.
