Resumable streams go on at another engine; upstreams that fail more often cost more

Cause: a resumable stream that breaks off ended at the caller; an upstream that fails half of its requests was used until three in a row failed. Change: streams of resumable routes are passed on by whole events and go on after the last one at another engine, within the route's upstreams and the budget; the share of failed requests (weight 0.1) adds to an upstream's cost.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -45,8 +45,9 @@
 	wardturn.Member
 	hash      uint64
 	breaker   Breaker
-	running   int // requests of this gateway under way
-	prefill   int // tokens of prompts of those that have no byte of an answer yet
+	failing   float64 // share of its requests that failed lately
+	running   int     // requests of this gateway under way
+	prefill   int     // tokens of prompts of those that have no byte of an answer yet
 	holding   Holding
 	heldAt    time.Time // of the holding
 	atHold    int       // running when the holding arrived
@@ -274,9 +275,24 @@
 	}
 }
 
+// Ending is how a request at an upstream ended, as far as that tells of the
+// upstream.
+type Ending uint8
+
+const (
+	// EndedWell had its whole answer, or was refused as not run.
+	EndedWell Ending = iota
+	// EndedInError had an answer that says the upstream failed.
+	EndedInError
+	// EndedBroken had no answer, or a part of one.
+	EndedBroken
+	// EndedUnseen ended for a reason that tells nothing of the upstream.
+	EndedUnseen
+)
+
 // Ended records the end of a request at an upstream. Call Began before, also for
 // a request that had no answer.
-func (f *Fleet) Ended(now time.Time, id wardturn.UpstreamID, key wardturn.ModelAdapter, healthy bool) {
+func (f *Fleet) Ended(now time.Time, id wardturn.UpstreamID, key wardturn.ModelAdapter, how Ending) {
 	m := f.members[id]
 	if m == nil {
 		return
@@ -287,11 +303,19 @@
 	}
 	m.running = max(0, m.running-1)
 	m.atHold = max(0, m.atHold-1)
-	if healthy {
-		m.breaker.Succeed()
+	switch how {
+	case EndedUnseen:
 		return
+	case EndedBroken:
+		m.breaker.Fail(now)
+	default:
+		m.breaker.Succeed()
+	}
+	bad := 0.0
+	if how != EndedWell {
+		bad = 1
 	}
-	m.breaker.Fail(now)
+	m.failing += failWeight * (bad - m.failing)
 }
 
 // KeeperLost records that the keeper beside an engine cannot be reached: nothing
@@ -388,10 +412,15 @@
 const (
 	// farCost stands for the price of traffic between failure domains, some
 	// thirtieth of a request's worth. 0 to 30 measured alike.
-	farCost = 10.0
+	farCost = 20.0
 	// runCost is what each request at an engine costs another: its prompt is
 	// read and its tokens are made in the same steps.
 	runCost = 3.0
+	// failCost is what a request loses that has to be sent once more, or cannot.
+	failCost = 500.0
+	// failWeight is the weight of one request in the share that fails: some ten
+	// requests show a fault.
+	failWeight = 0.1
 	// prefillRate is how many tokens of prompts an engine of today reads in a
 	// millisecond. While it does, those that run there get their tokens later.
 	prefillRate = 40.0
@@ -418,7 +447,7 @@
 	if m.Domain != f.cfg.Domain {
 		c += farCost
 	}
-	return c
+	return c + failCost*m.failing
 }
 
 // fill is the load as a part of what the member works on at once.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -229,7 +229,7 @@
 		hold("f0", ready("a", 1))
 		for range 4 {
 			t := admit("r", "a")
-			f.Ended(now, got["r"].Member.ID, t.Key, true)
+			f.Ended(now, got["r"].Member.ID, t.Key, decide.EndedWell)
 		}
 		Expect(out.Asks).To(BeEmpty())
 		admit("r", "a")
@@ -351,7 +351,7 @@
 		Expect(counts[0].Started).To(Equal(1))
 		Expect(counts[0].Running).To(Equal(1))
 		Expect(f.Usage("n0")).To(BeEmpty())
-		f.Ended(now, "n0", key("a"), true)
+		f.Ended(now, "n0", key("a"), decide.EndedWell)
 		Expect(f.Usage("n0")[0].Running).To(BeZero())
 	})
 
@@ -369,6 +369,23 @@
 			Expect(string(got["more"].Member.ID)).To(HavePrefix("f"))
 		})
 
+		It("leaves an upstream that fails more often than others", func() {
+			for range 30 {
+				admit("r", "")
+				id := got["r"].Member.ID
+				how := decide.EndedWell
+				if id == "n0" {
+					how = decide.EndedInError
+				}
+				f.Ended(now, id, key(""), how)
+			}
+			for range 5 {
+				admit("r", "")
+				Expect(got["r"].Member.ID).NotTo(BeEquivalentTo("n0"))
+				f.Ended(now, got["r"].Member.ID, key(""), decide.EndedWell)
+			}
+		})
+
 		It("refuses when all are full, and says when there are none", func() {
 			for i := range 32 {
 				admit(fmt.Sprint("r", i), "")
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -115,12 +115,9 @@
 }
 
 func (f *Fleet) admitPlain(now time.Time, t *Ticket) {
-	m := f.plainMember(now, t, true, 1)
+	m := f.plainMember(now, t, 1)
 	if m == nil {
-		m = f.plainMember(now, t, false, 1)
-	}
-	if m == nil {
-		m = f.plainMember(now, t, false, plainOverfill)
+		m = f.plainMember(now, t, plainOverfill)
 	}
 	if m != nil {
 		f.assign(now, t, m, 0)
@@ -129,12 +126,9 @@
 	t.refuse(f.emptiness(now, t), shortPause)
 }
 
-// plainMember returns the idlest member that is filled less than a limit, or nil.
-func (f *Fleet) plainMember(now time.Time, t *Ticket, near bool, limit float64) *Member {
+// plainMember returns the member of the least cost that is filled less than a limit, or nil.
+func (f *Fleet) plainMember(now time.Time, t *Ticket, limit float64) *Member {
 	return f.best(f.services[t.Service], func(m *Member) bool {
-		if near && m.Domain != f.cfg.Domain {
-			return false
-		}
 		return m.usable(now, t.Tried) && m.fill() < limit
 	})
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -54,6 +54,7 @@
 	ran     int  // upstreams that may have run it
 	begun   bool // the caller has the head of an answer
 	refusal *refusal
+	events  events
 	reading wardturn.UpstreamID // that is reading the prompt
 	timing  timing
 }
@@ -89,8 +90,23 @@
 	cut
 	// left: the caller is gone.
 	left
+	// erred: the caller has the upstream's own error.
+	erred
 )
 
+// ending returns what a result tells of the upstream.
+func (r result) ending() decide.Ending {
+	switch r {
+	case failed, erred:
+		return decide.EndedInError
+	case unknown, cut:
+		return decide.EndedBroken
+	case left:
+		return decide.EndedUnseen
+	}
+	return decide.EndedWell
+}
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{
@@ -201,10 +217,17 @@
 			x.noteLate(a)
 			x.g.metrics.finished(x, "done")
 			return
+		case erred:
+			x.g.metrics.finished(x, "upstream_error")
+			return
 		case left:
 			x.g.metrics.finished(x, "caller_left")
 			return
 		case cut:
+			x.ran++
+			if x.resume() {
+				continue
+			}
 			x.g.logger.Warn("answer cut", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID)
 			x.g.metrics.finished(x, "cut")
 			panic(http.ErrAbortHandler)
@@ -315,6 +338,10 @@
 // giveUp ends a request that no upstream is running: truly not run, or unknown
 // if an earlier send may have run it.
 func (x *exchange) giveUp(ctx context.Context) {
+	if x.begun {
+		x.g.metrics.finished(x, "cut")
+		panic(http.ErrAbortHandler)
+	}
 	if x.r.Context().Err() != nil {
 		x.g.metrics.finished(x, "caller_left")
 		return
@@ -364,6 +391,9 @@
 	if x.r.Context().Err() != nil {
 		return left
 	}
+	if x.begun && !errors.Is(err, errNotSent) {
+		return cut
+	}
 	x.g.logger.Info("send failed", "id", x.attempt, "upstream", a.Member.ID, "addr", a.Member.Addr, "error", err)
 	if errors.Is(err, errRefused) {
 		x.g.misplaced(a.Member.ID)
@@ -395,6 +425,9 @@
 		// has not said.
 		ans.discard()
 		return unknown
+	case x.begun && res.StatusCode != http.StatusOK:
+		x.drain(ans)
+		return cut
 	case res.StatusCode >= http.StatusInternalServerError && x.tryAgain():
 		x.drain(ans)
 		return failed
@@ -448,6 +481,9 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(res.StatusCode)
 	_, _ = x.w.Write(body) // a caller that left needs no answer
+	if res.StatusCode >= http.StatusInternalServerError {
+		return erred
+	}
 	return passed
 }
 
@@ -463,39 +499,3 @@
 	}
 	h["Date"] = nil
 }
-
-// stream passes an answer on as it comes.
-func (x *exchange) stream(a assignment, ans *answer) result {
-	res := ans.res
-	x.copyHead(res)
-	if res.ContentLength >= 0 {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
-	}
-	x.w.WriteHeader(res.StatusCode)
-	x.begun = true
-	flusher, _ := x.w.(http.Flusher)
-	buf := make([]byte, bodyChunk)
-	for {
-		n, err := res.Body.Read(buf)
-		if n > 0 {
-			x.began(a)
-			x.arrivedBytes()
-			if _, werr := x.w.Write(buf[:n]); werr != nil {
-				ans.discard()
-				return left
-			}
-			flusher.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			ans.release()
-			return passed
-		}
-		if err != nil {
-			ans.discard()
-			if x.r.Context().Err() != nil {
-				return left
-			}
-			return cut
-		}
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -296,7 +296,7 @@
 func (g *Gateway) ended(id wardturn.UpstreamID, key wardturn.ModelAdapter, r result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.Ended(g.clock.Now(), id, key, r != unknown && r != cut)
+	g.fleet.Ended(g.clock.Now(), id, key, r.ending())
 }
 
 func (g *Gateway) misplaced(id wardturn.UpstreamID) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -136,6 +136,32 @@
 		Expect(r.err).To(HaveOccurred())
 	})
 
+	It("resumes a stream that may be resumed after its last whole event", func() {
+		// Both engines hold the adapter; one of them breaks streams off.
+		x.get("hold", "/resume/x", "m0/a1")
+		for _, e := range x.engines {
+			e.SetFaults(standin.WorkerFaults{
+				CutAfter: 2,
+			})
+		}
+		id := "resumed"
+		go func() {
+			for x.runs(id) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			for _, e := range x.engines {
+				if e.Runs(id) == 0 {
+					e.SetFaults(standin.WorkerFaults{})
+				}
+			}
+		}()
+		r := x.send("POST", id, "/resume/x", "m0/a1", "prompt")
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal(wholeStream))
+		Expect(r.header.Get("X-Wardturn-Server-Seal")).To(Equal("seal-" + id))
+		Expect(x.runs(id)).To(Equal(2))
+	})
+
 	It("sends nothing to a worker that leaves", func() {
 		x.list(x.apps[0], "app", "a0", "draining")
 		Eventually(func() int {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -140,6 +140,9 @@
 	}
 	b = appendHeader(b, n.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	b = appendHeader(b, n.ExpectInstance, string(a.Member.ID))
+	if x.events.last != "" {
+		b = appendHeader(b, n.LastEvent, x.events.last)
+	}
 	if x.engine {
 		b = appendHeader(b, n.Priority, strconv.Itoa(min(x.route.Priority, maxPriority)))
 	}
@@ -165,6 +168,8 @@
 		return true
 	case http.CanonicalHeaderKey(n.ExpectVersion), http.CanonicalHeaderKey(n.Priority):
 		return true
+	case http.CanonicalHeaderKey(n.LastEvent):
+		return x.events.last != ""
 	}
 	return false
 }
