--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -264,7 +264,7 @@
 	metrics := process.NewMetrics()
 	defer metrics.Close()
 	if set.MetricsAddress != "" {
-		stop, err := serveMetrics(set.MetricsAddress, metrics)
+		stop, err := process.ServeMetrics(set.MetricsAddress, metrics)
 		if err != nil {
 			return err
 		}
--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -53,6 +53,7 @@
 	Domain   string `required:"" help:"Failure domain of this host."`
 	Store    string `required:"" help:"Address of the platform's store, IP:port."`
 	Port     string `required:"" help:"Port of the keepers, on the hosts of their engines."`
+	Metrics  string `help:"Address of /metrics, IP:port; empty: none."`
 	LogLevel string `default:"info" enum:"trace,debug,info,warn,error" help:"Least level of log lines: trace, debug, info, warn or error."`
 	Check    bool   `help:"Check the settings and exit."`
 }
@@ -140,6 +141,12 @@
 	}
 }
 
+func (b *badSettings) optionalAddr(setting, value string) {
+	if value != "" {
+		b.addr(setting, value)
+	}
+}
+
 func (b *badSettings) require(setting string, ok bool, reason string) {
 	if !ok {
 		*b = append(*b, wardturn.SettingProblem{
@@ -171,6 +178,22 @@
 	})
 }
 
+// serveMetrics returns the scope of the process's metrics.
+func (c *common) serveMetrics() (tally.Scope, func(), error) {
+	if c.Metrics == "" {
+		return tally.NoopScope, func() {}, nil
+	}
+	m := process.NewMetrics()
+	stop, err := process.ServeMetrics(c.Metrics, m)
+	if err != nil {
+		return nil, nil, err
+	}
+	return m.Scope, func() {
+		stop()
+		m.Close()
+	}, nil
+}
+
 func provideAll(c *dig.Container, constructors ...any) error {
 	for _, f := range constructors {
 		if err := c.Provide(f); err != nil {
@@ -185,6 +208,7 @@
 	b.addr("listen", c.Listen)
 	b.addr("ready", c.Ready)
 	b.addr("store", c.Store)
+	b.optionalAddr("metrics", c.Metrics)
 	b.require("members-every", c.MembersEvery > 0, "must be over 0")
 	b.require("grace", c.Grace > c.LeaveAfter, "must be over leave-after")
 	b.require("retry-share", c.RetryShare >= 0 && c.RetryShare <= 1, "must be 0 to 1")
@@ -237,12 +261,17 @@
 	if err != nil {
 		return errors.Wrap(err, "ready")
 	}
+	scope, stopMetrics, err := c.serveMetrics()
+	if err != nil {
+		return err
+	}
+	defer stopMetrics()
 	queue := process.NewLogQueue(out, logLines)
 	d := dig.New()
 	err = provideAll(d,
 		func() wardturn.Clock { return process.Clock{} },
 		func() hclog.Logger { return c.logger("gateway", queue) },
-		func() tally.Scope { return tally.NoopScope },
+		func() tally.Scope { return scope },
 		func() *platform.Store { return platform.NewStore(c.Store) },
 		gateway.NewMetrics,
 		c.newGateway(front, ready),
@@ -281,6 +310,7 @@
 	var b badSettings
 	b.addr("store", c.Store)
 	b.addr("engine", c.Engine)
+	b.optionalAddr("metrics", c.Metrics)
 	b.addr("ip", net.JoinHostPort(c.IP, c.Port))
 	return b.err()
 }
@@ -295,12 +325,17 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	scope, stopMetrics, err := c.serveMetrics()
+	if err != nil {
+		return err
+	}
+	defer stopMetrics()
 	queue := process.NewLogQueue(out, logLines)
 	d := dig.New()
 	err = provideAll(d,
 		func() wardturn.Clock { return process.Clock{} },
 		func() hclog.Logger { return c.logger("keeper", queue) },
-		func() tally.Scope { return tally.NoopScope },
+		func() tally.Scope { return scope },
 		func() wardturn.OrderedEngine { return platform.NewWorker(c.Engine) },
 		func() wardturn.FenceSource { return platform.NewStore(c.Store) },
 		func() wardturn.Policy { return policy.Default{} },
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -540,3 +540,22 @@
 	}
 	return max(typical-now.Sub(w.askedAt), typical/4)
 }
+
+// Levels are the sizes of a fleet's queues and windows.
+type Levels struct {
+	Waiting int // requests that wait for an adapter
+	Asked   int // loads under way that count in the window
+	Window  int // loads that may be under way
+}
+
+// Levels returns the present sizes.
+func (f *Fleet) Levels() Levels {
+	l := Levels{
+		Asked:  f.asked,
+		Window: f.window.Size(),
+	}
+	for _, w := range f.wants {
+		l.Waiting += len(w.waiting)
+	}
+	return l
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -269,6 +269,7 @@
 // carry does what a decision wants done, outside the lock.
 func (g *Gateway) carry(out decide.Moves) {
 	for _, n := range out.Loads {
+		g.metrics.loaded(n)
 		g.logger.Info("adapter there", "adapter", n.Adapter.Adapter, "version", n.Adapter.Version, "upstream", n.Upstream, "took", n.Took, "waited", n.Waited, "warm", n.Warm, "window", n.Window, "asked", n.Asked)
 	}
 	g.links.ask(out)
@@ -329,14 +330,22 @@
 // mayResend reports whether the budget allows one more send, and takes it.
 func (g *Gateway) mayResend(s wardturn.ServiceName) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.budget(s).Retry(g.clock.Now())
+	ok := g.budget(s).Retry(g.clock.Now())
+	g.mu.Unlock()
+	if ok {
+		g.metrics.resends.Inc(1)
+	} else {
+		g.metrics.denied.Inc(1)
+	}
+	return ok
 }
 
 func (g *Gateway) sweep() {
 	g.mu.Lock()
 	addrs := g.fleet.Addrs()
+	levels := g.fleet.Levels()
 	g.mu.Unlock()
+	g.metrics.levels(levels)
 	g.pool.sweep(func(addr string) bool {
 		return addrs[addr]
 	})
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,36 +1,112 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"wardturn/decide"
 )
 
-// Metrics are the gateway's counters and histograms.
+// Metrics are the gateway's counters and histograms. The series that it made are
+// kept, so that counting needs no look-up of labels.
 type Metrics struct {
-	scope tally.Scope
+	scope   tally.Scope
+	resends tally.Counter
+	denied  tally.Counter
+	loads   tally.Histogram
+	warm    tally.Histogram
+	waiting tally.Gauge
+	asked   tally.Gauge
+	window  tally.Gauge
+
+	mu       sync.RWMutex
+	requests map[series]outcomeSeries
+}
+
+// series names the series of requests that ended alike.
+type series struct {
+	route   string
+	outcome string
+}
+
+type outcomeSeries struct {
+	count tally.Counter
+	time  tally.Histogram
 }
 
+// latencies are the buckets of latency histograms: 5 ms to 5 s.
+var latencies = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 11)
+
 // NewMetrics returns metrics in a scope.
 func NewMetrics(scope tally.Scope) *Metrics {
+	kind := func(k string) tally.Histogram {
+		return scope.Tagged(map[string]string{
+			"from": k,
+		}).Histogram("adapter_load_time", latencies)
+	}
 	return &Metrics{
-		scope: scope,
+		scope:    scope,
+		resends:  scope.Counter("resends"),
+		denied:   scope.Counter("resends_denied"),
+		loads:    kind("store"),
+		warm:     kind("memory"),
+		waiting:  scope.Gauge("requests_waiting"),
+		asked:    scope.Gauge("loads_under_way"),
+		window:   scope.Gauge("load_window"),
+		requests: make(map[series]outcomeSeries),
 	}
 }
 
-// latencies are the buckets of latency histograms.
-var latencies = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 11)
-
 // finished counts the end of a request.
 func (m *Metrics) finished(x *exchange, outcome string) {
-	class := "plain"
-	if x.engine {
-		class = "engine"
+	key := series{
+		outcome: outcome,
 	}
-	s := m.scope.Tagged(map[string]string{
-		"class":   class,
-		"outcome": outcome,
+	if x.route != nil {
+		key.route = x.route.Name
+	}
+	m.mu.RLock()
+	s, ok := m.requests[key]
+	m.mu.RUnlock()
+	if !ok {
+		s = m.add(key)
+	}
+	s.count.Inc(1)
+	s.time.RecordDuration(x.g.clock.Now().Sub(x.arrived))
+}
+
+func (m *Metrics) add(key series) outcomeSeries {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.requests[key]; ok {
+		return s
+	}
+	scope := m.scope.Tagged(map[string]string{
+		"route":   key.route,
+		"outcome": key.outcome,
 	})
-	s.Counter("requests").Inc(1)
-	s.Histogram("request_time", latencies).RecordDuration(x.g.clock.Now().Sub(x.arrived))
+	s := outcomeSeries{
+		count: scope.Counter("requests"),
+		time:  scope.Histogram("request_time", latencies),
+	}
+	m.requests[key] = s
+	return s
+}
+
+// loaded counts an adapter that arrived.
+func (m *Metrics) loaded(n decide.LoadNote) {
+	if n.Warm {
+		m.warm.RecordDuration(n.Took)
+		return
+	}
+	m.loads.RecordDuration(n.Took)
+}
+
+// levels takes the present sizes of queues and windows.
+func (m *Metrics) levels(l decide.Levels) {
+	m.waiting.Update(float64(l.Waiting))
+	m.asked.Update(float64(l.Asked))
+	m.window.Update(float64(l.Window))
 }
--- a/cli/metrics.go
+++ b/process/serve.go
@@ -1,16 +1,14 @@
-package cli
+package process
 
 import (
 	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
-
-	"wardturn/process"
 )
 
-// serveMetrics serves /metrics and /healthz of a process without an API.
-func serveMetrics(addr string, m *process.Metrics) (stop func(), err error) {
+// ServeMetrics serves /metrics and /healthz of a process without an API.
+func ServeMetrics(addr string, m *Metrics) (stop func(), err error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
