The list of upstreams is read when connections contradict it, and else each six tenths of the drain time; wardturn explain

Change: a reading each 0.6 of the drain bound (1.2 s, 1.8 s grown), and after 250 ms when a connection is refused, another lifetime answers, a keeper is lost or a reading failed. wardturn explain ID prints a request's story from logs.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -54,6 +54,7 @@
 	Bench      benchCmd                     `cmd:"" help:"Measure costs at several sizes and work out the size in two years."`
 	Chaos      chaosCmd                     `cmd:"" help:"Run random histories of faults and check the promises."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print the line that makes the shell complete this command."`
+	Explain    explainCmd                   `cmd:"" help:"Print the story of a request from logs."`
 	Demo       demoCmd                      `cmd:"" help:"Run the whole system on embedded stand-ins and send it traffic."`
 	Load       loadCmd                      `cmd:"" help:"Send a trace to running entry hosts."`
 }
--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -62,7 +62,7 @@
 	common
 	Listen       string        `required:"" help:"Address for callers, IP:port."`
 	Ready        string        `required:"" help:"Address for the balancer's question, IP:port."`
-	MembersEvery time.Duration `default:"500ms" help:"Time between readings of the list of upstreams; leaving ones must be known within 2 s."`
+	Drain        time.Duration `default:"2s" help:"Time after which a leaving upstream must get no new requests; the list is read each six tenths of it."`
 	LapseGrace   time.Duration `default:"2200ms" help:"Time after the store's return in which a lapsed entry may come back; the platform promises 2 s."`
 	Grace        time.Duration `default:"8s" help:"Time between SIGTERM and SIGKILL."`
 	LeaveAfter   time.Duration `default:"2500ms" help:"Time after SIGTERM in which requests are still taken; the balancer notices within 2 s."`
@@ -209,7 +209,7 @@
 	b.addr("ready", c.Ready)
 	b.addr("store", c.Store)
 	b.optionalAddr("metrics", c.Metrics)
-	b.require("members-every", c.MembersEvery > 0, "must be over 0")
+	b.require("drain", c.Drain >= time.Second, "must be at least 1s")
 	b.require("grace", c.Grace > c.LeaveAfter, "must be over leave-after")
 	b.require("retry-share", c.RetryShare >= 0 && c.RetryShare <= 1, "must be 0 to 1")
 	b.require("hold-part", c.HoldPart >= 0, "must not be negative")
@@ -221,16 +221,16 @@
 
 func (c *gatewayCmd) config() gateway.Config {
 	return gateway.Config{
-		Process:      newProcess(),
-		Domain:       wardturn.FailureDomain(c.Domain),
-		KeeperPort:   c.Port,
-		MembersEvery: c.MembersEvery,
-		LapseGrace:   c.LapseGrace,
-		MaxBody:      c.MaxBody,
-		RetryShare:   c.RetryShare,
-		RetryFloor:   c.RetryFloor,
-		RetryBurst:   c.RetryBurst,
-		LeaveAfter:   c.LeaveAfter,
+		Process:    newProcess(),
+		Domain:     wardturn.FailureDomain(c.Domain),
+		KeeperPort: c.Port,
+		Drain:      c.Drain,
+		LapseGrace: c.LapseGrace,
+		MaxBody:    c.MaxBody,
+		RetryShare: c.RetryShare,
+		RetryFloor: c.RetryFloor,
+		RetryBurst: c.RetryBurst,
+		LeaveAfter: c.LeaveAfter,
 		Fleet: decide.FleetConfig{
 			Domain:     wardturn.FailureDomain(c.Domain),
 			HoldPart:   c.HoldPart,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,7 +23,9 @@
 	configWait     = 20 * time.Second       // of a waiting read; within the platform's 30 s
 	configRetry    = 100 * time.Millisecond // after a failed read, doubled up to the next
 	configMaxRetry = 500 * time.Millisecond
-	serveLimit     = time.Second // after which requests are refused rather than kept waiting for a configuration
+	membersLeast   = 250 * time.Millisecond // between readings of the list of upstreams
+	membersPart    = 0.6                    // of the time to drain, between readings: each call is priced, and a late one must still be in time
+	serveLimit     = time.Second            // after which requests are refused rather than kept waiting for a configuration
 	defaultHeader  = 16 << 10
 	defaultIdle    = 15 * time.Second
 	defaultRead    = 3 * time.Second
@@ -31,17 +33,17 @@
 
 // Config holds the settings of a gateway.
 type Config struct {
-	Process      wardturn.Incarnation
-	Domain       wardturn.FailureDomain
-	KeeperPort   string        // of the keeper beside each engine
-	MembersEvery time.Duration // between readings of the list of upstreams
-	LapseGrace   time.Duration // for entries that lapsed while the store was away
-	MaxBody      int           // bytes, while no configuration bounds it
-	RetryShare   float64       // resends as a part of the requests of a service
-	RetryFloor   float64       // resends a second that are always allowed
-	RetryBurst   float64       // resends at once
-	LeaveAfter   time.Duration // that a leaving gateway goes on taking requests
-	Fleet        decide.FleetConfig
+	Process    wardturn.Incarnation
+	Domain     wardturn.FailureDomain
+	KeeperPort string        // of the keeper beside each engine
+	Drain      time.Duration // after which a leaving upstream must get no new requests
+	LapseGrace time.Duration // for entries that lapsed while the store was away
+	MaxBody    int           // bytes, while no configuration bounds it
+	RetryShare float64       // resends as a part of the requests of a service
+	RetryFloor float64       // resends a second that are always allowed
+	RetryBurst float64       // resends at once
+	LeaveAfter time.Duration // that a leaving gateway goes on taking requests
+	Fleet      decide.FleetConfig
 }
 
 // Deps are what a gateway is built from.
@@ -68,6 +70,7 @@
 	names   wardturn.HeaderNames
 	source  wardturn.ConfigSource
 	list    *roster
+	doubt   chan struct{} // the list may be out of date
 	routes  atomic.Pointer[routes]
 	pool    *pool
 	links   *links
@@ -95,6 +98,7 @@
 		metrics: d.Metrics,
 		names:   d.Names,
 		source:  d.Source,
+		doubt:   make(chan struct{}, 1),
 		pool:    newPool(d.Clock),
 		front:   d.Front,
 		tasks:   process.NewTasks(d.Clock),
@@ -244,13 +248,39 @@
 			g.mu.Unlock()
 			g.listed.Store(true)
 			g.links.update()
+		} else {
+			g.doubtMembers()
 		}
-		if !g.tasks.Pause(g.cfg.MembersEvery) {
+		if !g.pauseMembers() {
 			return
 		}
 	}
 }
 
+// pauseMembers waits until the list is to be read again: after a part of the time
+// in which leaving upstreams must be known, and sooner when connections tell
+// that it is out of date. It reports false when the gateway ends.
+func (g *Gateway) pauseMembers() bool {
+	if !g.tasks.Pause(membersLeast) {
+		return false
+	}
+	limit, cancel := g.tasks.Limit(time.Duration(membersPart*float64(g.cfg.Drain)) - membersLeast)
+	defer cancel()
+	select {
+	case <-g.doubt:
+	case <-limit.Done():
+	}
+	return g.tasks.Context().Err() == nil
+}
+
+// doubtMembers has the list read soon.
+func (g *Gateway) doubtMembers() {
+	select {
+	case g.doubt <- struct{}{}:
+	default:
+	}
+}
+
 func (g *Gateway) tick() {
 	g.decide(func(now time.Time, out *decide.Moves) {
 		g.fleet.Tick(now, out)
@@ -302,8 +332,9 @@
 
 func (g *Gateway) misplaced(id wardturn.UpstreamID) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.fleet.Misplaced(id)
+	g.mu.Unlock()
+	g.doubtMembers()
 }
 
 func (g *Gateway) notHeld(id wardturn.UpstreamID, key wardturn.ModelAdapter) {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -156,6 +156,7 @@
 	id := l.member.ID
 	l.mu.Unlock()
 	l.links.g.logger.Info("keeper lost", "upstream", id, "error", err)
+	l.links.g.doubtMembers()
 	l.links.g.decide(func(time.Time, *decide.Moves) {
 		l.links.g.fleet.KeeperLost(id)
 	})
