The retry budget is shared by the number of gateways that the keepers count

Change: keepers tell how many gateways are connected; each takes half of the share and its part of the rest. The figures come from the platform's bounds by the deploy file.

--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -66,9 +66,9 @@
 	LapseGrace   time.Duration `default:"2200ms" help:"Time after the store's return in which a lapsed entry may come back; the platform promises 2 s."`
 	Grace        time.Duration `default:"8s" help:"Time between SIGTERM and SIGKILL."`
 	LeaveAfter   time.Duration `default:"2500ms" help:"Time after SIGTERM in which requests are still taken; the balancer notices within 2 s."`
-	RetryShare   float64       `default:"0.1" help:"Resends as a part of the requests of a service; the platform allows 0.2 over all entry hosts."`
-	RetryFloor   float64       `default:"0.5" help:"Resends a second that are always allowed."`
-	RetryBurst   float64       `default:"10" help:"Resends at once; the platform allows 52 in 10 s over all entry hosts."`
+	RetryShare   float64       `default:"0.2" help:"Resends as a part of the requests of a service that the platform allows all gateways together; half is used."`
+	RetryExtra   float64       `default:"52" help:"Resends beyond that which it allows all of them in a window."`
+	RetryWindow  time.Duration `default:"10s" help:"That window."`
 	MaxBody      int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
 	HoldPart     float64       `default:"0.7" help:"Part of its objective that a request may wait for its adapter."`
 	CrossBytes   int           `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
@@ -212,6 +212,8 @@
 	b.require("drain", c.Drain >= time.Second, "must be at least 1s")
 	b.require("grace", c.Grace > c.LeaveAfter, "must be over leave-after")
 	b.require("retry-share", c.RetryShare >= 0 && c.RetryShare <= 1, "must be 0 to 1")
+	b.require("retry-extra", c.RetryExtra >= 0, "must not be negative")
+	b.require("retry-window", c.RetryWindow > 0, "must be over 0")
 	b.require("hold-part", c.HoldPart >= 0, "must not be negative")
 	b.require("loads-at-start", c.LoadsAtStart >= 1, "must be at least 1")
 	b.require("loads-at-most", c.LoadsAtMost >= c.LoadsAtStart, "must not be under loads-at-start")
@@ -221,16 +223,16 @@
 
 func (c *gatewayCmd) config() gateway.Config {
 	return gateway.Config{
-		Process:    newProcess(),
-		Domain:     wardturn.FailureDomain(c.Domain),
-		KeeperPort: c.Port,
-		Drain:      c.Drain,
-		LapseGrace: c.LapseGrace,
-		MaxBody:    c.MaxBody,
-		RetryShare: c.RetryShare,
-		RetryFloor: c.RetryFloor,
-		RetryBurst: c.RetryBurst,
-		LeaveAfter: c.LeaveAfter,
+		Process:     newProcess(),
+		Domain:      wardturn.FailureDomain(c.Domain),
+		KeeperPort:  c.Port,
+		Drain:       c.Drain,
+		LapseGrace:  c.LapseGrace,
+		MaxBody:     c.MaxBody,
+		RetryShare:  c.RetryShare,
+		RetryExtra:  c.RetryExtra,
+		RetryWindow: c.RetryWindow,
+		LeaveAfter:  c.LeaveAfter,
 		Fleet: decide.FleetConfig{
 			Domain:     wardturn.FailureDomain(c.Domain),
 			HoldPart:   c.HoldPart,
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -68,6 +68,7 @@
 	Gone      []wardturn.ModelAdapter
 	Running   int
 	Queued    int
+	Gateways  int // connected to the keeper
 }
 
 // HeldVersion is an adapter version that an engine holds or loads.
@@ -211,6 +212,18 @@
 	return f.services[s]
 }
 
+// Gateways returns how many gateways there are, as far as keepers tell; at least
+// one.
+func (f *Fleet) Gateways() int {
+	n := 1
+	for _, m := range f.members {
+		if m.holding.Connected {
+			n = max(n, m.holding.Gateways)
+		}
+	}
+	return n
+}
+
 // Engine returns the specification of the engines of a service, or nil.
 func (f *Fleet) Engine(s wardturn.ServiceName) *wardturn.EngineSpec {
 	if f.table == nil {
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -23,6 +23,13 @@
 	}
 }
 
+// Resize sets what is allowed beyond the share of requests.
+func (b *RetryBudget) Resize(floor, burst float64) {
+	b.floor = floor
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Request records a first try.
 func (b *RetryBudget) Request(now time.Time) {
 	b.fill(now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,17 +33,17 @@
 
 // Config holds the settings of a gateway.
 type Config struct {
-	Process    wardturn.Incarnation
-	Domain     wardturn.FailureDomain
-	KeeperPort string        // of the keeper beside each engine
-	Drain      time.Duration // after which a leaving upstream must get no new requests
-	LapseGrace time.Duration // for entries that lapsed while the store was away
-	MaxBody    int           // bytes, while no configuration bounds it
-	RetryShare float64       // resends as a part of the requests of a service
-	RetryFloor float64       // resends a second that are always allowed
-	RetryBurst float64       // resends at once
-	LeaveAfter time.Duration // that a leaving gateway goes on taking requests
-	Fleet      decide.FleetConfig
+	Process     wardturn.Incarnation
+	Domain      wardturn.FailureDomain
+	KeeperPort  string        // of the keeper beside each engine
+	Drain       time.Duration // after which a leaving upstream must get no new requests
+	LapseGrace  time.Duration // for entries that lapsed while the store was away
+	MaxBody     int           // bytes, while no configuration bounds it
+	RetryShare  float64       // resends that all gateways may add, as a part of the requests of a service
+	RetryExtra  float64       // resends beyond that in a RetryWindow
+	RetryWindow time.Duration
+	LeaveAfter  time.Duration // that a leaving gateway goes on taking requests
+	Fleet       decide.FleetConfig
 }
 
 // Deps are what a gateway is built from.
@@ -343,15 +343,40 @@
 	g.fleet.NotHeld(g.clock.Now(), id, key)
 }
 
+// The parts of what is allowed that this gateway takes. The rest is for requests
+// counted in another window and for gateways that the keepers do not know yet.
+const (
+	budgetPart = 0.5
+	burstPart  = 0.25 // of the extra resends, at once
+	floorPart  = 0.25 // of them, over the window
+)
+
+// budget returns the budget of a service; the lock is held.
 func (g *Gateway) budget(s wardturn.ServiceName) *decide.RetryBudget {
 	b := g.budgets[s]
 	if b == nil {
-		b = decide.NewRetryBudget(g.cfg.RetryShare, g.cfg.RetryFloor, g.cfg.RetryBurst)
+		floor, burst := g.extraResends()
+		b = decide.NewRetryBudget(g.cfg.RetryShare*budgetPart, floor, burst)
 		g.budgets[s] = b
 	}
 	return b
 }
 
+// extraResends returns this gateway's part of the resends that are allowed beyond
+// the share of requests: those a second, and those at once. The lock is held.
+func (g *Gateway) extraResends() (floor, burst float64) {
+	own := g.cfg.RetryExtra / float64(g.fleet.Gateways())
+	return floorPart * own / g.cfg.RetryWindow.Seconds(), max(1, burstPart*own)
+}
+
+// resizeBudgets follows the number of gateways; the lock is held.
+func (g *Gateway) resizeBudgets() {
+	floor, burst := g.extraResends()
+	for _, b := range g.budgets {
+		b.Resize(floor, burst)
+	}
+}
+
 func (g *Gateway) countRequest(s wardturn.ServiceName) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -375,6 +400,7 @@
 	g.mu.Lock()
 	addrs := g.fleet.Addrs()
 	levels := g.fleet.Levels()
+	g.resizeBudgets()
 	g.mu.Unlock()
 	g.metrics.levels(levels)
 	g.pool.sweep(func(addr string) bool {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -198,6 +198,7 @@
 		Models:    h.Models,
 		Running:   h.Running,
 		Queued:    h.Queued,
+		Gateways:  h.Gateways,
 	}
 	for _, a := range h.Adapters {
 		out.Adapters = append(out.Adapters, decide.HeldVersion{
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -150,16 +150,16 @@
 	logger := hclog.NewNullLogger()
 	x.gateway = gateway.New(gateway.Deps{
 		Config: gateway.Config{
-			Process:    "gateway",
-			Domain:     "d",
-			KeeperPort: x.keeper,
-			Drain:      500 * time.Millisecond,
-			LapseGrace: 900 * time.Millisecond,
-			MaxBody:    1 << 20,
-			RetryShare: 0.1,
-			RetryFloor: 1,
-			RetryBurst: 10,
-			LeaveAfter: 50 * time.Millisecond,
+			Process:     "gateway",
+			Domain:      "d",
+			KeeperPort:  x.keeper,
+			Drain:       500 * time.Millisecond,
+			LapseGrace:  900 * time.Millisecond,
+			MaxBody:     1 << 20,
+			RetryShare:  0.2,
+			RetryExtra:  52,
+			RetryWindow: 10 * time.Second,
+			LeaveAfter:  50 * time.Millisecond,
 			Fleet: decide.FleetConfig{
 				Domain:     "d",
 				HoldPart:   2,
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -20,6 +20,7 @@
 	adapters map[wardturn.ModelAdapter]peer.HeldAdapter
 	running  int
 	queued   int
+	gateways int
 }
 
 // holding returns what the engine holds; the lock is held.
@@ -28,6 +29,7 @@
 		known:    k.places.Known(),
 		upstream: k.upstream,
 		adapters: make(map[wardturn.ModelAdapter]peer.HeldAdapter),
+		gateways: len(k.gateways),
 	}
 	if !h.known {
 		return h
@@ -66,6 +68,7 @@
 		Models:   h.models,
 		Running:  h.running,
 		Queued:   h.queued,
+		Gateways: h.gateways,
 	}
 }
 
@@ -94,7 +97,7 @@
 			m.Gone = append(m.Gone, key)
 		}
 	}
-	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream &&
+	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.gateways == old.gateways &&
 		slices.Equal(h.models, old.models) && !h.stepped(old) {
 		return nil
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -59,22 +59,26 @@
 	config   int64               // version of the latest notice
 	upstream wardturn.UpstreamID // the engine's present lifetime, as gateways and the engine say
 	fence    wardturn.Fence
-	fencing  bool     // a start record is being written
-	told     *holding // what the gateways know; nil: nothing yet
+	fencing  bool                         // a start record is being written
+	greeted  map[*peer.Conn]bool          // connections that said which engine they mean
+	gateways map[wardturn.Incarnation]int // such connections of each gateway
+	told     *holding                     // what the gateways know; nil: nothing yet
 }
 
 // New starts a keeper.
 func New(d Deps) *Keeper {
 	k := &Keeper{
-		cfg:    d.Config,
-		clock:  d.Clock,
-		logger: d.Logger,
-		scope:  d.Scope,
-		engine: d.Engine,
-		fences: d.Fences,
-		tasks:  process.NewTasks(d.Clock),
-		wake:   make(chan struct{}, 1),
-		places: decide.NewPlaces(d.Clock.Now(), d.Policy),
+		cfg:      d.Config,
+		clock:    d.Clock,
+		logger:   d.Logger,
+		scope:    d.Scope,
+		engine:   d.Engine,
+		fences:   d.Fences,
+		tasks:    process.NewTasks(d.Clock),
+		wake:     make(chan struct{}, 1),
+		greeted:  make(map[*peer.Conn]bool),
+		gateways: make(map[wardturn.Incarnation]int),
+		places:   decide.NewPlaces(d.Clock.Now(), d.Policy),
 	}
 	k.takeFence()
 	k.server = peer.NewServer(d.Listener, nil, d.Clock, peer.Identity{
@@ -277,6 +281,10 @@
 			k.upstream = m.Upstream
 		}
 	}
+	if !k.greeted[c] {
+		k.greeted[c] = true
+		k.gateways[c.Peer().Process]++
+	}
 	_ = c.Send(k.holding().full())
 	k.signal()
 }
@@ -286,4 +294,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.places.GatewayLost(c.Peer().Process)
+	if !k.greeted[c] {
+		return
+	}
+	delete(k.greeted, c)
+	k.gateways[c.Peer().Process]--
+	if k.gateways[c.Peer().Process] == 0 {
+		delete(k.gateways, c.Peer().Process)
+	}
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -203,6 +203,19 @@
 		}, soon).Should(Equal(1))
 	})
 
+	It("tells how many gateways there are", func() {
+		start()
+		notice()
+		var h *peer.Holding
+		Eventually(g.holdings, soon).Should(Receive(&h))
+		Expect(h.Gateways).To(Equal(1))
+		conn.Close()
+		Eventually(g.conn, soon).Should(Receive(&conn))
+		notice()
+		Eventually(g.holdings, soon).Should(Receive(&h))
+		Expect(h.Gateways).To(Equal(1))
+	})
+
 	It("gives no orders before it has a fence", func() {
 		f.away = true
 		start()
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -39,6 +39,7 @@
 	Gone     []wardturn.ModelAdapter // no longer there; never in a full one
 	Running  int
 	Queued   int
+	Gateways int // connected to the keeper
 }
 
 // EngineNotice tells a keeper what the operator says of its engine.
