Fleet, gateway and exchange split by matter; an upstream that refused a connection is tried again

Change: refused counts for 400 ms; only another lifetime at the address counts for good. decide/{fleet,member,holding,usage,wait,want}, gateway/{exchange,answer,budget}. Test: 'tries an engine that refused a connection again after a while' fails before.

--- /dev/null
+++ b/decide/holding.go
@@ -0,0 +1,102 @@
+package decide
+
+import (
+	"slices"
+	"time"
+
+	"wardturn"
+)
+
+// Holding is what a keeper tells of its engine.
+type Holding struct {
+	Connected bool // a keeper is there
+	Known     bool // and it knows its engine
+	Models    []wardturn.BaseModel
+	Full      bool // Adapters are all; otherwise those that changed
+	Adapters  []HeldVersion
+	Gone      []wardturn.ModelAdapter
+	Running   int
+	Queued    int
+	Gateways  int // connected to the keeper
+}
+
+// HeldVersion is an adapter version that an engine holds or loads.
+type HeldVersion struct {
+	Adapter wardturn.AdapterVersion
+	Ready   bool
+	Loading bool
+}
+
+type heldAdapter struct {
+	version wardturn.Version
+	ready   bool
+	loading bool
+}
+
+// SetHolding takes a keeper's word on its engine.
+func (f *Fleet) SetHolding(now time.Time, id wardturn.UpstreamID, h Holding, out *Moves) {
+	m := f.members[id]
+	if m == nil {
+		return
+	}
+	m.holding = h
+	m.heldAt = now
+	m.atHold = m.running
+	f.forget(m, h)
+	for _, a := range h.Adapters {
+		m.held[a.Adapter.Key()] = heldAdapter{
+			version: a.Adapter.Version,
+			ready:   a.Ready,
+			loading: a.Loading,
+		}
+		if a.Ready {
+			m.everHeld[a.Adapter.Key()] = true
+			f.holders[a.Adapter.Key()] = append(f.holders[a.Adapter.Key()], m)
+		}
+	}
+	for _, a := range h.Adapters {
+		if a.Ready {
+			f.arrived(now, m, a.Adapter, out)
+		}
+	}
+	f.pump(now, out)
+}
+
+// forget removes what a holding says is no longer there, or is told anew.
+func (f *Fleet) forget(m *Member, h Holding) {
+	if h.Full {
+		f.release(m)
+		return
+	}
+	gone := h.Gone
+	for _, a := range h.Adapters {
+		gone = append(gone, a.Adapter.Key())
+	}
+	for _, key := range gone {
+		if m.held[key].ready {
+			f.unhold(m, key)
+		}
+		delete(m.held, key)
+	}
+}
+
+// release forgets what a member holds.
+func (f *Fleet) release(m *Member) {
+	for key, h := range m.held {
+		if h.ready {
+			f.unhold(m, key)
+		}
+	}
+	clear(m.held)
+}
+
+func (f *Fleet) unhold(m *Member, key wardturn.ModelAdapter) {
+	list := slices.DeleteFunc(f.holders[key], func(o *Member) bool {
+		return o == m
+	})
+	if len(list) == 0 {
+		delete(f.holders, key)
+		return
+	}
+	f.holders[key] = list
+}
--- /dev/null
+++ b/decide/member.go
@@ -0,0 +1,115 @@
+package decide
+
+import (
+	"slices"
+	"time"
+
+	"wardturn"
+)
+
+// Member is an upstream with what this gateway knows of it.
+type Member struct {
+	wardturn.Member
+	hash         uint64
+	breaker      Breaker
+	failing      float64 // share of its requests that failed lately
+	running      int     // requests of this gateway under way
+	prefill      int     // tokens of prompts of those that have no byte of an answer yet
+	holding      Holding
+	heldAt       time.Time // of the holding
+	atHold       int       // running when the holding arrived
+	held         map[wardturn.ModelAdapter]heldAdapter
+	everHeld     map[wardturn.ModelAdapter]bool
+	uses         map[wardturn.ModelAdapter]*AdapterCount
+	doubts       map[wardturn.ModelAdapter]time.Time // adapters that it refused, until when that counts
+	ended        bool                                // its address answers as another lifetime
+	refusedUntil time.Time                           // after it refused a connection
+}
+
+// The costs of a choice, in milliseconds that a request is expected to lose.
+const (
+	// farCost stands for the price of traffic between failure domains, some
+	// thirtieth of a request's worth. 0 to 30 measured alike.
+	farCost = 20.0
+	// runCost is what each request at an engine costs another: its prompt is
+	// read and its tokens are made in the same steps.
+	runCost = 3.0
+	// failCost is what a request loses that has to be sent once more, or cannot.
+	failCost = 500.0
+	// failWeight is the weight of one request in the share that fails: some ten
+	// requests show a fault.
+	failWeight = 0.1
+	// prefillRate is how many tokens of prompts an engine of today reads in a
+	// millisecond. While it does, those that run there get their tokens later.
+	prefillRate = 40.0
+)
+
+// best returns the member of the least cost among those that match.
+func (f *Fleet) best(list []*Member, match func(*Member) bool) *Member {
+	var best *Member
+	least := 0.0
+	for _, m := range list {
+		if !match(m) {
+			continue
+		}
+		if c := f.cost(m); best == nil || c < least {
+			best = m
+			least = c
+		}
+	}
+	return best
+}
+
+func (f *Fleet) cost(m *Member) float64 {
+	c := float64(m.prefill)/prefillRate + runCost*float64(m.load())
+	if m.Domain != f.cfg.Domain {
+		c += farCost
+	}
+	return c + failCost*m.failing
+}
+
+// fill is the load as a part of what the member works on at once.
+func (m *Member) fill() float64 {
+	return float64(m.load()) / float64(max(m.Slots, 1))
+}
+
+// usable reports whether a member may be given a request.
+func (m *Member) usable(now time.Time, tried []wardturn.UpstreamID) bool {
+	if m.Draining || m.ended || now.Before(m.refusedUntil) || !m.breaker.Allows(now) {
+		return false
+	}
+	return !slices.Contains(tried, m.ID)
+}
+
+// load estimates the requests at a member: what its keeper saw there and what
+// this gateway has sent since. Without a keeper only the own ones are known.
+func (m *Member) load() int {
+	if !m.holding.Known {
+		return m.running
+	}
+	return max(m.running, m.holding.Running+m.holding.Queued+m.running-m.atHold)
+}
+
+// loads reports whether an engine can be asked for adapters of a model.
+func (m *Member) loads(now time.Time, model wardturn.BaseModel) bool {
+	return m.usable(now, nil) && m.holding.Connected && m.holding.Known && slices.Contains(m.holding.Models, model)
+}
+
+// Misplaced records that an upstream's address answers as another lifetime: this
+// one has ended, whatever the list says.
+func (f *Fleet) Misplaced(id wardturn.UpstreamID) {
+	if m := f.members[id]; m != nil {
+		m.ended = true
+	}
+}
+
+// refusedFor is how long an upstream that refused a connection gets no requests.
+// It may be starting again, or a link in trouble may have answered for it.
+const refusedFor = 400 * time.Millisecond
+
+// Refused records that nothing listens at an upstream's address.
+func (f *Fleet) Refused(now time.Time, id wardturn.UpstreamID) {
+	if m := f.members[id]; m != nil {
+		m.refusedUntil = now.Add(refusedFor)
+	}
+}
--- /dev/null
+++ b/decide/usage.go
@@ -0,0 +1,107 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// sent records that a request goes to an upstream.
+func (f *Fleet) sent(now time.Time, m *Member, key wardturn.ModelAdapter, prompt wardturn.Tokens) {
+	m.running++
+	m.prefill += int(prompt)
+	m.breaker.Tried(now)
+	if key.Adapter == "" {
+		return
+	}
+	u := m.uses[key]
+	if u == nil {
+		u = &AdapterCount{
+			Key: key,
+		}
+		m.uses[key] = u
+	}
+	u.Started++
+	u.Running++
+	u.changed = true
+}
+
+// Began records that the answer to a request began: its prompt has been read.
+func (f *Fleet) Began(id wardturn.UpstreamID, prompt wardturn.Tokens) {
+	if m := f.members[id]; m != nil {
+		m.prefill = max(0, m.prefill-int(prompt))
+	}
+}
+
+// Ending is how a request at an upstream ended, as far as that tells of the
+// upstream.
+type Ending uint8
+
+const (
+	// EndedWell had its whole answer, or was refused as not run.
+	EndedWell Ending = iota
+	// EndedInError had an answer that says the upstream failed.
+	EndedInError
+	// EndedBroken had no answer, or a part of one.
+	EndedBroken
+	// EndedUnseen ended for a reason that tells nothing of the upstream.
+	EndedUnseen
+)
+
+// Ended records the end of a request at an upstream. Call Began before, also for
+// a request that had no answer.
+func (f *Fleet) Ended(now time.Time, id wardturn.UpstreamID, key wardturn.ModelAdapter, how Ending) {
+	m := f.members[id]
+	if m == nil {
+		return
+	}
+	if u := m.uses[key]; u != nil {
+		u.Running--
+		u.changed = true
+	}
+	m.running = max(0, m.running-1)
+	m.atHold = max(0, m.atHold-1)
+	switch how {
+	case EndedUnseen:
+		return
+	case EndedBroken:
+		m.breaker.Fail(now)
+	default:
+		m.breaker.Succeed()
+	}
+	bad := 0.0
+	if how != EndedWell {
+		bad = 1
+	}
+	m.failing += failWeight * (bad - m.failing)
+}
+
+// AdapterCount counts this gateway's requests to an adapter of one engine.
+type AdapterCount struct {
+	Key     wardturn.ModelAdapter
+	Started int // since it was last reported
+	Running int
+	changed bool
+}
+
+// Usage returns what changed in the use of a member's adapters since the last
+// call.
+func (f *Fleet) Usage(id wardturn.UpstreamID) []AdapterCount {
+	m := f.members[id]
+	if m == nil {
+		return nil
+	}
+	var list []AdapterCount
+	for key, u := range m.uses {
+		if !u.changed {
+			continue
+		}
+		list = append(list, *u)
+		u.Started = 0
+		u.changed = false
+		if u.Running == 0 {
+			delete(m.uses, key)
+		}
+	}
+	return list
+}
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -7,24 +7,12 @@
 )
 
 const (
-	// wishRepeat is how often a wish is told again while requests wait: less
-	// than half of wishLife, so that one lost message does not end it.
-	wishRepeat = 300 * time.Millisecond
 	// plainOverfill is how many requests a plain upstream is given at once, in
 	// its slots: a few may queue there.
 	plainOverfill = 2.0
 	// engineOverfill is the same for engines: more run slower, and beyond the
 	// batch they queue.
 	engineOverfill = 1.0
-	// spreadLoad is the least number of requests at an engine for which an
-	// adapter gets another one; engines are quick up to there.
-	spreadLoad = 8
-	// spreadFactor is how many times the mean load that must be.
-	spreadFactor = 1.4
-	// spreadUse is how many of them must be this gateway's for that adapter.
-	spreadUse = 2
-	// copyCost is what a copy must save each request, in milliseconds.
-	copyCost = 10.0
 	// goneMargin is the least time that a leaving upstream must have left to be
 	// given a request; generations take about half a second.
 	goneMargin = time.Second
@@ -86,21 +74,6 @@
 	Asked    int           // loads that were under way
 }
 
-// want is an adapter that requests wait for, or that is loaded for those that
-// were told to come back.
-type want struct {
-	key     wardturn.ModelAdapter
-	service wardturn.ServiceName
-	waiting []*Ticket
-	owed    int       // requests that were told to come back
-	first   time.Time // of the present wait
-	home    wardturn.UpstreamID
-	failed  wardturn.UpstreamID // a home that took too long
-	askedAt time.Time           // of the first ask; zero: not yet
-	toldAt  time.Time           // of the latest
-	warm    bool                // the home held it before: no load from the weight store
-}
-
 // Admit finds an upstream for a request, lets it wait, or refuses it.
 func (f *Fleet) Admit(now time.Time, t *Ticket, out *Moves) {
 	spec := f.Engine(t.Service)
@@ -209,70 +182,6 @@
 	return ok && h.ready && h.version >= newest && !now.Before(m.doubts[key])
 }
 
-// spread asks for an adapter at one more engine: if the one that serves it is
-// busier than others, or if it is far and as much has been sent there as a load
-// costs.
-func (f *Fleet) spread(now time.Time, t *Ticket, m *Member, out *Moves) {
-	near := m.Domain == f.cfg.Domain
-	if !near {
-		f.crossed[t.Key] += t.Bytes
-	}
-	costly := !near && f.crossed[t.Key] >= f.cfg.CrossBytes
-	if !costly && !f.overbusy(t, m) {
-		return
-	}
-	if f.wants[t.Key] != nil || f.asked >= f.window.Size() {
-		return
-	}
-	home := f.idlest(now, t, costly)
-	if home == nil || !costly && f.cost(home)+copyCost > f.cost(m) {
-		return
-	}
-	f.crossed[t.Key] = 0
-	f.ask(now, f.wantOf(now, t.Key, t.Service), home, out)
-}
-
-// overbusy reports whether an engine has far more to do than others, and not
-// because of others' requests alone.
-func (f *Fleet) overbusy(t *Ticket, m *Member) bool {
-	u := m.uses[t.Key]
-	if m.load() < spreadLoad || u == nil || u.Running < spreadUse {
-		return false
-	}
-	total := 0
-	list := f.services[t.Service]
-	for _, o := range list {
-		total += o.load()
-	}
-	return float64(m.load()) >= spreadFactor*float64(total)/float64(len(list))
-}
-
-// idlest returns the engine of the least cost that may load an adapter which it
-// does not hold.
-func (f *Fleet) idlest(now time.Time, t *Ticket, near bool) *Member {
-	return f.best(f.services[t.Service], func(m *Member) bool {
-		if near && m.Domain != f.cfg.Domain {
-			return false
-		}
-		_, holds := m.held[t.Key]
-		return !holds && m.loads(now, t.Key.Model) && m.loading() < MaxComing
-	})
-}
-
-// wantOf returns the want of an adapter.
-func (f *Fleet) wantOf(now time.Time, key wardturn.ModelAdapter, s wardturn.ServiceName) *want {
-	w := f.wants[key]
-	if w == nil {
-		w = &want{
-			key:     key,
-			service: s,
-			first:   now,
-		}
-		f.wants[key] = w
-	}
-	return w
-}
-
 // wait lets a request wait for its adapter if that can be there in time, and
 // tells it when to come back if not.
 func (f *Fleet) wait(now time.Time, t *Ticket, out *Moves) {
@@ -289,148 +198,6 @@
 	f.pump(now, out)
 }
 
-// askWarm asks for a want at once if its home held the adapter before: the home
-// takes it from its own memory, not from the weight store.
-func (f *Fleet) askWarm(now time.Time, w *want, out *Moves) {
-	home := f.home(now, w.service, w.key, false, w.failed)
-	if home != nil && home.everHeld[w.key] {
-		f.ask(now, w, home, out)
-	}
-}
-
-// home returns the engine that should load an adapter: the first in the order
-// of homes that does not hold it and has room on the way.
-func (f *Fleet) home(now time.Time, s wardturn.ServiceName, key wardturn.ModelAdapter, near bool, failed wardturn.UpstreamID) *Member {
-	newest := f.versions[key]
-	for _, m := range f.homes(now, s, key, near) {
-		if m.ID == failed || m.serves(now, key, newest) || m.loading() >= MaxComing || m.fill() >= engineOverfill {
-			continue
-		}
-		return m
-	}
-	return nil
-}
-
-func (m *Member) loading() int {
-	n := 0
-	for _, h := range m.held {
-		if h.loading {
-			n++
-		}
-	}
-	return n
-}
-
-// pump asks for the worthiest wants while the window has room.
-func (f *Fleet) pump(now time.Time, out *Moves) {
-	for f.asked < f.window.Size() {
-		w := f.nextWant(now)
-		if w == nil {
-			return
-		}
-		home := f.home(now, w.service, w.key, false, w.failed)
-		if home == nil {
-			w.toldAt = now // looked at again later
-			continue
-		}
-		f.ask(now, w, home, out)
-	}
-}
-
-// nextWant returns the want to ask for next, or nil.
-func (f *Fleet) nextWant(now time.Time) *want {
-	var best *want
-	for _, w := range f.wants {
-		if w.key.Adapter == "" || !w.askedAt.IsZero() || w.backlog() == 0 || now.Sub(w.toldAt) < wishRepeat {
-			continue
-		}
-		if best == nil || w.before(best) {
-			best = w
-		}
-	}
-	return best
-}
-
-func (w *want) backlog() int {
-	return len(w.waiting) + w.owed
-}
-
-// before ranks wants: more requests first, then the longer wait.
-func (w *want) before(o *want) bool {
-	if w.backlog() != o.backlog() {
-		return w.backlog() > o.backlog()
-	}
-	if !w.first.Equal(o.first) {
-		return w.first.Before(o.first)
-	}
-	return w.key.Adapter < o.key.Adapter
-}
-
-// ask asks the keeper of an engine for a wanted adapter.
-func (f *Fleet) ask(now time.Time, w *want, home *Member, out *Moves) {
-	if w.askedAt.IsZero() {
-		w.askedAt = now
-		w.warm = home.everHeld[w.key]
-		if !w.warm {
-			f.asked++
-		}
-	}
-	w.home = home.ID
-	w.toldAt = now
-	out.Asks = append(out.Asks, LoadAsk{
-		Upstream: home.ID,
-		Adapter: wardturn.AdapterVersion{
-			Model:   w.key.Model,
-			Adapter: w.key.Adapter,
-			Version: f.versions[w.key],
-		},
-		Waiting: w.backlog(),
-		Oldest:  now.Sub(w.first),
-	})
-}
-
-// arrived hands the requests that wait for an adapter to an engine that holds
-// it now.
-func (f *Fleet) arrived(now time.Time, m *Member, a wardturn.AdapterVersion, out *Moves) {
-	w := f.wants[a.Key()]
-	if w == nil || a.Version < f.versions[a.Key()] {
-		return
-	}
-	if w.home != m.ID {
-		f.placeWaiting(now, w, out)
-		return
-	}
-	if !w.warm {
-		f.window.Loaded(now, now.Sub(w.askedAt))
-	}
-	out.Loads = append(out.Loads, LoadNote{
-		Adapter:  a,
-		Upstream: m.ID,
-		Took:     now.Sub(w.askedAt),
-		Warm:     w.warm,
-		Waited:   now.Sub(w.first),
-		Window:   f.window.Size(),
-		Asked:    f.asked,
-	})
-	waiting := w.waiting
-	f.drop(w)
-	if r := f.rollouts[a.Key()]; r != nil {
-		f.advance(now, a.Key(), r, out)
-	}
-	for _, t := range waiting {
-		t.want = nil
-		if !f.place(now, t, out) {
-			f.wait(now, t, out)
-		}
-	}
-}
-
-// drop ends a want.
-func (f *Fleet) drop(w *want) {
-	f.unask(w)
-	delete(f.wants, w.key)
-}
-
 // Withdraw ends the wait of a request whose caller left.
 func (f *Fleet) Withdraw(t *Ticket) {
 	w := t.want
@@ -491,47 +258,6 @@
 	w.waiting = kept
 }
 
-// renew repeats the wish of a load under way, and gives up one that takes far
-// too long: another engine may do better.
-func (f *Fleet) renew(now time.Time, w *want, out *Moves) {
-	late := now.Sub(w.askedAt) > loadGiveUp
-	if len(w.waiting) == 0 && late && now.Sub(w.first) > maxComeBack {
-		f.drop(w)
-		return
-	}
-	if w.askedAt.IsZero() {
-		return
-	}
-	if late {
-		w.failed = w.home
-		f.unask(w)
-		return
-	}
-	if now.Sub(w.toldAt) < wishRepeat {
-		return
-	}
-	home := f.members[w.home]
-	if home == nil || !home.usable(now, nil) || !home.holding.Connected {
-		f.unask(w)
-		return
-	}
-	f.ask(now, w, home, out)
-}
-
-// unask ends the ask of a want, so that another engine is asked.
-func (f *Fleet) unask(w *want) {
-	if !w.askedAt.IsZero() && !w.warm {
-		f.asked--
-	}
-	w.askedAt = time.Time{}
-	w.toldAt = time.Time{}
-	w.home = ""
-}
-
-// loadGiveUp is how long a load may take before another engine is asked: four
-// times one without contention.
-const loadGiveUp = time.Second
-
 // comeBack estimates when an adapter that is waited for will be there.
 func (f *Fleet) comeBack(now time.Time, w *want) time.Duration {
 	typical := f.window.Typical()
@@ -540,22 +266,3 @@
 	}
 	return max(typical-now.Sub(w.askedAt), typical/4)
 }
-
-// Levels are the sizes of a fleet's queues and windows.
-type Levels struct {
-	Waiting int // requests that wait for an adapter
-	Asked   int // loads under way that count in the window
-	Window  int // loads that may be under way
-}
-
-// Levels returns the present sizes.
-func (f *Fleet) Levels() Levels {
-	l := Levels{
-		Asked:  f.asked,
-		Window: f.window.Size(),
-	}
-	for _, w := range f.wants {
-		l.Waiting += len(w.waiting)
-	}
-	return l
-}
