--- a/decide/wait.go
+++ b/decide/wait.go
@@ -13,3 +13,253 @@
 	// engineOverfill is the same for engines: more run slower, and beyond the
 	// batch they queue.
 	engineOverfill = 1.0
+	// shortPause is told to callers refused for want of a free place; places
+	// free up within a few generations.
+	shortPause = 300 * time.Millisecond
+	// maxComeBack bounds the time told to callers.
+	maxComeBack = 3 * time.Second
+)
+
+// Ticket is a request that needs an upstream.
+type Ticket struct {
+	Service   wardturn.ServiceName
+	Key       wardturn.ModelAdapter // zero for a plain service
+	Arrived   time.Time
+	Objective time.Duration
+	Deadline  time.Time
+	Prompt    wardturn.Tokens
+	Bytes     int // of the request and, by estimate, of its answer
+	Tried     []wardturn.UpstreamID
+	Assign    func(Assignment) // called once, under the fleet's lock
+
+	holdUntil time.Time
+	want      *want
+}
+
+// Assignment is the upstream of a request, or the word that there is none.
+type Assignment struct {
+	Member     wardturn.Member // zero ID: none
+	Version    wardturn.Version
+	Load       int // requests that were at the member, as far as known
+	Prefill    int // tokens of prompts of this gateway that it was reading
+	Reason     wardturn.Reason
+	RetryAfter time.Duration
+}
+
+// LoadAsk asks the keeper of an engine for an adapter.
+type LoadAsk struct {
+	Upstream wardturn.UpstreamID
+	Adapter  wardturn.AdapterVersion
+	Waiting  int
+	Oldest   time.Duration
+}
+
+// Moves collects what a decision wants done.
+type Moves struct {
+	Asks  []LoadAsk
+	Loads []LoadNote
+}
+
+// LoadNote says that an adapter that was asked for arrived.
+type LoadNote struct {
+	Adapter  wardturn.AdapterVersion
+	Upstream wardturn.UpstreamID
+	Took     time.Duration // since it was asked for
+	Waited   time.Duration // since the first request waited
+	Warm     bool          // its engine held it before
+	Window   int           // loads that may be under way
+	Asked    int           // loads that were under way
+}
+
+// Admit finds an upstream for a request, lets it wait, or refuses it.
+func (f *Fleet) Admit(now time.Time, t *Ticket, out *Moves) {
+	spec := f.Engine(t.Service)
+	if spec == nil {
+		f.admitPlain(now, t)
+		return
+	}
+	if f.place(now, t, out) {
+		return
+	}
+	f.wait(now, t, out)
+}
+
+func (f *Fleet) admitPlain(now time.Time, t *Ticket) {
+	m := f.plainMember(now, t, 1)
+	if m == nil {
+		m = f.plainMember(now, t, plainOverfill)
+	}
+	if m != nil {
+		f.assign(now, t, m, 0)
+		return
+	}
+	t.refuse(f.emptiness(now, t), shortPause)
+}
+
+// plainMember returns the member of the least cost that is filled less than a limit, or nil.
+func (f *Fleet) plainMember(now time.Time, t *Ticket, limit float64) *Member {
+	return f.best(f.services[t.Service], func(m *Member) bool {
+		return m.usable(now, t.Tried) && m.fill() < limit
+	})
+}
+
+// emptiness tells a full service from one without upstreams.
+func (f *Fleet) emptiness(now time.Time, t *Ticket) wardturn.Reason {
+	for _, m := range f.services[t.Service] {
+		if m.usable(now, t.Tried) {
+			return wardturn.ReasonQueueFull
+		}
+	}
+	return wardturn.ReasonNoUpstream
+}
+
+func (t *Ticket) refuse(reason wardturn.Reason, retryAfter time.Duration) {
+	t.Assign(Assignment{
+		Reason:     reason,
+		RetryAfter: min(retryAfter, maxComeBack),
+	})
+}
+
+func (f *Fleet) assign(now time.Time, t *Ticket, m *Member, v wardturn.Version) {
+	a := Assignment{
+		Member:  m.Member,
+		Version: v,
+		Load:    m.load(),
+		Prefill: m.prefill,
+	}
+	f.sent(now, m, t.Key, t.Prompt)
+	t.Assign(a)
+}
+
+// place gives a request to an engine that is ready for it.
+func (f *Fleet) place(now time.Time, t *Ticket, out *Moves) bool {
+	m := f.engineFor(now, t, f.versions[t.Key])
+	if m == nil && f.oldVersionServes(now, t.Key) {
+		m = f.engineFor(now, t, 0)
+	}
+	if m == nil {
+		return false
+	}
+	version := wardturn.Version(0)
+	if t.Key.Adapter != "" {
+		version = m.held[t.Key].version
+		f.spread(now, t, m, out)
+	}
+	f.assign(now, t, m, version)
+	return true
+}
+
+// engineFor returns the engine that takes a request now, at a version or a newer
+// one, or nil.
+func (f *Fleet) engineFor(now time.Time, t *Ticket, least wardturn.Version) *Member {
+	list := f.services[t.Service]
+	if t.Key.Adapter != "" {
+		list = f.holders[t.Key]
+	}
+	return f.best(list, func(m *Member) bool {
+		if m.Service != t.Service || !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
+			return false
+		}
+		return m.serves(now, t.Key, least)
+	})
+}
+
+// serves reports whether an engine holds an adapter at the newest version, or,
+// for a request without one, the model.
+func (m *Member) serves(now time.Time, key wardturn.ModelAdapter, newest wardturn.Version) bool {
+	if key.Adapter == "" {
+		for _, have := range m.holding.Models {
+			if have == key.Model {
+				return m.holding.Known
+			}
+		}
+		return false
+	}
+	h, ok := m.held[key]
+	return ok && h.ready && h.version >= newest && !now.Before(m.doubts[key])
+}
+
+// wait lets a request wait for its adapter if that can be there in time, and
+// tells it when to come back if not.
+func (f *Fleet) wait(now time.Time, t *Ticket, out *Moves) {
+	w := f.wantOf(now, t.Key, t.Service)
+	t.want = w
+	t.holdUntil = t.Arrived.Add(time.Duration(f.cfg.HoldPart * float64(t.Objective)))
+	w.waiting = append(w.waiting, t)
+	if !w.askedAt.IsZero() || w.key.Adapter == "" {
+		return
+	}
+	if len(w.waiting) == 1 {
+		f.askWarm(now, w, out)
+	}
+	f.pump(now, out)
+}
+
+// Withdraw ends the wait of a request whose caller left.
+func (f *Fleet) Withdraw(t *Ticket) {
+	w := t.want
+	if w == nil {
+		return
+	}
+	t.want = nil
+	for i, o := range w.waiting {
+		if o == t {
+			w.waiting = append(w.waiting[:i], w.waiting[i+1:]...)
+			break
+		}
+	}
+}
+
+// Tick lets time pass: requests that waited as long as they may are told when to
+// come back, and wishes are repeated.
+func (f *Fleet) Tick(now time.Time, out *Moves) {
+	for _, w := range f.wants {
+		f.placeWaiting(now, w, out)
+		f.expire(now, w)
+		f.renew(now, w, out)
+	}
+	f.advanceRollouts(now, out)
+	f.pump(now, out)
+}
+
+// placeWaiting tries to place the requests of a want: an engine that was full may
+// have room again.
+func (f *Fleet) placeWaiting(now time.Time, w *want, out *Moves) {
+	if len(w.waiting) == 0 || w.key.Adapter != "" && len(f.holders[w.key]) == 0 {
+		return
+	}
+	kept := w.waiting[:0]
+	for _, t := range w.waiting {
+		if !f.place(now, t, out) {
+			kept = append(kept, t)
+			continue
+		}
+		t.want = nil
+	}
+	clear(w.waiting[len(kept):])
+	w.waiting = kept
+}
+
+func (f *Fleet) expire(now time.Time, w *want) {
+	kept := w.waiting[:0]
+	for _, t := range w.waiting {
+		if now.Before(t.holdUntil) {
+			kept = append(kept, t)
+			continue
+		}
+		t.want = nil
+		w.owed++
+		t.refuse(wardturn.ReasonLoading, f.comeBack(now, w))
+	}
+	clear(w.waiting[len(kept):])
+	w.waiting = kept
+}
+
+// comeBack estimates when an adapter that is waited for will be there.
+func (f *Fleet) comeBack(now time.Time, w *want) time.Duration {
+	typical := f.window.Typical()
+	if w.askedAt.IsZero() {
+		return 2 * typical
+	}
+	return max(typical-now.Sub(w.askedAt), typical/4)
+}
