Plain upstreams are chosen by the time of their answers; copies of an adapter go to engines that gateways agree on

Change: an upstream's usual time of answers (weight 0.2, forgotten within 2 s) is part of its cost, a refusal for want of a place counts 100 ms; a copy goes to the first engine in the order of homes that costs enough less. Tests: 'moves away from an upstream that answers slowly, and tries it again'.

--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -378,6 +378,30 @@
 			Expect(string(got["more"].Member.ID)).To(HavePrefix("f"))
 		})
 
+		It("moves away from an upstream that answers slowly, and tries it again", func() {
+			ids := func() map[wardturn.UpstreamID]int {
+				n := make(map[wardturn.UpstreamID]int)
+				for range 20 {
+					admit("r", "")
+					id := got["r"].Member.ID
+					n[id]++
+					took := 30 * time.Millisecond
+					if string(id)[0] == 'n' {
+						took = 200 * time.Millisecond
+					}
+					f.Timed(now, id, took)
+					f.Ended(now, id, key(""), decide.EndedWell)
+				}
+				return n
+			}
+			ids()
+			n := ids()
+			Expect(n["n0"] + n["n1"]).To(BeZero())
+			now = now.Add(10 * time.Second)
+			n = ids()
+			Expect(n["n0"] + n["n1"]).NotTo(BeZero())
+		})
+
 		It("leaves an upstream that fails more often than others", func() {
 			for range 30 {
 				admit("r", "")
--- a/decide/member.go
+++ b/decide/member.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -12,9 +13,11 @@
 	wardturn.Member
 	hash         uint64
 	breaker      Breaker
-	failing      float64 // share of its requests that failed lately
-	running      int     // requests of this gateway under way
-	prefill      int     // tokens of prompts of those that have no byte of an answer yet
+	failing      float64   // share of its requests that failed lately
+	latency      float64   // of its answers, in milliseconds; of plain services only
+	timedAt      time.Time // of the latest of them
+	running      int       // requests of this gateway under way
+	prefill      int       // tokens of prompts of those that have no byte of an answer yet
 	holding      Holding
 	heldAt       time.Time // of the holding
 	atHold       int       // running when the holding arrived
@@ -45,14 +48,14 @@
 )
 
 // best returns the member of the least cost among those that match.
-func (f *Fleet) best(list []*Member, match func(*Member) bool) *Member {
+func (f *Fleet) best(now time.Time, list []*Member, match func(*Member) bool) *Member {
 	var best *Member
 	least := 0.0
 	for _, m := range list {
 		if !match(m) {
 			continue
 		}
-		if c := f.cost(m); best == nil || c < least {
+		if c := f.cost(now, m); best == nil || c < least {
 			best = m
 			least = c
 		}
@@ -60,12 +63,52 @@
 	return best
 }
 
-func (f *Fleet) cost(m *Member) float64 {
+func (f *Fleet) cost(now time.Time, m *Member) float64 {
 	c := float64(m.prefill)/prefillRate + runCost*float64(m.load())
 	if m.Domain != f.cfg.Domain {
 		c += farCost
 	}
-	return c + failCost*m.failing
+	return c + failCost*m.failing + m.slowness(now)
+}
+
+const (
+	// latencyWeight is the weight of one answer in the usual time of answers.
+	latencyWeight = 0.2
+	// latencyFade is the time constant with which that is forgotten: an upstream
+	// that was slow is tried again after a few seconds.
+	latencyFade = 2 * time.Second
+	// fullLatency stands for a refusal for want of a place, in milliseconds: the
+	// request has to be sent once more.
+	fullLatency = 100.0
+)
+
+// Timed records how long a plain upstream took to answer.
+func (f *Fleet) Timed(now time.Time, id wardturn.UpstreamID, took time.Duration) {
+	f.timed(now, id, float64(took)/float64(time.Millisecond))
+}
+
+// Full records that a plain upstream refused a request for want of a place. Other
+// gateways fill it, whose requests nobody here sees.
+func (f *Fleet) Full(now time.Time, id wardturn.UpstreamID) {
+	f.timed(now, id, fullLatency)
+}
+
+func (f *Fleet) timed(now time.Time, id wardturn.UpstreamID, took float64) {
+	m := f.members[id]
+	if m == nil {
+		return
+	}
+	m.latency = m.slowness(now)
+	m.latency += latencyWeight * (took - m.latency)
+	m.timedAt = now
+}
+
+// slowness returns the usual time of answers, as far as it is still believed.
+func (m *Member) slowness(now time.Time) float64 {
+	if m.latency == 0 {
+		return 0
+	}
+	return m.latency * math.Exp(-now.Sub(m.timedAt).Seconds()/latencyFade.Seconds())
 }
 
 // fill is the load as a part of what the member works on at once.
--- a/decide/want.go
+++ b/decide/want.go
@@ -207,8 +207,8 @@
 	if f.wants[t.Key] != nil || f.asked >= f.window.Size() {
 		return
 	}
-	home := f.idlest(now, t, costly)
-	if home == nil || !costly && f.cost(home)+copyCost > f.cost(m) {
+	home := f.copyHome(now, t, m, costly)
+	if home == nil {
 		return
 	}
 	f.crossed[t.Key] = 0
@@ -230,16 +230,20 @@
 	return float64(m.load()) >= spreadFactor*float64(total)/float64(len(list))
 }
 
-// idlest returns the engine of the least cost that may load an adapter which it
-// does not hold.
-func (f *Fleet) idlest(now time.Time, t *Ticket, near bool) *Member {
-	return f.best(f.services[t.Service], func(m *Member) bool {
-		if near && m.Domain != f.cfg.Domain {
-			return false
+// copyHome returns the engine that should hold a copy of an adapter beside m, or
+// nil. It is the first in the order of homes that costs enough less, so that
+// gateways which want a copy at the same time ask the same engine.
+func (f *Fleet) copyHome(now time.Time, t *Ticket, m *Member, near bool) *Member {
+	most := f.cost(now, m) - copyCost
+	for _, o := range f.homes(now, t.Service, t.Key, near) {
+		if _, holds := o.held[t.Key]; holds || o.loading() >= MaxComing {
+			continue
 		}
-		_, holds := m.held[t.Key]
-		return !holds && m.loads(now, t.Key.Model) && m.loading() < MaxComing
-	})
+		if near || f.cost(now, o) <= most {
+			return o
+		}
+	}
+	return nil
 }
 
 // renew repeats the wish of a load under way, and gives up one that takes far
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -383,6 +383,10 @@
 	if err != nil {
 		return x.sendFailed(a, err)
 	}
+	if !x.engine {
+		full := ans.res.Header.Get(x.g.names.NotExecuted) != ""
+		x.g.timed(a.Member.ID, x.g.clock.Now().Sub(now), full)
+	}
 	return x.take(a, ans)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -337,6 +337,17 @@
 	g.doubtMembers()
 }
 
+// timed records the time of a plain upstream's answer, or that it was full.
+func (g *Gateway) timed(id wardturn.UpstreamID, took time.Duration, full bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if full {
+		g.fleet.Full(g.clock.Now(), id)
+		return
+	}
+	g.fleet.Timed(g.clock.Now(), id, took)
+}
+
 func (g *Gateway) refused(id wardturn.UpstreamID) {
 	g.mu.Lock()
 	g.fleet.Refused(g.clock.Now(), id)
