--- /dev/null
+++ b/cli/fleet/fleet_test.go
@@ -0,0 +1,42 @@
+package fleet_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"wardturn/cli/fleet"
+)
+
+func run(args ...string) (code int, errs string) {
+	var out, e strings.Builder
+	code = fleet.Main(context.Background(), args, &out, &e)
+	return code, e.String()
+}
+
+func TestCheckReportsAllFaultsAtOnce(t *testing.T) {
+	code, errs := run("gateway", "--check", "--node=n", "--domain=d", "--port=7380",
+		"--store=nowhere", "--listen=127.0.0.1:0", "--ready=x", "--drain=10ms", "--hold-part=-1")
+	if code != fleet.ExitUsage {
+		t.Fatalf("exit %d", code)
+	}
+	for _, setting := range []string{"store", "ready", "drain", "hold-part"} {
+		if !strings.Contains(errs, "bad setting: "+setting) {
+			t.Errorf("nothing said of %s:\n%s", setting, errs)
+		}
+	}
+}
+
+func TestCheckAcceptsGoodSettings(t *testing.T) {
+	code, errs := run("keeper", "--check", "--node=n", "--domain=d", "--port=7380",
+		"--store=127.0.0.1:1", "--ip=127.0.0.1", "--engine=127.0.0.1:2")
+	if code != fleet.ExitOK {
+		t.Fatalf("exit %d: %s", code, errs)
+	}
+}
+
+func TestMissingSettings(t *testing.T) {
+	if code, _ := run("keeper"); code != fleet.ExitUsage {
+		t.Fatalf("exit %d", code)
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -27,6 +28,9 @@
 	answerGuess = 1500
 	// defaultTimeout holds for routes that set none.
 	defaultTimeout = 30 * time.Second
+	// defaultObjective holds for routes that set none: it bounds how long their
+	// requests wait for an adapter.
+	defaultObjective = time.Second
 	// unreadyPause is told to callers while no configuration is known.
 	unreadyPause = 500 * time.Millisecond
 	// resendPause is told to callers whose request found no upstream twice.
@@ -294,7 +298,7 @@
 		Service:   x.service,
 		Key:       x.key,
 		Arrived:   x.arrived,
-		Objective: x.route.Objective,
+		Objective: cmp.Or(x.route.Objective, defaultObjective),
 		Deadline:  x.end,
 		Prompt:    x.prompt,
 		Bytes:     len(x.body) + answerGuess,
