A keeper tells its first report to gateways that came before it; fault soak of the real daemons

Cause: a test of the gateway failed once beside load (503 for 6 s). Its log, run 7 times at once: a gateway that connects before the keeper's first report gets 'not known', and that first report was remembered without being told, so the engine stayed unused until its next change. Change: what was told starts as nothing, so every first report is a change. Test: 'tells what the engine holds to a gateway that came before the first report', fails before. The rig of the gateway's tests looks for a port that is free on all its hosts (the other failure beside load). Also: package soak and wardturn soak: gateways and keepers as processes, relays that delay, reset, refuse and silence (one way too), signals, store and upstreams that misbehave, planned work; answers are held against what ran.

--- /dev/null
+++ b/cli/soak.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn/soak"
+)
+
+// soakCmd hurts the real daemons and checks the promises.
+type soakCmd struct {
+	Binary   string        `default:"target/wardturn-fleet" help:"Program of the daemons."`
+	Seed     uint64        `default:"1" help:"Seed of the faults and of the traffic."`
+	For      time.Duration `default:"30s" help:"Time with faults."`
+	Gateways int           `default:"3" help:"Gateways."`
+	Engines  int           `default:"6" help:"Engines, each with a keeper."`
+	Apps     int           `default:"3" help:"Plain upstreams."`
+	Callers  int           `default:"24" help:"Callers."`
+	AtOnce   int           `default:"3" help:"Faults that overlap."`
+	LogFile  string        `help:"File for the lines of daemons and faults; none if empty."`
+}
+
+// Run plays the soak and prints what it showed.
+func (c *soakCmd) Run(ctx context.Context, s Streams) error {
+	var log io.Writer = io.Discard
+	if c.LogFile != "" {
+		f, err := os.Create(c.LogFile)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		defer f.Close()
+		log = f
+	}
+	rep, err := soak.Run(ctx, soak.Config{
+		Binary:   c.Binary,
+		Seed:     c.Seed,
+		For:      c.For,
+		Gateways: c.Gateways,
+		Engines:  c.Engines,
+		Apps:     c.Apps,
+		Callers:  c.Callers,
+		AtOnce:   c.AtOnce,
+		Log:      log,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.Out, "seed %d: done %d, not run %d, unknown %d, cut %d, full service again after %v\n",
+		c.Seed, rep.Counts.Done, rep.Counts.NotRun, rep.Counts.Unknown, rep.Counts.Cut, rep.Recovered.Round(time.Millisecond))
+	for _, name := range slices.Sorted(maps.Keys(rep.Faults)) {
+		fmt.Fprintf(s.Out, "  %3d %s\n", rep.Faults[name], name)
+	}
+	for _, v := range rep.Violations {
+		fmt.Fprintln(s.Out, "BROKEN:", v)
+	}
+	if len(rep.Violations) > 0 {
+		return errors.Newf("%d promises broken", len(rep.Violations))
+	}
+	return nil
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -122,7 +122,7 @@
 			})
 		}
 		r := x.send("POST", "mine", "/charge/", "", "body")
-		Expect(r.body).To(Equal("mine"))
+		Expect(r.body).To(Equal("echo:body"))
 	})
 
 	It("does not let a stream that was cut look whole", func() {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -34,6 +34,16 @@
 	often = 5 * time.Millisecond
 )
 
+// testLogger returns a logger whose lines are shown with a test that fails.
+func testLogger(name string) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       name,
+		Level:      hclog.Debug,
+		Output:     GinkgoWriter,
+		TimeFormat: "15:04:05.000",
+	})
+}
+
 // rig is a gateway with a store, two engines with keepers and two application
 // workers, all in this process on loopback addresses.
 type rig struct {
@@ -92,20 +102,38 @@
 	x.store.PutServer(id, m.Entry(service, x.addrs[m], "d", state))
 }
 
-func (x *rig) startKeeper(host string, m *standin.ModelWorker, store *platform.Store) {
-	addr := host + ":0"
-	if x.keeper != "" {
-		addr = host + ":" + x.keeper
+// listenAll listens on one port of several hosts. The kernel chooses a port for
+// the first; where another host has it in use, another is tried.
+func listenAll(hosts ...string) (list []net.Listener, port string) {
+	for range 100 {
+		list, port = nil, "0"
+		for _, host := range hosts {
+			ln, err := net.Listen("tcp", net.JoinHostPort(host, port))
+			if err != nil {
+				break
+			}
+			_, port, _ = net.SplitHostPort(ln.Addr().String())
+			list = append(list, ln)
+		}
+		if len(list) == len(hosts) {
+			return list, port
+		}
+		for _, ln := range list {
+			ln.Close()
+		}
 	}
-	ln := listen(addr)
-	_, x.keeper, _ = net.SplitHostPort(ln.Addr().String())
+	Fail("no port is free on all hosts")
+	return nil, ""
+}
+
+func (x *rig) startKeeper(host string, ln net.Listener, m *standin.ModelWorker, store *platform.Store) {
 	k := keeper.New(keeper.Deps{
 		Config: keeper.Config{
 			Process: wardturn.Incarnation("keeper-" + host),
 			Name:    host,
 		},
 		Clock:    process.Clock{},
-		Logger:   hclog.NewNullLogger(),
+		Logger:   testLogger("keeper " + host),
 		Scope:    tally.NoopScope,
 		Engine:   platform.NewWorker(x.addrs[m]),
 		Fences:   store,
@@ -128,8 +156,10 @@
 	serve(storeListener, x.store)
 	x.store.PutConfig(config(1, ""))
 	store := platform.NewStore(storeListener.Addr().String())
-	for i := range 2 {
-		host := fmt.Sprintf("127.0.0.%d", 11+i)
+	hosts := []string{"127.0.0.11", "127.0.0.12"}
+	keepers, port := listenAll(hosts...)
+	x.keeper = port
+	for i, host := range hosts {
 		m := x.addWorker("llm", host, standin.ModelWorkerConfig{
 			ID:       fmt.Sprintf("e%d", i),
 			Model:    "m0",
@@ -139,7 +169,7 @@
 			Pause:    5 * time.Millisecond,
 		})
 		x.engines = append(x.engines, m)
-		x.startKeeper(host, m, store)
+		x.startKeeper(host, keepers[i], m, store)
 		x.apps = append(x.apps, x.addWorker("app", host, standin.ModelWorkerConfig{
 			ID: fmt.Sprintf("a%d", i),
 		}))
@@ -147,7 +177,7 @@
 	front, ready := listen("127.0.0.1:0"), listen("127.0.0.1:0")
 	x.front = "http://" + front.Addr().String()
 	x.ready = "http://" + ready.Addr().String() + platform.ReadyPath
-	logger := hclog.NewNullLogger()
+	logger := testLogger("gateway")
 	x.gateway = gateway.New(gateway.Deps{
 		Config: gateway.Config{
 			Process:     "gateway",
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -124,10 +124,6 @@
 // not got its full holding yet passes such a message over.
 func (k *Keeper) tell() {
 	h := k.holding()
-	if k.told == nil {
-		k.told = h
-		return
-	}
 	m := h.since(k.told)
 	if m == nil {
 		return
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -79,6 +79,7 @@
 		greeted:  make(map[*peer.Conn]bool),
 		gateways: make(map[wardturn.Incarnation]int),
 		places:   decide.NewPlaces(d.Clock.Now(), d.Policy),
+		told:     &holding{},
 	}
 	k.takeFence()
 	k.server = peer.NewServer(d.Listener, nil, d.Clock, peer.Identity{
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -32,9 +32,13 @@
 	orders  []wardturn.EngineOrder
 	answers []wardturn.OrderAnswer // of the next orders; then all are taken
 	down    bool
+	slow    chan struct{} // if set, reports wait until it is closed
 }
 
 func (e *engine) Report() (wardturn.EngineState, error) {
+	if e.slow != nil {
+		<-e.slow
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
@@ -203,6 +207,20 @@
 		}, soon).Should(Equal(1))
 	})
 
+	It("tells what the engine holds to a gateway that came before the first report", func() {
+		e.slow = make(chan struct{})
+		start()
+		notice()
+		var h *peer.Holding
+		Eventually(g.holdings, soon).Should(Receive(&h))
+		Expect(h.Known).To(BeFalse())
+		close(e.slow)
+		Eventually(func() bool {
+			Eventually(g.holdings, soon).Should(Receive(&h))
+			return h.Known
+		}, soon).Should(BeTrue())
+	})
+
 	It("tells how many gateways there are", func() {
 		start()
 		notice()
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// daemon is one process of the system, started again whenever it ends.
+type daemon struct {
+	name string
+	bin  string
+	args []string
+	log  io.Writer
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	closed  bool
+	termed  time.Time // of the latest SIGTERM
+	ended   chan struct{}
+	crashes int // ends without a signal of ours
+	hurt    bool
+}
+
+func start(name, bin string, args []string, log io.Writer) (*daemon, error) {
+	d := &daemon{
+		name:  name,
+		bin:   bin,
+		args:  args,
+		log:   log,
+		ended: make(chan struct{}),
+	}
+	if err := d.launch(); err != nil {
+		return nil, err
+	}
+	go d.supervise()
+	return d, nil
+}
+
+func (d *daemon) launch() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cmd = exec.Command(d.bin, d.args...)
+	d.cmd.Stdout = d.log
+	d.cmd.Stderr = d.log
+	d.hurt = false
+	return errors.Wrap(d.cmd.Start(), d.name)
+}
+
+// restartPause is the time between the end of a process and its next start.
+const restartPause = 100 * time.Millisecond
+
+func (d *daemon) supervise() {
+	defer close(d.ended)
+	for {
+		d.mu.Lock()
+		cmd := d.cmd
+		d.mu.Unlock()
+		_ = cmd.Wait() // how it ended does not matter
+		d.mu.Lock()
+		closed := d.closed
+		if !closed && !d.hurt {
+			d.crashes++
+		}
+		d.mu.Unlock()
+		if closed {
+			return
+		}
+		time.Sleep(restartPause)
+		if err := d.launch(); err != nil {
+			return
+		}
+	}
+}
+
+// signal sends a signal to the process that runs now.
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s == syscall.SIGTERM {
+		d.termed = time.Now()
+	}
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		d.hurt = true
+	}
+	_ = d.cmd.Process.Signal(s) // it may just have ended
+}
+
+func (d *daemon) close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.signal(syscall.SIGCONT)
+	d.signal(syscall.SIGKILL)
+	<-d.ended
+}
+
+// freeAddr returns a loopback address that is free now.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "soak")
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,278 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	grace      = 4 * time.Second  // between SIGTERM and the end, for the daemons
+	leaveAfter = time.Second      // that a stopping gateway takes requests
+	calmBefore = 3 * time.Second  // without an unplanned fault, for promises about planned stops
+	recoverIn  = 12 * time.Second // to full service after the last fault
+	patience   = 15 * time.Second // for the first requests
+)
+
+// Config says how a soak runs.
+type Config struct {
+	Binary   string // of the daemons
+	Seed     uint64
+	For      time.Duration // with faults
+	Gateways int
+	Engines  int
+	Apps     int
+	Callers  int
+	AtOnce   int       // faults that overlap
+	Log      io.Writer // lines of the daemons and of the faults
+}
+
+// Report is what a soak showed.
+type Report struct {
+	Counts     Counts
+	Faults     map[string]int
+	Recovered  time.Duration // from the last fault to full service
+	Violations []string
+}
+
+// gatewayProcess is a gateway with the link to its store.
+type gatewayProcess struct {
+	*daemon
+	front string
+	store storeLink
+}
+
+type soak struct {
+	cfg      Config
+	world    *world
+	gateways []*gatewayProcess
+	keepers  []*keeperProcess
+	ledger   *ledger
+	stop     chan struct{}
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	faults  map[string]int
+	hurting int       // unplanned faults under way
+	calmAt  time.Time // end of the latest of them
+}
+
+// Run plays one soak.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	w, err := newWorld(cfg.Engines, cfg.Apps)
+	if err != nil {
+		return Report{}, err
+	}
+	defer w.close()
+	s := &soak{
+		cfg:    cfg,
+		world:  w,
+		stop:   make(chan struct{}),
+		faults: make(map[string]int),
+		ledger: &ledger{
+			w: w,
+		},
+	}
+	defer s.closeDaemons()
+	if err := s.startDaemons(); err != nil {
+		return Report{}, err
+	}
+	if _, ok := s.served(patience); !ok {
+		s.ledger.broken("no full service %v after the start", patience)
+	}
+	s.callers(cfg.Callers)
+	s.hurt(ctx)
+	took, ok := s.served(recoverIn)
+	if !ok {
+		s.ledger.broken("no full service %v after the last fault", recoverIn)
+	}
+	close(s.stop)
+	s.wg.Wait()
+	s.ledger.settle()
+	s.checkCrashes()
+	return Report{
+		Counts:     s.ledger.counts,
+		Faults:     s.faults,
+		Recovered:  took,
+		Violations: s.ledger.violations,
+	}, nil
+}
+
+func (s *soak) startDaemons() error {
+	for i, u := range s.world.upstreams {
+		if u.keeper == nil {
+			continue
+		}
+		k, err := s.startKeeper(i, u)
+		if err != nil {
+			return err
+		}
+		s.keepers = append(s.keepers, k)
+	}
+	for i := range s.cfg.Gateways {
+		g, err := s.startGateway(i)
+		if err != nil {
+			return err
+		}
+		s.gateways = append(s.gateways, g)
+	}
+	return nil
+}
+
+func (s *soak) startGateway(i int) (*gatewayProcess, error) {
+	link, err := s.storeLink()
+	if err != nil {
+		return nil, err
+	}
+	front, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	ready, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("gateway-%d", i)
+	d, err := start(name, s.cfg.Binary, []string{
+		"gateway", "--node=" + name, "--domain=d", "--store=" + link.Addr(), "--port=" + s.world.port,
+		"--listen=" + front, "--ready=" + ready, "--grace=" + grace.String(), "--leave-after=" + leaveAfter.String(),
+	}, s.cfg.Log)
+	return &gatewayProcess{
+		daemon: d,
+		front:  front,
+		store:  link,
+	}, err
+}
+
+// keeperProcess is a keeper with the link to its store.
+type keeperProcess struct {
+	*daemon
+	store storeLink
+}
+
+func (s *soak) startKeeper(i int, u *upstream) (*keeperProcess, error) {
+	link, err := s.storeLink()
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("keeper-%d", i)
+	host, _, _ := net.SplitHostPort(u.backAddr())
+	d, err := start(name, s.cfg.Binary, []string{
+		"keeper", "--node=" + name, "--domain=d", "--store=" + link.Addr(), "--port=" + s.world.port,
+		"--ip=" + host, "--engine=" + u.backAddr(),
+	}, s.cfg.Log)
+	return &keeperProcess{
+		daemon: d,
+		store:  link,
+	}, err
+}
+
+func (s *soak) closeDaemons() {
+	for _, g := range s.gateways {
+		g.close()
+		g.store.Close()
+	}
+	for _, k := range s.keepers {
+		k.close()
+		k.store.Close()
+	}
+}
+
+// served waits until every gateway serves every kind of request, and returns how
+// long that took.
+func (s *soak) served(limit time.Duration) (time.Duration, bool) {
+	began := time.Now()
+	client := &http.Client{
+		Timeout:   callerPatience,
+		Transport: &http.Transport{},
+	}
+	defer client.CloseIdleConnections()
+	for i, g := range s.gateways {
+		for j, k := range kinds {
+			for n := 0; ; n++ {
+				id := fmt.Sprintf("probe-%d-%d-%d-%d", began.UnixNano(), i, j, n)
+				if s.call(client, g, k, id, 0) == http.StatusOK {
+					break
+				}
+				if time.Since(began) > limit {
+					return limit, false
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+	return time.Since(began), true
+}
+
+// checkCrashes looks for daemons that ended by themselves.
+func (s *soak) checkCrashes() {
+	var all []*daemon
+	for _, g := range s.gateways {
+		all = append(all, g.daemon)
+	}
+	for _, k := range s.keepers {
+		all = append(all, k.daemon)
+	}
+	for _, d := range all {
+		d.mu.Lock()
+		n := d.crashes
+		d.mu.Unlock()
+		if n > 0 {
+			s.ledger.broken("%s ended %d times by itself", d.name, n)
+		}
+	}
+}
+
+// calmSince reports whether no unplanned fault has been under way since a time.
+func (s *soak) calmSince(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hurting == 0 && s.calmAt.Before(t)
+}
+
+// hurt plays random faults, some at once, until the time is over; then all are
+// healed.
+func (s *soak) hurt(ctx context.Context) {
+	var wg sync.WaitGroup
+	until := time.Now().Add(s.cfg.For)
+	for i := range s.cfg.AtOnce {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r := rand.New(rand.NewPCG(s.cfg.Seed, 1000+uint64(i)))
+			for time.Now().Before(until) && ctx.Err() == nil {
+				s.play(r)
+				time.Sleep(time.Duration(r.IntN(800)) * time.Millisecond)
+			}
+		}()
+	}
+	wg.Wait()
+	s.heal()
+}
+
+func (s *soak) play(r *rand.Rand) {
+	f := s.draw(r)
+	s.mu.Lock()
+	s.faults[f.name]++
+	if !f.planned {
+		s.hurting++
+	}
+	s.mu.Unlock()
+	fmt.Fprintf(s.cfg.Log, "soak: fault=%s target=%s for=%v\n", f.name, f.target, f.last)
+	undo := f.begin()
+	time.Sleep(f.last)
+	if undo != nil {
+		undo()
+	}
+	if !f.planned {
+		s.mu.Lock()
+		s.hurting--
+		s.calmAt = time.Now()
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,247 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"wardturn/standin"
+)
+
+const (
+	beatEvery  = time.Second // of the upstreams' entries in the store
+	slots      = 3           // adapter slots of an engine, few so that they turn over
+	loadTime   = 30 * time.Millisecond
+	pieces     = 6 // events of a stream
+	piecePause = 10 * time.Millisecond
+)
+
+// upstream is a stand-in of an engine or a plain service with its links.
+type upstream struct {
+	worker  *standin.ModelWorker
+	service string
+	addr    string // that gateways use: the relay's
+	link    *standin.Relay
+	keeper  *standin.Relay // between gateways and the keeper; nil for a plain service
+	server  *http.Server
+
+	mu    sync.Mutex
+	id    string
+	lives int
+	state string
+}
+
+// world is the platform around the daemons.
+type world struct {
+	store     *standin.MetaStore
+	storeAddr string
+	server    *http.Server
+	upstreams []*upstream
+	port      string // of keepers
+	version   int
+	stop      chan struct{}
+	wg        sync.WaitGroup
+}
+
+const soakConfig = `{"version":%d,"routes":[
+{"name":"ask","host":"h","path_prefix":"/ask/","type":"streaming","timeout_ms":3000,"slo_ms":600,"priority":1,"service":"llm","max_attempts":1},
+{"name":"resume","host":"h","path_prefix":"/resume/","type":"streaming","timeout_ms":3000,"slo_ms":600,"priority":1,"service":"llm","max_attempts":2,"resumable":true},
+{"name":"charge","host":"h","path_prefix":"/charge/","type":"mutating","timeout_ms":1500,"slo_ms":150,"service":"app","max_attempts":1},
+{"name":"look","host":"h","path_prefix":"/look/","type":"idempotent","timeout_ms":1500,"slo_ms":150,"service":"app","max_attempts":2}],
+"services":[{"name":"llm","max_conns":100,"engine":{"slots":8,"adapter_slots":%d,"models":[{"name":"m0","load_s":0.1}]}},{"name":"app","max_conns":100}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+func serve(addr string, h http.Handler) (*http.Server, string, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, "", errors.Wrap(err, "soak")
+	}
+	s := &http.Server{
+		Handler: h,
+	}
+	go func() {
+		_ = s.Serve(ln)
+	}()
+	return s, ln.Addr().String(), nil
+}
+
+func newWorld(engines, apps int) (*world, error) {
+	w := &world{
+		store: standin.NewMetaStore(),
+		stop:  make(chan struct{}),
+	}
+	var err error
+	w.server, w.storeAddr, err = serve("127.0.0.1:0", w.store)
+	if err != nil {
+		return nil, err
+	}
+	w.configure()
+	if w.port, err = freePort(engines); err != nil {
+		return nil, err
+	}
+	for i := range engines {
+		if err := w.add("llm", i, standin.ModelWorkerConfig{
+			ID:       fmt.Sprintf("e%d", i),
+			Model:    "m0",
+			Slots:    slots,
+			LoadTime: loadTime,
+			Pieces:   pieces,
+			Pause:    piecePause,
+		}); err != nil {
+			return nil, err
+		}
+	}
+	for i := range apps {
+		if err := w.add("app", engines+i, standin.ModelWorkerConfig{
+			ID: fmt.Sprintf("a%d", i),
+		}); err != nil {
+			return nil, err
+		}
+	}
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		w.beat()
+	}()
+	return w, nil
+}
+
+// configure publishes the next configuration.
+func (w *world) configure() {
+	w.version++
+	w.store.PutConfig(fmt.Sprintf(soakConfig, w.version, slots))
+}
+
+// frontHost and backHost are the two sides of an upstream's links.
+func frontHost(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
+func backHost(i int) string  { return fmt.Sprintf("127.0.1.%d", 10+i) }
+
+func (w *world) add(service string, i int, cfg standin.ModelWorkerConfig) error {
+	u := &upstream{
+		worker:  standin.NewModelWorker(cfg),
+		service: service,
+		id:      cfg.ID,
+		state:   "ready",
+	}
+	var back string
+	var err error
+	u.server, back, err = serve(backHost(i)+":0", u.worker)
+	if err != nil {
+		return err
+	}
+	u.link, err = standin.NewRelayAt(frontHost(i)+":0", back)
+	if err != nil {
+		return err
+	}
+	u.addr = u.link.Addr()
+	if cfg.Model != "" {
+		if err := w.addKeeperLink(u, i); err != nil {
+			return err
+		}
+	}
+	w.upstreams = append(w.upstreams, u)
+	w.enter(u)
+	return nil
+}
+
+// freePort returns a port that is free on both sides of the links of n engines.
+func freePort(n int) (string, error) {
+	for range 100 {
+		port, free := "0", true
+		var list []net.Listener
+		for i := range n {
+			for _, host := range []string{frontHost(i), backHost(i)} {
+				ln, err := net.Listen("tcp", net.JoinHostPort(host, port))
+				if err != nil {
+					free = false
+					continue
+				}
+				_, port, _ = net.SplitHostPort(ln.Addr().String())
+				list = append(list, ln)
+			}
+		}
+		for _, ln := range list {
+			ln.Close()
+		}
+		if free {
+			return port, nil
+		}
+	}
+	return "", errors.New("soak: no port is free on all hosts")
+}
+
+// addKeeperLink opens the relay before a keeper. All keepers have one port.
+func (w *world) addKeeperLink(u *upstream, i int) error {
+	var err error
+	u.keeper, err = standin.NewRelayAt(net.JoinHostPort(frontHost(i), w.port), net.JoinHostPort(backHost(i), w.port))
+	return err
+}
+
+// backAddr is where the keeper beside an engine finds it.
+func (u *upstream) backAddr() string {
+	return u.link.Target()
+}
+
+func (w *world) enter(u *upstream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	w.store.PutServer(u.id, u.worker.Entry(u.service, u.addr, "d", u.state))
+}
+
+// beat renews the entries of the upstreams.
+func (w *world) beat() {
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(beatEvery):
+		}
+		for _, u := range w.upstreams {
+			w.enter(u)
+		}
+	}
+}
+
+// restart begins a new lifetime of an upstream, empty and under another id.
+func (w *world) restart(u *upstream) {
+	u.mu.Lock()
+	old := u.id
+	u.lives++
+	u.id = fmt.Sprintf("%s-%d", old, u.lives)
+	u.worker.Restart(u.id)
+	u.mu.Unlock()
+	w.enter(u)
+	w.store.DropServer(old)
+}
+
+func (u *upstream) setState(state string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.state = state
+}
+
+// runs counts the runs of an attempt at all upstreams.
+func (w *world) runs(attempt string) int {
+	n := 0
+	for _, u := range w.upstreams {
+		n += u.worker.Runs(attempt)
+	}
+	return n
+}
+
+func (w *world) close() {
+	close(w.stop)
+	w.wg.Wait()
+	for _, u := range w.upstreams {
+		u.link.Close()
+		if u.keeper != nil {
+			u.keeper.Close()
+		}
+		_ = u.server.Close()
+	}
+	_ = w.server.Close()
+}
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -295,29 +295,41 @@
 	case f.LoseAnswers:
 		panic(http.ErrAbortHandler)
 	case f.Stranger:
-		m.answerTwice(w, attempt)
+		m.answerTwice(w, attempt, m.whole(body))
 	case f.Error:
 		w.WriteHeader(http.StatusInternalServerError)
 	case m.cfg.Pieces > 0:
 		m.stream(w, r, f)
 	default:
-		_, _ = w.Write(append([]byte("echo:"), body...))
+		_, _ = w.Write(m.whole(body))
 	}
 }
 
 // answerTwice writes an answer to another request before the right one.
-func (m *ModelWorker) answerTwice(w http.ResponseWriter, attempt string) {
+func (m *ModelWorker) answerTwice(w http.ResponseWriter, attempt string, body []byte) {
 	nc, buf, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer nc.Close()
 	for _, id := range []string{"stranger", attempt} {
-		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nX-Wardturn-Attempt-Id: %s\r\nX-Wardturn-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(id), id)
+		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nX-Wardturn-Attempt-Id: %s\r\nX-Wardturn-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
 	}
 	_ = buf.Flush()
 }
 
+// whole returns the whole answer to a request.
+func (m *ModelWorker) whole(body []byte) []byte {
+	if m.cfg.Pieces == 0 {
+		return append([]byte("echo:"), body...)
+	}
+	var b []byte
+	for i := 1; i <= m.cfg.Pieces; i++ {
+		b = fmt.Appendf(b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b
+}
+
 // stream writes events with rising ids, from the one after Last-Event-Id on.
 func (m *ModelWorker) stream(w http.ResponseWriter, r *http.Request, f WorkerFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/standin/relay.go
+++ b/standin/relay.go
@@ -4,19 +4,30 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// Way is a direction through a relay.
+type Way int
+
+// The directions.
+const (
+	ToTarget Way = iota
+	FromTarget
+)
+
 // Relay is a stretch of network between two processes: it passes connections on
-// to a target and can cut, refuse or freeze them.
+// to a target and can cut, reset, refuse, delay, silence or freeze them.
 type Relay struct {
 	ln     net.Listener
 	target string
 
 	mu      sync.Mutex
 	thawed  *sync.Cond
-	frozen  bool
+	frozen  [2]bool // by way
+	delay   time.Duration
 	blocked bool
 	closed  bool
 	conns   map[net.Conn]bool
@@ -25,7 +36,12 @@
 
 // NewRelay starts a relay on a loopback port that the kernel chooses.
 func NewRelay(target string) (*Relay, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewRelayAt("127.0.0.1:0", target)
+}
+
+// NewRelayAt starts a relay at an address.
+func NewRelayAt(addr, target string) (*Relay, error) {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
@@ -48,6 +64,13 @@
 	return r.ln.Addr().String()
 }
 
+// Target returns the address that connections are passed on to.
+func (r *Relay) Target() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
 // SetTarget directs new connections to another address.
 func (r *Relay) SetTarget(addr string) {
 	r.mu.Lock()
@@ -84,15 +107,42 @@
 func (r *Relay) Freeze(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.frozen = on
+	r.frozen = [2]bool{on, on}
+	r.thawed.Broadcast()
+}
+
+// Silence holds the bytes of one way back, or lets them go.
+func (r *Relay) Silence(w Way, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frozen[w] = on
 	r.thawed.Broadcast()
 }
 
+// Delay holds every piece back for a time.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Reset resets the present connections: what was not yet read is lost.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if tc, ok := c.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0)
+		}
+	}
+	r.cut()
+}
+
 // Close ends the relay.
 func (r *Relay) Close() {
 	r.mu.Lock()
 	r.closed = true
-	r.frozen = false
+	r.frozen = [2]bool{}
 	r.thawed.Broadcast()
 	r.cut()
 	r.mu.Unlock()
@@ -136,10 +186,10 @@
 	}
 	var both sync.WaitGroup
 	both.Add(2)
-	for _, way := range [][2]net.Conn{{c, t}, {t, c}} {
+	for way, ends := range [][2]net.Conn{{c, t}, {t, c}} {
 		go func() {
 			defer both.Done()
-			r.copy(way[1], way[0])
+			r.copy(Way(way), ends[1], ends[0])
 			c.Close()
 			t.Close()
 		}()
@@ -163,11 +213,11 @@
 	return true
 }
 
-func (r *Relay) copy(dst io.Writer, src io.Reader) {
+func (r *Relay) copy(w Way, dst io.Writer, src io.Reader) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		r.waitThawed()
+		r.waitThawed(w)
 		if n > 0 {
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
@@ -179,10 +229,12 @@
 	}
 }
 
-func (r *Relay) waitThawed() {
+func (r *Relay) waitThawed(w Way) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for r.frozen {
+	for r.frozen[w] {
 		r.thawed.Wait()
 	}
+	d := r.delay
+	r.mu.Unlock()
+	time.Sleep(d)
 }
