--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestSoak plays a short soak with the real daemons.
+func TestSoak(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "wardturn-fleet")
+	build := exec.Command("go", "build", "-o", bin, "wardturn/cmd/wardturn-fleet")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	rep, err := Run(context.Background(), Config{
+		Binary:   bin,
+		Seed:     1,
+		For:      5 * time.Second,
+		Gateways: 2,
+		Engines:  2,
+		Apps:     2,
+		Callers:  6,
+		AtOnce:   2,
+		Log:      io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range rep.Violations {
+		t.Error(v)
+	}
+	if rep.Counts.Done == 0 {
+		t.Error("no request was served")
+	}
+}
+
+// ranOnce sends a request straight to an upstream, as a gateway would.
+func ranOnce(t *testing.T, u *upstream, id string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+u.addr+"/charge/x", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Wardturn-Attempt-Id", id)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+}
+
+func TestChecksCanFail(t *testing.T) {
+	w, err := newWorld(0, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.close()
+	ranOnce(t, w.upstreams[0], "refused")
+	ranOnce(t, w.upstreams[0], "twice")
+	ranOnce(t, w.upstreams[1], "twice")
+	ranOnce(t, w.upstreams[0], "right")
+	l := &ledger{
+		w:      w,
+		notRun: []string{"refused", "never"},
+		once:   []string{"twice", "right"},
+	}
+	l.settle()
+	if len(l.violations) != 2 {
+		t.Fatalf("%d violations, want one for refused and one for twice: %q", len(l.violations), l.violations)
+	}
+	s := &soak{
+		ledger: l,
+	}
+	s.judge(kind{}, "other", &http.Response{
+		StatusCode: http.StatusOK,
+		Header: http.Header{
+			"X-Wardturn-Server-Seal": {"seal-of-another"},
+		},
+	}, "not the answer")
+	if len(l.violations) != 4 {
+		t.Fatalf("a wrong receipt and a wrong body are not seen: %q", l.violations)
+	}
+}
