--- a/cli/soak.go
+++ b/cli/soak.go
@@ -29,7 +29,7 @@
 
 // Run plays the soak and prints what it showed.
 func (c *soakCmd) Run(ctx context.Context, s Streams) error {
-	var log io.Writer = io.Discard
+	log := io.Discard
 	if c.LogFile != "" {
 		f, err := os.Create(c.LogFile)
 		if err != nil {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"wardturn/platform"
 )
 
 // kind is a kind of request.
@@ -17,6 +19,9 @@
 	again bool // may run more than once
 }
 
+// names are the headers of the platform that the daemons serve on.
+var names = platform.Headers()
+
 var kinds = []kind{
 	{
 		path:  "/ask/x",
@@ -101,10 +106,10 @@
 		return 0
 	}
 	req.Host = "h"
-	req.Header.Set("X-Wardturn-Attempt-Id", id)
-	req.Header.Set("X-Wardturn-Deadline-Ms", deadlineMS)
+	req.Header.Set(names.Attempt, id)
+	req.Header.Set(names.DeadlineMS, deadlineMS)
 	if k.model {
-		req.Header.Set("X-Wardturn-Model", fmt.Sprintf("m0/a%d", int(draw*adapterSpread)))
+		req.Header.Set(names.Adapter, fmt.Sprintf("m0/a%d", int(draw*adapterSpread)))
 	}
 	began := time.Now()
 	res, err := client.Do(req)
@@ -141,7 +146,7 @@
 	if res.StatusCode != http.StatusOK {
 		return
 	}
-	if got := res.Header.Get("X-Wardturn-Server-Seal"); got != "seal-"+id {
+	if got := res.Header.Get(names.Receipt); got != "seal-"+id {
 		l.broken("%s: the answer has the receipt %q", id, got)
 	}
 	want := "echo:" + id
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -237,7 +237,7 @@
 			s.mu.Lock()
 			s.world.configure()
 			s.mu.Unlock()
-			s.world.store.Compact("keyed.op")
+			s.world.store.CompactConfig()
 			return nil
 		}
 	case 2:
@@ -248,7 +248,7 @@
 			for _, u := range s.world.upstreams {
 				u.worker.Name(adapter, version)
 			}
-			s.world.store.Put("keyed.op", "version/m0."+adapter, fmt.Appendf(nil, `{"model":"m0","adapter":%q,"version":%d}`, adapter, version))
+			s.world.store.PutVersion("m0", adapter, version)
 			return nil
 		}
 	default:
--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -92,6 +93,17 @@
 	s.Put("keyed.op", "config", []byte(config))
 }
 
+// PutVersion names the newest version of an adapter.
+func (s *MetaStore) PutVersion(model, adapter string, version int64) {
+	value := fmt.Appendf(nil, `{"model":%q,"adapter":%q,"version":%d}`, model, adapter, version)
+	s.Put("keyed.op", "version/"+model+"."+adapter, value)
+}
+
+// CompactConfig drops the history of the operator's records.
+func (s *MetaStore) CompactConfig() {
+	s.Compact("keyed.op")
+}
+
 // PutServer writes the entry of an upstream.
 func (s *MetaStore) PutServer(id, entry string) {
 	s.Put("keyed.servers", id, []byte(entry))
