Stand-in workers carry orders out late; a test and the soak use it

Cause: the stand-in knew lost orders only. Change: LateOrders carries an order out 200 ms later, unanswered, if it still fits then. Test: 'holds no more than it has places when orders are carried out late'.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -55,6 +55,32 @@
 		}
 	})
 
+	It("holds no more than it has places when orders are carried out late", func() {
+		for _, e := range x.engines {
+			e.SetFaults(standin.WorkerFaults{
+				LateOrders: true,
+			})
+		}
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer GinkgoRecover()
+				x.get("late", "/ask/x", fmt.Sprintf("m0/a%d", i))
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, e := range x.engines {
+			e.SetFaults(standin.WorkerFaults{})
+		}
+		wg.Wait()
+		Expect(x.get("after", "/ask/x", "m0/a1").status).To(Equal(http.StatusOK))
+		for _, e := range x.engines {
+			Expect(e.Fell()).To(BeFalse())
+		}
+	})
+
 	It("answers 404 without a route and 400 without an id", func() {
 		Expect(x.get("none", "/other/", "").status).To(Equal(http.StatusNotFound))
 		Expect(x.send("POST", "", "/charge/", "", "").status).To(Equal(http.StatusBadRequest))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -179,6 +179,9 @@
 		{
 			LoseOrders: true,
 		},
+		{
+			LateOrders: true,
+		},
 		{
 			LoseAnswers: true,
 		},
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -44,6 +44,7 @@
 // WorkerFaults are the troubles of a worker.
 type WorkerFaults struct {
 	LoseOrders  bool // orders are neither carried out nor answered
+	LateOrders  bool // orders are not answered and carried out later, if they still fit then
 	LoseAnswers bool // requests are run and not answered
 	Stranger    bool // an answer to another request comes first
 	CutAfter    int  // events after which streams break off; zero: never
@@ -186,6 +187,10 @@
 	})
 }
 
+// lateOrder is how much later a late order is carried out: after the keeper has
+// given up on its answer.
+const lateOrder = 200 * time.Millisecond
+
 type workerOrder struct {
 	Op       string  `json:"op"`
 	Model    string  `json:"model"`
@@ -202,13 +207,19 @@
 		return
 	}
 	m.mu.Lock()
-	lose := m.faults.LoseOrders
+	f := m.faults
 	m.mu.Unlock()
-	if lose {
+	instance := r.Header.Get("X-Wardturn-Expect-Instance")
+	if f.LateOrders {
+		time.AfterFunc(lateOrder, func() {
+			m.take(o, instance)
+		})
+	}
+	if f.LateOrders || f.LoseOrders {
 		<-r.Context().Done()
 		return
 	}
-	w.WriteHeader(m.take(o, r.Header.Get("X-Wardturn-Expect-Instance")))
+	w.WriteHeader(m.take(o, instance))
 }
 
 // take carries an order out and returns the status of the answer.
