--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,10 +17,13 @@
 )
 
 const (
-	tickEvery      = 10 * time.Millisecond  // of the waiting requests
-	usageEvery     = 100 * time.Millisecond // of the word to keepers on what is in use
-	sweepEvery     = time.Second            // of idle connections
-	configWait     = 20 * time.Second       // of a waiting read; within the platform's 30 s
+	tickEvery  = 10 * time.Millisecond  // of the waiting requests
+	usageEvery = 100 * time.Millisecond // of the word to keepers on what is in use
+	sweepEvery = time.Second            // of idle connections
+	// configWait is the time of a waiting read of the configuration. A channel of
+	// the store whose answer was lost says nothing more, so a read must end, and
+	// be repeated, within the 2 s in which a change must be in force.
+	configWait     = 1200 * time.Millisecond
 	configRetry    = 100 * time.Millisecond // after a failed read, doubled up to the next
 	configMaxRetry = 500 * time.Millisecond
 	membersLeast   = 250 * time.Millisecond // between readings of the list of upstreams
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -220,6 +220,19 @@
 		Expect(x.get("new", "/new/", "").status).To(Equal(http.StatusOK))
 	})
 
+	It("learns of a change soon after a read of the store that never gets an answer", func() {
+		x.store.SetFaults(standin.MetaFaults{
+			Silent: true,
+		})
+		x.store.PutConfig(config(2, "")) // ends the present read; the next hangs
+		time.Sleep(100 * time.Millisecond)
+		x.store.SetFaults(standin.MetaFaults{})
+		x.store.PutConfig(config(3, `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		Eventually(func() int {
+			return x.get("new", "/new/", "").status
+		}, 3*time.Second, often).Should(Equal(http.StatusOK))
+	})
+
 	It("keeps the last good configuration when one cannot be understood", func() {
 		x.store.PutConfig(`{"version":3,"routes":[{"name":"bad","type":"what"}]}`)
 		time.Sleep(50 * time.Millisecond)
