Engines' pace is learned from their streams; long prompts go to engines of the usual pace

Ruled out: long prompts as such (engines of the usual pace caused none of the pauses); setting engines apart for long prompts (measured earlier: long ones lose what short ones gain).

Change: the second shortest of a stream's first four pauses between events tells its engine's pace; the median of three streams counts for 10 s, against the lower quarter of all engines of the service. The cost of an engine grows with it. A prompt of 4,096 tokens or more does not go to an engine at 1.15 or more on which three or more requests run: its adapter is loaded at a quicker one, and if that does not come in time the slow one takes it.

Test: decide 'with a slow engine', gateway 'learns from streams which engine is slow'; both fail without it.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -24,8 +24,9 @@
 	holders  map[wardturn.ModelAdapter][]*Member // engines that hold an adapter ready
 	wants    map[wardturn.ModelAdapter]*want
 	window   LoadWindow
-	asked    int                           // wants whose load was asked for
-	crossed  map[wardturn.ModelAdapter]int // bytes sent to other failure domains
+	asked    int                                    // wants whose load was asked for
+	crossed  map[wardturn.ModelAdapter]int          // bytes sent to other failure domains
+	usual    map[wardturn.ServiceName]time.Duration // between two events of a stream
 }
 
 // FleetConfig holds the limits of a Fleet.
@@ -52,6 +53,7 @@
 		wants:    make(map[wardturn.ModelAdapter]*want),
 		window:   NewLoadWindow(cfg.Window),
 		crossed:  make(map[wardturn.ModelAdapter]int),
+		usual:    make(map[wardturn.ServiceName]time.Duration),
 	}
 }
 
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -215,6 +215,59 @@
 		Expect(out.Asks).To(HaveLen(5))
 	})
 
+	Describe("with a slow engine", func() {
+		const long = 9000 // tokens of a prompt
+		admitLong := func(id string) {
+			t := ticket(id, "a")
+			t.Prompt = long
+			f.Admit(now, t, &out)
+		}
+		BeforeEach(func() {
+			for range 3 {
+				f.Paced(now, "n0", 38*time.Millisecond)
+				for _, id := range []wardturn.UpstreamID{"n1", "f0", "f1"} {
+					f.Paced(now, id, 29*time.Millisecond)
+				}
+			}
+			hold("n0", ready("a", 1))
+			for i := range 3 {
+				admit(fmt.Sprint("short", i), "a")
+			}
+			Expect(got["short2"].Member.ID).To(BeEquivalentTo("n0"))
+			Expect(out.Asks).To(BeEmpty())
+		})
+
+		It("has the adapter of a long prompt loaded at a quicker one, and waits for it", func() {
+			admitLong("long")
+			Expect(got).NotTo(HaveKey("long"))
+			Expect(out.Asks).To(HaveLen(1))
+			Expect(out.Asks[0].Waiting).To(Equal(1))
+			quicker := out.Asks[0].Upstream
+			Expect(quicker).NotTo(BeEquivalentTo("n0"))
+			tick(250 * time.Millisecond)
+			hold(string(quicker), ready("a", 1))
+			Expect(got["long"].Member.ID).To(Equal(quicker))
+		})
+
+		It("gives the long prompt to the slow one rather than refuse it", func() {
+			admitLong("long")
+			tick(430 * time.Millisecond)
+			Expect(got["long"].Member.ID).To(BeEquivalentTo("n0"))
+		})
+
+		It("gives it to the slow one at once where few requests run", func() {
+			f.Ended(now, "n0", key("a"), decide.EndedWell)
+			admitLong("long")
+			Expect(got["long"].Member.ID).To(BeEquivalentTo("n0"))
+		})
+
+		It("believes in the pace no longer than streams show it", func() {
+			now = now.Add(11 * time.Second)
+			admitLong("long")
+			Expect(got["long"].Member.ID).To(BeEquivalentTo("n0"))
+		})
+	})
+
 	It("asks another engine when a load takes too long", func() {
 		admit("r", "a")
 		first := out.Asks[0].Upstream
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -34,6 +34,7 @@
 
 	holdUntil time.Time
 	want      *want
+	settled   bool // takes a slow engine rather than wait any longer
 }
 
 // Assignment is the upstream of a request, or the word that there is none.
@@ -98,7 +99,7 @@
 
 // plainMember returns the member of the least cost that is filled less than a limit, or nil.
 func (f *Fleet) plainMember(now time.Time, t *Ticket, limit float64) *Member {
-	return f.best(now, f.services[t.Service], func(m *Member) bool {
+	return f.best(now, f.services[t.Service], t.Prompt, func(m *Member) bool {
 		return m.usable(now, t.Tried) && m.fill() < limit
 	})
 }
@@ -137,7 +138,7 @@
 	if m == nil && f.oldVersionServes(now, t.Key) {
 		m = f.engineFor(now, t, 0)
 	}
-	if m == nil {
+	if m == nil || f.waitsForQuicker(now, t, m) {
 		return false
 	}
 	version := wardturn.Version(0)
@@ -156,7 +157,7 @@
 	if t.Key.Adapter != "" {
 		list = f.holders[t.Key]
 	}
-	return f.best(now, list, func(m *Member) bool {
+	return f.best(now, list, t.Prompt, func(m *Member) bool {
 		if m.Service != t.Service || !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
 			return false
 		}
@@ -215,7 +216,7 @@
 func (f *Fleet) Tick(now time.Time, out *Moves) {
 	for _, w := range f.wants {
 		f.placeWaiting(now, w, out)
-		f.expire(now, w)
+		f.expire(now, w, out)
 		f.renew(now, w, out)
 	}
 	f.advanceRollouts(now, out)
@@ -240,7 +241,9 @@
 	w.waiting = kept
 }
 
-func (f *Fleet) expire(now time.Time, w *want) {
+// expire ends the waits that have lasted as long as they may. A request that
+// waited only for a quicker engine takes the slow one now.
+func (f *Fleet) expire(now time.Time, w *want, out *Moves) {
 	kept := w.waiting[:0]
 	for _, t := range w.waiting {
 		if now.Before(t.holdUntil) {
@@ -248,6 +251,10 @@
 			continue
 		}
 		t.want = nil
+		t.settled = true
+		if f.place(now, t, out) {
+			continue
+		}
 		w.owed++
 		t.refuse(wardturn.ReasonLoading, f.comeBack(now, w))
 	}
--- a/decide/want.go
+++ b/decide/want.go
@@ -53,23 +53,43 @@
 // askWarm asks for a want at once if its home held the adapter before: the home
 // takes it from its own memory, not from the weight store.
 func (f *Fleet) askWarm(now time.Time, w *want, out *Moves) {
-	home := f.home(now, w.service, w.key, false, w.failed)
+	home := f.home(now, w)
 	if home != nil && home.everHeld[w.key] {
 		f.ask(now, w, home, out)
 	}
 }
 
 // home returns the engine that should load an adapter: the first in the order
-// of homes that does not hold it and has room on the way.
-func (f *Fleet) home(now time.Time, s wardturn.ServiceName, key wardturn.ModelAdapter, near bool, failed wardturn.UpstreamID) *Member {
-	newest := f.versions[key]
-	for _, m := range f.homes(now, s, key, near) {
-		if m.ID == failed || m.serves(now, key, newest) || m.loading() >= MaxComing || m.fill() >= engineOverfill {
+// of homes that does not hold it and has room on the way. If a long prompt waits
+// for it, an engine that would not stall others by reading it comes first.
+func (f *Fleet) home(now time.Time, w *want) *Member {
+	return f.homeFor(now, w, w.longestPrompt())
+}
+
+// homeFor is home if a prompt waits.
+func (f *Fleet) homeFor(now time.Time, w *want, prompt wardturn.Tokens) *Member {
+	newest := f.versions[w.key]
+	var slow *Member
+	for _, m := range f.homes(now, w.service, w.key, false) {
+		if m.ID == w.failed || m.serves(now, w.key, newest) || m.loading() >= MaxComing || m.fill() >= engineOverfill {
 			continue
 		}
-		return m
+		if !f.stalls(now, m, prompt) {
+			return m
+		}
+		if slow == nil {
+			slow = m
+		}
 	}
-	return nil
+	return slow
+}
+
+func (w *want) longestPrompt() wardturn.Tokens {
+	longest := wardturn.Tokens(0)
+	for _, t := range w.waiting {
+		longest = max(longest, t.Prompt)
+	}
+	return longest
 }
 
 func (m *Member) loading() int {
@@ -89,7 +109,7 @@
 		if w == nil {
 			return
 		}
-		home := f.home(now, w.service, w.key, false, w.failed)
+		home := f.home(now, w)
 		if home == nil {
 			w.toldAt = now // looked at again later
 			continue
@@ -215,6 +235,24 @@
 	f.ask(now, f.wantOf(now, t.Key, t.Service), home, out)
 }
 
+// waitsForQuicker reports whether a request should wait for its adapter at a
+// quicker engine than m, the best of those that hold it.
+func (f *Fleet) waitsForQuicker(now time.Time, t *Ticket, m *Member) bool {
+	if t.settled || t.Key.Adapter == "" || !f.stalls(now, m, t.Prompt) {
+		return false
+	}
+	w := f.wantOf(now, t.Key, t.Service)
+	if !w.askedAt.IsZero() {
+		home := f.members[w.home]
+		return home != nil && !f.stalls(now, home, t.Prompt)
+	}
+	if f.asked >= f.window.Size() {
+		return false
+	}
+	home := f.homeFor(now, w, t.Prompt)
+	return home != nil && !f.stalls(now, home, t.Prompt)
+}
+
 // overbusy reports whether an engine has far more to do than others, and not
 // because of others' requests alone.
 func (f *Fleet) overbusy(t *Ticket, m *Member) bool {
@@ -234,12 +272,12 @@
 // nil. It is the first in the order of homes that costs enough less, so that
 // gateways which want a copy at the same time ask the same engine.
 func (f *Fleet) copyHome(now time.Time, t *Ticket, m *Member, near bool) *Member {
-	most := f.cost(now, m) - copyCost
+	most := f.cost(now, m, t.Prompt) - copyCost
 	for _, o := range f.homes(now, t.Service, t.Key, near) {
 		if _, holds := o.held[t.Key]; holds || o.loading() >= MaxComing {
 			continue
 		}
-		if near || f.cost(now, o) <= most {
+		if near || f.cost(now, o, t.Prompt) <= most {
 			return o
 		}
 	}
@@ -292,10 +330,11 @@
 	Waiting int // requests that wait for an adapter
 	Asked   int // loads under way that count in the window
 	Window  int // loads that may be under way
+	Slow    int // engines that make tokens more slowly than usual
 }
 
 // Levels returns the present sizes.
-func (f *Fleet) Levels() Levels {
+func (f *Fleet) Levels(now time.Time) Levels {
 	l := Levels{
 		Asked:  f.asked,
 		Window: f.window.Size(),
@@ -303,5 +342,10 @@
 	for _, w := range f.wants {
 		l.Waiting += len(w.waiting)
 	}
+	for _, m := range f.members {
+		if f.slowdown(now, m) >= slowPace {
+			l.Slow++
+		}
+	}
 	return l
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -64,10 +64,11 @@
 
 // timing is when the parts of an answer came.
 type timing struct {
-	placed time.Duration // from the arrival to the choice of the last upstream
-	first  time.Duration // from the arrival to the first bytes of the answer
-	last   time.Time     // of the latest bytes
-	pause  time.Duration // the longest between bytes
+	placed time.Duration   // from the arrival to the choice of the last upstream
+	first  time.Duration   // from the arrival to the first bytes of the answer
+	last   time.Time       // of the latest bytes
+	pause  time.Duration   // the longest between bytes
+	gaps   []time.Duration // between bytes of the present stream, until its pace is told
 }
 
 // refusal is the word that a request has not run.
@@ -276,7 +277,9 @@
 	if x.timing.last.IsZero() {
 		x.timing.first = now.Sub(x.arrived)
 	} else {
-		x.timing.pause = max(x.timing.pause, now.Sub(x.timing.last))
+		gap := now.Sub(x.timing.last)
+		x.timing.pause = max(x.timing.pause, gap)
+		x.timing.gaps = appendGap(x.timing.gaps, gap)
 	}
 	x.timing.last = now
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -351,6 +351,13 @@
 	g.fleet.Timed(g.clock.Now(), id, took)
 }
 
+// paced records the time between two events of a stream at an engine.
+func (g *Gateway) paced(id wardturn.UpstreamID, gap time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Paced(g.clock.Now(), id, gap)
+}
+
 func (g *Gateway) refused(id wardturn.UpstreamID) {
 	g.mu.Lock()
 	g.fleet.Refused(g.clock.Now(), id)
@@ -367,7 +374,7 @@
 func (g *Gateway) sweep() {
 	g.mu.Lock()
 	addrs := g.fleet.Addrs()
-	levels := g.fleet.Levels()
+	levels := g.fleet.Levels(g.clock.Now())
 	g.resizeBudgets()
 	g.mu.Unlock()
 	g.metrics.levels(levels)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	waiting tally.Gauge
 	asked   tally.Gauge
 	window  tally.Gauge
+	slow    tally.Gauge
 
 	mu       sync.RWMutex
 	requests map[series]outcomeSeries
@@ -55,6 +56,7 @@
 		waiting:  scope.Gauge("requests_waiting"),
 		asked:    scope.Gauge("loads_under_way"),
 		window:   scope.Gauge("load_window"),
+		slow:     scope.Gauge("slow_engines"),
 		requests: make(map[series]outcomeSeries),
 	}
 }
@@ -109,4 +111,5 @@
 	m.waiting.Update(float64(l.Waiting))
 	m.asked.Update(float64(l.Asked))
 	m.window.Update(float64(l.Window))
+	m.slow.Update(float64(l.Slow))
 }
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -55,6 +55,7 @@
 	front   string
 	ready   string
 	keeper  string // port of the keepers
+	metrics tally.TestScope
 	client  *http.Client
 }
 
@@ -145,8 +146,9 @@
 
 func newRig() *rig {
 	x := &rig{
-		store: standin.NewMetaStore(),
-		addrs: make(map[*standin.ModelWorker]string),
+		store:   standin.NewMetaStore(),
+		addrs:   make(map[*standin.ModelWorker]string),
+		metrics: tally.NewTestScope("", nil),
 		client: &http.Client{
 			Timeout:   soon,
 			Transport: &http.Transport{},
@@ -198,7 +200,7 @@
 		},
 		Clock:     process.Clock{},
 		Logger:    logger,
-		Metrics:   gateway.NewMetrics(tally.NoopScope),
+		Metrics:   gateway.NewMetrics(x.metrics),
 		Names:     platform.Headers(),
 		Source:    platform.NewConfiguration(store, logger),
 		Members:   platform.NewMembers(store, process.Clock{}, logger),
