A copy that relieves a busy engine may evict an adapter of less use

Cause: a wish for a copy said that nobody waits, so the keeper gave it the least value and loaded it only into a free place; hot adapters stayed on one engine while others had room.

Change: the wish of a copy that relieves a busy engine carries the requests that run there for that adapter. Copies that only save traffic between failure domains still take free places only.

Test: 'has a copy that relieves a busy engine evict an adapter of less use' fails without it.

--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -268,6 +268,20 @@
 		})
 	})
 
+	It("has a copy that relieves a busy engine evict an adapter of less use", func() {
+		list := members()
+		for i := range list {
+			list[i].Slots = 32
+		}
+		f.SetMembers(list)
+		hold("n0", ready("a", 1))
+		for i := range 9 {
+			admit(fmt.Sprint("r", i), "a")
+		}
+		Expect(out.Asks).To(HaveLen(1))
+		Expect(out.Asks[0].Waiting).To(BeNumerically(">", 1))
+	})
+
 	It("asks another engine when a load takes too long", func() {
 		admit("r", "a")
 		first := out.Asks[0].Upstream
--- a/decide/want.go
+++ b/decide/want.go
@@ -28,6 +28,7 @@
 	service wardturn.ServiceName
 	waiting []*Ticket
 	owed    int       // requests that were told to come back
+	relief  int       // requests at a busy engine that a copy elsewhere relieves
 	first   time.Time // of the present wait
 	home    wardturn.UpstreamID
 	failed  wardturn.UpstreamID // a home that took too long
@@ -165,7 +166,7 @@
 			Adapter: w.key.Adapter,
 			Version: f.versions[w.key],
 		},
-		Waiting: w.backlog(),
+		Waiting: w.backlog() + w.relief,
 		Oldest:  now.Sub(w.first),
 	})
 }
@@ -221,7 +222,8 @@
 		f.crossed[t.Key] += t.Bytes
 	}
 	costly := !near && f.crossed[t.Key] >= f.cfg.CrossBytes
-	if !costly && !f.overbusy(t, m) {
+	busy := f.overbusy(t, m)
+	if !costly && !busy {
 		return
 	}
 	if f.wants[t.Key] != nil || f.asked >= f.window.Size() {
@@ -232,7 +234,11 @@
 		return
 	}
 	f.crossed[t.Key] = 0
-	f.ask(now, f.wantOf(now, t.Key, t.Service), home, out)
+	w := f.wantOf(now, t.Key, t.Service)
+	if busy {
+		w.relief = m.uses[t.Key].Running
+	}
+	f.ask(now, w, home, out)
 }
 
 // waitsForQuicker reports whether a request should wait for its adapter at a
