A keeper keeps to the later lifetime of its engine

Cause: after a power loss each engine stands in the list twice until its old entry lapses, and gateways read the list at different times. Each notice of a gateway set the lifetime that the keeper orders from, so it flipped between the two; orders to the old one were refused as invalid, each with a pause of 500 ms.

Change: a notice carries the position of the entry that it stands on; an earlier one than the latest is passed over. A new lifetime ends the pause that the one before caused.

Tests: keeper 'keeps to the later lifetime', 'gives orders to a new lifetime at once'; both fail without it.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -77,6 +77,7 @@
 		l.tell(m, peer.EngineNotice{
 			Config:   rs.table.Version,
 			Upstream: m.ID,
+			Seen:     m.Seen,
 			Spec:     *rs.table.Services[m.Service].Engine,
 		})
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -58,6 +58,7 @@
 	places   *decide.Places
 	config   int64               // version of the latest notice
 	upstream wardturn.UpstreamID // the engine's present lifetime, as gateways and the engine say
+	seen     int64               // position of the entry that named it
 	fence    wardturn.Fence
 	fencing  bool                         // a start record is being written
 	greeted  map[*peer.Conn]bool          // connections that said which engine they mean
@@ -272,15 +273,16 @@
 }
 
 // notice takes a gateway's word on the engine and answers with the holding; the
-// lock is held. An older configuration than the latest is passed over.
+// lock is held. An older configuration than the latest is passed over, and so is
+// an earlier lifetime of the engine: after a restart some gateways know only that.
 func (k *Keeper) notice(c *peer.Conn, m *peer.EngineNotice) {
 	if m.Config >= k.config {
 		k.config = m.Config
 		k.places.SetSpec(m.Spec)
-		if m.Upstream != k.upstream {
-			k.logger.Info("engine named", "upstream", m.Upstream, "before", k.upstream)
-			k.upstream = m.Upstream
-		}
+	}
+	if m.Seen >= k.seen {
+		k.seen = m.Seen
+		k.named(m.Upstream)
 	}
 	if !k.greeted[c] {
 		k.greeted[c] = true
@@ -290,6 +292,17 @@
 	k.signal()
 }
 
+// named takes the lifetime of the engine; the lock is held. Orders that another
+// lifetime refused say nothing about this one.
+func (k *Keeper) named(id wardturn.UpstreamID) {
+	if id == k.upstream {
+		return
+	}
+	k.logger.Info("engine named", "upstream", id, "before", k.upstream, "position", k.seen)
+	k.upstream = id
+	k.places.Defer(k.clock.Now())
+}
+
 // Closed implements peer.Handler.
 func (k *Keeper) Closed(c *peer.Conn, _ error) {
 	k.mu.Lock()
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -146,10 +146,11 @@
 		DeferCleanup(c.Close)
 		Eventually(g.conn, soon).Should(Receive(&conn))
 	}
-	notice := func() {
+	name := func(upstream wardturn.UpstreamID, seen int64) {
 		Expect(conn.Send(&peer.EngineNotice{
 			Config:   1,
-			Upstream: "i-1",
+			Upstream: upstream,
+			Seen:     seen,
 			Spec: wardturn.EngineSpec{
 				AdapterSlots: 4,
 				Models: []wardturn.ModelSpec{
@@ -160,6 +161,9 @@
 			},
 		})).To(Succeed())
 	}
+	notice := func() {
+		name("i-1", 1)
+	}
 	wish := func() {
 		Expect(conn.Send(&peer.LoadWish{
 			Adapter: adapter,
@@ -234,6 +238,29 @@
 		Expect(h.Gateways).To(Equal(1))
 	})
 
+	It("keeps to the later lifetime of the engine when a gateway still names the earlier one", func() {
+		start()
+		name("i-2", 20)
+		name("i-1", 10)
+		wish()
+		Eventually(e.given, soon).Should(HaveLen(1))
+		Expect(e.given()[0].Upstream).To(BeEquivalentTo("i-2"))
+	})
+
+	It("gives orders to a new lifetime at once, whatever the one before refused", func() {
+		e.answers = []wardturn.OrderAnswer{wardturn.OrderInvalid}
+		start()
+		name("i-1", 10)
+		wish()
+		Eventually(e.given, soon).Should(HaveLen(1))
+		renamed := time.Now()
+		name("i-2", 20)
+		wish()
+		Eventually(e.given, soon, time.Millisecond).Should(HaveLen(2))
+		Expect(time.Since(renamed)).To(BeNumerically("<", 400*time.Millisecond)) // the pause after a refusal is 500 ms
+		Expect(e.given()[1].Upstream).To(BeEquivalentTo("i-2"))
+	})
+
 	It("gives no orders before it has a fence", func() {
 		f.away = true
 		start()
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -46,6 +46,7 @@
 type EngineNotice struct {
 	Config   int64 // version of the configuration
 	Upstream wardturn.UpstreamID
+	Seen     int64 // position of the upstream's entry in the platform's list; a later lifetime has a higher one
 	Spec     wardturn.EngineSpec
 }
 
