A cold adapter keeps its home during a burst, and joins a load that another gateway asked for

Change: the home stays while it can be reached, however many are on their way to it; an engine that is loading the adapter already comes first.

Tests: 'joins the load that another gateway asked an engine for', 'keeps to the home of an adapter when others are on their way to it'; both fail without it.

--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -174,6 +174,38 @@
 		Expect(theirs.Asks).To(Equal(out.Asks))
 	})
 
+	It("joins the load that another gateway asked an engine for", func() {
+		for i, m := range members() {
+			name := fmt.Sprint("a", i)
+			hold(string(m.ID), decide.HeldVersion{
+				Adapter: version(name, 1),
+				Loading: true,
+			})
+			admit(name, name)
+			Expect(out.Asks[i].Upstream).To(Equal(m.ID))
+		}
+	})
+
+	It("keeps to the home of an adapter when others are on their way to it", func() {
+		admit("first", "a")
+		home := out.Asks[0].Upstream
+		tick(2 * time.Second) // nobody wants it any more
+		out.Asks = nil
+		var coming []decide.HeldVersion
+		for i := range decide.MaxComing {
+			coming = append(coming, decide.HeldVersion{
+				Adapter: version(fmt.Sprint("b", i), 1),
+				Loading: true,
+			})
+		}
+		hold(string(home), coming...)
+		for range 4 {
+			tick(time.Second)
+		}
+		admit("second", "a")
+		Expect(out.Asks[len(out.Asks)-1].Upstream).To(Equal(home))
+	})
+
 	It("tells a request when to come back once it has waited its part, and loads for it meanwhile", func() {
 		admit("r", "a")
 		tick(400 * time.Millisecond)
--- a/decide/want.go
+++ b/decide/want.go
@@ -70,19 +70,25 @@
 // homeFor is home if a prompt waits.
 func (f *Fleet) homeFor(now time.Time, w *want, prompt wardturn.Tokens) *Member {
 	newest := f.versions[w.key]
-	var slow *Member
+	var first, slow *Member
 	for _, m := range f.homes(now, w.service, w.key, false) {
-		if m.ID == w.failed || m.serves(now, w.key, newest) || m.loading() >= MaxComing || m.fill() >= engineOverfill {
+		if m.ID == w.failed || m.serves(now, w.key, newest) || m.fill() >= engineOverfill {
 			continue
 		}
-		if !f.stalls(now, m, prompt) {
-			return m
-		}
-		if slow == nil {
+		stalls := f.stalls(now, m, prompt)
+		switch {
+		case m.held[w.key].loading && !stalls:
+			return m // another gateway asked there: one load serves both
+		case stalls && slow == nil:
 			slow = m
+		case !stalls && first == nil:
+			first = m
 		}
 	}
-	return slow
+	if first == nil {
+		return slow
+	}
+	return first
 }
 
 func (w *want) longestPrompt() wardturn.Tokens {
