Loads go to requests that they can still serve

Cause: requests that had been refused counted in the rank of a want for ever, and the older want went first.

Change: refused requests count until they have come back, or could have; a want without any left is given up; among equals the one asked for last goes first.

Tests: 'asks first for the adapter asked for last', 'gives up a load whose requests have not come back'; both fail without it.

--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -174,6 +174,32 @@
 		Expect(theirs.Asks).To(Equal(out.Asks))
 	})
 
+	It("asks first for the adapter asked for last when loads are behind", func() {
+		for i := range 4 {
+			admit(fmt.Sprint("r", i), fmt.Sprint("a", i))
+		}
+		admit("early", "early")
+		now = now.Add(10 * time.Millisecond)
+		admit("late", "late")
+		Expect(out.Asks).To(HaveLen(4))
+		hold(string(out.Asks[0].Upstream), ready(string(out.Asks[0].Adapter.Adapter), 1))
+		Expect(out.Asks).To(HaveLen(5))
+		Expect(out.Asks[4].Adapter.Adapter).To(BeEquivalentTo("late"))
+	})
+
+	It("gives up a load whose requests have not come back", func() {
+		admit("r", "a")
+		tick(430 * time.Millisecond)
+		Expect(got["r"].Reason).To(Equal(wardturn.ReasonLoading))
+		for range 4 {
+			tick(300 * time.Millisecond)
+		}
+		Expect(f.Levels(now).Asked).To(BeZero())
+		asks := len(out.Asks)
+		tick(300 * time.Millisecond)
+		Expect(out.Asks).To(HaveLen(asks))
+	})
+
 	It("joins the load that another gateway asked an engine for", func() {
 		for i, m := range members() {
 			name := fmt.Sprint("a", i)
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -187,6 +187,7 @@
 	t.want = w
 	t.holdUntil = t.Arrived.Add(time.Duration(f.cfg.HoldPart * float64(t.Objective)))
 	w.waiting = append(w.waiting, t)
+	w.latest = now
 	if !w.askedAt.IsZero() || w.key.Adapter == "" {
 		return
 	}
@@ -255,8 +256,10 @@
 		if f.place(now, t, out) {
 			continue
 		}
+		back := f.comeBack(now, w)
 		w.owed++
-		t.refuse(wardturn.ReasonLoading, f.comeBack(now, w))
+		w.owedTo = now.Add(min(back, maxComeBack) + t.holdUntil.Sub(t.Arrived))
+		t.refuse(wardturn.ReasonLoading, back)
 	}
 	clear(w.waiting[len(kept):])
 	w.waiting = kept
--- a/decide/want.go
+++ b/decide/want.go
@@ -28,6 +28,8 @@
 	service wardturn.ServiceName
 	waiting []*Ticket
 	owed    int       // requests that were told to come back
+	owedTo  time.Time // by which they have come back, if they do
+	latest  time.Time // when a request last asked
 	relief  int       // requests at a busy engine that a copy elsewhere relieves
 	first   time.Time // of the present wait
 	home    wardturn.UpstreamID
@@ -129,27 +131,39 @@
 func (f *Fleet) nextWant(now time.Time) *want {
 	var best *want
 	for _, w := range f.wants {
-		if w.key.Adapter == "" || !w.askedAt.IsZero() || w.backlog() == 0 || now.Sub(w.toldAt) < wishRepeat {
+		if w.key.Adapter == "" || !w.askedAt.IsZero() || w.backlog(now) == 0 || now.Sub(w.toldAt) < wishRepeat {
 			continue
 		}
-		if best == nil || w.before(best) {
+		if best == nil || w.before(now, best) {
 			best = w
 		}
 	}
 	return best
 }
 
-func (w *want) backlog() int {
-	return len(w.waiting) + w.owed
+// backlog returns the requests that a load would still serve: those that wait,
+// and those that were told to come back and may.
+func (w *want) backlog(now time.Time) int {
+	if now.Before(w.owedTo) {
+		return len(w.waiting) + w.owed
+	}
+	return len(w.waiting)
+}
+
+// abandoned reports whether all requests that a want was for have gone.
+func (w *want) abandoned(now time.Time) bool {
+	return w.owed > 0 && w.backlog(now) == 0
 }
 
-// before ranks wants: more requests first, then the longer wait.
-func (w *want) before(o *want) bool {
-	if w.backlog() != o.backlog() {
-		return w.backlog() > o.backlog()
+// before ranks wants: more requests first, then the later one. When loads are
+// behind, the one that has waited longest is refused before its load is there;
+// served first, all would be late.
+func (w *want) before(now time.Time, o *want) bool {
+	if x, y := w.backlog(now), o.backlog(now); x != y {
+		return x > y
 	}
-	if !w.first.Equal(o.first) {
-		return w.first.Before(o.first)
+	if !w.latest.Equal(o.latest) {
+		return w.latest.After(o.latest)
 	}
 	return w.key.Adapter < o.key.Adapter
 }
@@ -172,7 +186,7 @@
 			Adapter: w.key.Adapter,
 			Version: f.versions[w.key],
 		},
-		Waiting: w.backlog() + w.relief,
+		Waiting: w.backlog(now) + w.relief,
 		Oldest:  now.Sub(w.first),
 	})
 }
@@ -300,7 +314,7 @@
 // too long: another engine may do better.
 func (f *Fleet) renew(now time.Time, w *want, out *Moves) {
 	late := now.Sub(w.askedAt) > loadGiveUp
-	if len(w.waiting) == 0 && late && now.Sub(w.first) > maxComeBack {
+	if w.abandoned(now) || len(w.waiting) == 0 && late && now.Sub(w.first) > maxComeBack {
 		f.drop(w)
 		return
 	}
