One gateway reads the store for all; the others take its word while it is fresh

Change: decide.ReadTurn decides when a gateway reads itself; readings and changes of the list go through two keepers to all gateways. A gateway that hears nothing reads as before. The list is read each half of the drain bound in place of 0.6, so that the last to read by its turn is in time.

Ruled out: longer waiting reads (a lost answer would hide a change as long); a leader by lease (the store's calls are what is to be saved, and nothing here needs one leader).

--- /dev/null
+++ b/decide/turn.go
@@ -0,0 +1,133 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// ReadTurn decides when a process reads a record of the platform's store itself
+// and when it relies on what another process has read. Processes that follow the
+// same record tell each other of their readings; usually the one with the lowest
+// id reads for all. Nothing is agreed for that: each process keeps its own bound
+// on how old its knowledge is, and reads when the others' words stay out.
+type ReadTurn struct {
+	cfg       ReadTurnConfig
+	self      wardturn.Incarnation
+	start     time.Time // stamps count from here
+	part      float64   // of the spread that is this process's, 0 to 1
+	asOf      time.Time // what is known was true then, or later
+	doubtAt   time.Time // something contradicted it then
+	leaderAt  time.Time // when a process with a lower id was last heard
+	notBefore time.Time // no reading of its own before
+	lags      map[wardturn.Incarnation]time.Duration
+}
+
+// ReadTurnConfig holds the times of a ReadTurn.
+type ReadTurnConfig struct {
+	// Every is how old knowledge may be before it is read again.
+	Every time.Duration
+	// Pause is the time between the readings of the process that reads for all.
+	Pause time.Duration
+	// Least is the time between two readings of one process.
+	Least time.Duration
+}
+
+const (
+	// turnSlack and turnSpread are how much later than Every a process reads that
+	// relies on others, as parts of it: the slack lets the usual word arrive, the
+	// spread keeps all from reading at once when it does not.
+	turnSlack  = 0.15
+	turnSpread = 0.25
+	// leaderLife is how long a process with a lower id counts after its last
+	// word, in Every.
+	leaderLife = 2
+	// doubtSpread keeps processes from reading at the same moment when an event
+	// makes all of them doubt: the first one's word serves the rest.
+	doubtSpread = 100 * time.Millisecond
+)
+
+// NewReadTurn returns a turn that is due at once.
+func NewReadTurn(now time.Time, self wardturn.Incarnation, cfg ReadTurnConfig) *ReadTurn {
+	return &ReadTurn{
+		cfg:   cfg,
+		self:  self,
+		start: now,
+		part:  float64(hashString(string(self))) / (1 << 64),
+		lags:  make(map[wardturn.Incarnation]time.Duration),
+	}
+}
+
+// DueAt returns when this process has to read.
+func (t *ReadTurn) DueAt(now time.Time) time.Time {
+	due := t.asOf
+	switch {
+	case t.asOf.IsZero():
+	case t.reads(now):
+		due = due.Add(t.cfg.Pause)
+	default:
+		late := 1 + turnSlack + turnSpread*t.part
+		due = due.Add(time.Duration(late * float64(t.cfg.Every)))
+	}
+	if t.doubtAt.After(t.asOf) {
+		doubted := t.doubtAt.Add(time.Duration(t.part * float64(doubtSpread)))
+		if doubted.Before(due) {
+			due = doubted
+		}
+	}
+	if due.Before(t.notBefore) {
+		return t.notBefore
+	}
+	return due
+}
+
+// reads reports whether this process reads for the others: none with a lower id
+// was heard lately.
+func (t *ReadTurn) reads(now time.Time) bool {
+	return t.leaderAt.IsZero() || now.Sub(t.leaderAt) > leaderLife*t.cfg.Every
+}
+
+// Began records that a reading of this process begins.
+func (t *ReadTurn) Began(now time.Time) {
+	t.notBefore = now.Add(t.cfg.Least)
+}
+
+// Read records a reading of this process: all that was true at a time is known.
+// It returns the stamp for the word to the others.
+func (t *ReadTurn) Read(asOf time.Time) time.Duration {
+	t.renew(asOf)
+	return asOf.Sub(t.start)
+}
+
+// Doubt records that something contradicts what is known.
+func (t *ReadTurn) Doubt(now time.Time) {
+	t.doubtAt = now
+}
+
+// Heard records the word of another process that it had read the record. The
+// stamp is that process's own time of its reading. The least difference to the
+// time of arrival tells how its clock differs; a word that was held up on the way
+// is thereby known to be old.
+func (t *ReadTurn) Heard(now time.Time, from wardturn.Incarnation, stamp time.Duration) {
+	lag := now.Sub(t.start) - stamp
+	if least, ok := t.lags[from]; !ok || lag < least {
+		t.lags[from] = lag
+	}
+	t.renew(t.start.Add(stamp + t.lags[from]))
+	if from < t.self {
+		t.leaderAt = now
+	}
+	if len(t.lags) > maxReaders {
+		clear(t.lags)
+	}
+}
+
+// maxReaders bounds the processes that are remembered; those that have ended are
+// forgotten with the rest.
+const maxReaders = 1024
+
+func (t *ReadTurn) renew(asOf time.Time) {
+	if asOf.After(t.asOf) {
+		t.asOf = asOf
+	}
+}
--- /dev/null
+++ b/decide/turn_test.go
@@ -0,0 +1,96 @@
+package decide_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+var _ = Describe("ReadTurn", func() {
+	const (
+		every = time.Second
+		least = 250 * time.Millisecond
+	)
+	var now time.Time
+	turn := func(self wardturn.Incarnation) *decide.ReadTurn {
+		return decide.NewReadTurn(now, self, decide.ReadTurnConfig{
+			Every: every,
+			Pause: every,
+			Least: least,
+		})
+	}
+	due := func(t *decide.ReadTurn) time.Duration {
+		return t.DueAt(now).Sub(now)
+	}
+	BeforeEach(func() {
+		now = start
+	})
+
+	It("is due at once at the start, and after a pause while nobody else reads", func() {
+		t := turn("b")
+		Expect(due(t)).To(BeNumerically("<=", 0))
+		t.Read(now)
+		Expect(due(t)).To(Equal(every))
+	})
+
+	It("leaves the reading to the process with the lowest id while that tells of it", func() {
+		a, b := turn("a"), turn("b")
+		for range 10 {
+			stamp := a.Read(now)
+			b.Heard(now, "a", stamp)
+			a.Heard(now, "b", stamp)
+			Expect(due(a)).To(Equal(every))
+			Expect(due(b)).To(And(BeNumerically(">", every), BeNumerically("<", 3*every/2)))
+			now = now.Add(every)
+		}
+	})
+
+	It("reads when the others' words stay out, and for the others after a while", func() {
+		a, b := turn("a"), turn("b")
+		b.Heard(now, "a", a.Read(now))
+		now = now.Add(3 * every / 2)
+		Expect(due(b)).To(BeNumerically("<=", 0))
+		now = now.Add(every)
+		b.Read(now)
+		Expect(due(b)).To(Equal(every))
+	})
+
+	It("takes a word that was held up on the way for as old as it is", func() {
+		a, b := turn("a"), turn("b")
+		now = now.Add(time.Minute)
+		b.Heard(now, "a", a.Read(now))
+		held := a.Read(now.Add(every))
+		now = now.Add(4 * every)
+		b.Heard(now, "a", held)
+		Expect(due(b)).To(BeNumerically("<", 0))
+	})
+
+	It("knows that clocks of processes start at different times", func() {
+		a := turn("a")
+		now = now.Add(time.Hour)
+		b := turn("b")
+		b.Heard(now, "a", a.Read(now))
+		Expect(due(b)).To(BeNumerically(">", every))
+	})
+
+	It("is due soon after a doubt, unless another has read since", func() {
+		a, b := turn("a"), turn("b")
+		b.Heard(now, "a", a.Read(now))
+		now = now.Add(10 * time.Millisecond)
+		b.Doubt(now)
+		Expect(due(b)).To(BeNumerically("<=", 100*time.Millisecond))
+		b.Heard(now, "a", a.Read(now))
+		Expect(due(b)).To(BeNumerically(">", every))
+	})
+
+	It("keeps a least time between readings of its own", func() {
+		t := turn("a")
+		t.Began(now)
+		t.Doubt(now)
+		Expect(due(t)).To(Equal(least))
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,12 +22,13 @@
 	sweepEvery = time.Second            // of idle connections
 	// configWait is the time of a waiting read of the configuration. A channel of
 	// the store whose answer was lost says nothing more, so a read must end, and
-	// be repeated, within the 2 s in which a change must be in force.
+	// be repeated, within the 2 s in which a change must be in force; with the
+	// slack and spread of a turn, the last gateway reads after 1.7 s.
 	configWait     = 1200 * time.Millisecond
 	configRetry    = 100 * time.Millisecond // after a failed read, doubled up to the next
 	configMaxRetry = 500 * time.Millisecond
 	membersLeast   = 250 * time.Millisecond // between readings of the list of upstreams
-	membersPart    = 0.6                    // of the time to drain, between readings: each call is priced, and a late one must still be in time
+	membersPart    = 0.5                    // of the time to drain, between readings: the last gateway to read by its turn is still in time
 	serveLimit     = time.Second            // after which requests are refused rather than kept waiting for a configuration
 	defaultHeader  = 16 << 10
 	defaultIdle    = 15 * time.Second
@@ -73,7 +74,7 @@
 	names   wardturn.HeaderNames
 	source  wardturn.ConfigSource
 	list    *roster
-	doubt   chan struct{} // the list may be out of date
+	news    *news
 	routes  atomic.Pointer[routes]
 	pool    *pool
 	links   *links
@@ -101,7 +102,6 @@
 		metrics: d.Metrics,
 		names:   d.Names,
 		source:  d.Source,
-		doubt:   make(chan struct{}, 1),
 		pool:    newPool(d.Clock),
 		front:   d.Front,
 		tasks:   process.NewTasks(d.Clock),
@@ -109,6 +109,7 @@
 		budgets: make(map[wardturn.ServiceName]*decide.RetryBudget),
 	}
 	g.list = newRoster(d.Members, d.Clock, d.Logger, d.Config.LapseGrace)
+	g.news = newNews(g)
 	g.links = newLinks(g)
 	g.server = &http.Server{
 		Handler:           g,
@@ -174,18 +175,22 @@
 func (g *Gateway) followConfig() {
 	pause := configRetry
 	away := false
+	first := true
 	for {
+		if !g.news.await(g.news.config) {
+			return
+		}
+		sent := g.clock.Now()
 		change, err := g.source.Next(configWait)
 		if err == nil {
+			g.news.readConfig(configAsOf(sent, change, first), change.To)
+			first = false
 			if away {
 				g.logger.Info("store answers again", "for", "configuration")
 			}
 			away = false
 			pause = configRetry
 			g.apply(change)
-			if g.tasks.Context().Err() != nil {
-				return
-			}
 			continue
 		}
 		if !away {
@@ -199,6 +204,15 @@
 	}
 }
 
+// configAsOf returns a time at which the answer to a read of the configuration
+// was true: a waiting read that found nothing ended with its wait.
+func configAsOf(sent time.Time, c wardturn.ConfigChange, first bool) time.Time {
+	if first || c.Table != nil || len(c.Versions) > 0 {
+		return sent
+	}
+	return sent.Add(configWait)
+}
+
 // apply puts a change of the configuration in force. An older version than the
 // present one is passed over.
 func (g *Gateway) apply(c wardturn.ConfigChange) {
@@ -243,45 +257,50 @@
 	})
 }
 
+// followMembers keeps the list of upstreams up to date, by own readings and by
+// those of other gateways.
 func (g *Gateway) followMembers() {
 	for {
-		if list, ok := g.list.read(); ok {
-			g.mu.Lock()
-			g.fleet.SetMembers(list)
-			g.mu.Unlock()
-			g.listed.Store(true)
-			g.links.update()
-		} else {
-			g.doubtMembers()
-		}
-		if !g.pauseMembers() {
+		c, due, ok := g.news.awaitMembers()
+		if !ok {
 			return
 		}
+		if due {
+			g.readMembers()
+			continue
+		}
+		list, ok := g.list.take(c)
+		if !ok {
+			g.doubtMembers()
+			continue
+		}
+		g.setMembers(list)
 	}
 }
 
-// pauseMembers waits until the list is to be read again: after a part of the time
-// in which leaving upstreams must be known, and sooner when connections tell
-// that it is out of date. It reports false when the gateway ends.
-func (g *Gateway) pauseMembers() bool {
-	if !g.tasks.Pause(membersLeast) {
-		return false
-	}
-	limit, cancel := g.tasks.Limit(time.Duration(membersPart*float64(g.cfg.Drain)) - membersLeast)
-	defer cancel()
-	select {
-	case <-g.doubt:
-	case <-limit.Done():
+func (g *Gateway) readMembers() {
+	sent := g.clock.Now()
+	g.news.beganMembers(sent)
+	list, change, ok := g.list.read()
+	if !ok {
+		g.doubtMembers()
+		return
 	}
-	return g.tasks.Context().Err() == nil
+	g.setMembers(list)
+	g.listed.Store(true)
+	g.news.readMembers(sent, change)
+}
+
+func (g *Gateway) setMembers(list []wardturn.Member) {
+	g.mu.Lock()
+	g.fleet.SetMembers(list)
+	g.mu.Unlock()
+	g.links.update()
 }
 
 // doubtMembers has the list read soon.
 func (g *Gateway) doubtMembers() {
-	select {
-	case g.doubt <- struct{}{}:
-	default:
-	}
+	g.news.doubtMembers()
 }
 
 func (g *Gateway) tick() {
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"maps"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -165,6 +168,10 @@
 
 // Handle implements peer.Handler.
 func (l *link) Handle(_ *peer.Conn, m peer.Message) {
+	if n, ok := m.(*peer.StoreNews); ok {
+		l.links.g.news.heard(n)
+		return
+	}
 	h, ok := m.(*peer.Holding)
 	if !ok {
 		return
@@ -241,6 +248,44 @@
 	}
 }
 
+// relays returns connections to two keepers, in two failure domains if there are:
+// what one of them does not pass on, the other does.
+func (ls *links) relays() []*peer.Conn {
+	ls.mu.Lock()
+	list := slices.Collect(maps.Values(ls.byAddr))
+	ls.mu.Unlock()
+	slices.SortFunc(list, func(x, y *link) int {
+		return strings.Compare(x.client.Addr(), y.client.Addr())
+	})
+	var conns []*peer.Conn
+	var first wardturn.FailureDomain
+	var spare *peer.Conn
+	for _, l := range list {
+		conn, domain := l.present()
+		switch {
+		case conn == nil:
+		case len(conns) == 0:
+			conns = append(conns, conn)
+			first = domain
+		case domain != first:
+			return append(conns, conn)
+		case spare == nil:
+			spare = conn
+		}
+	}
+	if spare != nil {
+		conns = append(conns, spare)
+	}
+	return conns
+}
+
+// present returns the connection, or nil, and the failure domain of its keeper.
+func (l *link) present() (*peer.Conn, wardturn.FailureDomain) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn, l.member.Domain
+}
+
 // report tells each keeper which of its adapters are in use.
 func (ls *links) report() {
 	ls.mu.Lock()
--- /dev/null
+++ b/gateway/news.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/peer"
+)
+
+// news shares what the gateways read from the platform's store: each tells the
+// others of its readings, through two keepers, and reads itself only when its
+// turn comes. Nothing depends on it but the number of calls: a gateway that hears
+// nothing reads as if it were alone.
+type news struct {
+	g       *Gateway
+	changes chan wardturn.MemberChange // heard, for the goroutine that follows the list
+
+	mu       sync.Mutex
+	woken    chan struct{} // closed and replaced when a turn may have changed
+	config   *decide.ReadTurn
+	configTo int64 // position up to which the configuration was read
+	members  *decide.ReadTurn
+}
+
+// changesKept is how many changes heard may wait; one more is dropped, and the
+// gap makes the gateway read.
+const changesKept = 32
+
+func newNews(g *Gateway) *news {
+	now := g.clock.Now()
+	every := time.Duration(membersPart * float64(g.cfg.Drain))
+	return &news{
+		g:       g,
+		changes: make(chan wardturn.MemberChange, changesKept),
+		woken:   make(chan struct{}),
+		config: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
+			Every: configWait,
+		}),
+		members: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
+			Every: every,
+			Pause: every,
+			Least: membersLeast,
+		}),
+	}
+}
+
+// wake has the waiting goroutines look at their turns again; the lock is held.
+func (n *news) wake() {
+	close(n.woken)
+	n.woken = make(chan struct{})
+}
+
+// await waits until a turn is due. It reports false when the gateway ends.
+func (n *news) await(t *decide.ReadTurn) bool {
+	for n.g.tasks.Context().Err() == nil {
+		limit, cancel, woken, due := n.look(t)
+		if due {
+			return true
+		}
+		select {
+		case <-woken:
+		case <-limit.Done():
+		}
+		cancel()
+	}
+	return false
+}
+
+// look returns whether a turn is due; if not, a context that ends when it is,
+// and a channel that is closed when that has to be looked at again.
+func (n *news) look(t *decide.ReadTurn) (limit context.Context, cancel context.CancelFunc, woken <-chan struct{}, due bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.g.clock.Now()
+	left := t.DueAt(now).Sub(now)
+	if left <= 0 {
+		return nil, nil, nil, true
+	}
+	limit, cancel = n.g.tasks.Limit(left)
+	return limit, cancel, n.woken, false
+}
+
+// awaitMembers waits for a change of the list that another gateway has read, or
+// until the list has to be read here, which due reports.
+func (n *news) awaitMembers() (c wardturn.MemberChange, due, ok bool) {
+	for n.g.tasks.Context().Err() == nil {
+		limit, cancel, woken, due := n.look(n.members)
+		if due {
+			return c, true, true
+		}
+		select {
+		case c := <-n.changes:
+			cancel()
+			return c, false, true
+		case <-woken:
+		case <-limit.Done():
+		}
+		cancel()
+	}
+	return c, false, false
+}
+
+// readConfig records and tells that the configuration was read up to a position.
+func (n *news) readConfig(asOf time.Time, to int64) {
+	n.mu.Lock()
+	n.configTo = to
+	stamp := n.config.Read(asOf)
+	n.mu.Unlock()
+	n.tell(&peer.StoreNews{
+		Reader: n.g.cfg.Process,
+		Stamp:  stamp,
+		Config: to,
+	})
+}
+
+func (n *news) beganMembers(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.Began(now)
+}
+
+// readMembers records a reading of the list and tells the change, unless it is
+// nil.
+func (n *news) readMembers(asOf time.Time, c *wardturn.MemberChange) {
+	n.mu.Lock()
+	stamp := n.members.Read(asOf)
+	n.mu.Unlock()
+	if c == nil {
+		return
+	}
+	n.tell(&peer.StoreNews{
+		Reader:  n.g.cfg.Process,
+		Stamp:   stamp,
+		Members: c,
+	})
+}
+
+func (n *news) doubtMembers() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.Doubt(n.g.clock.Now())
+	n.wake()
+}
+
+func (n *news) tell(m *peer.StoreNews) {
+	for _, c := range n.g.links.relays() {
+		// A gateway that does not get it reads by itself.
+		_ = c.Send(m)
+	}
+}
+
+// heard takes the word of another gateway.
+func (n *news) heard(m *peer.StoreNews) {
+	if m.Reader == n.g.cfg.Process {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.g.clock.Now()
+	if m.Members != nil {
+		n.heardMembers(now, m)
+		return
+	}
+	if m.Config > n.configTo {
+		n.config.Doubt(now) // a change that is not in force here
+		n.wake()
+		return
+	}
+	n.config.Heard(now, m.Reader, m.Stamp)
+	n.wake()
+}
+
+// heardMembers hands a change of the list on; the lock is held. If that cannot be
+// taken, the list counts as out of date.
+func (n *news) heardMembers(now time.Time, m *peer.StoreNews) {
+	select {
+	case n.changes <- *m.Members:
+		n.members.Heard(now, m.Reader, m.Stamp)
+	default:
+		n.members.Doubt(now)
+	}
+	n.wake()
+}
--- /dev/null
+++ b/gateway/news_test.go
@@ -0,0 +1,81 @@
+package gateway_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn/gateway"
+	"wardturn/platform"
+)
+
+var _ = Describe("Gateways that share a store", func() {
+	var (
+		x     *rig
+		other *gateway.Gateway
+		away  atomic.Bool // the other gateway's way to the store
+	)
+	BeforeEach(func() {
+		x = newRig()
+		away.Store(false)
+		ln := listen("127.0.0.1:0")
+		serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if away.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			x.store.ServeHTTP(w, r)
+		}))
+		// Its id is the higher one, so it leaves the reading to the first.
+		other, x.front, x.ready = x.startGateway("second", platform.NewStore(ln.Addr().String()))
+		Eventually(other.Ready, soon, often).Should(BeTrue())
+		Eventually(func() int {
+			return x.get("ready", "/ask/x", "m0").status
+		}, soon, often).Should(Equal(http.StatusOK))
+	})
+
+	It("read it about as often as one alone would", func() {
+		time.Sleep(1500 * time.Millisecond) // both have heard of each other
+		operator, servers := x.store.Reads()
+		time.Sleep(3 * time.Second)
+		operatorNow, serversNow := x.store.Reads()
+		// One alone reads 2.5 and 12 times in 3 s, two 5 and 24 times.
+		Expect(operatorNow - operator).To(BeNumerically("<=", 4))
+		Expect(serversNow - servers).To(BeNumerically("<=", 16))
+	})
+
+	It("learn from each other that an upstream leaves", func() {
+		time.Sleep(600 * time.Millisecond)
+		away.Store(true)
+		time.Sleep(300 * time.Millisecond)
+		x.list(x.apps[0], "app", "a0", "draining")
+		Eventually(func() int {
+			before := x.apps[0].Total()
+			for range 4 {
+				x.get("leave", "/charge/", "")
+			}
+			return x.apps[0].Total() - before
+		}, soon, often).Should(BeZero())
+		Expect(x.apps[1].Total()).To(BeNumerically(">", 0))
+	})
+
+	It("learn of a change at once", func() {
+		time.Sleep(100 * time.Millisecond)
+		x.store.PutConfig(config(2, `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		Eventually(func() int {
+			return x.get("new", "/new/", "").status
+		}, 400*time.Millisecond, often).Should(Equal(http.StatusOK))
+	})
+
+	It("read by themselves when they hear nothing", func() {
+		time.Sleep(600 * time.Millisecond)
+		x.gateway.Close()
+		x.store.PutConfig(config(2, `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		Eventually(func() int {
+			return x.get("new", "/new/", "").status
+		}, 2*time.Second, often).Should(Equal(http.StatusOK))
+	})
+})
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -176,13 +176,23 @@
 			ID: fmt.Sprintf("a%d", i),
 		}))
 	}
-	front, ready := listen("127.0.0.1:0"), listen("127.0.0.1:0")
-	x.front = "http://" + front.Addr().String()
-	x.ready = "http://" + ready.Addr().String() + platform.ReadyPath
-	logger := testLogger("gateway")
-	x.gateway = gateway.New(gateway.Deps{
+	x.gateway, x.front, x.ready = x.startGateway("gateway", store)
+	Eventually(x.gateway.Ready, soon, often).Should(BeTrue())
+	// A request without an adapter is served once an engine's keeper is there.
+	Eventually(func() int {
+		return x.get("warm", "/ask/x", "m0").status
+	}, soon, often).Should(Equal(http.StatusOK))
+	return x
+}
+
+// startGateway starts a gateway that reads a store, and returns the URLs for
+// callers and for the balancer's question.
+func (x *rig) startGateway(name wardturn.Incarnation, store *platform.Store) (g *gateway.Gateway, front, ready string) {
+	frontListener, readyListener := listen("127.0.0.1:0"), listen("127.0.0.1:0")
+	logger := testLogger(string(name))
+	g = gateway.New(gateway.Deps{
 		Config: gateway.Config{
-			Process:     "gateway",
+			Process:     name,
 			Domain:      "d",
 			KeeperPort:  x.keeper,
 			Drain:       500 * time.Millisecond,
@@ -204,17 +214,12 @@
 		Names:     platform.Headers(),
 		Source:    platform.NewConfiguration(store, logger),
 		Members:   platform.NewMembers(store, process.Clock{}, logger),
-		Front:     front,
-		Ready:     ready,
+		Front:     frontListener,
+		Ready:     readyListener,
 		ReadyPath: platform.ReadyPath,
 	})
-	DeferCleanup(x.gateway.Close)
-	Eventually(x.gateway.Ready, soon, often).Should(BeTrue())
-	// A request without an adapter is served once an engine's keeper is there.
-	Eventually(func() int {
-		return x.get("warm", "/ask/x", "m0").status
-	}, soon, often).Should(Equal(http.StatusOK))
-	return x
+	DeferCleanup(g.Close)
+	return g, "http://" + frontListener.Addr().String(), "http://" + readyListener.Addr().String() + platform.ReadyPath
 }
 
 // reply is what a caller got.
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -43,9 +43,10 @@
 	}
 }
 
-// read returns the upstreams that are taken to be there. It reports false if the
-// store gave no list: then the present one stays.
-func (r *roster) read() ([]wardturn.Member, bool) {
+// read returns the upstreams that are taken to be there, and what other gateways
+// may be told of the reading, or nil. It reports false if the store gave no list:
+// then the present one stays.
+func (r *roster) read() ([]wardturn.Member, *wardturn.MemberChange, bool) {
 	list, err := r.source.Next()
 	now := r.clock.Now()
 	if err != nil {
@@ -53,18 +54,39 @@
 			r.logger.Warn("store away, the present list of upstreams stays", "error", err)
 		}
 		r.failing = true
-		return nil, false
+		return nil, nil, false
 	}
 	if r.failing {
 		r.failing = false
 		r.backAt = now
 		r.logger.Info("store answers again", "for", "upstreams", "lapsed", len(list.Lapsed))
 	}
-	return r.merge(now, list), true
+	members := r.merge(now, list)
+	if r.disturbed(now) {
+		// Other gateways have to see for themselves that the store is back, or
+		// they would take lapsed entries for gone.
+		return members, nil, true
+	}
+	return members, &list.Change, true
+}
+
+// take returns the upstreams with a change that another gateway has read. It
+// reports false if the change does not follow what is known.
+func (r *roster) take(c wardturn.MemberChange) ([]wardturn.Member, bool) {
+	list, ok := r.source.Take(c)
+	if !ok {
+		return nil, false
+	}
+	return r.merge(r.clock.Now(), list), true
+}
+
+// disturbed reports whether the store has come back just now.
+func (r *roster) disturbed(now time.Time) bool {
+	return !r.backAt.IsZero() && now.Sub(r.backAt) < disturbedFor
 }
 
 func (r *roster) merge(now time.Time, list wardturn.MemberList) []wardturn.Member {
-	disturbed := !r.backAt.IsZero() && now.Sub(r.backAt) < disturbedFor
+	disturbed := r.disturbed(now)
 	addrs := make(map[string]bool, len(list.Members))
 	current := make(map[wardturn.UpstreamID]wardturn.Member, len(list.Members))
 	for _, m := range list.Members {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -265,6 +265,8 @@
 	case *peer.LoadWish:
 		k.places.Wish(now, m.Adapter, m.Waiting, m.Oldest)
 		k.signal()
+	case *peer.StoreNews:
+		k.server.Broadcast(m)
 	case *peer.Usage:
 		for _, u := range m.Uses {
 			k.places.Use(now, c.Peer().Process, u.Adapter, u.Started, u.Running)
--- a/peer/message.go
+++ b/peer/message.go
@@ -35,6 +35,7 @@
 	KindEngineNotice
 	KindLoadWish
 	KindUsage
+	KindStoreNews
 )
 
 // Message is one typed message.
@@ -264,6 +265,8 @@
 		return &LoadWish{}
 	case KindUsage:
 		return &Usage{}
+	case KindStoreNews:
+		return &StoreNews{}
 	}
 	return nil
 }
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -58,6 +58,16 @@
 	Oldest  time.Duration           // how long the oldest has waited
 }
 
+// StoreNews tells the gateways that one of them has read a record of the
+// platform's store, so that the others need not. A gateway sends it to a keeper,
+// which passes it to all gateways.
+type StoreNews struct {
+	Reader  wardturn.Incarnation
+	Stamp   time.Duration          // the reader's own time of the reading
+	Config  int64                  // position up to which the configuration was read; zero: it was not
+	Members *wardturn.MemberChange // nil: the list of upstreams was not read
+}
+
 // AdapterUse counts a gateway's requests to one adapter of an engine.
 type AdapterUse struct {
 	Adapter wardturn.ModelAdapter
@@ -79,5 +89,8 @@
 // Kind implements Message.
 func (*LoadWish) Kind() Kind { return KindLoadWish }
 
+// Kind implements Message.
+func (*StoreNews) Kind() Kind { return KindStoreNews }
+
 // Kind implements Message.
 func (*Usage) Kind() Kind { return KindUsage }
--- a/routes.go
+++ b/routes.go
@@ -95,6 +95,16 @@
 type MemberList struct {
 	Members []Member
 	Lapsed  []UpstreamID // entries that ended since the previous reading
+	Change  MemberChange // since the previous reading, for other readers of the list
+}
+
+// MemberChange is a part of the record of upstreams, as one reader tells it to
+// others. Whoever has read up to From knows all up to To with it.
+type MemberChange struct {
+	From    int64 // negative: the whole list was read, only To is of use to others
+	To      int64
+	Changed []Member // without GoneAt, which is in the reader's time
+	Ended   []UpstreamID
 }
 
 // EngineState is what an engine reports of itself.
@@ -199,6 +209,7 @@
 
 // ConfigChange is what changed in the operator's configuration.
 type ConfigChange struct {
+	To       int64            // position in the record up to which the source has read
 	Table    *RouteTable      // nil: unchanged
 	Versions []AdapterVersion // newest versions of weights that were named
 }
@@ -214,8 +225,11 @@
 // MemberSource gives the platform's list of upstreams. Calls come from one
 // goroutine.
 type MemberSource interface {
-	// Next returns the list as it is now.
+	// Next reads the list as it is now.
 	Next() (MemberList, error)
+	// Take returns the list with a change that another reader has read. It
+	// reports false if there is a gap between the two: the list has to be read.
+	Take(c MemberChange) (MemberList, bool)
 }
 
 // OrderedEngine is a model engine as the process beside it sees it.
--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -20,6 +20,7 @@
 	topics  map[string]*metaTopic
 	changed chan struct{} // closed and replaced at each append
 	faults  MetaFaults
+	reads   map[string]int // calls that read, by topic
 }
 
 // MetaFaults are the troubles of a MetaStore.
@@ -47,6 +48,7 @@
 	return &MetaStore{
 		topics:  make(map[string]*metaTopic),
 		changed: make(chan struct{}),
+		reads:   make(map[string]int),
 	}
 }
 
@@ -57,6 +59,14 @@
 	s.faults = f
 }
 
+// Reads returns how often the operator's records and the list of upstreams were
+// read.
+func (s *MetaStore) Reads() (operator, servers int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads["keyed.op"], s.reads["keyed.servers"]
+}
+
 func (s *MetaStore) topic(name string) *metaTopic {
 	t := s.topics[name]
 	if t == nil {
@@ -144,6 +154,11 @@
 	}
 	time.Sleep(f.Delay)
 	topic := r.URL.Query().Get("topic")
+	if r.Method == http.MethodGet {
+		s.mu.Lock()
+		s.reads[topic]++
+		s.mu.Unlock()
+	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET /wardturn/log-newest":
 		s.serveNewest(w, topic)
