Gateways tell each other of the long prompts that an engine reads

Change: a gateway tells the keeper the tokens of its prompts of 4,096 or more that the engine reads; the keeper tells the sum to all. They count in the cost like the own ones, for 1.5 s.

Ruled out: the engine's report for it (looked at each 200 ms, and the order of what it reads is not in it).

Tests: decide 'avoids an engine that reads a long prompt', 'tells keepers of its long prompts', keeper 'tells what long prompts the engine reads'.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -24,6 +24,7 @@
 	holders  map[wardturn.ModelAdapter][]*Member // engines that hold an adapter ready
 	wants    map[wardturn.ModelAdapter]*want
 	window   LoadWindow
+	readers  []*Member                              // whose keepers have to be told of long prompts
 	asked    int                                    // wants whose load was asked for
 	crossed  map[wardturn.ModelAdapter]int          // bytes sent to other failure domains
 	usual    map[wardturn.ServiceName]time.Duration // between two events of a stream
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -326,6 +326,54 @@
 		})
 	})
 
+	It("avoids an engine that reads a long prompt for another gateway, for a while", func() {
+		reading := func(tokens int) {
+			f.SetHolding(now, "n0", decide.Holding{
+				Connected: true,
+				Known:     true,
+				Models:    []wardturn.BaseModel{"m"},
+				Reading:   tokens,
+			}, &out)
+		}
+		hold("n0", ready("a", 1))
+		hold("n1", ready("a", 1))
+		reading(9000)
+		admit("there", "a")
+		Expect(got["there"].Member.ID).To(BeEquivalentTo("n1"))
+		f.Ended(now, "n1", key("a"), decide.EndedWell)
+		now = now.Add(2 * time.Second)
+		admit("later", "a")
+		Expect(got["later"].Member.ID).To(BeEquivalentTo("n0"))
+	})
+
+	It("tells keepers of its long prompts, and does not take them for others'", func() {
+		hold("n0", ready("a", 1))
+		t := ticket("long", "a")
+		t.Prompt = 9000
+		f.Admit(now, t, &out)
+		Expect(f.Readings()).To(Equal([]decide.ReadingNote{
+			{
+				Upstream: "n0",
+				Tokens:   9000,
+			},
+		}))
+		f.SetHolding(now, "n0", decide.Holding{
+			Connected: true,
+			Known:     true,
+			Models:    []wardturn.BaseModel{"m"},
+			Reading:   9000,
+		}, &out)
+		admit("short", "a")
+		Expect(got["short"].Prefill).To(Equal(9000))
+		f.Began("n0", 9000)
+		Expect(f.Readings()).To(Equal([]decide.ReadingNote{
+			{
+				Upstream: "n0",
+			},
+		}))
+		Expect(f.Readings()).To(BeEmpty())
+	})
+
 	It("has a copy that relieves a busy engine evict an adapter of less use", func() {
 		list := members()
 		for i := range list {
--- a/decide/holding.go
+++ b/decide/holding.go
@@ -17,6 +17,7 @@
 	Gone      []wardturn.ModelAdapter
 	Running   int
 	Queued    int
+	Reading   int // tokens of long prompts that it reads for all gateways
 	Gateways  int // connected to the keeper
 }
 
@@ -42,6 +43,7 @@
 	m.holding = h
 	m.heldAt = now
 	m.atHold = m.running
+	f.setReading(now, m, h)
 	f.forget(m, h)
 	for _, a := range h.Adapters {
 		m.held[a.Adapter.Key()] = heldAdapter{
--- a/decide/member.go
+++ b/decide/member.go
@@ -19,6 +19,7 @@
 	pace         pace      // of engines only
 	running      int       // requests of this gateway under way
 	prefill      int       // tokens of prompts of those that have no byte of an answer yet
+	reading      reading   // of long prompts, of all gateways
 	holding      Holding
 	heldAt       time.Time // of the holding
 	atHold       int       // running when the holding arrived
@@ -70,7 +71,7 @@
 // cost returns what a request with a prompt loses at a member, and what those
 // that run there lose by it.
 func (f *Fleet) cost(now time.Time, m *Member, prompt wardturn.Tokens) float64 {
-	c := float64(m.prefill)/prefillRate + runCost*float64(m.load())
+	c := float64(m.toRead(now))/prefillRate + runCost*float64(m.load())
 	c *= f.slowdown(now, m)
 	if f.stalls(now, m, prompt) {
 		c += stallCost
--- a/decide/usage.go
+++ b/decide/usage.go
@@ -9,7 +9,7 @@
 // sent records that a request goes to an upstream.
 func (f *Fleet) sent(now time.Time, m *Member, key wardturn.ModelAdapter, prompt wardturn.Tokens) {
 	m.running++
-	m.prefill += int(prompt)
+	f.reads(m, prompt)
 	m.breaker.Tried(now)
 	if key.Adapter == "" {
 		return
@@ -29,7 +29,7 @@
 // Began records that the answer to a request began: its prompt has been read.
 func (f *Fleet) Began(id wardturn.UpstreamID, prompt wardturn.Tokens) {
 	if m := f.members[id]; m != nil {
-		m.prefill = max(0, m.prefill-int(prompt))
+		f.reads(m, -prompt)
 	}
 }
 
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -42,7 +42,7 @@
 	Member     wardturn.Member // zero ID: none
 	Version    wardturn.Version
 	Load       int // requests that were at the member, as far as known
-	Prefill    int // tokens of prompts of this gateway that it was reading
+	Prefill    int // tokens of prompts that it was reading, as far as known
 	Reason     wardturn.Reason
 	RetryAfter time.Duration
 }
@@ -126,7 +126,7 @@
 		Member:  m.Member,
 		Version: v,
 		Load:    m.load(),
-		Prefill: m.prefill,
+		Prefill: m.toRead(now),
 	}
 	f.sent(now, m, t.Key, t.Prompt)
 	t.Assign(a)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -314,7 +314,9 @@
 	var out decide.Moves
 	g.mu.Lock()
 	f(g.clock.Now(), &out)
+	readings := g.fleet.Readings()
 	g.mu.Unlock()
+	g.links.tellReadings(readings)
 	g.carry(out)
 }
 
@@ -341,8 +343,10 @@
 
 func (g *Gateway) began(id wardturn.UpstreamID, prompt wardturn.Tokens) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.fleet.Began(id, prompt)
+	readings := g.fleet.Readings()
+	g.mu.Unlock()
+	g.links.tellReadings(readings)
 }
 
 // ended records the end of a send.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -206,6 +206,7 @@
 		Models:    h.Models,
 		Running:   h.Running,
 		Queued:    h.Queued,
+		Reading:   h.Reading,
 		Gateways:  h.Gateways,
 	}
 	for _, a := range h.Adapters {
@@ -218,6 +219,17 @@
 	return out
 }
 
+// tellReadings tells keepers of the long prompts that their engines read.
+func (ls *links) tellReadings(notes []decide.ReadingNote) {
+	for _, n := range notes {
+		if l := ls.of(n.Upstream); l != nil {
+			l.send(&peer.Reading{
+				Tokens: n.Tokens,
+			})
+		}
+	}
+}
+
 // ask sends the asks of a decision to the keepers.
 func (ls *links) ask(out decide.Moves) {
 	for _, a := range out.Asks {
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -20,6 +20,7 @@
 	adapters map[wardturn.ModelAdapter]peer.HeldAdapter
 	running  int
 	queued   int
+	reading  int
 	gateways int
 }
 
@@ -34,6 +35,9 @@
 	if !h.known {
 		return h
 	}
+	for _, tokens := range k.reading {
+		h.reading += tokens
+	}
 	st := k.places.State()
 	h.running = st.Running
 	h.queued = st.Queued
@@ -68,6 +72,7 @@
 		Models:   h.models,
 		Running:  h.running,
 		Queued:   h.queued,
+		Reading:  h.reading,
 		Gateways: h.gateways,
 	}
 }
@@ -108,8 +113,15 @@
 	return m
 }
 
+// readingStep is the change in tokens being read that is worth telling: half of
+// the least prompt that gateways tell of.
+const readingStep = 2048
+
 // stepped reports whether the load changed by a step.
 func (h *holding) stepped(old *holding) bool {
+	if max(h.reading-old.reading, old.reading-h.reading) >= readingStep {
+		return true
+	}
 	was, is := old.running+old.queued, h.running+h.queued
 	return max(was-is, is-was) >= loadStep
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -63,6 +63,7 @@
 	fencing  bool                         // a start record is being written
 	greeted  map[*peer.Conn]bool          // connections that said which engine they mean
 	gateways map[wardturn.Incarnation]int // such connections of each gateway
+	reading  map[*peer.Conn]int           // tokens of long prompts, by gateway's connection
 	told     *holding                     // what the gateways know; nil: nothing yet
 }
 
@@ -79,6 +80,7 @@
 		wake:     make(chan struct{}, 1),
 		greeted:  make(map[*peer.Conn]bool),
 		gateways: make(map[wardturn.Incarnation]int),
+		reading:  make(map[*peer.Conn]int),
 		places:   decide.NewPlaces(d.Clock.Now(), d.Policy),
 		told:     &holding{},
 	}
@@ -265,6 +267,9 @@
 	case *peer.LoadWish:
 		k.places.Wish(now, m.Adapter, m.Waiting, m.Oldest)
 		k.signal()
+	case *peer.Reading:
+		k.reading[c] = m.Tokens
+		k.tell()
 	case *peer.StoreNews:
 		k.server.Broadcast(m)
 	case *peer.Usage:
@@ -310,6 +315,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.places.GatewayLost(c.Peer().Process)
+	delete(k.reading, c)
 	if !k.greeted[c] {
 		return
 	}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -225,6 +225,31 @@
 		}, soon).Should(BeTrue())
 	})
 
+	It("tells what long prompts the engine reads for all gateways, until they are read or their gateway is gone", func() {
+		start()
+		notice()
+		reading := func() int {
+			var h *peer.Holding
+			Eventually(g.holdings, soon).Should(Receive(&h))
+			return h.Reading
+		}
+		read := func(tokens int) {
+			Expect(conn.Send(&peer.Reading{
+				Tokens: tokens,
+			})).To(Succeed())
+		}
+		read(9000)
+		Eventually(reading, soon).Should(Equal(9000))
+		read(0)
+		Eventually(reading, soon).Should(BeZero())
+		read(9000)
+		Eventually(reading, soon).Should(Equal(9000))
+		conn.Close()
+		Eventually(g.conn, soon).Should(Receive(&conn))
+		notice()
+		Eventually(reading, soon).Should(BeZero())
+	})
+
 	It("tells how many gateways there are", func() {
 		start()
 		notice()
--- a/peer/message.go
+++ b/peer/message.go
@@ -36,6 +36,7 @@
 	KindLoadWish
 	KindUsage
 	KindStoreNews
+	KindReading
 )
 
 // Message is one typed message.
@@ -265,6 +266,8 @@
 		return &LoadWish{}
 	case KindUsage:
 		return &Usage{}
+	case KindReading:
+		return &Reading{}
 	case KindStoreNews:
 		return &StoreNews{}
 	}
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -39,6 +39,7 @@
 	Gone     []wardturn.ModelAdapter // no longer there; never in a full one
 	Running  int
 	Queued   int
+	Reading  int // tokens of long prompts that the engine reads, as gateways say
 	Gateways int // connected to the keeper
 }
 
@@ -68,6 +69,12 @@
 	Members *wardturn.MemberChange // nil: the list of upstreams was not read
 }
 
+// Reading tells a keeper how many tokens of a gateway's long prompts its engine
+// is reading now.
+type Reading struct {
+	Tokens int
+}
+
 // AdapterUse counts a gateway's requests to one adapter of an engine.
 type AdapterUse struct {
 	Adapter wardturn.ModelAdapter
@@ -92,5 +99,8 @@
 // Kind implements Message.
 func (*StoreNews) Kind() Kind { return KindStoreNews }
 
+// Kind implements Message.
+func (*Reading) Kind() Kind { return KindReading }
+
 // Kind implements Message.
 func (*Usage) Kind() Kind { return KindUsage }
