--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -38,6 +38,10 @@
 
 const (
 	logLines = 4096 // that wait for a slow reader of the log
+	// The lines a second of one message. Refusals and failures go before what
+	// succeeded: at a burst of 60 requests a second all of them fit.
+	failureLines = 100
+	otherLines   = 20
 	// gcPercent trades memory for processor time; the heap is a few MB.
 	gcPercent = 100
 )
@@ -170,12 +174,21 @@
 }
 
 func (c *common) logger(name string, w io.Writer) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
+	l := hclog.New(&hclog.LoggerOptions{
 		Name:       name,
 		Level:      hclog.LevelFromString(c.LogLevel),
 		Output:     w,
 		TimeFormat: "15:04:05.000",
 	})
+	return process.NewBudgetedLogger(l, process.Clock{}, process.LogRates{
+		Of: map[string]float64{
+			"refused":     failureLines,
+			"failed":      failureLines,
+			"answer cut":  failureLines,
+			"send failed": failureLines,
+		},
+		Others: otherLines,
+	})
 }
 
 // serveMetrics returns the scope of the process's metrics.
--- /dev/null
+++ b/process/logbudget_test.go
@@ -0,0 +1,61 @@
+package process_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"wardturn"
+	"wardturn/process"
+)
+
+// fixedClock is a clock that a test sets.
+type fixedClock struct {
+	wardturn.Clock
+	now time.Time
+}
+
+func (c *fixedClock) Now() time.Time { return c.now }
+
+func TestBudgetedLogger(t *testing.T) {
+	var buf bytes.Buffer
+	clock := &fixedClock{
+		now: time.Unix(1000, 0),
+	}
+	l := process.NewBudgetedLogger(hclog.New(&hclog.LoggerOptions{
+		Output:      &buf,
+		DisableTime: true,
+	}), clock, process.LogRates{
+		Of: map[string]float64{
+			"refused": 3,
+		},
+		Others: 1,
+	})
+	written := func(msg string, n int) []string {
+		buf.Reset()
+		for range n {
+			l.Info(msg, "id", 7)
+		}
+		return strings.Split(strings.TrimSpace(buf.String()), "\n")
+	}
+	if got := written("refused", 10); len(got) != 3 {
+		t.Errorf("%d lines of a message with a budget of 3: %q", len(got), got)
+	}
+	if got := written("late", 10); len(got) != 1 {
+		t.Errorf("%d lines of a message with a budget of 1: %q", len(got), got)
+	}
+	clock.now = clock.now.Add(time.Second)
+	if got := written("refused", 1); !strings.Contains(got[0], "id=7 left_out=7") {
+		t.Errorf("lines left out are not counted: %q", got)
+	}
+	if got := written("refused", 1); strings.Contains(got[0], "left_out") {
+		t.Errorf("lines left out are counted twice: %q", got)
+	}
+	l.Debug("refused")
+	if got := written("refused", 1); len(got) != 1 || got[0] == "" {
+		t.Errorf("a line below the level took from the budget: %q", got)
+	}
+}
--- a/process/logs_test.go
+++ b/process/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +27,23 @@
 	return w.buf.Write(p)
 }
 
+// dropped returns the sum of the lines that a log says were dropped.
+func dropped(t *testing.T, text string) int {
+	sum := 0
+	for line := range strings.Lines(text) {
+		count, ok := strings.CutPrefix(strings.TrimSpace(line), "log lines dropped: count=")
+		if !ok {
+			continue
+		}
+		n, err := strconv.Atoi(count)
+		if err != nil {
+			t.Errorf("count of dropped lines: %v", err)
+		}
+		sum += n
+	}
+	return sum
+}
+
 func TestLogQueueNeverBlocks(t *testing.T) {
 	w := &stuckWriter{
 		release: make(chan struct{}),
@@ -49,7 +67,7 @@
 	if n := strings.Count(text, "line\n"); n < 10 || n > 11 {
 		t.Errorf("%d lines written, want the queue's 10 and at most one more", n)
 	}
-	if !strings.Contains(text, "log lines dropped: count=9") {
-		t.Errorf("dropped lines are not counted:\n%s", text)
+	if n := strings.Count(text, "line\n") + dropped(t, text); n != 1000 {
+		t.Errorf("%d lines written or counted as dropped, want 1000:\n%s", n, text)
 	}
 }
