--- a/decide/want.go
+++ b/decide/want.go
@@ -6,20 +6,9 @@
 	"wardturn"
 )
 
-const (
-	// wishRepeat is how often a wish is told again while requests wait: less
-	// than half of wishLife, so that one lost message does not end it.
-	wishRepeat = 300 * time.Millisecond
-	// spreadLoad is the least number of requests at an engine for which an
-	// adapter gets another one; engines are quick up to there.
-	spreadLoad = 8
-	// spreadFactor is how many times the mean load that must be.
-	spreadFactor = 1.4
-	// spreadUse is how many of them must be this gateway's for that adapter.
-	spreadUse = 2
-	// copyCost is what a copy must save each request, in milliseconds.
-	copyCost = 10.0
-)
+// wishRepeat is how often a wish is told again while requests wait: less than
+// half of wishLife, so that one lost message does not end it.
+const wishRepeat = 300 * time.Millisecond
 
 // want is an adapter that requests wait for, or that is loaded for those that
 // were told to come back.
@@ -233,83 +222,6 @@
 	delete(f.wants, w.key)
 }
 
-// spread asks for an adapter at one more engine: if the one that serves it is
-// busier than others, or if it is far and as much has been sent there as a load
-// costs.
-func (f *Fleet) spread(now time.Time, t *Ticket, m *Member, out *Moves) {
-	near := m.Domain == f.cfg.Domain
-	if !near {
-		f.crossed[t.Key] += t.Bytes
-	}
-	costly := !near && f.crossed[t.Key] >= f.cfg.CrossBytes
-	busy := f.overbusy(t, m)
-	if !costly && !busy {
-		return
-	}
-	if f.wants[t.Key] != nil || f.asked >= f.window.Size() {
-		return
-	}
-	home := f.copyHome(now, t, m, costly)
-	if home == nil {
-		return
-	}
-	f.crossed[t.Key] = 0
-	w := f.wantOf(now, t.Key, t.Service)
-	if busy {
-		w.relief = m.uses[t.Key].Running
-	}
-	f.ask(now, w, home, out)
-}
-
-// waitsForQuicker reports whether a request should wait for its adapter at a
-// quicker engine than m, the best of those that hold it.
-func (f *Fleet) waitsForQuicker(now time.Time, t *Ticket, m *Member) bool {
-	if t.settled || t.Key.Adapter == "" || !f.stalls(now, m, t.Prompt) {
-		return false
-	}
-	w := f.wantOf(now, t.Key, t.Service)
-	if !w.askedAt.IsZero() {
-		home := f.members[w.home]
-		return home != nil && !f.stalls(now, home, t.Prompt)
-	}
-	if f.asked >= f.window.Size() {
-		return false
-	}
-	home := f.homeFor(now, w, t.Prompt)
-	return home != nil && !f.stalls(now, home, t.Prompt)
-}
-
-// overbusy reports whether an engine has far more to do than others, and not
-// because of others' requests alone.
-func (f *Fleet) overbusy(t *Ticket, m *Member) bool {
-	u := m.uses[t.Key]
-	if m.load() < spreadLoad || u == nil || u.Running < spreadUse {
-		return false
-	}
-	total := 0
-	list := f.services[t.Service]
-	for _, o := range list {
-		total += o.load()
-	}
-	return float64(m.load()) >= spreadFactor*float64(total)/float64(len(list))
-}
-
-// copyHome returns the engine that should hold a copy of an adapter beside m, or
-// nil. It is the first in the order of homes that costs enough less, so that
-// gateways which want a copy at the same time ask the same engine.
-func (f *Fleet) copyHome(now time.Time, t *Ticket, m *Member, near bool) *Member {
-	most := f.cost(now, m, t.Prompt) - copyCost
-	for _, o := range f.homes(now, t.Service, t.Key, near) {
-		if _, holds := o.held[t.Key]; holds || o.loading() >= MaxComing {
-			continue
-		}
-		if near || f.cost(now, o, t.Prompt) <= most {
-			return o
-		}
-	}
-	return nil
-}
-
 // renew repeats the wish of a load under way, and gives up one that takes far
 // too long: another engine may do better.
 func (f *Fleet) renew(now time.Time, w *want, out *Moves) {
--- /dev/null
+++ b/gateway/decisions.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+func (g *Gateway) tick() {
+	g.decide(func(now time.Time, out *decide.Moves) {
+		g.fleet.Tick(now, out)
+	})
+}
+
+// decide runs a decision under the lock and carries out what it wants.
+func (g *Gateway) decide(f func(now time.Time, out *decide.Moves)) {
+	var out decide.Moves
+	g.mu.Lock()
+	f(g.clock.Now(), &out)
+	readings := g.fleet.Readings()
+	g.mu.Unlock()
+	g.links.tellReadings(readings)
+	g.carry(out)
+}
+
+// carry does what a decision wants done, outside the lock.
+func (g *Gateway) carry(out decide.Moves) {
+	for _, n := range out.Loads {
+		g.metrics.loaded(n)
+		g.logger.Info("adapter there", "adapter", n.Adapter.Adapter, "version", n.Adapter.Version, "upstream", n.Upstream, "took", n.Took, "waited", n.Waited, "warm", n.Warm, "window", n.Window, "asked", n.Asked)
+	}
+	g.links.ask(out)
+}
+
+func (g *Gateway) admit(t *decide.Ticket) {
+	g.decide(func(now time.Time, out *decide.Moves) {
+		g.fleet.Admit(now, t, out)
+	})
+}
+
+func (g *Gateway) withdraw(t *decide.Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Withdraw(t)
+}
+
+func (g *Gateway) began(id wardturn.UpstreamID, prompt wardturn.Tokens) {
+	g.mu.Lock()
+	g.fleet.Began(id, prompt)
+	readings := g.fleet.Readings()
+	g.mu.Unlock()
+	g.links.tellReadings(readings)
+}
+
+// ended records the end of a send.
+func (g *Gateway) ended(id wardturn.UpstreamID, key wardturn.ModelAdapter, r result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Ended(g.clock.Now(), id, key, r.ending())
+}
+
+func (g *Gateway) misplaced(id wardturn.UpstreamID) {
+	g.mu.Lock()
+	g.fleet.Misplaced(id)
+	g.mu.Unlock()
+	g.doubtMembers()
+}
+
+// timed records the time of a plain upstream's answer, or that it was full.
+func (g *Gateway) timed(id wardturn.UpstreamID, took time.Duration, full bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if full {
+		g.fleet.Full(g.clock.Now(), id)
+		return
+	}
+	g.fleet.Timed(g.clock.Now(), id, took)
+}
+
+// paced records the time between two events of a stream at an engine.
+func (g *Gateway) paced(id wardturn.UpstreamID, gap time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Paced(g.clock.Now(), id, gap)
+}
+
+func (g *Gateway) refused(id wardturn.UpstreamID) {
+	g.mu.Lock()
+	g.fleet.Refused(g.clock.Now(), id)
+	g.mu.Unlock()
+	g.doubtMembers()
+}
+
+func (g *Gateway) notHeld(id wardturn.UpstreamID, key wardturn.ModelAdapter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.NotHeld(g.clock.Now(), id, key)
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+// followConfig keeps the configuration up to date.
+func (g *Gateway) followConfig() {
+	pause := configRetry
+	away := false
+	first := true
+	for {
+		if !g.news.await(g.news.config) {
+			return
+		}
+		sent := g.clock.Now()
+		change, err := g.source.Next(configWait)
+		if err == nil {
+			g.news.readConfig(configAsOf(sent, change, first), change.To)
+			first = false
+			if away {
+				g.logger.Info("store answers again", "for", "configuration")
+			}
+			away = false
+			pause = configRetry
+			g.apply(change)
+			continue
+		}
+		if !away {
+			g.logger.Warn("store away, the present configuration stays", "error", err)
+		}
+		away = true
+		if !g.tasks.Pause(pause) {
+			return
+		}
+		pause = min(2*pause, configMaxRetry)
+	}
+}
+
+// configAsOf returns a time at which the answer to a read of the configuration
+// was true: a waiting read that found nothing ended with its wait.
+func configAsOf(sent time.Time, c wardturn.ConfigChange, first bool) time.Time {
+	if first || c.Table != nil || len(c.Versions) > 0 {
+		return sent
+	}
+	return sent.Add(configWait)
+}
+
+// apply puts a change of the configuration in force. An older version than the
+// present one is passed over.
+func (g *Gateway) apply(c wardturn.ConfigChange) {
+	now := g.clock.Now()
+	var out decide.Moves
+	g.mu.Lock()
+	running := g.routes.Load() != nil
+	for _, v := range c.Versions {
+		g.fleet.SetVersion(now, v, running, &out)
+		g.logger.Info("version named", "model", v.Model, "adapter", v.Adapter, "version", v.Version)
+	}
+	present := g.routes.Load()
+	if c.Table != nil && (present == nil || c.Table.Version > present.table.Version) {
+		g.fleet.SetTable(c.Table)
+		g.routes.Store(newRoutes(c.Table))
+		g.logger.Info("configuration in force", "version", c.Table.Version, "routes", len(c.Table.Routes))
+	}
+	g.mu.Unlock()
+	g.carry(out)
+	if c.Table == nil {
+		return
+	}
+	if present == nil {
+		g.limit(c.Table.Limits)
+	}
+	g.links.update()
+}
+
+// limit sets the limits of callers' connections and starts to take them.
+func (g *Gateway) limit(l wardturn.CallerLimits) {
+	g.served.Do(func() {
+		if l.MaxHeader > 0 {
+			g.server.MaxHeaderBytes = l.MaxHeader
+		}
+		if l.HeaderTimeout > 0 {
+			g.server.ReadHeaderTimeout = l.HeaderTimeout
+		}
+		if l.IdleTimeout > 0 {
+			g.server.IdleTimeout = l.IdleTimeout
+		}
+		g.takeCallers()
+	})
+}
+
+// followMembers keeps the list of upstreams up to date, by own readings and by
+// those of other gateways.
+func (g *Gateway) followMembers() {
+	for {
+		c, due, ok := g.news.awaitMembers()
+		if !ok {
+			return
+		}
+		if due {
+			g.readMembers()
+			continue
+		}
+		list, ok := g.list.take(c)
+		if !ok {
+			g.doubtMembers()
+			continue
+		}
+		g.setMembers(list)
+	}
+}
+
+func (g *Gateway) readMembers() {
+	sent := g.clock.Now()
+	g.news.beganMembers(sent)
+	list, change, ok := g.list.read()
+	if !ok {
+		g.doubtMembers()
+		return
+	}
+	g.setMembers(list)
+	g.listed.Store(true)
+	g.news.readMembers(sent, change)
+}
+
+func (g *Gateway) setMembers(list []wardturn.Member) {
+	g.mu.Lock()
+	g.fleet.SetMembers(list)
+	g.mu.Unlock()
+	g.links.update()
+}
+
+// doubtMembers has the list read soon.
+func (g *Gateway) doubtMembers() {
+	g.news.doubtMembers()
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wardturn"
+)
+
+// resolve finds the route and reads the headers. It answers requests that have
+// none.
+func (x *exchange) resolve() bool {
+	rs := x.g.routes.Load()
+	if rs == nil {
+		x.refuse(wardturn.ReasonStaleConfig, unreadyPause)
+		return false
+	}
+	x.route = rs.find(x.r.Host, x.r.URL.EscapedPath())
+	if x.route == nil {
+		x.fail(http.StatusNotFound, "no route")
+		return false
+	}
+	if x.attempt == "" {
+		x.fail(http.StatusBadRequest, "no attempt id")
+		return false
+	}
+	x.service = target(x.route, x.attempt)
+	spec := rs.table.Services[x.service]
+	x.engine = spec.Engine != nil
+	timeout := x.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if n, err := strconv.Atoi(x.r.Header.Get(x.g.names.DeadlineMS)); err == nil && n > 0 {
+		timeout = min(timeout, time.Duration(n)*time.Millisecond)
+	}
+	x.end = x.arrived.Add(timeout)
+	if x.engine {
+		model, adapter, _ := strings.Cut(x.r.Header.Get(x.g.names.Adapter), "/")
+		x.key = wardturn.ModelAdapter{
+			Model:   wardturn.BaseModel(model),
+			Adapter: wardturn.AdapterID(adapter),
+		}
+		prompt, _, _ := strings.Cut(x.r.Header.Get(x.g.names.TokenCount), ",")
+		if n, err := strconv.Atoi(prompt); err == nil && n > 0 {
+			x.prompt = wardturn.Tokens(n)
+		}
+	}
+	return true
+}
+
+// readBody reads the caller's whole body: a request is sent on only when it is
+// there, so that a slow caller holds no upstream.
+func (x *exchange) readBody() bool {
+	limit := int64(x.g.cfg.MaxBody)
+	if l := x.g.routes.Load().table.Limits.MaxBody; l > 0 {
+		limit = int64(l)
+	}
+	if x.r.ContentLength > limit {
+		x.fail(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	if x.r.ContentLength == 0 {
+		return true
+	}
+	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
+	if err != nil {
+		panic(http.ErrAbortHandler) // the caller broke off in its own request
+	}
+	if int64(len(body)) > limit {
+		x.fail(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	x.body = body
+	return true
+}
