Settings are read again on SIGHUP and when their file changes; metrics of what is read from the store

Limits of retries and loads and the level of the log take effect at once. Metrics: sends, store_reads, store_age_seconds.

--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -60,13 +60,14 @@
 	Metrics  string `help:"Address of /metrics, IP:port; empty: none."`
 	LogLevel string `default:"info" enum:"trace,debug,info,warn,error" help:"Least level of log lines: trace, debug, info, warn or error."`
 	Check    bool   `help:"Check the settings and exit."`
+	Settings string `help:"File of settings, a line FLAG=VALUE each; the command line and variables go before it. Read again on SIGHUP and when it changes."`
 }
 
 type gatewayCmd struct {
 	common
 	Listen       string        `required:"" help:"Address for callers, IP:port."`
 	Ready        string        `required:"" help:"Address for the balancer's question, IP:port."`
-	Drain        time.Duration `default:"2s" help:"Time after which a leaving upstream must get no new requests; the list is read each six tenths of it."`
+	Drain        time.Duration `default:"2s" help:"Time after which a leaving upstream must get no new requests; the list is read each half of it."`
 	LapseGrace   time.Duration `default:"2200ms" help:"Time after the store's return in which a lapsed entry may come back; the platform promises 2 s."`
 	Grace        time.Duration `default:"8s" help:"Time between SIGTERM and SIGKILL."`
 	LeaveAfter   time.Duration `default:"2500ms" help:"Time after SIGTERM in which requests are still taken; the balancer notices within 2 s."`
@@ -87,19 +88,37 @@
 	Engine string `required:"" help:"Address of the engine, IP:port."`
 }
 
+// name is the program's.
+const name = "wardturn-fleet"
+
+// commandLine are the arguments of the process, to be read again with its
+// settings.
+type commandLine []string
+
+// newParser returns the parser of a command line, with the settings of its file.
+func newParser(args []string, root *commands, options ...kong.Option) (*kong.Kong, error) {
+	s, err := readSettings(settingsPath(args))
+	if err != nil {
+		return nil, err
+	}
+	return kong.New(root, append(options,
+		kong.Name(name),
+		kong.Description("The daemons of wardturn on the users' platform."),
+		kong.DefaultEnvars("WARDTURN"),
+		kong.Resolvers(s),
+	)...)
+}
+
 // Main runs a daemon until ctx ends and returns the exit code.
 func Main(ctx context.Context, args []string, out, errs io.Writer) int {
-	const name = "wardturn-fleet"
 	var root commands
 	exit := -1
-	parser, err := kong.New(&root,
-		kong.Name(name),
-		kong.Description("The daemons of wardturn on the users' platform."),
+	parser, err := newParser(args, &root,
 		kong.Writers(out, errs),
 		kong.Exit(func(c int) { exit = c }),
 		kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.BindTo(out, (*io.Writer)(nil)),
-		kong.DefaultEnvars("WARDTURN"),
+		kong.Bind(commandLine(args)),
 	)
 	if err != nil {
 		fmt.Fprintln(errs, name+":", err)
@@ -259,11 +278,22 @@
 	}
 }
 
+// retune takes the settings that may change while the gateway runs.
+func (c *gatewayCmd) retune(g *gateway.Gateway, logger hclog.Logger, n *gatewayCmd) {
+	if refused(logger, n.problems()) {
+		return
+	}
+	logger.SetLevel(hclog.LevelFromString(n.LogLevel))
+	t := n.config()
+	g.Retune(t)
+	logger.Info("settings read again", "log_level", n.LogLevel, "retry_share", t.RetryShare, "retry_extra", t.RetryExtra, "retry_window", t.RetryWindow, "hold_part", t.Fleet.HoldPart, "cross_bytes", t.Fleet.CrossBytes, "loads_at_most", t.Fleet.Window.Most, "load_target", t.Fleet.Window.Target)
+}
+
 // leaveMargin is kept before SIGKILL to close connections.
 const leaveMargin = 300 * time.Millisecond
 
 // Run implements the gateway command.
-func (c *gatewayCmd) Run(ctx context.Context, out io.Writer) error {
+func (c *gatewayCmd) Run(ctx context.Context, out io.Writer, args commandLine) error {
 	if err := c.problems(); err != nil || c.Check {
 		return err
 	}
@@ -294,8 +324,12 @@
 	if err != nil {
 		return err
 	}
-	return d.Invoke(func(g *gateway.Gateway) {
-		<-ctx.Done()
+	return d.Invoke(func(g *gateway.Gateway, logger hclog.Logger) {
+		watchSettings(ctx, args, func() {
+			reload(args, logger, func(root *commands) {
+				c.retune(g, logger, &root.Gateway)
+			})
+		})
 		limit, cancel := context.WithTimeout(context.Background(), c.Grace-leaveMargin)
 		defer cancel()
 		g.Leave(limit)
@@ -331,7 +365,7 @@
 }
 
 // Run implements the keeper command.
-func (c *keeperCmd) Run(ctx context.Context, out io.Writer) error {
+func (c *keeperCmd) Run(ctx context.Context, out io.Writer, args commandLine) error {
 	if err := c.problems(); err != nil || c.Check {
 		return err
 	}
@@ -359,8 +393,15 @@
 	if err != nil {
 		return err
 	}
-	return d.Invoke(func(k *keeper.Keeper) {
-		<-ctx.Done()
+	return d.Invoke(func(k *keeper.Keeper, logger hclog.Logger) {
+		watchSettings(ctx, args, func() {
+			reload(args, logger, func(root *commands) {
+				if !refused(logger, root.Keeper.problems()) {
+					logger.SetLevel(hclog.LevelFromString(root.Keeper.LogLevel))
+					logger.Info("settings read again", "log_level", root.Keeper.LogLevel)
+				}
+			})
+		})
 		k.Close()
 		queue.Close()
 	})
--- a/cmd/wardturn-fleet/main.go
+++ b/cmd/wardturn-fleet/main.go
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	signal.Ignore(syscall.SIGHUP) // the settings are read at the start only
+	signal.Ignore(syscall.SIGHUP) // until the daemon reads its settings again on it
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := fleet.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// Retune changes the limits. The failure domain stays.
+func (f *Fleet) Retune(cfg FleetConfig) {
+	f.cfg.HoldPart = cfg.HoldPart
+	f.cfg.CrossBytes = cfg.CrossBytes
+	f.window.Retune(cfg.Window)
+}
+
 // SetTable puts a configuration in force.
 func (f *Fleet) SetTable(t *wardturn.RouteTable) {
 	f.table = t
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -23,8 +23,9 @@
 	}
 }
 
-// Resize sets what is allowed beyond the share of requests.
-func (b *RetryBudget) Resize(floor, burst float64) {
+// Resize sets the share of requests and what is allowed beyond it.
+func (b *RetryBudget) Resize(share, floor, burst float64) {
+	b.share = share
 	b.floor = floor
 	b.burst = burst
 	b.tokens = min(b.tokens, burst)
--- a/decide/turn.go
+++ b/decide/turn.go
@@ -81,6 +81,14 @@
 	return due
 }
 
+// Age returns how old the knowledge is; zero before the first reading.
+func (t *ReadTurn) Age(now time.Time) time.Duration {
+	if t.asOf.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(t.asOf))
+}
+
 // reads reports whether this process reads for the others: none with a lower id
 // was heard lately.
 func (t *ReadTurn) reads(now time.Time) bool {
--- a/decide/window.go
+++ b/decide/window.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// Retune changes the limits; the present size stays within them.
+func (w *LoadWindow) Retune(cfg WindowConfig) {
+	w.cfg = cfg.withDefaults()
+	w.size = min(max(w.size, w.cfg.Least), w.cfg.Most)
+}
+
 // Size returns the loads that may be under way.
 func (w *LoadWindow) Size() int {
 	return int(w.size)
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -35,10 +35,22 @@
 func (g *Gateway) resizeBudgets() {
 	floor, burst := g.extraResends()
 	for _, b := range g.budgets {
-		b.Resize(floor, burst)
+		b.Resize(g.cfg.RetryShare*budgetPart, floor, burst)
 	}
 }
 
+// Retune takes the limits of retries and loads from new settings; the others
+// stay until the next start.
+func (g *Gateway) Retune(c Config) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cfg.RetryShare = c.RetryShare
+	g.cfg.RetryExtra = c.RetryExtra
+	g.cfg.RetryWindow = c.RetryWindow
+	g.resizeBudgets()
+	g.fleet.Retune(c.Fleet)
+}
+
 func (g *Gateway) countRequest(s wardturn.ServiceName) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -315,6 +315,7 @@
 	if leftTime <= 0 {
 		return notRun
 	}
+	x.g.metrics.sends.Inc(1)
 	ans, err := x.g.send(ctx, x, a.Member, x.head(a, leftTime), x.end.Add(answerMargin))
 	if err != nil {
 		return x.sendFailed(a, err)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,6 +19,7 @@
 		sent := g.clock.Now()
 		change, err := g.source.Next(configWait)
 		if err == nil {
+			g.metrics.config.read.Inc(1)
 			g.news.readConfig(configAsOf(sent, change, first), change.To)
 			first = false
 			if away {
@@ -29,6 +30,7 @@
 			g.apply(change)
 			continue
 		}
+		g.metrics.config.failed.Inc(1)
 		if !away {
 			g.logger.Warn("store away, the present configuration stays", "error", err)
 		}
@@ -119,9 +121,11 @@
 	g.news.beganMembers(sent)
 	list, change, ok := g.list.read()
 	if !ok {
+		g.metrics.members.failed.Inc(1)
 		g.doubtMembers()
 		return
 	}
+	g.metrics.members.read.Inc(1)
 	g.setMembers(list)
 	g.listed.Store(true)
 	g.news.readMembers(sent, change)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,6 +178,7 @@
 	g.resizeBudgets()
 	g.mu.Unlock()
 	g.metrics.levels(levels)
+	g.news.ages()
 	g.pool.sweep(func(addr string) bool {
 		return addrs[addr]
 	})
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,11 +21,39 @@
 	asked   tally.Gauge
 	window  tally.Gauge
 	slow    tally.Gauge
+	sends   tally.Counter
+	config  recordMetrics
+	members recordMetrics
 
 	mu       sync.RWMutex
 	requests map[series]outcomeSeries
 }
 
+// recordMetrics tell of one record of the platform's store.
+type recordMetrics struct {
+	read   tally.Counter // readings of this gateway that had an answer
+	failed tally.Counter
+	heard  tally.Counter // readings of other gateways
+	age    tally.Gauge   // of what is known, in seconds
+}
+
+func newRecordMetrics(scope tally.Scope, record string) recordMetrics {
+	reads := func(result string) tally.Counter {
+		return scope.Tagged(map[string]string{
+			"record": record,
+			"result": result,
+		}).Counter("store_reads")
+	}
+	return recordMetrics{
+		read:   reads("answered"),
+		failed: reads("failed"),
+		heard:  reads("by_another"),
+		age: scope.Tagged(map[string]string{
+			"record": record,
+		}).Gauge("store_age_seconds"),
+	}
+}
+
 // series names the series of requests that ended alike.
 type series struct {
 	route   string
@@ -57,6 +85,9 @@
 		asked:    scope.Gauge("loads_under_way"),
 		window:   scope.Gauge("load_window"),
 		slow:     scope.Gauge("slow_engines"),
+		sends:    scope.Counter("sends"),
+		config:   newRecordMetrics(scope, "configuration"),
+		members:  newRecordMetrics(scope, "upstreams"),
 		requests: make(map[series]outcomeSeries),
 	}
 }
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -145,6 +145,15 @@
 	n.wake()
 }
 
+// ages tells the metrics how old the knowledge of the records is.
+func (n *news) ages() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.g.clock.Now()
+	n.g.metrics.config.age.Update(n.config.Age(now).Seconds())
+	n.g.metrics.members.age.Update(n.members.Age(now).Seconds())
+}
+
 func (n *news) tell(m *peer.StoreNews) {
 	for _, c := range n.g.links.relays() {
 		// A gateway that does not get it reads by itself.
@@ -169,6 +178,7 @@
 		n.wake()
 		return
 	}
+	n.g.metrics.config.heard.Inc(1)
 	n.config.Heard(now, m.Reader, m.Stamp)
 	n.wake()
 }
@@ -178,6 +188,7 @@
 func (n *news) heardMembers(now time.Time, m *peer.StoreNews) {
 	select {
 	case n.changes <- *m.Members:
+		n.g.metrics.members.heard.Inc(1)
 		n.members.Heard(now, m.Reader, m.Stamp)
 	default:
 		n.members.Doubt(now)
--- a/gateway/news_test.go
+++ b/gateway/news_test.go
@@ -45,6 +45,8 @@
 		// One alone reads 2.5 and 12 times in 3 s, two 5 and 24 times.
 		Expect(operatorNow - operator).To(BeNumerically("<=", 4))
 		Expect(serversNow - servers).To(BeNumerically("<=", 16))
+		heard := x.metrics.Snapshot().Counters()["store_reads+record=upstreams,result=by_another"]
+		Expect(heard.Value()).To(BeNumerically(">", 0))
 	})
 
 	It("learn from each other that an upstream leaves", func() {
