A keeper ranks adapters by the requests that wait at all gateways

Cause: each gateway's wish replaced the others' number of waiting requests, so an adapter that 28 gateways wait for ranked like one that a single gateway wants; after a power loss the hottest came in any order.

Change: waiting requests are summed over the gateways whose word is fresh.

Test: 'loads first what most requests wait for at all gateways together' fails without it.

--- a/decide/places.go
+++ b/decide/places.go
@@ -42,13 +42,32 @@
 	retryAt time.Time // no order before
 }
 
+// wish is an adapter that gateways want, each for requests of its own.
 type wish struct {
 	version wardturn.Version
+	by      map[wardturn.Incarnation]gatewayWish
+	at      time.Time // of the latest word
+}
+
+type gatewayWish struct {
 	waiting int
 	oldest  time.Duration
 	at      time.Time
 }
 
+// waiting returns the requests that wait at all gateways whose word still counts,
+// and how long the oldest has.
+func (w *wish) waiting(now time.Time) (n int, oldest time.Duration) {
+	for _, g := range w.by {
+		if now.Sub(g.at) > wishLife {
+			continue
+		}
+		n += g.waiting
+		oldest = max(oldest, g.oldest)
+	}
+	return n, oldest
+}
+
 type use struct {
 	demand  Demand
 	running map[wardturn.Incarnation]int // by gateway
@@ -109,10 +128,12 @@
 }
 
 // Wish takes a gateway's wish for an adapter.
-func (p *Places) Wish(now time.Time, a wardturn.AdapterVersion, waiting int, oldest time.Duration) {
+func (p *Places) Wish(now time.Time, gateway wardturn.Incarnation, a wardturn.AdapterVersion, waiting int, oldest time.Duration) {
 	w := p.wishes[a.Key()]
 	if w == nil {
-		w = &wish{}
+		w = &wish{
+			by: make(map[wardturn.Incarnation]gatewayWish),
+		}
 		p.wishes[a.Key()] = w
 	}
 	if p.holds(a.Key(), a.Version) {
@@ -121,8 +142,11 @@
 		u.last = now
 	}
 	w.version = max(w.version, a.Version)
-	w.waiting = waiting
-	w.oldest = oldest
+	w.by[gateway] = gatewayWish{
+		waiting: waiting,
+		oldest:  oldest,
+		at:      now,
+	}
 	w.at = now
 }
 
@@ -308,8 +332,7 @@
 		}
 	}
 	if w := p.wishes[key]; w != nil {
-		in.Waiting = w.waiting
-		in.WaitingLong = w.oldest
+		in.Waiting, in.WaitingLong = w.waiting(now)
 	}
 	_, in.Resident = p.resident(key)
 	return p.policy.Slot(in)
--- a/decide/places_test.go
+++ b/decide/places_test.go
@@ -47,7 +47,7 @@
 		p.Report(now, st)
 	}
 	wish := func(name string, waiting int) {
-		p.Wish(now, version(name, 1), waiting, 0)
+		p.Wish(now, "g1", version(name, 1), waiting, 0)
 	}
 	next := func() (decide.PlaceOrder, bool) {
 		return p.Next(now)
@@ -67,6 +67,18 @@
 		now = now.Add(d)
 	}
 
+	It("loads first what most requests wait for at all gateways together", func() {
+		report(nil)
+		for _, g := range []wardturn.Incarnation{"g1", "g2", "g3"} {
+			p.Wish(now, g, version("shared", 1), 2, 0)
+		}
+		wish("single", 3)
+		expect(decide.PlaceOrder{
+			Target:  key("shared"),
+			Version: 1,
+		})
+	})
+
 	BeforeEach(func() {
 		now = start
 		p = decide.NewPlaces(now, policy.Default{})
@@ -181,7 +193,7 @@
 
 	It("replaces an old version, after it told the gateways", func() {
 		report(nil, "a")
-		p.Wish(now, version("a", 2), 1, 0)
+		p.Wish(now, "g1", version("a", 2), 1, 0)
 		none()
 		Expect(p.Leaving(key("a"))).To(BeTrue())
 		pass(5 * time.Millisecond)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -265,7 +265,7 @@
 	case *peer.EngineNotice:
 		k.notice(c, m)
 	case *peer.LoadWish:
-		k.places.Wish(now, m.Adapter, m.Waiting, m.Oldest)
+		k.places.Wish(now, c.Peer().Process, m.Adapter, m.Waiting, m.Oldest)
 		k.signal()
 	case *peer.Reading:
 		k.reading[c] = m.Tokens
