Gateways step in one after another when the one that reads is gone; slopes of gateway and keeper

Cause: the new slope 'readings of the list by all gateways' grew from 3,612 an hour with 3 gateways to 21,606 with 470: when the gateway with the lowest id was gone, all that had heard of no lower one read at the same moment.

--- a/capacity/page.go
+++ b/capacity/page.go
@@ -72,6 +72,11 @@
 	Claims     Series
 	Applying   Series
 	Recovery   Series
+	Placing    Series
+	Asking     Series
+	Choosing   Series
+	StoreReads Series
+	Change     float64 // bytes of one change of a holding to one gateway
 }
 
 // Measure runs every measurement. It takes about a minute.
@@ -106,11 +111,22 @@
 	step("claims", failing(&m.Claims, Claims))
 	step("applying", failing(&m.Applying, Applying))
 	step("recovery", failing(&m.Recovery, Recovery))
+	step("gateway placing", plain(&m.Placing, FleetPlacing))
+	step("gateway asking", plain(&m.Asking, FleetAsking))
+	step("keeper", plain(&m.Choosing, KeeperChoosing))
+	step("store reads", plain(&m.StoreReads, StoreReads))
+	step("holdings", func() (err error) {
+		m.Change, err = changeBytes()
+		return err
+	})
 	return m, err
 }
 
 func (m Measured) all() []Series {
-	return []Series{m.Routing, m.Agent, m.Allocating, m.Memory, m.Links, m.Force, m.Claims, m.Applying, m.Recovery}
+	return []Series{
+		m.Routing, m.Agent, m.Allocating, m.Memory, m.Links, m.Force, m.Claims, m.Applying, m.Recovery,
+		m.Placing, m.Asking, m.Choosing, m.StoreReads,
+	}
 }
 
 // WriteTable writes the measured points and their fits for people.
@@ -194,6 +210,17 @@
   fits of time are therefore upper bounds for quiet hosts.
 `
 
+// What the rows of the daemons on the users' platform assume, from days of the
+// bench with 28 gateways and 50 engines.
+const (
+	missShare        = 0.15 // requests whose adapter no engine holds
+	changesPerLoad   = 4.2  // told for each load: coming, ready, leaving, gone
+	ordersPerLoad    = 2.5  // load, unload, and some refused
+	looksPerOrder    = 25   // at the engine's report, each 10 ms, while a load is under way
+	wishesAtOnce     = 8
+	storeReadsBudget = 2000.0 // a second that the platform's store takes of all daemons today
+)
+
 // rows works out the roles.
 func (m Measured) rows(t Target) []row {
 	perRegion := t.Workers / t.Regions
@@ -222,6 +249,13 @@
 	force := m.Force.Fit().At(t.Entries + t.Workers)
 	loads := t.LoadsPerWorker * t.Workers
 	waking := t.Adapters * t.Waking / 3600
+	missed := perEntry * missShare
+	gatewayCPU := (m.Placing.Fit().At(perRegion)*(perEntry-missed) + m.Asking.Fit().At(perRegion)*missed) / 1e9
+	regionLoads := t.LoadsPerWorker * perRegion
+	holdings := m.Change * regionLoads * changesPerLoad
+	keeperCPU := m.Choosing.Fit().At(wishesAtOnce) * t.LoadsPerWorker * ordersPerLoad * looksPerOrder / 1e9
+	keeperSends := m.Change * t.LoadsPerWorker * changesPerLoad * entriesPerRegion
+	reads := m.StoreReads.Fit().At(t.Entries) / 3600
 	core := func(x float64) string { return fmt.Sprintf("%.3f%% of a core", 100*x) }
 	mb := func(x float64) string { return fmt.Sprintf("%.0f MB", x/(1<<20)) }
 	kb := func(x float64) string { return fmt.Sprintf("%.1f KB/s", x/1024) }
@@ -241,6 +275,11 @@
 		{"log", "appends for configuration", fmt.Sprintf("%.2f appends/s", changes), fmt.Sprintf("%.0f appends/s", t.LogAppends), changes > t.LogAppends, "one record for each publication"},
 		{"log", "time to force a change in " + fmt.Sprintf("%.0f processes", t.Entries+t.Workers), fmt.Sprintf("%.1f s", force/1000), fmt.Sprintf("%.0f s", t.BudgetForceMS/1000), force > t.BudgetForceMS, "long reads of the log"},
 		{"log", fmt.Sprintf("all %.0f agents of a region restart", perRegion), fmt.Sprintf("%.1f s, %.0f records", recovery/1000, perRegion), fmt.Sprintf("%.0f s", t.BudgetForceMS/1000), recovery > t.BudgetForceMS, "one start record each; reads in pages; retries with jitter"},
+		{"gateway", fmt.Sprintf("decisions, %.0f requests/s over %.0f engines", perEntry, perRegion), core(gatewayCPU), budgetCore, gatewayCPU > t.BudgetCore, "rendezvous over the engines, an index of who holds what"},
+		{"gateway", fmt.Sprintf("hearing of %.0f loads/s in its region", regionLoads), kb(holdings), budgetKB, holdings > t.BudgetBytes, "keepers tell every gateway each change; would change: only gateways that asked for or use the adapter"},
+		{"gateway", fmt.Sprintf("readings of the list by %.0f gateways together", t.Entries), fmt.Sprintf("%.1f reads/s", reads), fmt.Sprintf("%.0f reads/s", storeReadsBudget), reads > storeReadsBudget, "one reads for all; the others take its word while it is fresh"},
+		{"keeper", "choice of orders", core(keeperCPU), budgetCore, keeperCPU > t.BudgetCore, "pure core, a report of the engine before each order"},
+		{"keeper", fmt.Sprintf("telling %.0f gateways of its changes", entriesPerRegion), kb(keeperSends), budgetKB, keeperSends > t.BudgetBytes, "as above, seen from the other side"},
 		{"stores", fmt.Sprintf("adapters that wake, %.1f/s", waking), fmt.Sprintf("%.1f%% of the loads", 100*waking/loads), fmt.Sprintf("%.0f loads/s", loads), waking > loads, "every load is earned: joined waits, value for store time, early refusal"},
 	}
 }
--- a/decide/turn.go
+++ b/decide/turn.go
@@ -17,6 +17,7 @@
 	start     time.Time // stamps count from here
 	part      float64   // of the spread that is this process's, 0 to 1
 	asOf      time.Time // what is known was true then, or later
+	own       bool      // by a reading of this process
 	doubtAt   time.Time // something contradicted it then
 	leaderAt  time.Time // when a process with a lower id was last heard
 	notBefore time.Time // no reading of its own before
@@ -36,7 +37,8 @@
 const (
 	// turnSlack and turnSpread are how much later than Every a process reads that
 	// relies on others, as parts of it: the slack lets the usual word arrive, the
-	// spread keeps all from reading at once when it does not.
+	// spread keeps all from reading at once when it does not. When the process
+	// with the lowest id is gone, the others step in within the slack.
 	turnSlack  = 0.15
 	turnSpread = 0.25
 	// leaderLife is how long a process with a lower id counts after its last
@@ -63,8 +65,11 @@
 	due := t.asOf
 	switch {
 	case t.asOf.IsZero():
-	case t.reads(now):
+	case t.reads(now) && t.own:
 		due = due.Add(t.cfg.Pause)
+	case t.reads(now):
+		late := time.Duration(turnSlack * t.part * float64(t.cfg.Every))
+		due = due.Add(t.cfg.Pause + late)
 	default:
 		late := 1 + turnSlack + turnSpread*t.part
 		due = due.Add(time.Duration(late * float64(t.cfg.Every)))
@@ -103,7 +108,7 @@
 // Read records a reading of this process: all that was true at a time is known.
 // It returns the stamp for the word to the others.
 func (t *ReadTurn) Read(asOf time.Time) time.Duration {
-	t.renew(asOf)
+	t.renew(asOf, true)
 	return asOf.Sub(t.start)
 }
 
@@ -121,7 +126,7 @@
 	if least, ok := t.lags[from]; !ok || lag < least {
 		t.lags[from] = lag
 	}
-	t.renew(t.start.Add(stamp + t.lags[from]))
+	t.renew(t.start.Add(stamp+t.lags[from]), false)
 	if from < t.self {
 		t.leaderAt = now
 	}
@@ -134,8 +139,9 @@
 // forgotten with the rest.
 const maxReaders = 1024
 
-func (t *ReadTurn) renew(asOf time.Time) {
+func (t *ReadTurn) renew(asOf time.Time, own bool) {
 	if asOf.After(t.asOf) {
 		t.asOf = asOf
+		t.own = own
 	}
 }
--- a/decide/turn_test.go
+++ b/decide/turn_test.go
@@ -1,6 +1,7 @@
 package decide_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -59,6 +60,51 @@
 		Expect(due(b)).To(Equal(every))
 	})
 
+	It("does not have all step in at once for one that is gone", func() {
+		const n = 200
+		var turns []*decide.ReadTurn
+		var ids []wardturn.Incarnation
+		for i := range n {
+			ids = append(ids, wardturn.Incarnation(fmt.Sprintf("%03d", i)))
+			turns = append(turns, turn(ids[i]))
+		}
+		read := func(i int) {
+			stamp := turns[i].Read(now)
+			for j, t := range turns {
+				if j != i {
+					t.Heard(now, ids[i], stamp)
+				}
+			}
+		}
+		reads := 0
+		step := func() { // a word takes a step
+			now = now.Add(time.Millisecond)
+			var all []int
+			for i := range turns {
+				if due(turns[i]) <= 0 {
+					all = append(all, i)
+				}
+			}
+			for _, i := range all {
+				read(i)
+			}
+			reads += len(all)
+		}
+		read(0)
+		for range 5000 {
+			step()
+		}
+		Expect(reads).To(BeNumerically("<=", 8))
+		for range 5 {
+			turns, ids = turns[1:], ids[1:]
+			reads = 0
+			for range 5000 {
+				step()
+			}
+			Expect(reads).To(BeNumerically("<=", 25)) // one a second, and some until the lowest is found
+		}
+	})
+
 	It("takes a word that was held up on the way for as old as it is", func() {
 		a, b := turn("a"), turn("b")
 		now = now.Add(time.Minute)
