--- /dev/null
+++ b/decide/fleet_loads_test.go
@@ -0,0 +1,195 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+var _ = Describe("Loads that a fleet asks for", func() {
+	var x *fleetRig
+	BeforeEach(func() {
+		x = newFleetRig()
+	})
+
+	It("asks one engine for an adapter that is nowhere, and lets all who want it wait", func() {
+		for i := range 5 {
+			x.admit(fmt.Sprint("r", i), "a")
+		}
+		Expect(x.out.Asks).To(HaveLen(1))
+		Expect(x.got).To(BeEmpty())
+		x.now = x.now.Add(250 * time.Millisecond)
+		x.hold(string(x.out.Asks[0].Upstream), readyAdapter("a", 1))
+		Expect(x.got).To(HaveLen(4)) // a batch is full
+		x.tick(100 * time.Millisecond)
+		for _, a := range x.got {
+			Expect(a.Member.ID).To(Equal(x.out.Asks[0].Upstream))
+		}
+	})
+
+	It("agrees with other gateways on the engine that loads a cold adapter", func() {
+		other := decide.NewFleet(decide.FleetConfig{
+			Domain: "far",
+		})
+		other.SetTable(fleetTable(&wardturn.EngineSpec{
+			Batch:        4,
+			AdapterSlots: 2,
+		}))
+		other.SetMembers(fleetMembers())
+		var theirs decide.Moves
+		for _, m := range fleetMembers() {
+			other.SetHolding(x.now, m.ID, decide.Holding{
+				Connected: true,
+				Known:     true,
+				Full:      true,
+				Models:    []wardturn.BaseModel{"m"},
+			}, &theirs)
+		}
+		for i := range 4 {
+			name := fmt.Sprint("a", i)
+			x.admit(name, name)
+			other.Admit(x.now, x.ticket(name, name), &theirs)
+		}
+		Expect(x.out.Asks).To(HaveLen(4))
+		Expect(theirs.Asks).To(Equal(x.out.Asks))
+	})
+
+	It("asks first for the adapter asked for last when loads are behind", func() {
+		for i := range 4 {
+			x.admit(fmt.Sprint("r", i), fmt.Sprint("a", i))
+		}
+		x.admit("early", "early")
+		x.now = x.now.Add(10 * time.Millisecond)
+		x.admit("late", "late")
+		Expect(x.out.Asks).To(HaveLen(4))
+		x.hold(string(x.out.Asks[0].Upstream), readyAdapter(string(x.out.Asks[0].Adapter.Adapter), 1))
+		Expect(x.out.Asks).To(HaveLen(5))
+		Expect(x.out.Asks[4].Adapter.Adapter).To(BeEquivalentTo("late"))
+	})
+
+	It("gives up a load whose requests have not come back", func() {
+		x.admit("r", "a")
+		x.tick(430 * time.Millisecond)
+		Expect(x.got["r"].Reason).To(Equal(wardturn.ReasonLoading))
+		for range 4 {
+			x.tick(300 * time.Millisecond)
+		}
+		Expect(x.f.Levels(x.now).Asked).To(BeZero())
+		asks := len(x.out.Asks)
+		x.tick(300 * time.Millisecond)
+		Expect(x.out.Asks).To(HaveLen(asks))
+	})
+
+	It("joins the load that another gateway asked an engine for", func() {
+		for i, m := range fleetMembers() {
+			name := fmt.Sprint("a", i)
+			x.hold(string(m.ID), decide.HeldVersion{
+				Adapter: adapterVersion(name, 1),
+				Loading: true,
+			})
+			x.admit(name, name)
+			Expect(x.out.Asks[i].Upstream).To(Equal(m.ID))
+		}
+	})
+
+	It("keeps to the home of an adapter when others are on their way to it", func() {
+		x.admit("first", "a")
+		home := x.out.Asks[0].Upstream
+		x.tick(2 * time.Second) // nobody wants it any more
+		x.out.Asks = nil
+		var coming []decide.HeldVersion
+		for i := range decide.MaxComing {
+			coming = append(coming, decide.HeldVersion{
+				Adapter: adapterVersion(fmt.Sprint("b", i), 1),
+				Loading: true,
+			})
+		}
+		x.hold(string(home), coming...)
+		for range 4 {
+			x.tick(time.Second)
+		}
+		x.admit("second", "a")
+		Expect(x.out.Asks[len(x.out.Asks)-1].Upstream).To(Equal(home))
+	})
+
+	It("tells a request when to come back once it has waited its part, and loads for it meanwhile", func() {
+		x.admit("r", "a")
+		x.tick(400 * time.Millisecond)
+		Expect(x.got).To(BeEmpty())
+		x.tick(30 * time.Millisecond)
+		Expect(x.got["r"].Member.ID).To(BeEmpty())
+		Expect(x.got["r"].Reason).To(Equal(wardturn.ReasonLoading))
+		Expect(x.got["r"].RetryAfter).To(BeNumerically(">", 0))
+		x.hold(string(x.out.Asks[0].Upstream), readyAdapter("a", 1))
+		x.admit("again", "a")
+		Expect(x.got["again"].Member.ID).To(Equal(x.out.Asks[0].Upstream))
+	})
+
+	It("bounds the loads that it asked for, and asks for those most wanted first", func() {
+		for i := range 4 {
+			x.admit(fmt.Sprint("r", i), fmt.Sprint("a", i))
+		}
+		x.admit("one", "single")
+		x.admit("two", "wanted")
+		x.admit("three", "wanted")
+		Expect(x.out.Asks).To(HaveLen(4))
+		x.hold(string(x.out.Asks[0].Upstream), readyAdapter(string(x.out.Asks[0].Adapter.Adapter), 1))
+		Expect(x.out.Asks).To(HaveLen(5))
+		Expect(x.out.Asks[4].Adapter.Adapter).To(BeEquivalentTo("wanted"))
+	})
+
+	It("does not count a load from the engine's own memory in the window", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		x.hold("n1", readyAdapter("a", 1))
+		x.hold("f0", readyAdapter("a", 1))
+		x.hold("f1", readyAdapter("a", 1))
+		for _, m := range fleetMembers() {
+			x.hold(string(m.ID))
+		}
+		for i := range 4 {
+			x.admit(fmt.Sprint("r", i), fmt.Sprint("b", i))
+		}
+		x.admit("warm", "a")
+		Expect(x.out.Asks).To(HaveLen(5))
+	})
+
+	It("asks another engine when a load takes too long", func() {
+		x.admit("r", "a")
+		first := x.out.Asks[0].Upstream
+		for range 12 {
+			x.tick(100 * time.Millisecond)
+			x.admit("r", "a")
+		}
+		Expect(x.out.Asks[len(x.out.Asks)-1].Upstream).NotTo(Equal(first))
+	})
+
+	It("loads an adapter near once much was sent to a far one", func() {
+		x.hold("f0", readyAdapter("a", 1))
+		for range 4 {
+			t := x.admit("r", "a")
+			x.f.Ended(x.now, x.got["r"].Member.ID, t.Key, decide.EndedWell)
+		}
+		Expect(x.out.Asks).To(BeEmpty())
+		x.admit("r", "a")
+		Expect(x.out.Asks).To(HaveLen(1))
+		Expect(string(x.out.Asks[0].Upstream)).To(HavePrefix("n"))
+	})
+
+	It("keeps serving what an engine held when its keeper is lost, and asks it for nothing", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		x.f.KeeperLost("n0")
+		x.admit("r", "a")
+		Expect(x.got["r"].Member.ID).To(BeEquivalentTo("n0"))
+		for i := range 20 {
+			x.admit(fmt.Sprint("x", i), fmt.Sprint("x", i))
+		}
+		for _, a := range x.out.Asks {
+			Expect(a.Upstream).NotTo(BeEquivalentTo("n0"))
+		}
+	})
+})
--- /dev/null
+++ b/decide/fleet_rig_test.go
@@ -0,0 +1,134 @@
+package decide_test
+
+import (
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+// fleetService is the service of the engines of a fleetRig.
+const fleetService = wardturn.ServiceName("llm")
+
+// fleetRig is a gateway's view of two near and two far engines, with what it
+// decided.
+type fleetRig struct {
+	f   *decide.Fleet
+	now time.Time
+	got map[string]decide.Assignment // by request
+	out decide.Moves
+}
+
+func adapterKey(name string) wardturn.ModelAdapter {
+	return wardturn.ModelAdapter{
+		Model:   "m",
+		Adapter: wardturn.AdapterID(name),
+	}
+}
+
+func adapterVersion(name string, v wardturn.Version) wardturn.AdapterVersion {
+	return wardturn.AdapterVersion{
+		Model:   "m",
+		Adapter: wardturn.AdapterID(name),
+		Version: v,
+	}
+}
+
+func readyAdapter(name string, v wardturn.Version) decide.HeldVersion {
+	return decide.HeldVersion{
+		Adapter: adapterVersion(name, v),
+		Ready:   true,
+	}
+}
+
+func fleetTable(engine *wardturn.EngineSpec) *wardturn.RouteTable {
+	return &wardturn.RouteTable{
+		Version: 1,
+		Services: map[wardturn.ServiceName]wardturn.ServiceSpec{
+			fleetService: {
+				Name:   fleetService,
+				Engine: engine,
+			},
+		},
+	}
+}
+
+func fleetMembers() []wardturn.Member {
+	member := func(id, domain string) wardturn.Member {
+		return wardturn.Member{
+			ID:      wardturn.UpstreamID(id),
+			Service: fleetService,
+			Addr:    id + ":1",
+			Domain:  wardturn.FailureDomain(domain),
+			Slots:   4,
+		}
+	}
+	return []wardturn.Member{
+		member("n0", "near"),
+		member("n1", "near"),
+		member("f0", "far"),
+		member("f1", "far"),
+	}
+}
+
+// newFleetRig returns engines that hold nothing.
+func newFleetRig() *fleetRig {
+	x := &fleetRig{
+		now: start,
+		got: make(map[string]decide.Assignment),
+		f: decide.NewFleet(decide.FleetConfig{
+			Domain:     "near",
+			HoldPart:   0.7,
+			CrossBytes: 5000,
+			Window: decide.WindowConfig{
+				Start: 4,
+				Most:  4,
+			},
+		}),
+	}
+	x.f.SetTable(fleetTable(&wardturn.EngineSpec{
+		Batch:        4,
+		AdapterSlots: 2,
+	}))
+	x.f.SetMembers(fleetMembers())
+	for _, m := range fleetMembers() {
+		x.hold(string(m.ID))
+	}
+	return x
+}
+
+// hold has an engine's keeper tell all that it holds.
+func (x *fleetRig) hold(id string, adapters ...decide.HeldVersion) {
+	x.f.SetHolding(x.now, wardturn.UpstreamID(id), decide.Holding{
+		Connected: true,
+		Known:     true,
+		Full:      true,
+		Models:    []wardturn.BaseModel{"m"},
+		Adapters:  adapters,
+	}, &x.out)
+}
+
+func (x *fleetRig) ticket(id, adapter string) *decide.Ticket {
+	return &decide.Ticket{
+		Service:   fleetService,
+		Key:       adapterKey(adapter),
+		Arrived:   x.now,
+		Objective: 600 * time.Millisecond,
+		Deadline:  x.now.Add(5 * time.Second),
+		Bytes:     1000,
+		Assign: func(a decide.Assignment) {
+			x.got[id] = a
+		},
+	}
+}
+
+func (x *fleetRig) admit(id, adapter string) *decide.Ticket {
+	t := x.ticket(id, adapter)
+	x.f.Admit(x.now, t, &x.out)
+	return t
+}
+
+func (x *fleetRig) tick(d time.Duration) {
+	x.now = x.now.Add(d)
+	x.f.Tick(x.now, &x.out)
+}
--- /dev/null
+++ b/decide/fleet_versions_test.go
@@ -0,0 +1,50 @@
+package decide_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Versions in a fleet", func() {
+	var x *fleetRig
+	BeforeEach(func() {
+		x = newFleetRig()
+	})
+
+	It("does not send to an engine with an old version that was named before its start", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		x.f.SetVersion(x.now, adapterVersion("a", 2), false, &x.out)
+		Expect(x.out.Asks).To(HaveLen(1))
+		Expect(x.out.Asks[0].Adapter).To(Equal(adapterVersion("a", 2)))
+		Expect(x.out.Asks[0].Upstream).To(BeEquivalentTo("n0"))
+		x.admit("r", "a")
+		Expect(x.got).To(BeEmpty())
+		x.hold("n0", readyAdapter("a", 2))
+		Expect(x.got["r"].Version).To(BeEquivalentTo(2))
+	})
+
+	It("loads a new version beside the old one, moves the requests, and then replaces the old", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		x.f.SetVersion(x.now, adapterVersion("a", 2), true, &x.out)
+		Expect(x.out.Asks).To(HaveLen(1))
+		beside := x.out.Asks[0].Upstream
+		Expect(beside).NotTo(BeEquivalentTo("n0"))
+		x.admit("old", "a")
+		Expect(x.got["old"].Version).To(BeEquivalentTo(1))
+		x.hold(string(beside), readyAdapter("a", 2))
+		x.admit("new", "a")
+		Expect(x.got["new"].Member.ID).To(Equal(beside))
+		Expect(x.got["new"].Version).To(BeEquivalentTo(2))
+		Expect(x.out.Asks[len(x.out.Asks)-1].Upstream).To(BeEquivalentTo("n0"))
+	})
+
+	It("lets an old version serve no longer than its grace", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		x.f.SetVersion(x.now, adapterVersion("a", 2), true, &x.out)
+		x.now = x.now.Add(3 * time.Second)
+		x.admit("r", "a")
+		Expect(x.got).To(BeEmpty())
+	})
+})
