--- /dev/null
+++ b/control/check.go
@@ -0,0 +1,230 @@
+package control
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+
+	"wardturn"
+	"wardturn/policy"
+	"wardturn/report"
+)
+
+// CheckDoc checks a document before publication. The error is a *DocProblem.
+func CheckDoc(file string, key Key, body []byte) error {
+	if !wardturn.ValidName(NameOf(key)) {
+		return docProblem(file, 1, fmt.Sprintf("key %q is not kind/name", key))
+	}
+	doc, err := newDoc(KindOf(key))
+	if err != nil {
+		return docProblem(file, 1, err.Error())
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(body))
+	dec.KnownFields(true)
+	if err := dec.Decode(doc); err != nil {
+		return docProblem(file, lineOf(err), strings.TrimPrefix(err.Error(), "yaml: "))
+	}
+	if field, reason := doc.problem(); reason != "" {
+		return docProblem(file, lineOfField(body, field), field+" "+reason)
+	}
+	return doc.deep(file, body)
+}
+
+func docProblem(file string, line int, reason string) error {
+	return &DocProblem{
+		File:   file,
+		Line:   line,
+		Reason: reason,
+	}
+}
+
+var lineNumber = regexp.MustCompile(`line (\d+)`)
+
+func lineOf(err error) int {
+	m := lineNumber.FindStringSubmatch(err.Error())
+	if m == nil {
+		return 1
+	}
+	n, _ := strconv.Atoi(m[1])
+	return n
+}
+
+// lineOfField returns the line of a top-level field, or 1.
+func lineOfField(body []byte, field string) int {
+	var n yaml.Node
+	if yaml.Unmarshal(body, &n) != nil || len(n.Content) == 0 {
+		return 1
+	}
+	for _, child := range n.Content[0].Content {
+		if child.Value == field {
+			return child.Line
+		}
+	}
+	return 1
+}
+
+// document is a typed document that can check itself.
+type document interface {
+	// problem returns the field at fault and the reason.
+	problem() (field, reason string)
+	// deep checks what needs the document's text.
+	deep(file string, body []byte) error
+}
+
+// shallow is embedded by documents that need no deep check.
+type shallow struct{}
+
+func (shallow) deep(string, []byte) error { return nil }
+
+type checkAdapter struct {
+	AdapterDoc `yaml:",inline"`
+	shallow    `yaml:"-"`
+}
+
+func (d *checkAdapter) problem() (field, reason string) {
+	switch {
+	case !wardturn.ValidName(string(d.BaseModel)):
+		return "base_model", "must be a name"
+	case d.Version < 1:
+		return "version", "must be 1 or more"
+	case slices.ContainsFunc(d.Versions, func(v wardturn.Version) bool { return v < 1 }):
+		return "versions", "must be 1 or more"
+	}
+	return "", ""
+}
+
+type checkService struct {
+	ServiceDoc `yaml:",inline"`
+	shallow    `yaml:"-"`
+}
+
+func (d *checkService) problem() (field, reason string) {
+	for _, m := range d.NotRepeatable {
+		switch m {
+		case "ALL", "GET", "POST", "PUT", "PATCH", "DELETE":
+		default:
+			return "not_repeatable", fmt.Sprintf("has %q, which is no method", m)
+		}
+	}
+	if d.Deadline < 0 {
+		return "deadline", "must not be negative"
+	}
+	return "", ""
+}
+
+type checkCaller struct {
+	CallerDoc `yaml:",inline"`
+	shallow   `yaml:"-"`
+}
+
+var digestForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func (d *checkCaller) problem() (field, reason string) {
+	for _, k := range d.KeyDigests {
+		if !digestForm.MatchString(k) {
+			return "key_digests", "must be SHA-256 in hexadecimal"
+		}
+	}
+	switch {
+	case d.Rate < 0:
+		return "rate", "must not be negative"
+	case d.Burst < 0:
+		return "burst", "must not be negative"
+	case d.Concurrency < 0:
+		return "concurrency", "must not be negative"
+	}
+	return "", ""
+}
+
+type checkTeam struct {
+	TeamDoc `yaml:",inline"`
+	shallow `yaml:"-"`
+}
+
+func (d *checkTeam) problem() (field, reason string) {
+	for _, k := range d.Operators {
+		if !digestForm.MatchString(k) {
+			return "operators", "must be SHA-256 in hexadecimal"
+		}
+	}
+	if d.Share < 0 {
+		return "share", "must not be negative"
+	}
+	return "", ""
+}
+
+type checkPolicy struct {
+	PolicyDoc `yaml:",inline"`
+}
+
+func (d *checkPolicy) problem() (field, reason string) {
+	if d.Active && d.Shadow {
+		return "shadow", "must not be set for an active policy"
+	}
+	return "", ""
+}
+
+// deep checks the program; the line is that of the document.
+func (d *checkPolicy) deep(file string, body []byte) error {
+	_, err := policy.Check(file, d.Source)
+	var p *policy.Problem
+	if !errors.As(err, &p) {
+		return err
+	}
+	return docProblem(file, lineOfField(body, "source")+p.Line, p.Reason)
+}
+
+type checkObjective struct {
+	ObjectiveDoc `yaml:",inline"`
+	shallow      `yaml:"-"`
+}
+
+func (d *checkObjective) problem() (field, reason string) {
+	switch {
+	case !slices.Contains(report.Indicators(), report.Indicator(d.Indicator)):
+		return "indicator", fmt.Sprintf("must be one of %v", report.Indicators())
+	case d.Target <= 0 || d.Target >= 1:
+		return "target", "must be between 0 and 1"
+	case d.Window <= 0:
+		return "window", "must be positive"
+	}
+	return "", ""
+}
+
+type checkDrain struct {
+	DrainDoc `yaml:",inline"`
+	shallow  `yaml:"-"`
+}
+
+func (d *checkDrain) problem() (field, reason string) {
+	if d.Reason == "" {
+		return "reason", "must be set"
+	}
+	return "", ""
+}
+
+func newDoc(kind string) (document, error) {
+	switch kind {
+	case KindAdapter:
+		return &checkAdapter{}, nil
+	case KindService:
+		return &checkService{}, nil
+	case KindCaller:
+		return &checkCaller{}, nil
+	case KindTeam:
+		return &checkTeam{}, nil
+	case KindPolicy:
+		return &checkPolicy{}, nil
+	case KindObjective:
+		return &checkObjective{}, nil
+	case KindDrain:
+		return &checkDrain{}, nil
+	}
+	return nil, errors.Newf("unknown kind %q", kind)
+}
--- /dev/null
+++ b/experiment/node.go
@@ -0,0 +1,154 @@
+package experiment
+
+import (
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/standin"
+)
+
+func (n *node) admit(c *call) {
+	req := n.sim.trace[c.index]
+	w := decide.Work{
+		Attempt: c.id,
+		Adapter: req.Ref(),
+		Class:   n.sim.samples[c.index].class,
+		Prompt:  req.PromptTokens,
+		Output:  req.OutputTokens,
+	}
+	if req.DeadlineMS > 0 {
+		w.Deadline = standin.Epoch.Add(req.At() + time.Duration(req.DeadlineMS)*time.Millisecond)
+	}
+	n.calls[c.id] = c
+	n.agent.Admit(n.sim.clock.Now(), w, &n.orders)
+	n.carryOut()
+}
+
+// carryOut does what the agent core ordered, and what it orders in turn.
+func (n *node) carryOut() {
+	out := n.orders
+	n.orders = decide.Orders{}
+	for _, r := range out.Refuse {
+		c := n.calls[r.Attempt]
+		delete(n.calls, r.Attempt)
+		n.sim.reply(c, r.Outcome)
+	}
+	for _, o := range out.Unload {
+		n.unload(o)
+	}
+	for _, o := range out.Load {
+		n.load(o)
+	}
+	for _, st := range out.Run {
+		n.start(st)
+	}
+	for _, w := range out.Wish {
+		n.wish(w)
+	}
+}
+
+func (n *node) event(f func(now time.Time, out *decide.Orders)) {
+	f(n.sim.clock.Now(), &n.orders)
+	n.carryOut()
+}
+
+// order returns an order of the agent core as the engine takes it.
+func order(o decide.SlotOrder) wardturn.SlotOrder {
+	return wardturn.SlotOrder{
+		ID:      o.ID,
+		Fence:   1,
+		Adapter: o.Adapter,
+	}
+}
+
+func (n *node) load(o decide.SlotOrder) {
+	n.engine.Load(order(o), func(err error) {
+		n.event(func(now time.Time, out *decide.Orders) {
+			n.agent.Loaded(now, o.ID, orderResult(err), out)
+		})
+	})
+}
+
+func (n *node) unload(o decide.SlotOrder) {
+	n.engine.Unload(order(o), func(err error) {
+		n.event(func(now time.Time, out *decide.Orders) {
+			n.agent.Unloaded(now, o.ID, orderResult(err), out)
+		})
+	})
+}
+
+func orderResult(err error) decide.OrderResult {
+	switch err {
+	case nil:
+		return decide.OrderDone
+	case wardturn.ErrStoreBusy:
+		return decide.OrderStoreBusy
+	}
+	return decide.OrderRefused
+}
+
+func (n *node) start(st decide.Start) {
+	c := n.calls[st.Attempt]
+	req := n.sim.trace[c.index]
+	sm := &n.sim.samples[c.index]
+	sm.stall = st.Stalled
+	sm.wait = n.sim.elapsed() - c.sentAt
+	gen := standin.Generation{
+		Request: wardturn.EngineRequest{
+			Attempt:  c.id,
+			Adapter:  req.Ref(),
+			Priority: int(sm.class),
+			Prompt:   req.PromptTokens,
+			Output:   req.OutputTokens,
+			Path:     string(req.Caller),
+		},
+		Token: func(i int) {
+			if i == 0 {
+				sm.ttft = n.sim.elapsed() - c.sentAt
+			}
+		},
+		End: func(_ wardturn.EngineResult, err error) {
+			n.finish(c, err)
+		},
+	}
+	if err := n.engine.Submit(gen); err != nil {
+		n.event(func(now time.Time, out *decide.Orders) {
+			n.agent.NotLoaded(now, c.id, out)
+		})
+	}
+}
+
+func (n *node) finish(c *call, err error) {
+	delete(n.calls, c.id)
+	n.event(func(now time.Time, out *decide.Orders) {
+		n.agent.Finished(now, c.id, out)
+	})
+	outcome := wardturn.Finished()
+	if err != nil {
+		outcome = wardturn.Uncertain(wardturn.ReasonUpstreamLost)
+	}
+	n.sim.reply(c, outcome)
+}
+
+func (n *node) tick() {
+	n.event(n.agent.Tick)
+	n.sim.clock.AfterFunc(tickEvery, n.tick)
+}
+
+func (n *node) report() {
+	rep := n.engine.Report()
+	n.event(func(now time.Time, out *decide.Orders) {
+		n.agent.Report(now, rep, out)
+	})
+	n.sim.clock.AfterFunc(reportEvery, n.report)
+}
+
+func (n *node) wish(w decide.Wish) {
+	if n.alloc == nil {
+		return
+	}
+	n.sim.clock.AfterFunc(n.sim.setup.Hop, func() {
+		n.alloc.send(n.alloc.core.Wish(n.sim.clock.Now(), w, nil))
+	})
+}
--- /dev/null
+++ b/standin/engineorders.go
@@ -0,0 +1,103 @@
+package standin
+
+import (
+	"slices"
+
+	"wardturn"
+)
+
+// Load fetches an adapter version into a free slot and calls done once.
+func (e *Engine) Load(order wardturn.SlotOrder, done func(error)) {
+	e.mu.Lock()
+	again, err := e.accept(order)
+	if err == nil && !again && e.find(order.Adapter) < 0 {
+		err = e.reserve(order)
+	} else if err == nil {
+		again = true
+	}
+	start := e.starts
+	e.mu.Unlock()
+	if err != nil || again {
+		done(err)
+		return
+	}
+	e.store.Fetch(order.Adapter, func(err error) {
+		done(e.loaded(start, order, err))
+	})
+}
+
+// accept checks the fence and whether the order was carried out before.
+func (e *Engine) accept(order wardturn.SlotOrder) (again bool, err error) {
+	if !e.cfg.ChecksFences {
+		return false, nil
+	}
+	if order.Fence < e.fence {
+		return false, wardturn.ErrFenced
+	}
+	if order.Fence > e.fence {
+		e.fence = order.Fence
+		clear(e.orders)
+	}
+	return e.orders[order.ID], nil
+}
+
+func (e *Engine) reserve(order wardturn.SlotOrder) error {
+	if slices.Contains(e.loading, order.Adapter) {
+		return wardturn.ErrNoSlot
+	}
+	if len(e.resident)+len(e.loading) >= e.cfg.Slots {
+		return wardturn.ErrNoSlot
+	}
+	e.loading = append(e.loading, order.Adapter)
+	return nil
+}
+
+func (e *Engine) loaded(start int, order wardturn.SlotOrder, err error) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if start != e.starts {
+		return wardturn.ErrUnavailable
+	}
+	if i := slices.Index(e.loading, order.Adapter); i >= 0 {
+		e.loading = slices.Delete(e.loading, i, i+1)
+	}
+	if err != nil {
+		return err
+	}
+	e.orders[order.ID] = true
+	e.resident = append(e.resident, residentAdapter{
+		ref: order.Adapter,
+	})
+	return nil
+}
+
+// Unload frees the slot of an adapter version and calls done once.
+func (e *Engine) Unload(order wardturn.SlotOrder, done func(error)) {
+	err := e.unload(order)
+	if err != nil {
+		done(err)
+		return
+	}
+	e.clock.AfterFunc(e.cfg.Unload, func() {
+		done(nil)
+	})
+}
+
+func (e *Engine) unload(order wardturn.SlotOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	again, err := e.accept(order)
+	if err != nil || again {
+		return err
+	}
+	i := e.find(order.Adapter)
+	if i < 0 {
+		return nil
+	}
+	if e.resident[i].running > 0 {
+		return wardturn.ErrAdapterBusy
+	}
+	e.orders[order.ID] = true
+	e.resident = slices.Delete(e.resident, i, i+1)
+	return nil
+}
