--- a/decide/want.go
+++ b/decide/want.go
@@ -52,7 +52,7 @@
 }
 
 // home returns the engine that should load an adapter: the first in the order
-// of homes that does not hold it and has room on the way. If a long prompt waits
+// of homes that does not hold it and is not full. If a long prompt waits
 // for it, an engine that would not stall others by reading it comes first.
 func (f *Fleet) home(now time.Time, w *want) *Member {
 	return f.homeFor(now, w, w.longestPrompt())
