Attempt ids of the gateway's tests are taken atomically

Cause: go test -race ./gateway showed the tests' own counter of attempts written by several goroutines, so two requests could carry one id; the daemons' code had no race (gateway, keeper, decide, peer, process and cli/fleet ran under the race detector).

Change: an atomic counter; the route that four tests add is a constant.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -168,11 +168,9 @@
 		}
 		slow := func() float64 {
 			var wg sync.WaitGroup
-			first := attempts
-			attempts += 4
-			for i := range 4 { // at once, so that both engines have some
+			for range 4 { // at once, so that both engines have some
 				wg.Go(func() {
-					x.send("POST", fmt.Sprint("pace", first+i), "/ask/x", "m0", "prompt")
+					x.get("pace", "/ask/x", "m0")
 				})
 			}
 			wg.Wait()
@@ -228,7 +226,7 @@
 
 	It("puts a new configuration in force and keeps it when the store is away", func() {
 		Expect(x.get("new", "/new/", "").status).To(Equal(http.StatusNotFound))
-		x.store.PutConfig(config(2, `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		x.store.PutConfig(config(2, newRoute))
 		Eventually(func() int {
 			return x.get("new", "/new/", "").status
 		}, soon, often).Should(Equal(http.StatusOK))
@@ -246,7 +244,7 @@
 		x.store.PutConfig(config(2, "")) // ends the present read; the next hangs
 		time.Sleep(100 * time.Millisecond)
 		x.store.SetFaults(standin.MetaFaults{})
-		x.store.PutConfig(config(3, `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		x.store.PutConfig(config(3, newRoute))
 		Eventually(func() int {
 			return x.get("new", "/new/", "").status
 		}, 3*time.Second, often).Should(Equal(http.StatusOK))
--- a/gateway/news_test.go
+++ b/gateway/news_test.go
@@ -66,7 +66,7 @@
 
 	It("learn of a change at once", func() {
 		time.Sleep(100 * time.Millisecond)
-		x.store.PutConfig(config(2, `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		x.store.PutConfig(config(2, newRoute))
 		Eventually(func() int {
 			return x.get("new", "/new/", "").status
 		}, 400*time.Millisecond, often).Should(Equal(http.StatusOK))
@@ -75,7 +75,7 @@
 	It("read by themselves when they hear nothing", func() {
 		time.Sleep(600 * time.Millisecond)
 		x.gateway.Close()
-		x.store.PutConfig(config(2, `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`))
+		x.store.PutConfig(config(2, newRoute))
 		Eventually(func() int {
 			return x.get("new", "/new/", "").status
 		}, 2*time.Second, often).Should(Equal(http.StatusOK))
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,6 +68,9 @@
 "services":[{"name":"llm","max_conns":50,"engine":{"slots":8,"adapter_slots":2,"models":[{"name":"m0","load_s":0.1}]}},{"name":"app","max_conns":50}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
+// newRoute is a route to add to the configuration.
+const newRoute = `,{"name":"new","host":"h.example","path_prefix":"/new/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`
+
 func config(version int, more string) string {
 	return fmt.Sprintf(rigConfig, version, more)
 }
@@ -230,7 +234,8 @@
 	err    error // the answer was cut
 }
 
-var attempts int
+// attempts numbers the attempts of all tests, so that each has an id of its own.
+var attempts atomic.Int64
 
 // get sends a request to the front and reads the answer. The attempt's id starts
 // with name.
@@ -260,8 +265,7 @@
 }
 
 func (x *rig) get(name, path, model string) reply {
-	attempts++
-	return x.send("POST", fmt.Sprintf("%s-%d", name, attempts), path, model, "prompt")
+	return x.send("POST", fmt.Sprintf("%s-%d", name, attempts.Add(1)), path, model, "prompt")
 }
 
 // runs counts the runs of an attempt at all workers.
