--- a/control/state.go
+++ b/control/state.go
@@ -276,11 +276,6 @@
 	return s.snapAt
 }
 
-// LogTime returns the time of the newest record.
-func (s *State) LogTime() time.Time {
-	return s.logTime
-}
-
 func (s *State) remember(res Result) {
 	s.results[res.ID] = res
 	s.recent = append(s.recent, res.ID)
