An adapter that is being replaced counts twice among an engine's places

An adapter that is there and coming in a newer version was counted once, but the copy that comes takes a place of its own until it replaces the old one, so one more adapter was ordered while a place seemed free.

Ruled out: orders carried out late (each names the sequence number at which the places were counted, which only orders move), two keepers at once (fences).

Change: all adapters on their way count; while only a replacement is in the way, nothing is unloaded for it.

Test: 'counts an adapter that is being replaced twice' fails without it.

--- a/decide/places.go
+++ b/decide/places.go
@@ -276,17 +276,25 @@
 	})
 }
 
-// occupied counts the adapter slots that are taken or promised.
+// occupied counts the adapter slots that are taken or promised. An adapter that
+// is being replaced by a newer version takes two: the old copy stays until the new
+// one is there.
 func (p *Places) occupied() int {
+	n := len(p.state.Loading)
+	for _, m := range p.state.Models {
+		n += len(m.Adapters)
+	}
+	return n
+}
+
+// replacing counts the adapters that are being replaced.
+func (p *Places) replacing() int {
 	n := 0
 	for _, a := range p.state.Loading {
-		if _, ok := p.resident(a.Key()); !ok {
+		if _, ok := p.resident(a.Key()); ok {
 			n++
 		}
 	}
-	for _, m := range p.state.Models {
-		n += len(m.Adapters)
-	}
 	return n
 }
 
@@ -357,6 +365,9 @@
 	if p.occupied() < p.spec.AdapterSlots {
 		return load, true
 	}
+	if p.occupied()-p.replacing() < p.spec.AdapterSlots {
+		return PlaceOrder{}, false // there is room once the replacement is done
+	}
 	victim, ok := p.victim(now, p.value(now, key))
 	if !ok || !p.noticed(now, victim) {
 		return PlaceOrder{}, false
--- a/decide/places_test.go
+++ b/decide/places_test.go
@@ -67,6 +67,19 @@
 		now = now.Add(d)
 	}
 
+	It("counts an adapter that is being replaced twice", func() {
+		report([]string{"a"}, "a", "b")
+		wish("c", 1)
+		none()
+		pass(10 * time.Millisecond)
+		none() // nor is one unloaded for it
+		report(nil, "a", "b")
+		expect(decide.PlaceOrder{
+			Target:  key("c"),
+			Version: 1,
+		})
+	})
+
 	It("loads first what most requests wait for at all gateways together", func() {
 		report(nil)
 		for _, g := range []wardturn.Incarnation{"g1", "g2", "g3"} {
