--- a/capacity/page.go
+++ b/capacity/page.go
@@ -213,11 +213,11 @@
 // What the rows of the daemons on the users' platform assume, from days of the
 // bench with 28 gateways and 50 engines.
 const (
-	missShare        = 0.15 // requests whose adapter no engine holds
-	changesPerLoad   = 4.2  // told for each load: coming, ready, leaving, gone
-	ordersPerLoad    = 2.5  // load, unload, and some refused
-	looksPerOrder    = 25   // at the engine's report, each 10 ms, while a load is under way
-	wishesAtOnce     = 8
+	missShare        = 0.15   // requests whose adapter no engine holds
+	changesPerLoad   = 4.2    // told for each load: coming, ready, leaving, gone
+	ordersPerLoad    = 2.5    // load, unload, and some refused
+	looksPerOrder    = 25     // at the engine's report, each 10 ms, while a load is under way
+	wishesAtOnce     = 64     // in a burst
 	storeReadsBudget = 2000.0 // a second that the platform's store takes of all daemons today
 )
 
