--- a/gateway/send.go
+++ b/gateway/send.go
@@ -23,9 +23,11 @@
 	errStrangers = errors.New("gateway: answers to other requests")
 )
 
-// hopHeaders concern one connection only and are not passed on.
+// hopHeaders concern one connection only and are not passed on. Expect is among
+// them: the gateway has read the whole body before it sends any of it.
 var hopHeaders = []string{
 	"Connection",
+	"Expect",
 	"Keep-Alive",
 	"Proxy-Connection",
 	"Te",
@@ -160,7 +162,8 @@
 	maxPriority = 9 // of an upstream
 )
 
-// replaced reports whether the gateway sets a header itself.
+// replaced reports whether a caller's header is not passed on: the gateway sets it
+// itself, or only the system may send it.
 func (x *exchange) replaced(name string) bool {
 	n := x.g.names
 	switch name {
@@ -171,7 +174,10 @@
 	case http.CanonicalHeaderKey(n.LastEvent):
 		return x.events.last != ""
 	}
-	return false
+	// What a caller asks of an upstream's memory would be taken from other callers:
+	// an engine refused 25 in 100 sends of a day whose callers sent such headers
+	// (778 of 3,083, counted by the engines), and 2 in 100 without them.
+	return slices.Contains(n.Reserved, name)
 }
 
 func appendHeader(b []byte, name, value string) []byte {
--- a/routes.go
+++ b/routes.go
@@ -205,6 +205,9 @@
 	ExpectVersion  string // version of the weights that may run it
 	Instance       string // lifetime of the upstream that answered
 	Priority       string // urgency at the upstream, 0 first
+	// Reserved are headers by which an upstream sets memory aside, moves what it
+	// keeps or waits. Only the system may send them.
+	Reserved []string
 }
 
 // ConfigChange is what changed in the operator's configuration.
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -29,6 +29,7 @@
 	faults   WorkerFaults
 	fell     bool
 	newest   map[string]int64
+	headers  map[string]http.Header // of the latest run, by attempt id
 }
 
 // ModelWorkerConfig says what a worker is.
@@ -62,6 +63,7 @@
 		coming:   make(map[string]time.Time),
 		runs:     make(map[string]int),
 		newest:   make(map[string]int64),
+		headers:  make(map[string]http.Header),
 	}
 }
 
@@ -106,6 +108,13 @@
 	return m.runs[attempt]
 }
 
+// Headers returns the headers of an attempt's latest run; nil if it did not run.
+func (m *ModelWorker) Headers(attempt string) http.Header {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.headers[attempt]
+}
+
 // Total returns how many requests ran.
 func (m *ModelWorker) Total() int {
 	m.mu.Lock()
@@ -280,7 +289,9 @@
 	if want := r.Header.Get("Expect-Version"); want != "" && want != strconv.FormatInt(version, 10) {
 		return http.StatusMisdirectedRequest
 	}
-	m.runs[r.Header.Get("X-Wardturn-Attempt-Id")]++
+	attempt := r.Header.Get("X-Wardturn-Attempt-Id")
+	m.runs[attempt]++
+	m.headers[attempt] = r.Header.Clone()
 	m.active++
 	return 0
 }
