One window for the loads of all gateways, learned from what keepers tell

Each gateway bounded the loads of its own (24, at least 4), so 48 were on their way to a store that serves 8 at full speed; each took 1.5 s, was given up after 1 s, asked for elsewhere, and came when nobody waited; loads given up were not seen by the window. Ruled out: fences (taken within 200 ms) and lists. Change: keepers' words tell every gateway which loads are on their way to any engine and how long each took; one window for all is learned from that, and a gateway takes its share of what is left of it, by chance where that is under one. A load under way is not given up, and one that another gateway asked for is joined without room. The setting load-target is gone.

--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -77,9 +77,8 @@
 	MaxBody      int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
 	HoldPart     float64       `default:"0.7" help:"Part of its objective that a request may wait for its adapter."`
 	CrossBytes   int           `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
-	LoadsAtStart float64       `default:"24" help:"Adapter loads under way for this host, at the start; 16 to 32 served a calm day equally well."`
-	LoadsAtMost  float64       `default:"48" help:"Adapter loads under way for this host, at most."`
-	LoadTarget   time.Duration `default:"600ms" help:"Typical time of a load beyond which fewer are under way; a load without contention takes 260 ms."`
+	LoadsAtStart float64       `default:"8" help:"Adapter loads under way from the weight store, for all gateways, at the start: no more than the smallest known store serves at full speed."`
+	LoadsAtMost  float64       `default:"1024" help:"Adapter loads under way from the weight store, for all gateways, at most; ten times what the largest known store serves at full speed."`
 }
 
 type keeperCmd struct {
@@ -249,7 +248,6 @@
 	b.require("hold-part", c.HoldPart >= 0, "must not be negative")
 	b.require("loads-at-start", c.LoadsAtStart >= 1, "must be at least 1")
 	b.require("loads-at-most", c.LoadsAtMost >= c.LoadsAtStart, "must not be under loads-at-start")
-	b.require("load-target", c.LoadTarget > 0, "must be over 0")
 	return b.err()
 }
 
@@ -270,9 +268,8 @@
 			HoldPart:   c.HoldPart,
 			CrossBytes: c.CrossBytes,
 			Window: decide.WindowConfig{
-				Start:  c.LoadsAtStart,
-				Most:   c.LoadsAtMost,
-				Target: c.LoadTarget,
+				Start: c.LoadsAtStart,
+				Most:  c.LoadsAtMost,
 			},
 		},
 	}
@@ -286,7 +283,7 @@
 	logger.SetLevel(hclog.LevelFromString(n.LogLevel))
 	t := n.config()
 	g.Retune(t)
-	logger.Info("settings read again", "log_level", n.LogLevel, "retry_share", t.RetryShare, "retry_extra", t.RetryExtra, "retry_window", t.RetryWindow, "hold_part", t.Fleet.HoldPart, "cross_bytes", t.Fleet.CrossBytes, "loads_at_most", t.Fleet.Window.Most, "load_target", t.Fleet.Window.Target)
+	logger.Info("settings read again", "log_level", n.LogLevel, "retry_share", t.RetryShare, "retry_extra", t.RetryExtra, "retry_window", t.RetryWindow, "hold_part", t.Fleet.HoldPart, "cross_bytes", t.Fleet.CrossBytes, "loads_at_most", t.Fleet.Window.Most)
 }
 
 // leaveMargin is kept before SIGKILL to close connections.
--- a/decide/copies.go
+++ b/decide/copies.go
@@ -29,7 +29,7 @@
 	if !costly && !busy {
 		return
 	}
-	if f.wants[t.Key] != nil || f.asked >= f.window.Size() {
+	if f.wants[t.Key] != nil || !f.spare(now) {
 		return
 	}
 	home := f.copyHome(now, t, m, costly)
@@ -55,7 +55,7 @@
 		home := f.members[w.home]
 		return home != nil && !f.stalls(now, home, t.Prompt)
 	}
-	if f.asked >= f.window.Size() {
+	if !f.spare(now) {
 		return false
 	}
 	home := f.homeFor(now, w, t.Prompt)
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -25,7 +25,8 @@
 	wants    map[wardturn.ModelAdapter]*want
 	window   LoadWindow
 	readers  []*Member                              // whose keepers have to be told of long prompts
-	asked    int                                    // wants whose load was asked for
+	coming   int                                    // loads under way from the weight store, for all gateways
+	drawnAt  time.Time                              // latest draw for a share of the window below one
 	crossed  map[wardturn.ModelAdapter]int          // bytes sent to other failure domains
 	usual    map[wardturn.ServiceName]time.Duration // between two events of a stream
 }
@@ -40,10 +41,14 @@
 	// before it is loaded in the own one as well.
 	CrossBytes int
 	Window     WindowConfig
+	Draw       func() float64 // in [0, 1), by chance; nil: Draw
 }
 
 // NewFleet returns a view without upstreams.
 func NewFleet(cfg FleetConfig) *Fleet {
+	if cfg.Draw == nil {
+		cfg.Draw = Draw
+	}
 	return &Fleet{
 		cfg:      cfg,
 		versions: make(map[wardturn.ModelAdapter]wardturn.Version),
--- a/decide/fleet_loads_test.go
+++ b/decide/fleet_loads_test.go
@@ -79,7 +79,7 @@
 		for range 4 {
 			x.tick(300 * time.Millisecond)
 		}
-		Expect(x.f.Levels(x.now).Asked).To(BeZero())
+		Expect(x.f.Levels(x.now).Under).To(BeZero())
 		asks := len(x.out.Asks)
 		x.tick(300 * time.Millisecond)
 		Expect(x.out.Asks).To(HaveLen(asks))
@@ -101,6 +101,13 @@
 		x.admit("first", "a")
 		home := x.out.Asks[0].Upstream
 		x.tick(2 * time.Second) // nobody wants it any more
+		x.f.Retune(decide.FleetConfig{
+			HoldPart: 0.7,
+			Window: decide.WindowConfig{
+				Least: 2 * decide.MaxComing,
+				Most:  2 * decide.MaxComing,
+			},
+		})
 		x.out.Asks = nil
 		var coming []decide.HeldVersion
 		for i := range decide.MaxComing {
--- a/decide/holding.go
+++ b/decide/holding.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -32,6 +33,8 @@
 	version wardturn.Version
 	ready   bool
 	loading bool
+	since   time.Time // the load was first told of; zero: not known
+	warm    bool      // it comes from the engine's own memory
 }
 
 // SetHolding takes a keeper's word on its engine.
@@ -44,18 +47,18 @@
 	m.heldAt = now
 	m.atHold = m.running
 	f.setReading(now, m, h)
+	before := maps.Clone(m.held)
 	f.forget(m, h)
 	for _, a := range h.Adapters {
-		m.held[a.Adapter.Key()] = heldAdapter{
-			version: a.Adapter.Version,
-			ready:   a.Ready,
-			loading: a.Loading,
-		}
+		key := a.Adapter.Key()
+		m.held[key] = m.heldAs(now, a, before[key], h.Full)
 		if a.Ready {
-			m.everHeld[a.Adapter.Key()] = true
-			f.holders[a.Adapter.Key()] = append(f.holders[a.Adapter.Key()], m)
+			f.loaded(now, before[key])
+			m.everHeld[key] = true
+			f.holders[key] = append(f.holders[key], m)
 		}
 	}
+	f.count(m)
 	for _, a := range h.Adapters {
 		if a.Ready {
 			f.arrived(now, m, a.Adapter, out)
@@ -64,6 +67,35 @@
 	f.pump(now, out)
 }
 
+// heldAs returns what is known of an adapter that a keeper tells of. A load whose
+// start was not seen has no time.
+func (m *Member) heldAs(now time.Time, a HeldVersion, before heldAdapter, full bool) heldAdapter {
+	h := heldAdapter{
+		version: a.Adapter.Version,
+		ready:   a.Ready,
+		loading: a.Loading,
+	}
+	switch {
+	case !a.Loading:
+	case before.loading:
+		h.since = before.since
+		h.warm = before.warm
+	default:
+		h.warm = m.everHeld[a.Adapter.Key()]
+		if !full {
+			h.since = now
+		}
+	}
+	return h
+}
+
+// loaded takes the time of a load from the weight store that has ended.
+func (f *Fleet) loaded(now time.Time, before heldAdapter) {
+	if before.loading && !before.warm && !before.since.IsZero() {
+		f.window.Loaded(now, now.Sub(before.since), f.coming)
+	}
+}
+
 // forget removes what a holding says is no longer there, or is told anew.
 func (f *Fleet) forget(m *Member, h Holding) {
 	if h.Full {
@@ -90,6 +122,7 @@
 		}
 	}
 	clear(m.held)
+	f.count(m)
 }
 
 func (f *Fleet) unhold(m *Member, key wardturn.ModelAdapter) {
--- a/decide/member.go
+++ b/decide/member.go
@@ -24,6 +24,7 @@
 	heldAt       time.Time // of the holding
 	atHold       int       // running when the holding arrived
 	held         map[wardturn.ModelAdapter]heldAdapter
+	coming       int // of them, on their way from the weight store
 	everHeld     map[wardturn.ModelAdapter]bool
 	uses         map[wardturn.ModelAdapter]*AdapterCount
 	doubts       map[wardturn.ModelAdapter]time.Time // adapters that it refused, until when that counts
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -69,7 +69,7 @@
 	Waited   time.Duration // since the first request waited
 	Warm     bool          // its engine held it before
 	Window   int           // loads that may be under way
-	Asked    int           // loads that were under way
+	Under    int           // loads that are under way
 }
 
 // Admit finds an upstream for a request, lets it wait, or refuses it.
@@ -192,7 +192,7 @@
 		return
 	}
 	if len(w.waiting) == 1 {
-		f.askWarm(now, w, out)
+		f.askFree(now, w, out)
 	}
 	f.pump(now, out)
 }
--- a/decide/want.go
+++ b/decide/want.go
@@ -42,11 +42,12 @@
 	return w
 }
 
-// askWarm asks for a want at once if its home held the adapter before: the home
-// takes it from its own memory, not from the weight store.
-func (f *Fleet) askWarm(now time.Time, w *want, out *Moves) {
+// askFree asks for a want at once if that costs the weight store nothing: its home
+// held the adapter before and takes it from its own memory, or another gateway
+// has had it loaded there.
+func (f *Fleet) askFree(now time.Time, w *want, out *Moves) {
 	home := f.home(now, w)
-	if home != nil && home.everHeld[w.key] {
+	if home != nil && (home.everHeld[w.key] || home.held[w.key].loading) {
 		f.ask(now, w, home, out)
 	}
 }
@@ -121,9 +122,9 @@
 
 // pump asks for the worthiest wants while the window has room.
 func (f *Fleet) pump(now time.Time, out *Moves) {
-	for f.asked < f.window.Size() {
+	for {
 		w := f.nextWant(now)
-		if w == nil {
+		if w == nil || f.room(now) == 0 {
 			return
 		}
 		home := f.home(now, w)
@@ -181,9 +182,6 @@
 	if w.askedAt.IsZero() {
 		w.askedAt = now
 		w.warm = home.everHeld[w.key]
-		if !w.warm {
-			f.asked++
-		}
 	}
 	w.home = home.ID
 	w.toldAt = now
@@ -210,9 +208,6 @@
 		f.placeWaiting(now, w, out)
 		return
 	}
-	if !w.warm {
-		f.window.Loaded(now, now.Sub(w.askedAt))
-	}
 	out.Loads = append(out.Loads, LoadNote{
 		Adapter:  a,
 		Upstream: m.ID,
@@ -220,7 +215,7 @@
 		Warm:     w.warm,
 		Waited:   now.Sub(w.first),
 		Window:   f.window.Size(),
-		Asked:    f.asked,
+		Under:    f.coming,
 	})
 	waiting := w.waiting
 	f.drop(w)
@@ -244,7 +239,7 @@
 // renew repeats the wish of a load under way, and gives up one that takes far
 // too long: another engine may do better.
 func (f *Fleet) renew(now time.Time, w *want, out *Moves) {
-	late := now.Sub(w.askedAt) > loadGiveUp
+	late := now.Sub(w.askedAt) > loadGiveUp && !f.isComing(w)
 	if w.abandoned(now) || len(w.waiting) == 0 && late && now.Sub(w.first) > maxComeBack {
 		f.drop(w)
 		return
@@ -268,11 +263,15 @@
 	f.ask(now, w, home, out)
 }
 
+// isComing reports whether the engine that was asked is loading the adapter: giving
+// that up would only begin it once more elsewhere.
+func (f *Fleet) isComing(w *want) bool {
+	m := f.members[w.home]
+	return m != nil && m.held[w.key].loading
+}
+
 // unask ends the ask of a want, so that another engine is asked.
 func (f *Fleet) unask(w *want) {
-	if !w.askedAt.IsZero() && !w.warm {
-		f.asked--
-	}
 	w.askedAt = time.Time{}
 	w.toldAt = time.Time{}
 	w.home = ""
@@ -285,7 +284,7 @@
 // Levels are the sizes of a fleet's queues and windows.
 type Levels struct {
 	Waiting int // requests that wait for an adapter
-	Asked   int // loads under way that count in the window
+	Under   int // loads under way from the weight store, for all gateways
 	Window  int // loads that may be under way
 	Slow    int // engines that make tokens more slowly than usual
 }
@@ -293,7 +292,7 @@
 // Levels returns the present sizes.
 func (f *Fleet) Levels(now time.Time) Levels {
 	l := Levels{
-		Asked:  f.asked,
+		Under:  f.coming,
 		Window: f.window.Size(),
 	}
 	for _, w := range f.wants {
--- a/decide/window.go
+++ b/decide/window.go
@@ -11,45 +11,51 @@
 	Start float64 // loads at once, at the start
 	Least float64
 	Most  float64
-	// Target is the typical time of a load beyond which the weight store counts
-	// as overloaded: later loads come too late for those who wait.
-	Target time.Duration
 }
 
 // The defaults of WindowConfig.
 const (
-	DefaultWindowStart = 24
+	// DefaultWindowStart is few enough for the smallest weight store that is
+	// known (8 at full speed); the window grows by a half with each load time
+	// until loads slow down.
+	DefaultWindowStart = 8
 	DefaultWindowLeast = 4
-	DefaultWindowMost  = 48
-	// DefaultWindowTarget is twice the time of a load without contention.
-	DefaultWindowTarget = 600 * time.Millisecond
+	// DefaultWindowMost is over ten times the places of the largest known store.
+	DefaultWindowMost = 1024
 )
 
 func (c WindowConfig) withDefaults() WindowConfig {
 	c.Start = cmp.Or(c.Start, DefaultWindowStart)
 	c.Least = cmp.Or(c.Least, DefaultWindowLeast)
 	c.Most = cmp.Or(c.Most, DefaultWindowMost)
-	c.Target = cmp.Or(c.Target, DefaultWindowTarget)
 	return c
 }
 
 const (
-	windowShrink  = 0.8                    // factor after a slow load
-	loadGuess     = 300 * time.Millisecond // before any load was seen
+	windowShrink  = 0.85                   // factor after slow loads
+	windowUsed    = 0.7                    // part of the window that must be in use for it to grow
 	windowSamples = 15                     // loads whose median is the typical time: single slow ones tell of their engine
+	slowLoads     = 1.3                    // typical time, as a part of the usual one, from which loads count as slow
+	usualMemory   = 5 * time.Minute        // time constant with which the usual time follows longer ones
+	windowProbe   = 0.5                    // growth for a load before the first slow one: half again with each load time
+	loadGuess     = 300 * time.Millisecond // before any load was seen
 )
 
-// LoadWindow bounds the loads that one gateway has under way. All gateways share
-// the weight store and none sees the others' loads; each widens its window while
-// loads are quick and narrows it when they slow down, as congestion control
-// does. It adds one load per window and takes a fifth off. Single loads may be
-// slow for reasons of their engine, so the typical time decides.
+// LoadWindow bounds the loads that are under way from the weight store for all
+// gateways together. Every gateway sees all loads, since keepers tell what comes
+// to their engines; so all learn the same window: it widens while loads take
+// their usual time and narrows when they slow down, as congestion control does.
+// Beyond what the store serves at once more loads only take longer, and come
+// when those that waited have left.
 type LoadWindow struct {
-	cfg      WindowConfig
-	size     float64
-	recent   []time.Duration
-	typical  time.Duration // the median of the recent ones
-	shrunkAt time.Time
+	cfg       WindowConfig
+	size      float64
+	recent    []time.Duration
+	typical   time.Duration // the median of the recent ones
+	usual     time.Duration // the least typical time seen; zero before the first
+	probing   bool          // no load was slow yet
+	shrunkAt  time.Time
+	learnedAt time.Time // latest change of the usual time
 }
 
 // NewLoadWindow returns a window of the start size.
@@ -59,6 +65,7 @@
 		cfg:     cfg,
 		size:    cfg.Start,
 		typical: loadGuess,
+		probing: true,
 	}
 }
 
@@ -73,24 +80,46 @@
 	return int(w.size)
 }
 
-// Typical returns the usual time of a load, from the ask to the use.
+// Typical returns the usual time of a load at present.
 func (w *LoadWindow) Typical() time.Duration {
 	return w.typical
 }
 
-// Loaded takes the time of a load.
-func (w *LoadWindow) Loaded(now time.Time, d time.Duration) {
+// Loaded takes the time of a load and how many were under way when it ended,
+// itself among them.
+func (w *LoadWindow) Loaded(now time.Time, d time.Duration, under int) {
 	w.recent = append(w.recent, d)
 	if len(w.recent) > windowSamples {
 		w.recent = w.recent[1:]
 	}
 	sorted := slices.Sorted(slices.Values(w.recent))
 	w.typical = sorted[len(sorted)/2]
-	if w.typical <= w.cfg.Target {
+	w.learnUsual(now)
+	switch {
+	case float64(w.typical) > slowLoads*float64(w.usual):
+		w.probing = false
+		w.shrink(now)
+	case float64(under) < windowUsed*w.size:
+		// What is not used says nothing of a wider window.
+	case w.probing:
+		w.size = min(w.cfg.Most, w.size+windowProbe)
+	default:
 		w.size = min(w.cfg.Most, w.size+1/w.size)
+	}
+}
+
+// learnUsual follows the typical time at once when it falls and slowly when it
+// rises: a store that has become slower for good is not taken to be overloaded for
+// ever.
+func (w *LoadWindow) learnUsual(now time.Time) {
+	since := now.Sub(w.learnedAt)
+	w.learnedAt = now
+	if w.usual == 0 || w.typical < w.usual {
+		w.usual = w.typical
 		return
 	}
-	w.shrink(now)
+	part := min(1, since.Seconds()/usualMemory.Seconds())
+	w.usual += time.Duration(part * float64(w.typical-w.usual))
 }
 
 // shrink narrows the window, once for the loads that were under way together.
--- /dev/null
+++ b/decide/window_test.go
@@ -0,0 +1,248 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+const usualLoad = 250 * time.Millisecond
+
+// store is a weight store that serves some loads at full speed and is slower in
+// proportion beyond.
+type store struct {
+	atOnce int
+}
+
+// load returns the time of a load while n are under way.
+func (s store) load(n int) time.Duration {
+	return usualLoad * time.Duration(max(n, s.atOnce)) / time.Duration(s.atOnce)
+}
+
+var _ = Describe("LoadWindow", func() {
+	// use has as many loads under way as the window lets, for a time.
+	use := func(w *decide.LoadWindow, s store, now time.Time, rounds int) time.Time {
+		for range rounds {
+			n := w.Size()
+			d := s.load(n)
+			now = now.Add(d)
+			for range n {
+				w.Loaded(now, d, n)
+			}
+		}
+		return now
+	}
+
+	It("settles near what the store serves at full speed, small or large", func() {
+		for _, atOnce := range []int{8, 16, 88, 300} {
+			w := decide.NewLoadWindow(decide.WindowConfig{})
+			use(&w, store{atOnce: atOnce}, start, 60)
+			Expect(w.Size()).To(BeNumerically(">=", atOnce*8/10), fmt.Sprint(atOnce))
+			Expect(w.Size()).To(BeNumerically("<=", atOnce*16/10), fmt.Sprint(atOnce))
+		}
+	})
+
+	It("follows a store that serves fewer, and one that serves more again", func() {
+		w := decide.NewLoadWindow(decide.WindowConfig{})
+		now := use(&w, store{atOnce: 64}, start, 40)
+		now = use(&w, store{atOnce: 16}, now, 40)
+		Expect(w.Size()).To(BeNumerically("<=", 24))
+		use(&w, store{atOnce: 64}, now, 200)
+		Expect(w.Size()).To(BeNumerically(">=", 50))
+	})
+
+	It("narrows while loads are slow and widens while they are quick", func() {
+		w := decide.NewLoadWindow(decide.WindowConfig{
+			Start: 10,
+			Most:  12,
+		})
+		now := start
+		for range 20 {
+			now = now.Add(usualLoad)
+			w.Loaded(now, usualLoad, 10)
+		}
+		for range 20 {
+			now = now.Add(time.Second)
+			w.Loaded(now, time.Second, 10)
+		}
+		Expect(w.Size()).To(BeNumerically("<", 5))
+		for range 200 {
+			w.Loaded(now, usualLoad, 10)
+		}
+		Expect(w.Size()).To(Equal(12))
+	})
+
+	It("does not narrow for single slow loads", func() {
+		w := decide.NewLoadWindow(decide.WindowConfig{
+			Start: 10,
+			Most:  12,
+		})
+		now := start
+		for i := range 60 {
+			now = now.Add(time.Second)
+			d := usualLoad
+			if i%4 == 0 {
+				d = 5 * time.Second
+			}
+			w.Loaded(now, d, 10)
+		}
+		Expect(w.Size()).To(BeNumerically(">=", 10))
+	})
+
+	It("does not widen while it is not used", func() {
+		w := decide.NewLoadWindow(decide.WindowConfig{
+			Start: 10,
+		})
+		for range 100 {
+			w.Loaded(start, usualLoad, 3)
+		}
+		Expect(w.Size()).To(Equal(10))
+	})
+})
+
+var _ = Describe("Loads of several gateways", func() {
+	It("stay together within what the store serves, whatever the number of gateways", func() {
+		const engines = 24
+		for _, gateways := range []int{1, 4, 26} {
+			draws := 0
+			x := newStoreRig(gateways, engines, func() float64 {
+				draws++
+				return float64(draws*37%100) / 100
+			})
+			most := x.play(store{atOnce: 16}, 3*time.Second)
+			Expect(most).To(BeNumerically("<=", 16+16*6/10), fmt.Sprint(gateways))
+			Expect(x.loads).To(BeNumerically(">=", 100), fmt.Sprint(gateways)) // 192 is the most that it can serve
+		}
+	})
+})
+
+// storeRig is some gateways that always want adapters which no engine holds, and
+// engines that load what they are asked for at the pace of one store.
+type storeRig struct {
+	fleets  []*decide.Fleet
+	members []wardturn.Member
+	now     time.Time
+	coming  map[wardturn.UpstreamID]map[wardturn.ModelAdapter]time.Time // begun
+	wanted  int
+	loads   int
+}
+
+func newStoreRig(gateways, engines int, draw func() float64) *storeRig {
+	x := &storeRig{
+		now:    start,
+		coming: make(map[wardturn.UpstreamID]map[wardturn.ModelAdapter]time.Time),
+	}
+	for i := range engines {
+		id := wardturn.UpstreamID(fmt.Sprint("e", i))
+		x.members = append(x.members, wardturn.Member{
+			ID:      id,
+			Service: fleetService,
+			Addr:    string(id) + ":1",
+			Domain:  "d",
+			Slots:   64,
+		})
+		x.coming[id] = make(map[wardturn.ModelAdapter]time.Time)
+	}
+	for range gateways {
+		f := decide.NewFleet(decide.FleetConfig{
+			Domain:   "d",
+			HoldPart: 1,
+			Draw:     draw,
+		})
+		f.SetTable(fleetTable(&wardturn.EngineSpec{
+			Batch:        64,
+			AdapterSlots: 9,
+		}))
+		f.SetMembers(x.members)
+		x.fleets = append(x.fleets, f)
+	}
+	for _, m := range x.members {
+		x.tell(m.ID, decide.Holding{
+			Full: true,
+		})
+	}
+	return x
+}
+
+func (x *storeRig) tell(id wardturn.UpstreamID, h decide.Holding) {
+	h.Connected = true
+	h.Known = true
+	h.Models = []wardturn.BaseModel{"m"}
+	h.Gateways = len(x.fleets)
+	for _, f := range x.fleets {
+		var out decide.Moves
+		f.SetHolding(x.now, id, h, &out)
+		x.take(out)
+	}
+}
+
+// take begins the loads that were asked for.
+func (x *storeRig) take(out decide.Moves) {
+	for _, a := range out.Asks {
+		if _, ok := x.coming[a.Upstream][a.Adapter.Key()]; !ok {
+			x.coming[a.Upstream][a.Adapter.Key()] = time.Time{}
+		}
+	}
+}
+
+// play lets time pass in steps, and returns the most loads that were under way.
+func (x *storeRig) play(s store, d time.Duration) (most int) {
+	const step = 10 * time.Millisecond
+	for end := x.now.Add(d); x.now.Before(end); {
+		x.now = x.now.Add(step)
+		for _, f := range x.fleets {
+			var out decide.Moves
+			x.wanted++
+			f.Admit(x.now, &decide.Ticket{
+				Service:   fleetService,
+				Key:       adapterKey(fmt.Sprint("a", x.wanted)),
+				Arrived:   x.now,
+				Objective: 10 * time.Second,
+				Deadline:  x.now.Add(time.Minute),
+				Assign:    func(decide.Assignment) {},
+			}, &out)
+			f.Tick(x.now, &out)
+			x.take(out)
+		}
+		n := 0
+		for _, list := range x.coming {
+			n += len(list)
+		}
+		most = max(most, n)
+		for _, m := range x.members {
+			x.advance(m.ID, s.load(n))
+		}
+	}
+	return most
+}
+
+// advance has a keeper tell of loads that began and of those that took as long as
+// the store takes now.
+func (x *storeRig) advance(id wardturn.UpstreamID, takes time.Duration) {
+	var h decide.Holding
+	for key, began := range x.coming[id] {
+		v := decide.HeldVersion{
+			Adapter: adapterVersion(string(key.Adapter), 1),
+		}
+		switch {
+		case began.IsZero():
+			x.coming[id][key] = x.now
+			v.Loading = true
+		case x.now.Sub(began) >= takes:
+			delete(x.coming[id], key)
+			v.Ready = true
+			x.loads++
+		default:
+			continue
+		}
+		h.Adapters = append(h.Adapters, v)
+	}
+	if len(h.Adapters) > 0 {
+		x.tell(id, h)
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,7 +18,7 @@
 	loads   tally.Histogram
 	warm    tally.Histogram
 	waiting tally.Gauge
-	asked   tally.Gauge
+	under   tally.Gauge
 	window  tally.Gauge
 	slow    tally.Gauge
 	sends   tally.Counter
@@ -82,7 +82,7 @@
 		loads:    kind("store"),
 		warm:     kind("memory"),
 		waiting:  scope.Gauge("requests_waiting"),
-		asked:    scope.Gauge("loads_under_way"),
+		under:    scope.Gauge("loads_under_way"),
 		window:   scope.Gauge("load_window"),
 		slow:     scope.Gauge("slow_engines"),
 		sends:    scope.Counter("sends"),
@@ -140,7 +140,7 @@
 // levels takes the present sizes of queues and windows.
 func (m *Metrics) levels(l decide.Levels) {
 	m.waiting.Update(float64(l.Waiting))
-	m.asked.Update(float64(l.Asked))
+	m.under.Update(float64(l.Under))
 	m.window.Update(float64(l.Window))
 	m.slow.Update(float64(l.Slow))
 }
