Requests wait while their adapter can be there in time or is on its way

Cause: a request waited 0.7 of its objective whatever was known, then it was refused, also when its load ended a moment later; others waited for a load that could not come in time. Change: a waiting request is refused as soon as its load, not begun, and its prompt do not fit into its objective any more; while the load is on its way it waits on, to just before its deadline. The time told to return counts the wants before it. The setting hold-part is gone.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -31,7 +31,6 @@
 func newFleet(now time.Time, n int) *decide.Fleet {
 	f := decide.NewFleet(decide.FleetConfig{
 		Domain:     "d0",
-		HoldPart:   0.7,
 		CrossBytes: 28_000,
 	})
 	f.SetTable(&wardturn.RouteTable{
--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -75,7 +75,6 @@
 	RetryExtra   float64       `default:"52" help:"Resends beyond that which it allows all of them in a window."`
 	RetryWindow  time.Duration `default:"10s" help:"That window."`
 	MaxBody      int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
-	HoldPart     float64       `default:"0.7" help:"Part of its objective that a request may wait for its adapter."`
 	CrossBytes   int           `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
 	LoadsAtStart float64       `default:"8" help:"Adapter loads under way from the weight store, for all gateways, at the start: no more than the smallest known store serves at full speed."`
 	LoadsAtMost  float64       `default:"1024" help:"Adapter loads under way from the weight store, for all gateways, at most; ten times what the largest known store serves at full speed."`
@@ -245,7 +244,6 @@
 	b.require("retry-share", c.RetryShare >= 0 && c.RetryShare <= 1, "must be 0 to 1")
 	b.require("retry-extra", c.RetryExtra >= 0, "must not be negative")
 	b.require("retry-window", c.RetryWindow > 0, "must be over 0")
-	b.require("hold-part", c.HoldPart >= 0, "must not be negative")
 	b.require("loads-at-start", c.LoadsAtStart >= 1, "must be at least 1")
 	b.require("loads-at-most", c.LoadsAtMost >= c.LoadsAtStart, "must not be under loads-at-start")
 	return b.err()
@@ -265,7 +263,6 @@
 		LeaveAfter:  c.LeaveAfter,
 		Fleet: decide.FleetConfig{
 			Domain:     wardturn.FailureDomain(c.Domain),
-			HoldPart:   c.HoldPart,
 			CrossBytes: c.CrossBytes,
 			Window: decide.WindowConfig{
 				Start: c.LoadsAtStart,
@@ -283,7 +280,7 @@
 	logger.SetLevel(hclog.LevelFromString(n.LogLevel))
 	t := n.config()
 	g.Retune(t)
-	logger.Info("settings read again", "log_level", n.LogLevel, "retry_share", t.RetryShare, "retry_extra", t.RetryExtra, "retry_window", t.RetryWindow, "hold_part", t.Fleet.HoldPart, "cross_bytes", t.Fleet.CrossBytes, "loads_at_most", t.Fleet.Window.Most)
+	logger.Info("settings read again", "log_level", n.LogLevel, "retry_share", t.RetryShare, "retry_extra", t.RetryExtra, "retry_window", t.RetryWindow, "cross_bytes", t.Fleet.CrossBytes, "loads_at_most", t.Fleet.Window.Most)
 }
 
 // leaveMargin is kept before SIGKILL to close connections.
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -34,9 +34,6 @@
 // FleetConfig holds the limits of a Fleet.
 type FleetConfig struct {
 	Domain wardturn.FailureDomain
-	// HoldPart is the part of a request's objective for which it may wait for
-	// its adapter before it is told when to come back.
-	HoldPart float64
 	// CrossBytes is how much may be sent to an adapter in another failure domain
 	// before it is loaded in the own one as well.
 	CrossBytes int
@@ -65,7 +62,6 @@
 
 // Retune changes the limits. The failure domain stays.
 func (f *Fleet) Retune(cfg FleetConfig) {
-	f.cfg.HoldPart = cfg.HoldPart
 	f.cfg.CrossBytes = cfg.CrossBytes
 	f.window.Retune(cfg.Window)
 }
--- /dev/null
+++ b/decide/patience.go
@@ -0,0 +1,67 @@
+package decide
+
+import (
+	"time"
+)
+
+const (
+	// warmLoad is how long an adapter takes from its engine's own memory, the
+	// order and the word on it included; a tenth of a load from the weight store.
+	warmLoad = 50 * time.Millisecond
+	// lastMoment is how long before its deadline a request that still waits is
+	// refused, so that its caller has the answer in time.
+	lastMoment = 100 * time.Millisecond
+	// leastComeBack is the least time told to a caller: less than a load from the
+	// store would have it back before anything has changed.
+	leastComeBack = 150 * time.Millisecond
+)
+
+// hopeless reports whether a waiting request should be refused now: it could not
+// be served within its objective any more, and nothing that it waits for is on
+// its way. While its adapter is on its way it waits on, since a late answer is
+// worth more to its caller than none.
+func (f *Fleet) hopeless(now time.Time, w *want, t *Ticket) bool {
+	if !now.Before(t.Deadline.Add(-lastMoment)) {
+		return true
+	}
+	if f.isComing(w) {
+		return false
+	}
+	return now.Add(f.needs(w, t)).After(t.Arrived.Add(t.Objective))
+}
+
+// needs returns the least time until the first token of a request: its adapter has
+// to come, unless an engine that holds it is merely full, and its prompt has to be
+// read.
+func (f *Fleet) needs(w *want, t *Ticket) time.Duration {
+	read := time.Duration(float64(t.Prompt) / prefillRate * float64(time.Millisecond))
+	switch {
+	case w.key.Adapter == "" || len(f.holders[w.key]) > 0:
+		return read
+	case w.warm:
+		return read + warmLoad
+	}
+	return read + f.window.Typical()
+}
+
+// comeBack estimates when an adapter that is waited for will be there.
+func (f *Fleet) comeBack(now time.Time, w *want) time.Duration {
+	typical := f.window.Typical()
+	if w.askedAt.IsZero() {
+		return max(leastComeBack, time.Duration(f.turns()*float64(typical)))
+	}
+	return max(leastComeBack, typical-now.Sub(w.askedAt))
+}
+
+// turns estimates how many times the usual load passes until one that has not
+// been asked for is there: wants before it share the window with those of the
+// other gateways, which are taken to have as many.
+func (f *Fleet) turns() float64 {
+	pending := 0
+	for _, w := range f.wants {
+		if w.askedAt.IsZero() && w.key.Adapter != "" {
+			pending++
+		}
+	}
+	return 1 + float64(pending*f.Gateways())/float64(max(f.window.Size(), 1))
+}
--- /dev/null
+++ b/decide/patience_test.go
@@ -0,0 +1,101 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+var _ = Describe("How long a request waits", func() {
+	var x *fleetRig
+	BeforeEach(func() {
+		x = newFleetRig()
+	})
+	loading := func(name string) decide.HeldVersion {
+		return decide.HeldVersion{
+			Adapter: adapterVersion(name, 1),
+			Loading: true,
+		}
+	}
+
+	It("is until its load, not begun, could not be there in time; then it is told when to come back", func() {
+		x.admit("r", "a")
+		x.tick(290 * time.Millisecond) // 300 ms are expected of a load, 600 allowed
+		Expect(x.got).To(BeEmpty())
+		x.tick(20 * time.Millisecond)
+		Expect(x.got["r"].Member.ID).To(BeEmpty())
+		Expect(x.got["r"].Reason).To(Equal(wardturn.ReasonLoading))
+		Expect(x.got["r"].RetryAfter).To(BeNumerically(">=", 150*time.Millisecond))
+		x.hold(string(x.out.Asks[0].Upstream), readyAdapter("a", 1))
+		x.admit("again", "a")
+		Expect(x.got["again"].Member.ID).To(Equal(x.out.Asks[0].Upstream))
+	})
+
+	It("is shorter for a long prompt, which has to be read as well", func() {
+		t := x.ticket("long", "a")
+		t.Prompt = 8000 // 200 ms
+		x.f.Admit(x.now, t, &x.out)
+		x.tick(90 * time.Millisecond)
+		Expect(x.got).To(BeEmpty())
+		x.tick(20 * time.Millisecond)
+		Expect(x.got["long"].Reason).To(Equal(wardturn.ReasonLoading))
+	})
+
+	It("lasts beyond the objective while the load is on its way", func() {
+		x.admit("r", "a")
+		home := x.out.Asks[0].Upstream
+		x.hold(string(home), loading("a"))
+		x.tick(900 * time.Millisecond)
+		Expect(x.got).To(BeEmpty())
+		x.hold(string(home), readyAdapter("a", 1))
+		Expect(x.got["r"].Member.ID).To(Equal(home))
+	})
+
+	It("ends before the deadline in any case", func() {
+		t := x.ticket("r", "a")
+		t.Deadline = x.now.Add(time.Second)
+		x.f.Admit(x.now, t, &x.out)
+		x.hold(string(x.out.Asks[0].Upstream), loading("a"))
+		x.tick(890 * time.Millisecond)
+		Expect(x.got).To(BeEmpty())
+		x.tick(20 * time.Millisecond)
+		Expect(x.got["r"].Reason).To(Equal(wardturn.ReasonLoading))
+	})
+
+	It("does not give up a load that is under way, however long it takes", func() {
+		x.admit("r", "a")
+		home := x.out.Asks[0].Upstream
+		x.hold(string(home), loading("a"))
+		for range 30 {
+			x.tick(100 * time.Millisecond)
+		}
+		for _, a := range x.out.Asks {
+			Expect(a.Upstream).To(Equal(home))
+		}
+	})
+
+	It("has a longer time to come back the more adapters are wanted before", func() {
+		for i := range 4 {
+			x.admit(fmt.Sprint("first", i), fmt.Sprint("a", i)) // fill the window
+		}
+		x.admit("few", "b0")
+		x.tick(310 * time.Millisecond)
+		few := x.got["few"].RetryAfter
+		Expect(few).To(BeNumerically(">", 300*time.Millisecond))
+		x.tick(3 * time.Second)
+		x = newFleetRig()
+		for i := range 4 {
+			x.admit(fmt.Sprint("first", i), fmt.Sprint("a", i))
+		}
+		for i := range 12 {
+			x.admit(fmt.Sprint("many", i), fmt.Sprint("b", i))
+		}
+		x.tick(310 * time.Millisecond)
+		Expect(x.got["many0"].RetryAfter).To(BeNumerically(">", few))
+	})
+})
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -32,9 +32,8 @@
 	Tried     []wardturn.UpstreamID
 	Assign    func(Assignment) // called once, under the fleet's lock
 
-	holdUntil time.Time
-	want      *want
-	settled   bool // takes a slow engine rather than wait any longer
+	want    *want
+	settled bool // takes a slow engine rather than wait any longer
 }
 
 // Assignment is the upstream of a request, or the word that there is none.
@@ -185,7 +184,6 @@
 func (f *Fleet) wait(now time.Time, t *Ticket, out *Moves) {
 	w := f.wantOf(now, t.Key, t.Service)
 	t.want = w
-	t.holdUntil = t.Arrived.Add(time.Duration(f.cfg.HoldPart * float64(t.Objective)))
 	w.waiting = append(w.waiting, t)
 	w.latest = now
 	if !w.askedAt.IsZero() || w.key.Adapter == "" {
@@ -242,12 +240,12 @@
 	w.waiting = kept
 }
 
-// expire ends the waits that have lasted as long as they may. A request that
-// waited only for a quicker engine takes the slow one now.
+// expire ends the waits that have become hopeless. A request that waited only for
+// a quicker engine takes the slow one now.
 func (f *Fleet) expire(now time.Time, w *want, out *Moves) {
 	kept := w.waiting[:0]
 	for _, t := range w.waiting {
-		if now.Before(t.holdUntil) {
+		if !f.hopeless(now, w, t) {
 			kept = append(kept, t)
 			continue
 		}
@@ -258,18 +256,9 @@
 		}
 		back := f.comeBack(now, w)
 		w.owed++
-		w.owedTo = now.Add(min(back, maxComeBack) + t.holdUntil.Sub(t.Arrived))
+		w.owedTo = now.Add(min(back, maxComeBack) + t.Objective)
 		t.refuse(wardturn.ReasonLoading, back)
 	}
 	clear(w.waiting[len(kept):])
 	w.waiting = kept
 }
-
-// comeBack estimates when an adapter that is waited for will be there.
-func (f *Fleet) comeBack(now time.Time, w *want) time.Duration {
-	typical := f.window.Typical()
-	if w.askedAt.IsZero() {
-		return 2 * typical
-	}
-	return max(typical-now.Sub(w.askedAt), typical/4)
-}
