Homes by what can give way: keepers tell how many places are free

Cause: a home was chosen without knowing whether anything there could go; wants at engines whose places were all in use or coming waited until they were refused. Change: keepers tell, up to two, how many places could be had now (empty, or of adapters not in use, less those wished for); a home is the cheapest of the engines that held the adapter and of the first two in the order that have a place; the time to bring the adapter counts (50 ms from memory, the typical load from the store), and 200 ms without a place.

--- a/decide/holding.go
+++ b/decide/holding.go
@@ -19,6 +19,7 @@
 	Running   int
 	Queued    int
 	Reading   int // tokens of long prompts that it reads for all gateways
+	Free      int // places that an adapter could have at once, counted up to MaxFree
 	Gateways  int // connected to the keeper
 }
 
--- /dev/null
+++ b/decide/home.go
@@ -0,0 +1,80 @@
+package decide
+
+import (
+	"time"
+)
+
+const (
+	// homeChoices is how many engines in the order of homes a cold adapter may go
+	// to. Gateways agree on them, so that an adapter is loaded once; 4 and 12
+	// brought more adapters twice than they saved in waits for prompts.
+	homeChoices = 2
+	// noPlaceCost is what waiting for a place costs, in milliseconds: about half of
+	// what is left of the shortest of nine streams of 1.7 s.
+	noPlaceCost = 200.0
+)
+
+// homeChoice collects the engines that an adapter may go to, in the order of
+// homes.
+type homeChoice struct {
+	warm     []*Member // held it before
+	free     []*Member // the first with a place
+	full     []*Member // the first without one
+	stalling *Member   // the first whose streams would stall
+}
+
+func (c *homeChoice) add(m *Member, stalls, warm, free bool) {
+	switch {
+	case stalls:
+		if c.stalling == nil {
+			c.stalling = m
+		}
+	case warm:
+		c.warm = append(c.warm, m)
+	case free && len(c.free) < homeChoices:
+		c.free = append(c.free, m)
+	case !free && len(c.full) < homeChoices:
+		c.full = append(c.full, m)
+	}
+}
+
+// list returns the engines to choose among.
+func (c *homeChoice) list() []*Member {
+	list := append(c.warm, c.free...)
+	if len(c.free) == 0 {
+		list = append(list, c.full...)
+	}
+	if len(list) == 0 && c.stalling != nil {
+		list = append(list, c.stalling)
+	}
+	return list
+}
+
+// bringCost is what bringing a wanted adapter to an engine costs, in milliseconds
+// until it is there.
+func (f *Fleet) bringCost(w *want, m *Member) float64 {
+	c := milliseconds(f.window.Typical())
+	if m.everHeld[w.key] {
+		c = milliseconds(warmLoad)
+	}
+	if !f.placeFree(w, m) {
+		c += noPlaceCost
+	}
+	return c
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// placeFree reports whether an engine has a place for a wanted adapter beside
+// those that were asked for here and that its keeper does not tell of yet.
+func (f *Fleet) placeFree(w *want, m *Member) bool {
+	taken := 0
+	for _, o := range f.wants {
+		if o != w && o.home == m.ID && !m.held[o.key].loading {
+			taken++
+		}
+	}
+	return m.holding.Free > taken
+}
--- a/decide/places.go
+++ b/decide/places.go
@@ -389,6 +389,35 @@
 	return now.Sub(at) >= evictionNotice
 }
 
+// MaxFree is the most free places that are told: more make no difference to the
+// choice of a home.
+const MaxFree = 2
+
+// Free counts, up to MaxFree, the places that an adapter could have now: empty
+// ones, and those of adapters that are not in use. Adapters that are wished for
+// and have no place yet take theirs before.
+func (p *Places) Free(now time.Time) int {
+	n := p.spec.AdapterSlots - p.occupied()
+	for _, m := range p.state.Models {
+		for _, a := range m.Adapters {
+			if p.mayGo(now, a.Key()) {
+				n++
+			}
+		}
+	}
+	for key := range p.wishes {
+		if _, ok := p.resident(key); !ok && !p.coming(key) {
+			n--
+		}
+	}
+	return min(max(n, 0), MaxFree)
+}
+
+// mayGo reports whether an adapter that is there could be unloaded.
+func (p *Places) mayGo(now time.Time, key wardturn.ModelAdapter) bool {
+	return !p.coming(key) && p.wishes[key] == nil && !p.busy(now, key)
+}
+
 // victim returns the adapter of the least value that may go, if it is worth less
 // than the one that would come. One that was chosen before stays chosen.
 func (p *Places) victim(now time.Time, worth float64) (wardturn.ModelAdapter, bool) {
@@ -398,7 +427,7 @@
 	for _, m := range p.state.Models {
 		for _, a := range m.Adapters {
 			key := a.Key()
-			if p.coming(key) || p.wishes[key] != nil || p.busy(now, key) {
+			if !p.mayGo(now, key) {
 				continue
 			}
 			if p.Leaving(key) {
--- a/decide/want.go
+++ b/decide/want.go
@@ -57,44 +57,24 @@
 	return f.homeFor(now, w, w.longestPrompt())
 }
 
-// homeChoices is how many engines in the order of homes a cold adapter may go to.
-// Gateways agree on them, so that an adapter is loaded once; 4 and 12 brought more
-// adapters twice than they saved in waits for prompts.
-const homeChoices = 2
-
 // homeFor returns the engine that should load an adapter if a prompt waits: one
-// that loads it already, one that held it before, or the cheaper of the first in
-// the order of homes. An engine whose streams would stall while it reads the
-// prompt comes last.
+// that loads it already, or the cheapest of those that held it before and of the
+// first in the order of homes that have a place for it. An engine whose streams
+// would stall while it reads the prompt comes last.
 func (f *Fleet) homeFor(now time.Time, w *want, prompt wardturn.Tokens) *Member {
 	newest := f.versions[w.key]
-	var stalling *Member
-	var choices, warm []*Member
+	var c homeChoice
 	for _, m := range f.homes(now, w.service, w.key, false) {
 		if m.ID == w.failed || m.serves(now, w.key, newest) || m.fill() >= engineOverfill {
 			continue
 		}
-		switch {
-		case f.stalls(now, m, prompt):
-			if stalling == nil {
-				stalling = m
-			}
-		case m.held[w.key].loading:
+		if m.held[w.key].loading && !f.stalls(now, m, prompt) {
 			return m // another gateway asked there: one load serves both
-		case m.everHeld[w.key]:
-			warm = append(warm, m)
-		case len(choices) < homeChoices:
-			choices = append(choices, m)
 		}
+		c.add(m, f.stalls(now, m, prompt), m.everHeld[w.key], f.placeFree(w, m))
 	}
-	if len(warm) > 0 {
-		choices = warm
-	}
-	if len(choices) == 0 {
-		return stalling
-	}
-	return cheapest(choices, anyMember, func(m *Member) float64 {
-		return f.busyCost(now, m, prompt)
+	return cheapest(c.list(), anyMember, func(m *Member) float64 {
+		return f.busyCost(now, m, prompt) + f.bringCost(w, m)
 	})
 }
 
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -207,6 +207,7 @@
 		Running:   h.Running,
 		Queued:    h.Queued,
 		Reading:   h.Reading,
+		Free:      h.Free,
 		Gateways:  h.Gateways,
 	}
 	for _, a := range h.Adapters {
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -21,6 +21,7 @@
 	running  int
 	queued   int
 	reading  int
+	free     int
 	gateways int
 }
 
@@ -39,6 +40,7 @@
 		h.reading += tokens
 	}
 	st := k.places.State()
+	h.free = k.places.Free(k.clock.Now())
 	h.running = st.Running
 	h.queued = st.Queued
 	for _, a := range st.Loading {
@@ -73,6 +75,7 @@
 		Running:  h.running,
 		Queued:   h.queued,
 		Reading:  h.reading,
+		Free:     h.free,
 		Gateways: h.gateways,
 	}
 }
@@ -102,7 +105,7 @@
 			m.Gone = append(m.Gone, key)
 		}
 	}
-	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.gateways == old.gateways &&
+	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.gateways == old.gateways && h.free == old.free &&
 		slices.Equal(h.models, old.models) && !h.stepped(old) {
 		return nil
 	}
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -40,6 +40,7 @@
 	Running  int
 	Queued   int
 	Reading  int // tokens of long prompts that the engine reads, as gateways say
+	Free     int // places that an adapter could have at once, counted up to MaxFree
 	Gateways int // connected to the keeper
 }
 
