Prompts that wait for a load count at the engine that loads for them

Cause: an engine that loads adapters for several long prompts looked idle until they all arrived there at once. Change: a waiting request's prompt is counted, and told to other gateways if long, at the home of its adapter.

--- a/decide/reading.go
+++ b/decide/reading.go
@@ -40,6 +40,28 @@
 	f.tellReading(m)
 }
 
+// book counts the prompt of a waiting request at the engine that loads its adapter,
+// as if that read it already; nil ends that. Otherwise an engine that loads for
+// several long prompts looks idle until they all arrive there together.
+func (f *Fleet) book(t *Ticket, m *Member) {
+	if t.booked == m {
+		return
+	}
+	if t.booked != nil {
+		f.reads(t.booked, -t.Prompt)
+	}
+	t.booked = m
+	if m != nil {
+		f.reads(m, t.Prompt)
+	}
+}
+
+func (f *Fleet) bookAll(w *want, m *Member) {
+	for _, t := range w.waiting {
+		f.book(t, m)
+	}
+}
+
 func (f *Fleet) tellReading(m *Member) {
 	if m.reading.changed {
 		return
@@ -53,6 +75,9 @@
 	var notes []ReadingNote
 	for _, m := range f.readers {
 		m.reading.changed = false
+		if m.reading.told == m.reading.own {
+			continue
+		}
 		m.reading.told = m.reading.own
 		notes = append(notes, ReadingNote{
 			Upstream: m.ID,
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -33,7 +33,8 @@
 	Assign    func(Assignment) // called once, under the fleet's lock
 
 	want    *want
-	settled bool // takes a slow engine rather than wait any longer
+	booked  *Member // whose adapter it waits for, and which will read its prompt
+	settled bool    // takes a slow engine rather than wait any longer
 }
 
 // Assignment is the upstream of a request, or the word that there is none.
@@ -186,6 +187,7 @@
 	t.want = w
 	w.waiting = append(w.waiting, t)
 	w.latest = now
+	f.book(t, f.members[w.home])
 	if !w.askedAt.IsZero() || w.key.Adapter == "" {
 		return
 	}
@@ -202,6 +204,7 @@
 		return
 	}
 	t.want = nil
+	f.book(t, nil)
 	for i, o := range w.waiting {
 		if o == t {
 			w.waiting = append(w.waiting[:i], w.waiting[i+1:]...)
@@ -230,7 +233,9 @@
 	}
 	kept := w.waiting[:0]
 	for _, t := range w.waiting {
+		f.book(t, nil)
 		if !f.place(now, t, out) {
+			f.book(t, f.members[w.home])
 			kept = append(kept, t)
 			continue
 		}
@@ -250,6 +255,7 @@
 			continue
 		}
 		t.want = nil
+		f.book(t, nil)
 		t.settled = true
 		if f.place(now, t, out) {
 			continue
--- a/decide/want.go
+++ b/decide/want.go
@@ -163,7 +163,10 @@
 		w.askedAt = now
 		w.warm = home.everHeld[w.key]
 	}
-	w.home = home.ID
+	if w.home != home.ID {
+		w.home = home.ID
+		f.bookAll(w, home)
+	}
 	w.toldAt = now
 	out.Asks = append(out.Asks, LoadAsk{
 		Upstream: home.ID,
@@ -204,6 +207,7 @@
 	}
 	for _, t := range waiting {
 		t.want = nil
+		f.book(t, nil)
 		if !f.place(now, t, out) {
 			f.wait(now, t, out)
 		}
@@ -255,6 +259,7 @@
 	w.askedAt = time.Time{}
 	w.toldAt = time.Time{}
 	w.home = ""
+	f.bookAll(w, nil)
 }
 
 // loadGiveUp is how long a load may take before another engine is asked: four
