Each load has a cause, told with its arrival

Cause: what is loaded a second time, and for what reason, did not show in the logs. Change: the line of an adapter that arrived tells first, again, moved, second, near, relief or version.

--- a/decide/copies.go
+++ b/decide/copies.go
@@ -38,8 +38,10 @@
 	}
 	f.crossed[t.Key] = 0
 	w := f.wantOf(now, t.Key, t.Service)
+	w.cause = LoadNear
 	if busy {
 		w.relief = m.uses[t.Key].Running
+		w.cause = LoadRelief
 	}
 	f.ask(now, w, home, out)
 }
--- a/decide/versions.go
+++ b/decide/versions.go
@@ -91,7 +91,9 @@
 		if _, holds := m.held[key]; holds || m.loading() >= MaxComing {
 			continue
 		}
-		f.ask(now, f.wantOf(now, key, s), m, out)
+		w := f.wantOf(now, key, s)
+		w.cause = LoadVersion
+		f.ask(now, w, m, out)
 		return true
 	}
 	return false
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -70,6 +70,7 @@
 	Warm     bool          // its engine held it before
 	Window   int           // loads that may be under way
 	Under    int           // loads that are under way
+	Cause    LoadCause
 }
 
 // Admit finds an upstream for a request, lets it wait, or refuses it.
--- a/decide/want.go
+++ b/decide/want.go
@@ -25,6 +25,7 @@
 	failed  wardturn.UpstreamID // a home that took too long
 	askedAt time.Time           // of the first ask; zero: not yet
 	toldAt  time.Time           // of the latest
+	cause   LoadCause           // of the ask
 	warm    bool                // the home held it before: no load from the weight store
 }
 
@@ -162,6 +163,9 @@
 	if w.askedAt.IsZero() {
 		w.askedAt = now
 		w.warm = home.everHeld[w.key]
+		if w.cause == "" {
+			w.cause = f.causeOf(w, home)
+		}
 	}
 	if w.home != home.ID {
 		w.home = home.ID
@@ -199,6 +203,7 @@
 		Waited:   now.Sub(w.first),
 		Window:   f.window.Size(),
 		Under:    f.coming,
+		Cause:    w.cause,
 	})
 	waiting := w.waiting
 	f.drop(w)
@@ -258,6 +263,7 @@
 func (f *Fleet) unask(w *want) {
 	w.askedAt = time.Time{}
 	w.toldAt = time.Time{}
+	w.cause = ""
 	w.home = ""
 	f.bookAll(w, nil)
 }
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -28,7 +28,7 @@
 func (g *Gateway) carry(out decide.Moves) {
 	for _, n := range out.Loads {
 		g.metrics.loaded(n)
-		g.logger.Info("adapter there", "adapter", n.Adapter.Adapter, "version", n.Adapter.Version, "upstream", n.Upstream, "took", n.Took, "waited", n.Waited, "warm", n.Warm, "window", n.Window, "under_way", n.Under)
+		g.logger.Info("adapter there", "adapter", n.Adapter.Adapter, "version", n.Adapter.Version, "upstream", n.Upstream, "took", n.Took, "waited", n.Waited, "warm", n.Warm, "cause", n.Cause, "window", n.Window, "under_way", n.Under)
 	}
 	g.links.ask(out)
 }
