A long prompt that would be late waits for a copy where it is in time

Cause: late long prompts are those of the hottest adapters, whose few engines had 25,000 to 47,000 tokens to read, while copies were made by the number of requests at an engine. Change: where the best engine that holds the adapter would have a long prompt late, by its queue of prompts, its pace and the prompt itself, and another engine would have it in time, the time of the load included, the request waits for a copy there if the store has room to spare. Tests: copies by the prompts that wait, none for popularity alone, none that would be late.

--- a/decide/copies.go
+++ b/decide/copies.go
@@ -46,24 +46,6 @@
 	f.ask(now, w, home, out)
 }
 
-// waitsForQuicker reports whether a request should wait for its adapter at a
-// quicker engine than m, the best of those that hold it.
-func (f *Fleet) waitsForQuicker(now time.Time, t *Ticket, m *Member) bool {
-	if t.settled || t.Key.Adapter == "" || !f.stalls(now, m, t.Prompt) {
-		return false
-	}
-	w := f.wantOf(now, t.Key, t.Service)
-	if !w.askedAt.IsZero() {
-		home := f.members[w.home]
-		return home != nil && !f.stalls(now, home, t.Prompt)
-	}
-	if !f.spare(now) {
-		return false
-	}
-	home := f.homeFor(now, w, t.Prompt)
-	return home != nil && !f.stalls(now, home, t.Prompt)
-}
-
 // overbusy reports whether an engine has far more to do than others, and not
 // because of others' requests alone.
 func (f *Fleet) overbusy(t *Ticket, m *Member) bool {
--- /dev/null
+++ b/decide/finish.go
@@ -0,0 +1,68 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// queueTime estimates how long an engine reads prompts before another.
+func (f *Fleet) queueTime(now time.Time, m *Member) time.Duration {
+	return f.readTime(now, m, wardturn.Tokens(m.toRead(now)))
+}
+
+// readTime estimates how long an engine reads a prompt.
+func (f *Fleet) readTime(now time.Time, m *Member, prompt wardturn.Tokens) time.Duration {
+	return time.Duration(float64(prompt) / prefillRate * f.slowdown(now, m) * float64(time.Millisecond))
+}
+
+// inTime reports whether a request has its first token within its objective at an
+// engine that can begin with it after a while.
+func (f *Fleet) inTime(now time.Time, t *Ticket, m *Member, after time.Duration) bool {
+	begin := max(after, f.queueTime(now, m))
+	return !now.Add(begin + f.readTime(now, m, t.Prompt)).After(t.Arrived.Add(t.Objective))
+}
+
+// waitsForQuicker reports whether a request with a long prompt should wait for its
+// adapter at another engine than m, the best of those that hold it: m would have
+// it late, or its streams would stall, and the other would not. An adapter so gets
+// as many copies as its prompts need, and none for being popular alone.
+func (f *Fleet) waitsForQuicker(now time.Time, t *Ticket, m *Member) bool {
+	if t.settled || t.Key.Adapter == "" || t.Prompt < longPrompt {
+		return false
+	}
+	if !f.stalls(now, m, t.Prompt) && f.inTime(now, t, m, 0) {
+		return false
+	}
+	w := f.wantOf(now, t.Key, t.Service)
+	home := f.members[w.home]
+	if w.askedAt.IsZero() {
+		if !f.spare(now) {
+			return false
+		}
+		home = f.homeFor(now, w, t.Prompt)
+	}
+	return home != nil && !f.stalls(now, home, t.Prompt) && f.inTime(now, t, home, f.bringTime(now, w, home))
+}
+
+// bringTime estimates how long a wanted adapter takes until it is at an engine.
+func (f *Fleet) bringTime(now time.Time, w *want, m *Member) time.Duration {
+	d := f.window.Typical()
+	if m.everHeld[w.key] {
+		d = warmLoad
+	}
+	if h := m.held[w.key]; h.loading && !h.since.IsZero() {
+		return max(0, d-now.Sub(h.since))
+	}
+	if !f.placeFree(w, m) {
+		d += noPlaceTime
+	}
+	if w.home == m.ID && !w.askedAt.IsZero() {
+		return max(0, d-now.Sub(w.askedAt))
+	}
+	return d
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/decide/finish_test.go
@@ -0,0 +1,72 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+)
+
+var _ = Describe("Copies by the prompts that wait", func() {
+	const long wardturn.Tokens = 8400 // 210 ms
+	var x *fleetRig
+	BeforeEach(func() {
+		x = newFleetRig()
+		x.hold("n0", readyAdapter("hot", 1))
+	})
+	admit := func(id, adapter string, prompt wardturn.Tokens) {
+		t := x.ticket(id, adapter)
+		t.Prompt = prompt
+		x.f.Admit(x.now, t, &x.out)
+	}
+
+	It("are made for a long prompt that would be late where its adapter is, and it waits for one", func() {
+		admit("first", "hot", long)
+		admit("second", "hot", long)
+		Expect(x.got["second"].Member.ID).To(BeEquivalentTo("n0")) // 420 ms of 600
+		admit("third", "hot", long)
+		Expect(x.got).NotTo(HaveKey("third"))
+		Expect(x.out.Asks).To(HaveLen(1))
+		copied := x.out.Asks[0].Upstream
+		Expect(copied).NotTo(BeEquivalentTo("n0"))
+		x.tick(250 * time.Millisecond)
+		x.hold(string(copied), readyAdapter("hot", 1))
+		Expect(x.got["third"].Member.ID).To(Equal(copied))
+	})
+
+	It("are not made for an adapter that is asked for often and has short prompts", func() {
+		for i := range 4 {
+			admit(fmt.Sprint("r", i), "hot", 500)
+		}
+		Expect(x.got).To(HaveLen(4))
+		Expect(x.out.Asks).To(BeEmpty())
+	})
+
+	It("are not waited for if the prompt would be late there as well", func() {
+		admit("first", "hot", long)
+		admit("second", "hot", long)
+		admit("huge", "hot", 20000) // 500 ms, and 300 for a load
+		Expect(x.got["huge"].Member.ID).To(BeEquivalentTo("n0"))
+		Expect(x.out.Asks).To(BeEmpty())
+	})
+
+	It("count the prompts that wait for a load where it goes", func() {
+		for i := range 3 { // each would fit alone
+			admit(fmt.Sprint("cold", i), "cold", 4500)
+		}
+		home := x.out.Asks[0].Upstream
+		for i := range 8 {
+			admit(fmt.Sprint("other", i), fmt.Sprint("o", i), 4500)
+		}
+		busy := 0
+		for _, a := range x.out.Asks {
+			if a.Upstream == home {
+				busy++
+			}
+		}
+		Expect(busy).To(BeNumerically("<=", 1+len(x.out.Asks)/4))
+	})
+})
--- a/decide/fleet_rig_test.go
+++ b/decide/fleet_rig_test.go
@@ -104,6 +104,7 @@
 		Full:      true,
 		Models:    []wardturn.BaseModel{"m"},
 		Adapters:  adapters,
+		Free:      decide.MaxFree,
 	}, &x.out)
 }
 
--- a/decide/home.go
+++ b/decide/home.go
@@ -9,9 +9,9 @@
 	// to. Gateways agree on them, so that an adapter is loaded once; 4 and 12
 	// brought more adapters twice than they saved in waits for prompts.
 	homeChoices = 2
-	// noPlaceCost is what waiting for a place costs, in milliseconds: about half of
-	// what is left of the shortest of nine streams of 1.7 s.
-	noPlaceCost = 200.0
+	// noPlaceTime is how long a load waits for a place where none is free: about what
+	// is left of the shortest of nine streams of 1.7 s.
+	noPlaceTime = 200 * time.Millisecond
 )
 
 // homeChoice collects the engines that an adapter may go to, in the order of
@@ -50,23 +50,6 @@
 	return list
 }
 
-// bringCost is what bringing a wanted adapter to an engine costs, in milliseconds
-// until it is there.
-func (f *Fleet) bringCost(w *want, m *Member) float64 {
-	c := milliseconds(f.window.Typical())
-	if m.everHeld[w.key] {
-		c = milliseconds(warmLoad)
-	}
-	if !f.placeFree(w, m) {
-		c += noPlaceCost
-	}
-	return c
-}
-
-func milliseconds(d time.Duration) float64 {
-	return float64(d) / float64(time.Millisecond)
-}
-
 // placeFree reports whether an engine has a place for a wanted adapter beside
 // those that were asked for here and that its keeper does not tell of yet.
 func (f *Fleet) placeFree(w *want, m *Member) bool {
--- a/decide/want.go
+++ b/decide/want.go
@@ -75,7 +75,7 @@
 		c.add(m, f.stalls(now, m, prompt), m.everHeld[w.key], f.placeFree(w, m))
 	}
 	return cheapest(c.list(), anyMember, func(m *Member) float64 {
-		return f.busyCost(now, m, prompt) + f.bringCost(w, m)
+		return f.busyCost(now, m, prompt) + milliseconds(f.bringTime(now, w, m))
 	})
 }
 
