--- a/decide/window.go
+++ b/decide/window.go
@@ -32,13 +32,22 @@
 }
 
 const (
-	windowShrink  = 0.85                   // factor after slow loads
-	windowUsed    = 0.7                    // part of the window that must be in use for it to grow
-	windowSamples = 15                     // loads whose median is the typical time: single slow ones tell of their engine
-	slowLoads     = 1.3                    // typical time, as a part of the usual one, from which loads count as slow
-	usualMemory   = 5 * time.Minute        // time constant with which the usual time follows longer ones
-	windowProbe   = 0.5                    // growth for a load before the first slow one: half again with each load time
-	loadGuess     = 300 * time.Millisecond // before any load was seen
+	windowShrink  = 0.85            // factor after slow loads
+	windowUsed    = 0.7             // part of the window that must be in use for it to grow
+	windowSamples = 15              // loads whose median is the typical time: single slow ones tell of their engine
+	slowLoads     = 1.3             // typical time, as a part of the usual one, from which loads count as slow
+	usualMemory   = 5 * time.Minute // time constant with which the usual time follows longer ones
+	windowProbe   = 0.5             // growth for a load before the first slow one: half again with each load time
+	// memoryPart is the part of the usual time below which a load was not from the
+	// store: an engine brings back in a tenth of it what it held before, and a
+	// gateway that has just started does not know what that is. Counted as loads
+	// from the store they made all others look slow, and the window fell to 4 for
+	// the rest of a day.
+	memoryPart = 0.35
+	// quickInRow is how many such loads in a row say that the store has become
+	// quicker. One in three was from memory where it mattered.
+	quickInRow = 30
+	loadGuess  = 300 * time.Millisecond // before any load was seen
 )
 
 // LoadWindow bounds the loads that are under way from the weight store for all
@@ -52,7 +61,9 @@
 	size      float64
 	recent    []time.Duration
 	typical   time.Duration // the median of the recent ones
-	usual     time.Duration // the least typical time seen; zero before the first
+	usual     time.Duration // the least typical time seen; a guess before the first
+	learned   bool          // it was seen
+	quick     int           // loads in a row that seemed to come from memory
 	probing   bool          // no load was slow yet
 	shrunkAt  time.Time
 	learnedAt time.Time // latest change of the usual time
@@ -65,6 +76,7 @@
 		cfg:     cfg,
 		size:    cfg.Start,
 		typical: loadGuess,
+		usual:   loadGuess,
 		probing: true,
 	}
 }
@@ -88,6 +100,9 @@
 // Loaded takes the time of a load and how many were under way when it ended,
 // itself among them.
 func (w *LoadWindow) Loaded(now time.Time, d time.Duration, under int) {
+	if w.fromMemory(d) {
+		return
+	}
 	w.recent = append(w.recent, d)
 	if len(w.recent) > windowSamples {
 		w.recent = w.recent[1:]
@@ -108,13 +123,24 @@
 	}
 }
 
+// fromMemory reports whether a load took too little time for the weight store.
+func (w *LoadWindow) fromMemory(d time.Duration) bool {
+	if float64(d) >= memoryPart*float64(w.usual) {
+		w.quick = 0
+		return false
+	}
+	w.quick++
+	return w.quick < quickInRow
+}
+
 // learnUsual follows the typical time at once when it falls and slowly when it
 // rises: a store that has become slower for good is not taken to be overloaded for
 // ever.
 func (w *LoadWindow) learnUsual(now time.Time) {
 	since := now.Sub(w.learnedAt)
 	w.learnedAt = now
-	if w.usual == 0 || w.typical < w.usual {
+	if !w.learned || w.typical < w.usual {
+		w.learned = true
 		w.usual = w.typical
 		return
 	}
--- a/decide/window_test.go
+++ b/decide/window_test.go
@@ -94,6 +94,32 @@
 		Expect(w.Size()).To(BeNumerically(">=", 10))
 	})
 
+	It("is not misled by loads from an engine's own memory", func() {
+		w := decide.NewLoadWindow(decide.WindowConfig{})
+		now := start
+		for i := range 300 {
+			now = now.Add(20 * time.Millisecond)
+			d := usualLoad
+			if i%3 > 0 {
+				d = usualLoad / 10
+			}
+			w.Loaded(now, d, w.Size())
+		}
+		Expect(w.Size()).To(BeNumerically(">", 30))
+		Expect(w.Typical()).To(Equal(usualLoad))
+	})
+
+	It("learns of a store that is much quicker or slower than the guess", func() {
+		for _, d := range []time.Duration{40 * time.Millisecond, 900 * time.Millisecond} {
+			w := decide.NewLoadWindow(decide.WindowConfig{})
+			for i := range 60 {
+				w.Loaded(start.Add(time.Duration(i)*time.Second), d, w.Size())
+			}
+			Expect(w.Typical()).To(Equal(d))
+			Expect(w.Size()).To(BeNumerically(">", 15))
+		}
+	})
+
 	It("does not widen while it is not used", func() {
 		w := decide.NewLoadWindow(decide.WindowConfig{
 			Start: 10,
