Long prompts go to slow engines whose pauses stay within what routes allow

Cause: a third of the engines takes 1.3 times as long, and long prompts stayed away from them where three or more requests ran, for pauses that came too late on another deployment. Here an event holds 4 tokens and routes allow 250 ms: of the late answers in the logs 9 in 10 have pauses under 190 ms. So the long prompts queued at eight of twelve engines. Change: the gateway learns the longest pauses of whole streams, for each service and at the usual pace; a slow engine gets no long prompts only if nine in ten streams there would not stay within the shortest pause that routes allow.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -15,20 +15,22 @@
 // list, the keepers beside the engines and the answers to requests have told;
 // nothing of it outlives the process.
 type Fleet struct {
-	cfg      FleetConfig
-	table    *wardturn.RouteTable
-	versions map[wardturn.ModelAdapter]wardturn.Version // the newest named
-	rollouts map[wardturn.ModelAdapter]*rollout
-	members  map[wardturn.UpstreamID]*Member
-	services map[wardturn.ServiceName][]*Member  // in order of id
-	holders  map[wardturn.ModelAdapter][]*Member // engines that hold an adapter ready
-	wants    map[wardturn.ModelAdapter]*want
-	window   LoadWindow
-	readers  []*Member                              // whose keepers have to be told of long prompts
-	coming   int                                    // loads under way from the weight store, for all gateways
-	drawnAt  time.Time                              // latest draw for a share of the window below one
-	crossed  map[wardturn.ModelAdapter]int          // bytes sent to other failure domains
-	usual    map[wardturn.ServiceName]time.Duration // between two events of a stream
+	cfg         FleetConfig
+	table       *wardturn.RouteTable
+	versions    map[wardturn.ModelAdapter]wardturn.Version // the newest named
+	rollouts    map[wardturn.ModelAdapter]*rollout
+	members     map[wardturn.UpstreamID]*Member
+	services    map[wardturn.ServiceName][]*Member  // in order of id
+	holders     map[wardturn.ModelAdapter][]*Member // engines that hold an adapter ready
+	wants       map[wardturn.ModelAdapter]*want
+	window      LoadWindow
+	readers     []*Member                              // whose keepers have to be told of long prompts
+	coming      int                                    // loads under way from the weight store, for all gateways
+	drawnAt     time.Time                              // latest draw for a share of the window below one
+	crossed     map[wardturn.ModelAdapter]int          // bytes sent to other failure domains
+	usual       map[wardturn.ServiceName]time.Duration // between two events of a stream
+	pauses      map[wardturn.ServiceName]*pauses
+	pauseLimits map[wardturn.ServiceName]time.Duration
 }
 
 // FleetConfig holds the limits of a Fleet.
@@ -57,6 +59,7 @@
 		window:   NewLoadWindow(cfg.Window),
 		crossed:  make(map[wardturn.ModelAdapter]int),
 		usual:    make(map[wardturn.ServiceName]time.Duration),
+		pauses:   make(map[wardturn.ServiceName]*pauses),
 	}
 }
 
@@ -69,6 +72,7 @@
 // SetTable puts a configuration in force.
 func (f *Fleet) SetTable(t *wardturn.RouteTable) {
 	f.table = t
+	f.pauseLimits = pauseLimits(t)
 }
 
 // Addrs returns the addresses of all upstreams.
--- a/decide/fleet_pace_test.go
+++ b/decide/fleet_pace_test.go
@@ -24,7 +24,13 @@
 			t.Prompt = long
 			x.f.Admit(x.now, t, &x.out)
 		}
+		pauses := func(longest time.Duration) {
+			for range 64 {
+				x.f.Paused(x.now, "n1", longest)
+			}
+		}
 		BeforeEach(func() {
+			pauses(350 * time.Millisecond) // 460 ms at the slow one, of 400
 			for range 3 {
 				x.f.Paced(x.now, "n0", 38*time.Millisecond)
 				for _, id := range []wardturn.UpstreamID{"n1", "f0", "f1"} {
@@ -63,6 +69,12 @@
 			Expect(x.got["long"].Member.ID).To(BeEquivalentTo("n0"))
 		})
 
+		It("gives it to the slow one at once where pauses stay within what routes allow", func() {
+			pauses(290 * time.Millisecond) // 380 ms at the slow one
+			admitLong("long")
+			Expect(x.got["long"].Member.ID).To(BeEquivalentTo("n0"))
+		})
+
 		It("believes in the pace no longer than streams show it", func() {
 			x.now = x.now.Add(11 * time.Second)
 			admitLong("long")
--- a/decide/fleet_rig_test.go
+++ b/decide/fleet_rig_test.go
@@ -44,6 +44,18 @@
 func fleetTable(engine *wardturn.EngineSpec) *wardturn.RouteTable {
 	return &wardturn.RouteTable{
 		Version: 1,
+		Routes: []wardturn.Route{
+			{
+				Name:     "ask",
+				MaxPause: 400 * time.Millisecond,
+				Targets: []wardturn.RouteTarget{
+					{
+						Service: fleetService,
+						Weight:  1,
+					},
+				},
+			},
+		},
 		Services: map[wardturn.ServiceName]wardturn.ServiceSpec{
 			fleetService: {
 				Name:   fleetService,
--- a/decide/pace.go
+++ b/decide/pace.go
@@ -20,7 +20,7 @@
 	slowPace = 1.15
 	// longPrompt is the least prompt, in tokens, that an engine reads in several
 	// full steps. An engine of the usual pace stays within the pauses that
-	// routes allow while it does, a slow one does not.
+	// routes allow while it does, a slow one may not.
 	longPrompt wardturn.Tokens = 4096
 	// stallLoad is the number of requests at a slow engine from which on a long
 	// prompt goes elsewhere: each of them would be late.
@@ -88,7 +88,10 @@
 }
 
 // stalls reports whether reading the prompt of a request at an engine would make
-// the streams that run there late.
+// the streams that run there late: the engine is slow, and its pauses would be
+// longer than routes allow. Where they are not, long prompts go to slow engines
+// as well: kept away from a third of the engines, they served 0.022 less of the
+// worth (mean of five days with one seed each).
 func (f *Fleet) stalls(now time.Time, m *Member, prompt wardturn.Tokens) bool {
-	return prompt >= longPrompt && m.load() >= stallLoad && f.slowdown(now, m) >= slowPace
+	return prompt >= longPrompt && m.load() >= stallLoad && f.slowdown(now, m) >= slowPace && f.pausesLate(now, m)
 }
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -85,6 +85,13 @@
 	g.fleet.Paced(g.clock.Now(), id, gap)
 }
 
+// paused records the longest pause of a whole stream.
+func (g *Gateway) paused(id wardturn.UpstreamID, longest time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Paused(g.clock.Now(), id, longest)
+}
+
 func (g *Gateway) refused(id wardturn.UpstreamID) {
 	g.mu.Lock()
 	g.fleet.Refused(g.clock.Now(), id)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -147,6 +147,7 @@
 		x.tried = append(x.tried, a.Member.ID)
 		switch res {
 		case passed:
+			x.notePause(a)
 			x.noteLate(a)
 			x.g.metrics.finished(x, "done")
 			return
@@ -181,6 +182,13 @@
 	}
 }
 
+// notePause tells the longest pause of a stream that one engine has sent.
+func (x *exchange) notePause(a assignment) {
+	if x.engine && x.route.Streaming && len(x.tried) == 1 {
+		x.g.paused(a.Member.ID, x.timing.pause)
+	}
+}
+
 // noteLate logs an answer that came later than the route's objective, with what
 // took the time.
 func (x *exchange) noteLate(a assignment) {
