An upstream seen leaving stays so; fences and ages of the configuration as traced

Cause: three findings that could break a rule. A list that the store gives seconds late, or after it dropped its history, may have an upstream as ready that a gateway has seen leaving. A read of the configuration that a record without effect ended at once counted as if it had waited 1.2 s. Change: leaving is remembered for the lifetime; the pause is 400 ms; only a read that lasted the whole wait counts from its end.

--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -55,7 +55,7 @@
 			Slots:   48,
 		})
 	}
-	f.SetMembers(members)
+	f.SetMembers(now, members)
 	var out decide.Moves
 	for i, m := range members {
 		h := decide.Holding{
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -21,6 +21,7 @@
 	rollouts    map[wardturn.ModelAdapter]*rollout
 	members     map[wardturn.UpstreamID]*Member
 	services    map[wardturn.ServiceName][]*Member  // in order of id
+	leaving     map[wardturn.UpstreamID]time.Time   // upstreams that were seen leaving, when the list last had them
 	holders     map[wardturn.ModelAdapter][]*Member // engines that hold an adapter ready
 	wants       map[wardturn.ModelAdapter]*want
 	window      LoadWindow
@@ -54,6 +55,7 @@
 		rollouts: make(map[wardturn.ModelAdapter]*rollout),
 		members:  make(map[wardturn.UpstreamID]*Member),
 		services: make(map[wardturn.ServiceName][]*Member),
+		leaving:  make(map[wardturn.UpstreamID]time.Time),
 		holders:  make(map[wardturn.ModelAdapter][]*Member),
 		wants:    make(map[wardturn.ModelAdapter]*want),
 		window:   NewLoadWindow(cfg.Window),
@@ -99,10 +101,12 @@
 
 // SetMembers replaces the list of upstreams and keeps what is known of those
 // that stay.
-func (f *Fleet) SetMembers(list []wardturn.Member) {
+func (f *Fleet) SetMembers(now time.Time, list []wardturn.Member) {
 	members := make(map[wardturn.UpstreamID]*Member, len(list))
 	services := make(map[wardturn.ServiceName][]*Member)
-	for _, e := range present(list) {
+	list = present(list)
+	f.keepLeaving(now, list)
+	for _, e := range list {
 		m := f.members[e.ID]
 		if m == nil {
 			m = &Member{
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,7 +20,7 @@
 		change, err := g.source.Next(configWait)
 		if err == nil {
 			g.metrics.config.read.Inc(1)
-			g.news.readConfig(configAsOf(sent, change, first), change.To)
+			g.news.readConfig(configAsOf(sent, g.clock.Now(), change, first), change.To)
 			first = false
 			if away {
 				g.logger.Info("store answers again", "for", "configuration")
@@ -43,12 +43,14 @@
 }
 
 // configAsOf returns a time at which the answer to a read of the configuration
-// was true: a waiting read that found nothing ended with its wait.
-func configAsOf(sent time.Time, c wardturn.ConfigChange, first bool) time.Time {
-	if first || c.Table != nil || len(c.Versions) > 0 {
+// was true: a waiting read that found nothing ended with its wait. One that ended
+// sooner met a record, also if that changes nothing here.
+func configAsOf(sent, answered time.Time, c wardturn.ConfigChange, first bool) time.Time {
+	waited := sent.Add(configWait)
+	if first || c.Table != nil || len(c.Versions) > 0 || answered.Before(waited) {
 		return sent
 	}
-	return sent.Add(configWait)
+	return waited
 }
 
 // apply puts a change of the configuration in force. An older version than the
@@ -133,7 +135,7 @@
 
 func (g *Gateway) setMembers(list []wardturn.Member) {
 	g.mu.Lock()
-	g.fleet.SetMembers(list)
+	g.fleet.SetMembers(g.clock.Now(), list)
 	g.mu.Unlock()
 	g.links.update()
 }
--- /dev/null
+++ b/gateway/follow_internal_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"wardturn"
+)
+
+func TestConfigAsOf(t *testing.T) {
+	sent := time.Unix(100, 0)
+	waited := sent.Add(configWait)
+	for _, c := range []struct {
+		name     string
+		answered time.Time
+		change   wardturn.ConfigChange
+		first    bool
+		want     time.Time
+	}{
+		{
+			name:     "nothing came in the whole wait",
+			answered: waited.Add(time.Millisecond),
+			want:     waited,
+		},
+		{
+			name:     "a record that changes nothing ended the wait",
+			answered: sent.Add(20 * time.Millisecond),
+			want:     sent,
+		},
+		{
+			name:     "a change",
+			answered: waited.Add(time.Millisecond),
+			change: wardturn.ConfigChange{
+				Table: &wardturn.RouteTable{},
+			},
+			want: sent,
+		},
+		{
+			name:     "the first read, which does not wait",
+			answered: waited.Add(time.Millisecond),
+			first:    true,
+			want:     sent,
+		},
+	} {
+		if got := configAsOf(sent, c.answered, c.change, c.first); !got.Equal(c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	busyPoll      = 10 * time.Millisecond  // of the engine's report while orders are due or under way
-	restPoll      = 200 * time.Millisecond // otherwise
-	fenceRetry    = 300 * time.Millisecond // after a failed start record, doubled up to the next
-	maxFenceRetry = 2 * time.Second
+	busyPoll = 10 * time.Millisecond  // of the engine's report while orders are due or under way
+	restPoll = 200 * time.Millisecond // otherwise
+	// fenceRetry is the pause after a failed start record. Without a fence nothing
+	// can be loaded: while it doubled up to 2 s, engines went without orders for 2.1 s
+	// after all processes were killed, with a store that was away for under a second.
+	fenceRetry    = 400 * time.Millisecond
 	conflictPause = 20 * time.Millisecond  // after an order that met another
 	lostPause     = 5 * time.Millisecond   // after an order without answer
 	invalidPause  = 500 * time.Millisecond // after one that makes no sense to the engine
@@ -117,7 +119,6 @@
 	k.fencing = true
 	k.fence = 0
 	k.tasks.Go(func() {
-		wait := fenceRetry
 		for {
 			fence, err := k.fences.TakeFence(k.cfg.Process)
 			if err == nil {
@@ -131,10 +132,9 @@
 			}
 			// A record whose answer was lost only leaves a gap in the fences.
 			k.logger.Warn("no fence yet, no orders are given", "error", err)
-			if !k.tasks.Pause(wait) {
+			if !k.tasks.Pause(fenceRetry) {
 				return
 			}
-			wait = min(2*wait, maxFenceRetry)
 		}
 	})
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -307,6 +307,21 @@
 		Consistently(e.given, 100*time.Millisecond).Should(BeEmpty())
 	})
 
+	It("takes a fence soon after the store takes records again", func() {
+		f.away = true
+		start()
+		notice()
+		time.Sleep(1200 * time.Millisecond) // some tries have failed
+		f.mu.Lock()
+		f.away = false
+		f.mu.Unlock()
+		wish()
+		Eventually(func() int {
+			wish()
+			return len(e.given())
+		}, 700*time.Millisecond, 50*time.Millisecond).Should(BeNumerically(">", 0))
+	})
+
 	It("takes a new fence when a newer holder gave orders", func() {
 		e.answers = []wardturn.OrderAnswer{wardturn.OrderStale}
 		start()
