Requests that come while all engines are empty wait for the first loads

Change: while no engine holds the model, a request is not refused, nor in the 3 s after that in which the store fills the places.

--- a/decide/patience.go
+++ b/decide/patience.go
@@ -11,6 +11,11 @@
 	// lastMoment is how long before its deadline a request that still waits is
 	// refused, so that its caller has the answer in time.
 	lastMoment = 100 * time.Millisecond
+	// refillTime is how long requests that came while all engines were empty wait on
+	// once the first is not: about what a weight store of 32 loads a second takes
+	// to fill a hundred places. Refused sooner, they came back before their adapters
+	// were there and were refused once more.
+	refillTime = 3 * time.Second
 	// leastComeBack is the least time told to a caller: less than a load from the
 	// store would have it back before anything has changed.
 	leastComeBack = 150 * time.Millisecond
@@ -27,9 +32,27 @@
 	if f.isComing(w) {
 		return false
 	}
+	if f.empty(now, w) {
+		t.sparedTo = now.Add(refillTime)
+	}
+	if now.Before(t.sparedTo) {
+		return false
+	}
 	return now.Add(f.needs(w, t)).After(t.Arrived.Add(t.Objective))
 }
 
+// empty reports whether no engine holds the model of a want, though some are there:
+// all have started anew and are loading it.
+func (f *Fleet) empty(now time.Time, w *want) bool {
+	list := f.services[w.service]
+	for _, m := range list {
+		if m.loads(now, w.key.Model) {
+			return false
+		}
+	}
+	return len(list) > 0
+}
+
 // needs returns the least time until the first token of a request: its adapter has
 // to come, unless an engine that holds it is merely full, and its prompt has to be
 // read.
--- a/decide/patience_test.go
+++ b/decide/patience_test.go
@@ -67,6 +67,30 @@
 		Expect(x.got["r"].Reason).To(Equal(wardturn.ReasonLoading))
 	})
 
+	It("goes on when all engines are empty, until their places may be filled", func() {
+		bare := func(model ...wardturn.BaseModel) {
+			for _, m := range fleetMembers() {
+				x.f.SetHolding(x.now, m.ID, decide.Holding{
+					Connected: true,
+					Known:     true,
+					Full:      true,
+					Models:    model,
+				}, &x.out)
+			}
+		}
+		bare()
+		x.admit("r", "a")
+		for range 8 {
+			x.tick(100 * time.Millisecond)
+		}
+		Expect(x.got).To(BeEmpty())
+		bare("m")
+		x.tick(2500 * time.Millisecond)
+		Expect(x.got).To(BeEmpty())
+		x.tick(700 * time.Millisecond)
+		Expect(x.got["r"].Reason).To(Equal(wardturn.ReasonLoading))
+	})
+
 	It("does not give up a load that is under way, however long it takes", func() {
 		x.admit("r", "a")
 		home := x.out.Asks[0].Upstream
