Copies for prompts that wait are made while the store has any room

Cause: on the grown deployment 359 of 4,055 long prompts had no answer within their 5 s and 1,447 were late: the hottest adapter draws a fifth of 190 requests a second, some five engines of prompts, and its copies waited until each of 26 gateways had a share of at least one load in a window of 16 for all, which never came. Change: a request waits for a copy while the window has any room; its load is drawn for as other loads are. Test fails without it.

--- a/decide/finish.go
+++ b/decide/finish.go
@@ -37,7 +37,10 @@
 	w := f.wantOf(now, t.Key, t.Service)
 	home := f.members[w.home]
 	if w.askedAt.IsZero() {
-		if !f.spare(now) {
+		// Any room will do: where 26 gateways waited for a share of their own, copies
+		// came too late and 0.503 of the worth was served for 0.549 (mean of three
+		// days).
+		if f.coming >= f.window.Size() {
 			return false
 		}
 		home = f.homeFor(now, w, t.Prompt)
--- a/decide/finish_test.go
+++ b/decide/finish_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"wardturn"
+	"wardturn/decide"
 )
 
 var _ = Describe("Copies by the prompts that wait", func() {
@@ -37,6 +38,20 @@
 		Expect(x.got["third"].Member.ID).To(Equal(copied))
 	})
 
+	It("are made while the store has any room, however many gateways share it", func() {
+		x.f.SetHolding(x.now, "n0", decide.Holding{
+			Connected: true,
+			Known:     true,
+			Models:    []wardturn.BaseModel{"m"},
+			Gateways:  26,
+		}, &x.out)
+		for i := range 3 {
+			admit(fmt.Sprint("r", i), "hot", long)
+		}
+		Expect(x.got).To(HaveLen(2))
+		Expect(x.out.Asks).To(HaveLen(1))
+	})
+
 	It("are not made for an adapter that is asked for often and has short prompts", func() {
 		for i := range 4 {
 			admit(fmt.Sprint("r", i), "hot", 500)
--- a/decide/fleet_rig_test.go
+++ b/decide/fleet_rig_test.go
@@ -91,6 +91,7 @@
 		f: decide.NewFleet(decide.FleetConfig{
 			Domain:     "near",
 			CrossBytes: 5000,
+			Draw:       func() float64 { return 0 },
 			Window: decide.WindowConfig{
 				Start: 4,
 				Most:  4,
