Large files split by matter

Change: declarations moved, nothing else: commands of gateway and keeper, eviction, hints of a router, allocated permits, documents of the admin API.

--- /dev/null
+++ b/cli/fleet/gateway.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/dig"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/gateway"
+	"wardturn/platform"
+	"wardturn/process"
+)
+
+type gatewayCmd struct {
+	common
+	Listen       string        `required:"" help:"Address for callers, IP:port."`
+	Ready        string        `required:"" help:"Address for the balancer's question, IP:port."`
+	Drain        time.Duration `default:"2s" help:"Time after which a leaving upstream must get no new requests; the list is read each half of it."`
+	LapseGrace   time.Duration `default:"2200ms" help:"Time after the store's return in which a lapsed entry may come back; the platform promises 2 s."`
+	Grace        time.Duration `default:"8s" help:"Time between SIGTERM and SIGKILL."`
+	LeaveAfter   time.Duration `default:"2500ms" help:"Time after SIGTERM in which requests are still taken; the balancer notices within 2 s."`
+	RetryShare   float64       `default:"0.2" help:"Resends as a part of the requests of a service that the platform allows all gateways together; half is used."`
+	RetryExtra   float64       `default:"52" help:"Resends beyond that which it allows all of them in a window."`
+	RetryWindow  time.Duration `default:"10s" help:"That window."`
+	MaxBody      int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
+	CrossBytes   int           `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
+	LoadsAtStart float64       `default:"8" help:"Adapter loads under way from the weight store, for all gateways, at the start: no more than the smallest known store serves at full speed."`
+	LoadsAtMost  float64       `default:"1024" help:"Adapter loads under way from the weight store, for all gateways, at most; ten times what the largest known store serves at full speed."`
+}
+
+func (c *gatewayCmd) problems() error {
+	var b badSettings
+	b.addr("listen", c.Listen)
+	b.addr("ready", c.Ready)
+	b.addr("store", c.Store)
+	b.optionalAddr("metrics", c.Metrics)
+	b.require("drain", c.Drain >= time.Second, "must be at least 1s")
+	b.require("grace", c.Grace > c.LeaveAfter, "must be over leave-after")
+	b.require("retry-share", c.RetryShare >= 0 && c.RetryShare <= 1, "must be 0 to 1")
+	b.require("retry-extra", c.RetryExtra >= 0, "must not be negative")
+	b.require("retry-window", c.RetryWindow > 0, "must be over 0")
+	b.require("loads-at-start", c.LoadsAtStart >= 1, "must be at least 1")
+	b.require("loads-at-most", c.LoadsAtMost >= c.LoadsAtStart, "must not be under loads-at-start")
+	return b.err()
+}
+
+func (c *gatewayCmd) config() gateway.Config {
+	return gateway.Config{
+		Process:     newProcess(),
+		Domain:      wardturn.FailureDomain(c.Domain),
+		KeeperPort:  c.Port,
+		Drain:       c.Drain,
+		LapseGrace:  c.LapseGrace,
+		MaxBody:     c.MaxBody,
+		RetryShare:  c.RetryShare,
+		RetryExtra:  c.RetryExtra,
+		RetryWindow: c.RetryWindow,
+		LeaveAfter:  c.LeaveAfter,
+		Fleet: decide.FleetConfig{
+			Domain:     wardturn.FailureDomain(c.Domain),
+			CrossBytes: c.CrossBytes,
+			Window: decide.WindowConfig{
+				Start: c.LoadsAtStart,
+				Most:  c.LoadsAtMost,
+			},
+		},
+	}
+}
+
+// retune takes the settings that may change while the gateway runs.
+func (c *gatewayCmd) retune(g *gateway.Gateway, logger hclog.Logger, n *gatewayCmd) {
+	if refused(logger, n.problems()) {
+		return
+	}
+	logger.SetLevel(hclog.LevelFromString(n.LogLevel))
+	t := n.config()
+	g.Retune(t)
+	logger.Info("settings read again", "log_level", n.LogLevel, "retry_share", t.RetryShare, "retry_extra", t.RetryExtra, "retry_window", t.RetryWindow, "cross_bytes", t.Fleet.CrossBytes, "loads_at_most", t.Fleet.Window.Most)
+}
+
+// leaveMargin is kept before SIGKILL to close connections.
+const leaveMargin = 300 * time.Millisecond
+
+// Run implements the gateway command.
+func (c *gatewayCmd) Run(ctx context.Context, out io.Writer, args commandLine) error {
+	if err := c.problems(); err != nil || c.Check {
+		return err
+	}
+	debug.SetGCPercent(gcPercent)
+	front, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	ready, err := net.Listen("tcp", c.Ready)
+	if err != nil {
+		return errors.Wrap(err, "ready")
+	}
+	scope, stopMetrics, err := c.serveMetrics()
+	if err != nil {
+		return err
+	}
+	defer stopMetrics()
+	queue := process.NewLogQueue(out, logLines)
+	d := dig.New()
+	err = provideAll(d,
+		func() wardturn.Clock { return process.Clock{} },
+		func() hclog.Logger { return c.logger("gateway", queue) },
+		func() tally.Scope { return scope },
+		func() *platform.Store { return platform.NewStore(c.Store) },
+		gateway.NewMetrics,
+		c.newGateway(front, ready),
+	)
+	if err != nil {
+		return err
+	}
+	return d.Invoke(func(g *gateway.Gateway, logger hclog.Logger) {
+		watchSettings(ctx, args, func() {
+			reload(args, logger, func(root *commands) {
+				c.retune(g, logger, &root.Gateway)
+			})
+		})
+		limit, cancel := context.WithTimeout(context.Background(), c.Grace-leaveMargin)
+		defer cancel()
+		g.Leave(limit)
+		g.Close()
+		queue.Close()
+	})
+}
+
+func (c *gatewayCmd) newGateway(front, ready net.Listener) any {
+	return func(clock wardturn.Clock, logger hclog.Logger, m *gateway.Metrics, s *platform.Store) *gateway.Gateway {
+		return gateway.New(gateway.Deps{
+			Config:    c.config(),
+			Clock:     clock,
+			Logger:    logger,
+			Metrics:   m,
+			Names:     platform.Headers(),
+			Source:    platform.NewConfiguration(s, logger),
+			Members:   platform.NewMembers(s, clock, logger),
+			Front:     front,
+			Ready:     ready,
+			ReadyPath: platform.ReadyPath,
+		})
+	}
+}
--- a/decide/router.go
+++ b/decide/router.go
@@ -53,35 +53,6 @@
 	return c
 }
 
-// Hint is an agent's load as it rides on replies. It is out of date when it
-// arrives and expires soon after.
-type Hint struct {
-	Running  int  `msgpack:"r" json:"running"`
-	Queued   int  `msgpack:"q" json:"queued"`
-	Capacity int  `msgpack:"c" json:"capacity"`         // requests that can run at once
-	Wants    int  `msgpack:"w" json:"waiting_adapters"` // that wait for a slot
-	Spare    int  `msgpack:"s" json:"spare_slots"`      // that could be reused at once
-	Leaving  bool `msgpack:"l" json:"leaving"`
-}
-
-// Hint returns the agent's present load.
-func (a *Agent) Hint() Hint {
-	h := Hint{
-		Running:  a.running,
-		Queued:   a.queued,
-		Capacity: a.cfg.MaxRunning,
-		Wants:    len(a.wanted),
-		Leaving:  a.leaving,
-	}
-	for i := range a.slots {
-		s := &a.slots[i]
-		if s.state == SlotEmpty || a.evictable(s) {
-			h.Spare++
-		}
-	}
-	return h
-}
-
 // Ask is a request as a router sees it.
 type Ask struct {
 	Adapter wardturn.AdapterRef
@@ -378,32 +349,3 @@
 	near := x.host.Domain == r.cfg.Domain
 	return near && y.host.Domain != r.cfg.Domain
 }
-
-// TargetView is a copy of what a router knows of an upstream.
-type TargetView struct {
-	Host    wardturn.Host
-	Hint    Hint
-	HintAge time.Duration // negative without a hint
-	Ejected bool
-}
-
-// Targets returns what the router knows, in order of upstream.
-func (r *Router) Targets(now time.Time) []TargetView {
-	list := make([]TargetView, 0, len(r.byID))
-	for _, t := range r.byID {
-		v := TargetView{
-			Host:    t.host,
-			Hint:    t.hint,
-			HintAge: -time.Second,
-			Ejected: !t.breaker.Allows(now),
-		}
-		if !t.hintAt.IsZero() {
-			v.HintAge = now.Sub(t.hintAt)
-		}
-		list = append(list, v)
-	}
-	slices.SortFunc(list, func(x, y TargetView) int {
-		return strings.Compare(string(x.Host.Upstream), string(y.Host.Upstream))
-	})
-	return list
-}
--- /dev/null
+++ b/entry/documents.go
@@ -0,0 +1,270 @@
+package entry
+
+import (
+	_ "embed" // for the OpenAPI document
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"go.yaml.in/yaml/v3"
+
+	"wardturn"
+	"wardturn/control"
+)
+
+// DocView is a document as the API shows it.
+type DocView struct {
+	Key     control.Key     `json:"key"`
+	Version wardturn.Offset `json:"version"`
+	Who     string          `json:"who"`
+	At      time.Time       `json:"at"`
+	Body    string          `json:"body"`
+}
+
+// DocPage is one page of documents. Next continues it; empty at the end.
+type DocPage struct {
+	Docs   []DocView       `json:"docs"`
+	Next   control.Key     `json:"next,omitempty"`
+	Config wardturn.Offset `json:"config"`
+}
+
+func view(d control.Doc) DocView {
+	return DocView{
+		Key:     d.Key,
+		Version: d.Version,
+		Who:     d.Who,
+		At:      d.At,
+		Body:    string(d.Body),
+	}
+}
+
+func writeBody(ctx *fasthttp.RequestCtx, status int, v any) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	_ = json.NewEncoder(ctx).Encode(v)
+}
+
+func pageSize(ctx *fasthttp.RequestCtx) int {
+	n := ctx.QueryArgs().GetUintOrZero("limit")
+	if n == 0 {
+		n = defaultPage
+	}
+	return min(n, maxPage)
+}
+
+func (e *Entry) listDocs(ctx *fasthttp.RequestCtx, _ operator) {
+	after := control.Key(ctx.QueryArgs().Peek("after"))
+	limit := pageSize(ctx)
+	page := DocPage{
+		Docs:   []DocView{},
+		Config: e.replica.Applied(),
+	}
+	for _, d := range e.replica.Docs(string(ctx.QueryArgs().Peek("kind"))) {
+		if d.Key <= after {
+			continue
+		}
+		if len(page.Docs) == limit {
+			page.Next = page.Docs[limit-1].Key
+			break
+		}
+		page.Docs = append(page.Docs, view(d))
+	}
+	writeBody(ctx, fasthttp.StatusOK, page)
+}
+
+func docKey(ctx *fasthttp.RequestCtx) control.Key {
+	return control.KeyOf(ctx.UserValue("kind").(string), ctx.UserValue("name").(string))
+}
+
+func etag(v wardturn.Offset) string {
+	return `"` + strconv.FormatInt(int64(v), 10) + `"`
+}
+
+func (e *Entry) getDoc(ctx *fasthttp.RequestCtx, _ operator) {
+	d, ok := e.replica.Get(docKey(ctx))
+	if !ok {
+		writeProblem(ctx, noDoc(docKey(ctx)))
+		return
+	}
+	ctx.Response.Header.Set(fasthttp.HeaderETag, etag(d.Version))
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == etag(d.Version) {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
+	writeBody(ctx, fasthttp.StatusOK, view(d))
+}
+
+func noDoc(key control.Key) problem {
+	return problem{
+		status:  fasthttp.StatusNotFound,
+		code:    CodeUnknownDoc,
+		message: "no document " + string(key),
+	}
+}
+
+// precondition reads the version that a change replaces. A change without one
+// is refused: it could undo another operator's.
+func precondition(ctx *fasthttp.RequestCtx) (wardturn.Offset, problem) {
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == "*" {
+		return 0, problem{}
+	}
+	text := strings.Trim(string(ctx.Request.Header.Peek(fasthttp.HeaderIfMatch)), `"`)
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, problem{
+			status:  fasthttp.StatusPreconditionRequired,
+			code:    "precondition_required",
+			message: "If-Match with the version that is replaced, or If-None-Match: * for a new document",
+		}
+	}
+	return wardturn.Offset(n), problem{}
+}
+
+func (e *Entry) putDoc(ctx *fasthttp.RequestCtx, op operator) {
+	e.changeDoc(ctx, op, control.DocChange{
+		Body: append([]byte(nil), ctx.PostBody()...),
+	})
+}
+
+func (e *Entry) deleteDoc(ctx *fasthttp.RequestCtx, op operator) {
+	e.changeDoc(ctx, op, control.DocChange{
+		Delete: true,
+	})
+}
+
+// changeDoc publishes a change of the document that the path names.
+func (e *Entry) changeDoc(ctx *fasthttp.RequestCtx, op operator, d control.DocChange) {
+	base, p := precondition(ctx)
+	if p.code != "" {
+		writeProblem(ctx, p)
+		return
+	}
+	d.Key = docKey(ctx)
+	d.Base = base
+	e.publish(ctx, op, control.Change{
+		Docs: []control.DocChange{d},
+	})
+}
+
+// ChangeRequest is the body of POST /admin/v1/changes: all of its documents are
+// accepted, or none. Sending it again with the same id is harmless.
+type ChangeRequest struct {
+	ID   control.PublicationID `json:"id"`
+	Docs []DocRequest          `json:"docs"`
+}
+
+// DocRequest is one document of a change. Base is the version that it replaces;
+// zero for a new document.
+type DocRequest struct {
+	Key    control.Key     `json:"key"`
+	Base   wardturn.Offset `json:"base"`
+	Delete bool            `json:"delete,omitempty"`
+	Body   string          `json:"body,omitempty"`
+}
+
+func (e *Entry) postChange(ctx *fasthttp.RequestCtx, op operator) {
+	var req ChangeRequest
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+		writeProblem(ctx, badRequest("", "the body is not a change: "+err.Error()))
+		return
+	}
+	if len(req.Docs) == 0 {
+		writeProblem(ctx, badRequest("docs", "must not be empty"))
+		return
+	}
+	c := control.Change{
+		ID: req.ID,
+	}
+	for _, d := range req.Docs {
+		c.Docs = append(c.Docs, control.DocChange{
+			Key:    d.Key,
+			Base:   d.Base,
+			Delete: d.Delete,
+			Body:   []byte(d.Body),
+		})
+	}
+	e.publish(ctx, op, c)
+}
+
+// publish checks a change, puts it on the log and answers with what became of
+// it.
+func (e *Entry) publish(ctx *fasthttp.RequestCtx, op operator, c control.Change) {
+	for _, d := range c.Docs {
+		if p := e.checkDoc(op, d); p.code != "" {
+			writeProblem(ctx, p)
+			return
+		}
+	}
+	if c.ID == "" {
+		c.ID = control.PublicationID(idOf(ctx))
+	}
+	c.Who = op.name
+	c.At = e.clock.Now()
+	limit, cancel := e.tasks.Limit(publishLimit)
+	defer cancel()
+	res, err := e.replica.Publish(limit, c)
+	switch {
+	case errors.Is(err, control.ErrConflict):
+		writeProblem(ctx, problem{
+			status:  fasthttp.StatusPreconditionFailed,
+			code:    "conflict",
+			message: string(res.Conflict) + " is at version " + strconv.FormatInt(int64(res.InForce), 10) + " by now",
+		})
+		return
+	case err != nil:
+		writeProblem(ctx, problem{
+			status:  fasthttp.StatusServiceUnavailable,
+			code:    string(wardturn.ReasonLogUnavailable),
+			message: "it is not known whether the change was accepted; send it again with id " + string(c.ID),
+			outcome: wardturn.Uncertain(wardturn.ReasonLogUnavailable),
+		})
+		return
+	}
+	e.logger.Info("published", "who", c.Who, "id", c.ID, "version", res.Version, "documents", len(c.Docs))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, etag(res.Version))
+	writeBody(ctx, fasthttp.StatusOK, res)
+}
+
+// checkDoc checks a document and the operator's right to change it.
+func (e *Entry) checkDoc(op operator, d control.DocChange) problem {
+	if op.team != "" && !e.ownedBy(op.team, d) {
+		return forbidden("team " + string(op.team) + " to change " + string(d.Key))
+	}
+	if d.Delete {
+		return problem{}
+	}
+	if err := control.CheckDoc(string(d.Key), d.Key, d.Body); err != nil {
+		return problem{
+			status:  fasthttp.StatusUnprocessableEntity,
+			code:    "invalid_document",
+			message: err.Error(),
+			param:   string(d.Key),
+		}
+	}
+	return problem{}
+}
+
+// ownedBy reports whether a document belongs to a team before the change, if it
+// exists, and after it. Kinds that concern everybody belong to no team.
+func (e *Entry) ownedBy(team wardturn.TeamID, d control.DocChange) bool {
+	switch control.KindOf(d.Key) {
+	case control.KindAdapter, control.KindService, control.KindCaller, control.KindObjective:
+	default:
+		return false
+	}
+	if old, ok := e.replica.Get(d.Key); ok && teamOf(old.Body) != team {
+		return false
+	}
+	return d.Delete || teamOf(d.Body) == team
+}
+
+func teamOf(body []byte) wardturn.TeamID {
+	var doc struct {
+		Team wardturn.TeamID `yaml:"team"`
+	}
+	_ = yaml.Unmarshal(body, &doc) // checked by CheckDoc
+	return doc.Team
+}
