wardturn losses: where service is lost, from the logs of gateways

Cause: the question of what binds was answered by scripts that nobody else has. Change: a command of the product sums up loads by cause, late answers by what took their time, and refusals with their waits; golden test.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -55,6 +55,7 @@
 	Chaos      chaosCmd                     `cmd:"" help:"Run random histories of faults and check the promises."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print the line that makes the shell complete this command."`
 	Explain    explainCmd                   `cmd:"" help:"Print the story of a request from logs."`
+	Losses     lossesCmd                    `cmd:"" help:"Sum up from the logs of gateways where service was lost."`
 	Soak       soakCmd                      `cmd:"" help:"Hurt the real daemons as processes and check the promises."`
 	Demo       demoCmd                      `cmd:"" help:"Run the whole system on embedded stand-ins and send it traffic."`
 	Load       loadCmd                      `cmd:"" help:"Send a trace to running entry hosts."`
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -37,7 +37,7 @@
 
 // Run implements the command.
 func (c *explainCmd) Run(s Streams) error {
-	lines, err := c.read(s.In)
+	lines, err := readLogs(c.Files, s.In)
 	if err != nil {
 		return err
 	}
@@ -51,12 +51,13 @@
 	return nil
 }
 
-func (c *explainCmd) read(in io.Reader) ([]logLine, error) {
-	if len(c.Files) == 0 {
+// readLogs reads files, or in if there are none.
+func readLogs(files []string, in io.Reader) ([]logLine, error) {
+	if len(files) == 0 {
 		return readLog(in)
 	}
 	var all []logLine
-	for _, name := range c.Files {
+	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
 			return nil, errors.Wrap(err, "log")
--- /dev/null
+++ b/cli/losses_test.go
@@ -0,0 +1,51 @@
+package cli_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"wardturn/cli"
+)
+
+const lossesLog = `10:00:01.000 [INFO]  gateway: adapter there: adapter=a7 version=1 upstream=i-1 took=281.5ms waited=281.5ms warm=false cause=first window=9 under_way=4
+10:00:01.200 [INFO]  gateway: adapter there: adapter=a8 version=1 upstream=i-1 took=250ms waited=250ms warm=false cause=first window=9 under_way=4
+10:00:01.400 [INFO]  gateway: adapter there: adapter=a7 version=1 upstream=i-1 took=44ms waited=44ms warm=true cause=again window=9 under_way=4
+10:00:01.500 [INFO]  gateway: adapter there: adapter=a7 version=1 upstream=i-2 took=900ms waited=900ms warm=false cause=second window=9 under_way=4
+10:00:02.000 [INFO]  gateway: late: id=r1 route=r adapter=a7 upstream=i-1 placed="23µs" first=1.2s pause=150ms load=6 prefill=40000 prompt=8000 sends=1
+10:00:02.100 [INFO]  gateway: late: id=r2 route=r adapter=a7 upstream=i-1 placed=600ms first=900ms pause=150ms load=6 prefill=1000 prompt=8000 sends=1
+10:00:02.200 [INFO]  gateway: late: id=r3 route=r adapter=a7 upstream=i-1 placed="0s" first=850ms pause=100ms load=1 prefill=0 prompt=33000 sends=1
+10:00:02.300 [INFO]  gateway: late: id=r4 route=r adapter=a7 upstream=i-1 placed="0s" first=50ms pause=410ms load=1 prefill=0 prompt=700 sends=1
+10:00:03.000 [INFO]  gateway: refused: id=r5 reason=adapter_loading retry_after=300ms adapter=a9 waited=301ms left_out=3
+10:00:03.100 [INFO]  gateway: refused: id=r6 reason=no_upstream retry_after=300ms waited="0s"
+10:00:03.200 [INFO]  gateway: refused: id=r7 reason=adapter_loading retry_after=300ms adapter=a9 waited=420ms
+a line without a time: refused: reason=other
+`
+
+func TestLosses(t *testing.T) {
+	var out, errs strings.Builder
+	code := cli.Main(context.Background(), []string{"losses"}, cli.Streams{
+		In:  strings.NewReader(lossesLog),
+		Out: &out,
+		Err: &errs,
+	})
+	if code != cli.ExitOK {
+		t.Fatalf("exit %d: %s", code, errs.String())
+	}
+	golden(t, "losses", out.String())
+}
+
+func TestLossesOfNothing(t *testing.T) {
+	var out, errs strings.Builder
+	code := cli.Main(context.Background(), []string{"losses"}, cli.Streams{
+		In:  strings.NewReader("nothing\n"),
+		Out: &out,
+		Err: &errs,
+	})
+	if code != cli.ExitOK {
+		t.Fatalf("exit %d: %s", code, errs.String())
+	}
+	if !strings.Contains(out.String(), "different adapters") {
+		t.Errorf("no table: %s", out.String())
+	}
+}
