Tests of homes, free places and booked prompts

Cause: the choice of a home, the places told and the booking of prompts had tests only by way of others. Change: tests of their own; taken out one at a time, two homes (one and four), the count of places, the asks that take one, the homes that need no room, the wishes that take a place, and the booking each make one fail. Not caught when taken out: that a load known to be from memory is no sample of the window, which the time alone shows too.

--- a/decide/finish_test.go
+++ b/decide/finish_test.go
@@ -68,20 +68,23 @@
 		Expect(x.out.Asks).To(BeEmpty())
 	})
 
-	It("count the prompts that wait for a load where it goes", func() {
-		for i := range 3 { // each would fit alone
+	It("count the prompts that wait for a load where it goes, as long as they do", func() {
+		for i := range 3 {
 			admit(fmt.Sprint("cold", i), "cold", 4500)
 		}
 		home := x.out.Asks[0].Upstream
-		for i := range 8 {
-			admit(fmt.Sprint("other", i), fmt.Sprint("o", i), 4500)
-		}
-		busy := 0
-		for _, a := range x.out.Asks {
-			if a.Upstream == home {
-				busy++
-			}
-		}
-		Expect(busy).To(BeNumerically("<=", 1+len(x.out.Asks)/4))
+		Expect(x.f.Readings()).To(Equal([]decide.ReadingNote{
+			{
+				Upstream: home,
+				Tokens:   3 * 4500,
+			},
+		}))
+		x.tick(400 * time.Millisecond) // none could be in time any more
+		Expect(x.got).To(HaveLen(3))
+		Expect(x.f.Readings()).To(Equal([]decide.ReadingNote{
+			{
+				Upstream: home,
+			},
+		}))
 	})
 })
--- /dev/null
+++ b/decide/home_test.go
@@ -0,0 +1,117 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+var _ = Describe("The home of an adapter that is nowhere", func() {
+	var x *fleetRig
+	// tell has an engine's keeper tell its free places and what it reads, with
+	// changes of what it holds.
+	tell := func(id wardturn.UpstreamID, free, reading int, gone ...wardturn.ModelAdapter) {
+		x.f.SetHolding(x.now, id, decide.Holding{
+			Connected: true,
+			Known:     true,
+			Models:    []wardturn.BaseModel{"m"},
+			Free:      free,
+			Reading:   reading,
+			Gone:      gone,
+		}, &x.out)
+	}
+	// homeOf returns the engine that is asked for an adapter, and why.
+	homeOf := func(adapter string) wardturn.UpstreamID {
+		before := len(x.out.Asks)
+		x.admit("for "+adapter, adapter)
+		Expect(x.out.Asks).To(HaveLen(before + 1))
+		return x.out.Asks[before].Upstream
+	}
+	BeforeEach(func() {
+		x = newFleetRig()
+	})
+
+	It("is the one of two that has less to read", func() {
+		first := homeOf("a")
+		x = newFleetRig()
+		tell(first, decide.MaxFree, 20000)
+		second := homeOf("a")
+		Expect(second).NotTo(Equal(first))
+		x = newFleetRig()
+		for _, m := range fleetMembers() {
+			if m.ID != first && m.ID != second {
+				continue
+			}
+			tell(m.ID, decide.MaxFree, 20000)
+		}
+		Expect(homeOf("a")).To(BeElementOf(first, second)) // not a third, on which gateways may differ
+	})
+
+	It("has a place free if any of the engines has", func() {
+		for i := range 8 {
+			x = newFleetRig()
+			spared := fleetMembers()[i%4].ID
+			for _, m := range fleetMembers() {
+				if m.ID != spared {
+					tell(m.ID, 0, 0)
+				}
+			}
+			Expect(homeOf(fmt.Sprint("a", i))).To(Equal(spared))
+		}
+	})
+
+	It("does not give one place to two adapters", func() {
+		for n := range 10 {
+			x = newFleetRig()
+			for _, m := range fleetMembers() {
+				tell(m.ID, 1, 0)
+			}
+			homes := make(map[wardturn.UpstreamID]bool)
+			for i := range 4 {
+				homes[homeOf(fmt.Sprintf("a%d-%d", n, i))] = true
+			}
+			Expect(homes).To(HaveLen(4))
+		}
+	})
+
+	It("is the engine that held it before, at once and without room in the window", func() {
+		x.hold("f1", readyAdapter("old", 1))
+		tell("f1", decide.MaxFree, 0, adapterKey("old"))
+		for i := range 4 { // fill the window
+			homeOf(fmt.Sprint("a", i))
+		}
+		Expect(homeOf("old")).To(BeEquivalentTo("f1"))
+	})
+
+	It("is another than the one that held it if that reads for longer than a load takes", func() {
+		x.hold("f1", readyAdapter("old", 1))
+		tell("f1", decide.MaxFree, 20000, adapterKey("old")) // 500 ms
+		Expect(homeOf("old")).NotTo(BeEquivalentTo("f1"))
+	})
+
+	It("is told with the cause of the load", func() {
+		causes := func(adapter string, id wardturn.UpstreamID) decide.LoadCause {
+			x.out.Loads = nil
+			x.now = x.now.Add(250 * time.Millisecond)
+			x.hold(string(id), readyAdapter(adapter, 1))
+			Expect(x.out.Loads).To(HaveLen(1))
+			return x.out.Loads[0].Cause
+		}
+		Expect(causes("a", homeOf("a"))).To(Equal(decide.LoadFirst))
+		for _, m := range fleetMembers() {
+			x.hold(string(m.ID)) // all have given it up
+		}
+		Expect(causes("a", homeOf("a"))).To(Equal(decide.LoadAgain))
+		for _, m := range fleetMembers() {
+			x.hold(string(m.ID))
+		}
+		held := x.out.Asks[0].Upstream
+		tell(held, 0, 20000)
+		Expect(causes("a", homeOf("a"))).To(Equal(decide.LoadMoved))
+	})
+})
--- a/decide/places_test.go
+++ b/decide/places_test.go
@@ -67,6 +67,22 @@
 		now = now.Add(d)
 	}
 
+	It("tells how many places an adapter could have now", func() {
+		Expect(p.Free(now)).To(Equal(decide.MaxFree)) // of three, all empty
+		report([]string{"c"}, "a", "b")
+		Expect(p.Free(now)).To(BeZero()) // a and b have just come
+		pass(time.Second)
+		Expect(p.Free(now)).To(Equal(2)) // a and b are idle
+		p.Use(now, "g1", key("a"), 1, 1)
+		p.Use(now, "g1", key("b"), 1, 1)
+		Expect(p.Free(now)).To(BeZero())
+		p.Use(now, "g1", key("a"), 0, 0)
+		pass(time.Second)
+		Expect(p.Free(now)).To(Equal(1)) // a may go
+		wish("d", 1)
+		Expect(p.Free(now)).To(BeZero()) // and does, for d
+	})
+
 	It("counts an adapter that is being replaced twice", func() {
 		report([]string{"a"}, "a", "b")
 		wish("c", 1)
