Stand-in: an engine that answers another request first resumes a stream all the same

The stand-in engine with the trouble of a stranger's answer sent its whole stream whatever Last-Event-Id said; the gateway's header was right. Ruled out: the gateway's own count of events. Change: that answer too begins after the last event.

--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -325,13 +325,13 @@
 	case f.LoseAnswers:
 		panic(http.ErrAbortHandler)
 	case f.Stranger:
-		m.answerTwice(w, attempt, m.whole(body))
+		m.answerTwice(w, attempt, m.whole(r, body))
 	case f.Error:
 		w.WriteHeader(http.StatusInternalServerError)
 	case m.cfg.Pieces > 0:
 		m.stream(w, r, f)
 	default:
-		_, _ = w.Write(m.whole(body))
+		_, _ = w.Write(m.whole(r, body))
 	}
 }
 
@@ -348,13 +348,14 @@
 	_ = buf.Flush()
 }
 
-// whole returns the whole answer to a request.
-func (m *ModelWorker) whole(body []byte) []byte {
+// whole returns the whole answer to a request; of a stream, from the event after
+// Last-Event-Id on.
+func (m *ModelWorker) whole(r *http.Request, body []byte) []byte {
 	if m.cfg.Pieces == 0 {
 		return append([]byte("echo:"), body...)
 	}
 	var b []byte
-	for i := 1; i <= m.cfg.Pieces; i++ {
+	for i := lastEvent(r) + 1; i <= m.cfg.Pieces; i++ {
 		b = fmt.Appendf(b, "id: %d\ndata: piece %d\n\n", i, i)
 	}
 	return b
@@ -364,8 +365,7 @@
 func (m *ModelWorker) stream(w http.ResponseWriter, r *http.Request, f WorkerFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for i := last + 1; i <= m.cfg.Pieces; i++ {
+	for i := lastEvent(r) + 1; i <= m.cfg.Pieces; i++ {
 		if f.CutAfter > 0 && i > f.CutAfter {
 			fmt.Fprintf(w, "id: %d\ndata: ha", i) // a worker may stop partway through an event
 			w.(http.Flusher).Flush()
@@ -380,3 +380,13 @@
 		}
 	}
 }
+
+// lastEvent returns the id of the last event that a request has; zero if it names
+// none.
+func lastEvent(r *http.Request) int {
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0
+	}
+	return last
+}
