Keepers' words cross between failure domains once, by relays

Change: a gateway hears of engines in other failure domains by a keeper in its own, chosen by rendezvous; that keeper listens to the far one and keeps a mirror of its holding. Words carry the number of the change and the keeper's process, so a gateway takes each once and in order by whichever way. What it asked for is told to it directly as well. A relay that ends, loses its keeper, is behind the keeper's mark or silent is replaced by the keeper itself for 3 s.

The test of a frozen relay fails with the mark's check taken out (5.6 s in place of under 3).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 const (
 	tickEvery  = 10 * time.Millisecond  // of the waiting requests
 	usageEvery = 100 * time.Millisecond // of the word to keepers on what is in use
+	checkEvery = 100 * time.Millisecond // of relays
 	sweepEvery = time.Second            // of idle connections
 	// configWait is the time of a waiting read of the configuration. A channel of
 	// the store whose answer was lost says nothing more, so a read must end, and
@@ -130,6 +131,7 @@
 	})
 	g.tasks.Every(tickEvery, g.tick)
 	g.tasks.Every(usageEvery, g.links.report)
+	g.tasks.Every(checkEvery, g.links.check)
 	g.tasks.Every(sweepEvery, g.sweep)
 	g.logger.Info("gateway started", "front", d.Front.Addr(), "process", d.Config.Process, "domain", d.Config.Domain)
 	return g
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"wardturn"
 	"wardturn/decide"
@@ -18,30 +17,20 @@
 type links struct {
 	g *Gateway
 
-	mu     sync.Mutex
-	byAddr map[string]*link
-	byID   map[wardturn.UpstreamID]*link
-	closed bool
-}
-
-// link is the connection to one keeper.
-type link struct {
-	links  *links
-	client *peer.Client
-
-	mu     sync.Mutex
-	member wardturn.Member
-	notice peer.EngineNotice
-	told   bool // the notice was sent on the present connection
-	synced bool // a full holding came on it
-	conn   *peer.Conn
+	mu      sync.Mutex
+	byAddr  map[string]*link
+	byID    map[wardturn.UpstreamID]*link
+	keepers map[string]*link // by the keeper's address
+	near    []*link          // that may relay, as of the latest routing
+	closed  bool
 }
 
 func newLinks(g *Gateway) *links {
 	return &links{
-		g:      g,
-		byAddr: make(map[string]*link),
-		byID:   make(map[wardturn.UpstreamID]*link),
+		g:       g,
+		byAddr:  make(map[string]*link),
+		byID:    make(map[wardturn.UpstreamID]*link),
+		keepers: make(map[string]*link),
 	}
 }
 
@@ -86,10 +75,18 @@
 	}
 	for addr, l := range ls.byAddr {
 		if !present[addr] {
-			delete(ls.byAddr, addr)
-			ls.g.tasks.Go(l.client.Close)
+			ls.disconnect(addr, l)
 		}
 	}
+	ls.routeAll()
+}
+
+// disconnect ends the link to a keeper; the lock is held.
+func (ls *links) disconnect(addr string, l *link) {
+	delete(ls.byAddr, addr)
+	delete(ls.keepers, l.client.Addr())
+	l.follow(ls.g.clock.Now(), nil)
+	ls.g.tasks.Go(l.client.Close)
 }
 
 // connect returns the link to the keeper of an engine; the lock is held.
@@ -97,6 +94,7 @@
 	l := &link{
 		links:  ls,
 		member: m,
+		begun:  ls.g.clock.Now(),
 	}
 	ls.byAddr[m.Addr] = l
 	host, _, err := net.SplitHostPort(m.Addr)
@@ -108,6 +106,7 @@
 		Process: ls.g.cfg.Process,
 		Config:  ls.g.configVersion,
 	}, l)
+	ls.keepers[l.client.Addr()] = l
 	return l
 }
 
@@ -119,107 +118,6 @@
 	return wardturn.Offset(rs.table.Version)
 }
 
-// tell sends the notice to the keeper if it has not got it.
-func (l *link) tell(m wardturn.Member, n peer.EngineNotice) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.member = m
-	if l.notice.Config != n.Config || l.notice.Upstream != n.Upstream {
-		l.notice = n
-		l.told = false
-	}
-	l.sendNotice()
-}
-
-// sendNotice sends the notice on a connection that has not carried it; the lock
-// is held.
-func (l *link) sendNotice() {
-	if l.conn == nil || l.told || l.notice.Upstream == "" {
-		return
-	}
-	n := l.notice
-	l.told = l.conn.Send(&n) == nil
-}
-
-// Connected implements peer.ClientHandler.
-func (l *link) Connected(c *peer.Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conn = c
-	l.told = false
-	l.sendNotice()
-	l.links.g.logger.Info("keeper connected", "upstream", l.member.ID)
-}
-
-// Closed implements peer.Handler. The engine goes on serving what it held: only
-// its keeper can change that.
-func (l *link) Closed(_ *peer.Conn, err error) {
-	l.mu.Lock()
-	l.conn = nil
-	l.synced = false
-	id := l.member.ID
-	l.mu.Unlock()
-	l.links.g.logger.Info("keeper lost", "upstream", id, "error", err)
-	l.links.g.doubtMembers()
-	l.links.g.decide(func(time.Time, *decide.Moves) {
-		l.links.g.fleet.KeeperLost(id)
-	})
-}
-
-// Handle implements peer.Handler.
-func (l *link) Handle(_ *peer.Conn, m peer.Message) {
-	if n, ok := m.(*peer.StoreNews); ok {
-		l.links.g.news.heard(n)
-		return
-	}
-	h, ok := m.(*peer.Holding)
-	if !ok {
-		return
-	}
-	id, ok := l.accept(h)
-	if !ok {
-		return
-	}
-	l.links.g.decide(func(now time.Time, out *decide.Moves) {
-		l.links.g.fleet.SetHolding(now, id, holdingOf(h), out)
-	})
-}
-
-// accept reports whether a holding is to be taken, and of which upstream: not one
-// of another lifetime of the engine, and no change before the full one.
-func (l *link) accept(h *peer.Holding) (wardturn.UpstreamID, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if h.Upstream != l.member.ID {
-		return "", false
-	}
-	l.synced = l.synced || h.Full
-	return l.member.ID, l.synced
-}
-
-func holdingOf(h *peer.Holding) decide.Holding {
-	out := decide.Holding{
-		Connected: true,
-		Full:      h.Full,
-		Gone:      h.Gone,
-		Known:     h.Known,
-		Models:    h.Models,
-		Running:   h.Running,
-		Queued:    h.Queued,
-		Reading:   h.Reading,
-		Free:      h.Free,
-		Gateways:  h.Gateways,
-	}
-	for _, a := range h.Adapters {
-		out.Adapters = append(out.Adapters, decide.HeldVersion{
-			Adapter: a.Adapter,
-			Ready:   a.State == peer.HeldReady,
-			Loading: a.State == peer.HeldLoading,
-		})
-	}
-	return out
-}
-
 // tellReadings tells keepers of the long prompts that their engines read.
 func (ls *links) tellReadings(notes []decide.ReadingNote) {
 	for _, n := range notes {
@@ -261,9 +159,9 @@
 	}
 }
 
-// relays returns connections to two keepers, in two failure domains if there are:
+// newsConns returns connections to two keepers, in two failure domains if there are:
 // what one of them does not pass on, the other does.
-func (ls *links) relays() []*peer.Conn {
+func (ls *links) newsConns() []*peer.Conn {
 	ls.mu.Lock()
 	list := slices.Collect(maps.Values(ls.byAddr))
 	ls.mu.Unlock()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,9 @@
 	window  tally.Gauge
 	slow    tally.Gauge
 	sends   tally.Counter
+	direct  tally.Counter // words of keepers, from themselves
+	relayed tally.Counter // by relays
+	answers tally.Counter // on what was asked for
 	config  recordMetrics
 	members recordMetrics
 
@@ -86,12 +89,33 @@
 		window:   scope.Gauge("load_window"),
 		slow:     scope.Gauge("slow_engines"),
 		sends:    scope.Counter("sends"),
+		direct:   words(scope, "direct"),
+		relayed:  words(scope, "relay"),
+		answers:  words(scope, "answer"),
 		config:   newRecordMetrics(scope, "configuration"),
 		members:  newRecordMetrics(scope, "upstreams"),
 		requests: make(map[series]outcomeSeries),
 	}
 }
 
+func words(scope tally.Scope, way string) tally.Counter {
+	return scope.Tagged(map[string]string{
+		"way": way,
+	}).Counter("keeper_words")
+}
+
+// told counts a word of a keeper.
+func (m *Metrics) told(relayed, answer bool) {
+	switch {
+	case relayed:
+		m.relayed.Inc(1)
+	case answer:
+		m.answers.Inc(1)
+	default:
+		m.direct.Inc(1)
+	}
+}
+
 // finished counts the end of a request.
 func (m *Metrics) finished(x *exchange, outcome string) {
 	key := series{
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -155,7 +155,7 @@
 }
 
 func (n *news) tell(m *peer.StoreNews) {
-	for _, c := range n.g.links.relays() {
+	for _, c := range n.g.links.newsConns() {
 		// A gateway that does not get it reads by itself.
 		_ = c.Send(m)
 	}
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -48,16 +48,20 @@
 // rig is a gateway with a store, two engines with keepers and two application
 // workers, all in this process on loopback addresses.
 type rig struct {
-	store   *standin.MetaStore
-	engines []*standin.ModelWorker
-	apps    []*standin.ModelWorker
-	addrs   map[*standin.ModelWorker]string
-	gateway *gateway.Gateway
-	front   string
-	ready   string
-	keeper  string // port of the keepers
-	metrics tally.TestScope
-	client  *http.Client
+	store     *standin.MetaStore
+	storeAddr string
+	engines   []*standin.ModelWorker
+	apps      []*standin.ModelWorker
+	addrs     map[*standin.ModelWorker]string
+	domains   map[*standin.ModelWorker]string
+	gateway   *gateway.Gateway
+	front     string
+	ready     string
+	keeper    string                 // port of the keepers
+	way       *standin.Relay         // to the first keeper
+	domain    wardturn.FailureDomain // of gateways that are started
+	metrics   tally.TestScope
+	client    *http.Client
 }
 
 const rigConfig = `{"version":%d,"routes":[
@@ -94,17 +98,18 @@
 }
 
 // addWorker serves a worker and enters it in the list.
-func (x *rig) addWorker(service, host string, cfg standin.ModelWorkerConfig) *standin.ModelWorker {
+func (x *rig) addWorker(service, host, domain string, cfg standin.ModelWorkerConfig) *standin.ModelWorker {
 	m := standin.NewModelWorker(cfg)
 	ln := listen(host + ":0")
 	serve(ln, m)
 	x.addrs[m] = ln.Addr().String()
+	x.domains[m] = domain
 	x.list(m, service, cfg.ID, "ready")
 	return m
 }
 
 func (x *rig) list(m *standin.ModelWorker, service, id, state string) {
-	x.store.PutServer(id, m.Entry(service, x.addrs[m], "d", state))
+	x.store.PutServer(id, m.Entry(service, x.addrs[m], x.domains[m], state))
 }
 
 // listenAll listens on one port of several hosts. The kernel chooses a port for
@@ -131,6 +136,18 @@
 	return nil, ""
 }
 
+// behindRelay puts a relay in the place of a listener, and returns the listener
+// that it passes connections on to.
+func behindRelay(ln net.Listener) (*standin.Relay, net.Listener) {
+	addr := ln.Addr().String()
+	ln.Close()
+	behind := listen("127.0.0.1:0")
+	way, err := standin.NewRelayAt(addr, behind.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(way.Close)
+	return way, behind
+}
+
 func (x *rig) startKeeper(host string, ln net.Listener, m *standin.ModelWorker, store *platform.Store) {
 	k := keeper.New(keeper.Deps{
 		Config: keeper.Config{
@@ -149,24 +166,33 @@
 }
 
 func newRig() *rig {
+	return newRigIn("d", "d")
+}
+
+// newRigIn returns a rig whose two engines are in some failure domains; that of
+// the gateway is d.
+func newRigIn(domains ...string) *rig {
 	x := &rig{
+		domain:  "d",
+		domains: make(map[*standin.ModelWorker]string),
 		store:   standin.NewMetaStore(),
 		addrs:   make(map[*standin.ModelWorker]string),
-		metrics: tally.NewTestScope("", nil),
+		metrics: newTestScope(),
 		client: &http.Client{
 			Timeout:   soon,
 			Transport: &http.Transport{},
 		},
 	}
 	storeListener := listen("127.0.0.1:0")
+	x.storeAddr = storeListener.Addr().String()
 	serve(storeListener, x.store)
 	x.store.PutConfig(config(1, ""))
-	store := platform.NewStore(storeListener.Addr().String())
+	store := platform.NewStore(x.storeAddr)
 	hosts := []string{"127.0.0.11", "127.0.0.12"}
 	keepers, port := listenAll(hosts...)
 	x.keeper = port
 	for i, host := range hosts {
-		m := x.addWorker("llm", host, standin.ModelWorkerConfig{
+		m := x.addWorker("llm", host, domains[i], standin.ModelWorkerConfig{
 			ID:       fmt.Sprintf("e%d", i),
 			Model:    "m0",
 			Slots:    2,
@@ -175,8 +201,12 @@
 			Pause:    5 * time.Millisecond,
 		})
 		x.engines = append(x.engines, m)
-		x.startKeeper(host, keepers[i], m, store)
-		x.apps = append(x.apps, x.addWorker("app", host, standin.ModelWorkerConfig{
+		ln := keepers[i]
+		if i == 0 {
+			x.way, ln = behindRelay(ln)
+		}
+		x.startKeeper(host, ln, m, store)
+		x.apps = append(x.apps, x.addWorker("app", host, domains[i], standin.ModelWorkerConfig{
 			ID: fmt.Sprintf("a%d", i),
 		}))
 	}
@@ -189,6 +219,10 @@
 	return x
 }
 
+func newTestScope() tally.TestScope {
+	return tally.NewTestScope("", nil)
+}
+
 // startGateway starts a gateway that reads a store, and returns the URLs for
 // callers and for the balancer's question.
 func (x *rig) startGateway(name wardturn.Incarnation, store *platform.Store) (g *gateway.Gateway, front, ready string) {
@@ -197,7 +231,7 @@
 	g = gateway.New(gateway.Deps{
 		Config: gateway.Config{
 			Process:     name,
-			Domain:      "d",
+			Domain:      x.domain,
 			KeeperPort:  x.keeper,
 			Drain:       500 * time.Millisecond,
 			LapseGrace:  900 * time.Millisecond,
@@ -207,7 +241,7 @@
 			RetryWindow: 10 * time.Second,
 			LeaveAfter:  50 * time.Millisecond,
 			Fleet: decide.FleetConfig{
-				Domain:     "d",
+				Domain:     x.domain,
 				CrossBytes: 28000,
 			},
 		},
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -14,6 +14,7 @@
 
 // holding is what an engine holds, as its gateways are told.
 type holding struct {
+	seq      uint64 // of the latest change told
 	known    bool
 	upstream wardturn.UpstreamID
 	models   []wardturn.BaseModel
@@ -28,6 +29,7 @@
 // holding returns what the engine holds; the lock is held.
 func (k *Keeper) holding() *holding {
 	h := &holding{
+		seq:      k.told.seq,
 		known:    k.places.Known(),
 		upstream: k.upstream,
 		adapters: make(map[wardturn.ModelAdapter]peer.HeldAdapter),
@@ -69,6 +71,7 @@
 // message returns a message without adapters.
 func (h *holding) message() *peer.Holding {
 	return &peer.Holding{
+		Seq:      h.seq,
 		Known:    h.known,
 		Upstream: h.upstream,
 		Models:   h.models,
@@ -87,7 +90,7 @@
 	for _, a := range h.adapters {
 		m.Adapters = append(m.Adapters, a)
 	}
-	sortHeld(m.Adapters)
+	slices.SortFunc(m.Adapters, peer.CompareHeld)
 	return m
 }
 
@@ -109,7 +112,7 @@
 		slices.Equal(h.models, old.models) && !h.stepped(old) {
 		return nil
 	}
-	sortHeld(m.Adapters)
+	slices.SortFunc(m.Adapters, peer.CompareHeld)
 	slices.SortFunc(m.Gone, func(x, y wardturn.ModelAdapter) int {
 		return strings.Compare(string(x.Adapter), string(y.Adapter))
 	})
@@ -129,20 +132,38 @@
 	return max(was-is, is-was) >= loadStep
 }
 
-func sortHeld(list []peer.HeldAdapter) {
-	slices.SortFunc(list, func(x, y peer.HeldAdapter) int {
-		return strings.Compare(string(x.Adapter.Adapter), string(y.Adapter.Adapter))
-	})
-}
-
-// tell sends what changed to every gateway; the lock is held. A gateway that has
-// not got its full holding yet passes such a message over.
+// tell sends what changed to those that listen; the lock is held. Of another
+// lifetime of the engine everything is told.
 func (k *Keeper) tell() {
 	h := k.holding()
 	m := h.since(k.told)
 	if m == nil {
 		return
 	}
+	if h.upstream != k.told.upstream {
+		m = h.full()
+	}
+	h.seq++
+	m.Seq = h.seq
 	k.told = h
-	k.server.Broadcast(m)
+	for c := range k.listeners.all {
+		_ = c.Send(m)
+	}
+	k.listeners.answer(k.clock.Now(), m)
+}
+
+// tellFull has a connection listen, and tells it everything; the lock is held.
+func (k *Keeper) tellFull(c *peer.Conn) {
+	k.listeners.all[c] = true
+	_ = c.Send(k.holding().full())
+}
+
+// tellAsked tells a gateway that asks for an adapter what is known of that, which
+// its relay may not have told yet; the lock is held.
+func (k *Keeper) tellAsked(c *peer.Conn, key wardturn.ModelAdapter) {
+	k.listeners.ask(k.clock.Now(), c, key)
+	a, ok := k.told.adapters[key]
+	if ok && !k.listeners.all[c] {
+		_ = c.Send(answerOf(k.told.message(), a))
+	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -54,47 +54,52 @@
 	engine wardturn.OrderedEngine
 	fences wardturn.FenceSource
 	server *peer.Server
+	relays *relays
 	tasks  *process.Tasks
 	wake   chan struct{}
 
-	mu       sync.Mutex
-	places   *decide.Places
-	config   int64               // version of the latest notice
-	upstream wardturn.UpstreamID // the engine's present lifetime, as gateways and the engine say
-	seen     int64               // position of the entry that named it
-	fence    wardturn.Fence
-	fencing  bool                         // a start record is being written
-	greeted  map[*peer.Conn]bool          // connections that said which engine they mean
-	gateways map[wardturn.Incarnation]int // such connections of each gateway
-	reading  map[*peer.Conn]int           // tokens of long prompts, by gateway's connection
-	told     *holding                     // what the gateways know; nil: nothing yet
+	mu        sync.Mutex
+	places    *decide.Places
+	config    int64               // version of the latest notice
+	upstream  wardturn.UpstreamID // the engine's present lifetime, as gateways and the engine say
+	seen      int64               // position of the entry that named it
+	fence     wardturn.Fence
+	fencing   bool                         // a start record is being written
+	greeted   map[*peer.Conn]bool          // connections that said which engine they mean
+	gateways  map[wardturn.Incarnation]int // such connections of each gateway
+	reading   map[*peer.Conn]int           // tokens of long prompts, by gateway's connection
+	told      *holding                     // what the listeners know
+	listeners listeners
 }
 
 // New starts a keeper.
 func New(d Deps) *Keeper {
 	k := &Keeper{
-		cfg:      d.Config,
-		clock:    d.Clock,
-		logger:   d.Logger,
-		scope:    d.Scope,
-		engine:   d.Engine,
-		fences:   d.Fences,
-		tasks:    process.NewTasks(d.Clock),
-		wake:     make(chan struct{}, 1),
-		greeted:  make(map[*peer.Conn]bool),
-		gateways: make(map[wardturn.Incarnation]int),
-		reading:  make(map[*peer.Conn]int),
-		places:   decide.NewPlaces(d.Clock.Now(), d.Policy),
-		told:     &holding{},
+		cfg:       d.Config,
+		clock:     d.Clock,
+		logger:    d.Logger,
+		scope:     d.Scope,
+		engine:    d.Engine,
+		fences:    d.Fences,
+		tasks:     process.NewTasks(d.Clock),
+		wake:      make(chan struct{}, 1),
+		greeted:   make(map[*peer.Conn]bool),
+		gateways:  make(map[wardturn.Incarnation]int),
+		reading:   make(map[*peer.Conn]int),
+		places:    decide.NewPlaces(d.Clock.Now(), d.Policy),
+		told:      &holding{},
+		listeners: newListeners(),
 	}
 	k.takeFence()
-	k.server = peer.NewServer(d.Listener, nil, d.Clock, peer.Identity{
+	id := peer.Identity{
 		Role:    peer.RoleAgent,
 		Process: d.Config.Process,
 		Config: func() wardturn.Offset {
 			return 0
 		},
-	}, k)
+	}
+	k.relays = newRelays(k, id)
+	k.server = peer.NewServer(d.Listener, nil, d.Clock, id, k)
 	k.tasks.Go(k.run)
 	k.logger.Info("keeper started", "addr", d.Listener.Addr(), "process", d.Config.Process)
 	return k
@@ -106,6 +111,7 @@
 	k.logger.Info("keeper stops")
 	k.tasks.Stop()
 	k.server.Close()
+	k.relays.close()
 	k.tasks.Wait()
 }
 
@@ -259,6 +265,10 @@
 
 // Handle implements peer.Handler.
 func (k *Keeper) Handle(c *peer.Conn, m peer.Message) {
+	if f, ok := m.(*peer.Follow); ok {
+		k.relays.follow(c, f)
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
@@ -267,16 +277,24 @@
 		k.notice(c, m)
 	case *peer.LoadWish:
 		k.places.Wish(now, c.Peer().Process, m.Adapter, m.Waiting, m.Oldest)
+		k.tellAsked(c, m.Adapter.Key())
 		k.signal()
+	case *peer.Listen:
+		k.tellFull(c)
+	case *peer.Ping:
+		k.listeners.mark(c, k.told.seq)
 	case *peer.Reading:
 		k.reading[c] = m.Tokens
 		k.tell()
 	case *peer.StoreNews:
-		k.server.Broadcast(m)
+		for g := range k.greeted {
+			_ = g.Send(m)
+		}
 	case *peer.Usage:
 		for _, u := range m.Uses {
 			k.places.Use(now, c.Peer().Process, u.Adapter, u.Started, u.Running)
 		}
+		k.listeners.mark(c, k.told.seq)
 	}
 }
 
@@ -296,7 +314,11 @@
 		k.greeted[c] = true
 		k.gateways[c.Peer().Process]++
 	}
-	_ = c.Send(k.holding().full())
+	if m.Relayed {
+		delete(k.listeners.all, c)
+	} else {
+		k.tellFull(c)
+	}
 	k.signal()
 }
 
@@ -308,13 +330,16 @@
 	}
 	k.logger.Info("engine named", "upstream", id, "before", k.upstream, "position", k.seen)
 	k.upstream = id
+	k.tell()
 	k.places.Defer(k.clock.Now())
 }
 
 // Closed implements peer.Handler.
 func (k *Keeper) Closed(c *peer.Conn, _ error) {
+	k.relays.lost(c)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.listeners.lost(c)
 	k.places.GatewayLost(c.Peer().Process)
 	delete(k.reading, c)
 	if !k.greeted[c] {
--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -36,6 +36,10 @@
 		&peer.Pong{Seq: 1, Config: 2},
 		&peer.ConfigPull{Page: 1},
 		&peer.ConfigPage{Page: 1, Pages: 2, Config: 3, Data: []byte("docs")},
+		&peer.Listen{},
+		&peer.Follow{Keeper: "127.0.0.1:1", End: true},
+		&peer.Relayed{Keeper: "127.0.0.1:1", Process: "k", Holding: peer.Holding{Seq: 3, Full: true, Known: true, Upstream: "i", Models: []wardturn.BaseModel{"m"}, Adapters: []peer.HeldAdapter{{Adapter: wardturn.AdapterVersion{Model: "m", Adapter: "a", Version: 2}, State: peer.HeldLoading}}, Gone: []wardturn.ModelAdapter{{Model: "m", Adapter: "b"}}, Running: 1, Free: 2}},
+		&peer.Mark{Seq: 9},
 	}
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,7 +9,7 @@
 
 // Protocol is the version of the protocol. Processes of different versions
 // refuse each other at Hello.
-const Protocol = 1
+const Protocol = 2
 
 // Kind names the type of a message in its frame.
 type Kind uint8
@@ -37,6 +37,10 @@
 	KindUsage
 	KindStoreNews
 	KindReading
+	KindListen
+	KindFollow
+	KindRelayed
+	KindMark
 )
 
 // Message is one typed message.
@@ -270,6 +274,14 @@
 		return &Reading{}
 	case KindStoreNews:
 		return &StoreNews{}
+	case KindListen:
+		return &Listen{}
+	case KindFollow:
+		return &Follow{}
+	case KindRelayed:
+		return &Relayed{}
+	case KindMark:
+		return &Mark{}
 	}
 	return nil
 }
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -28,10 +28,12 @@
 	State   HeldState
 }
 
-// Holding is what an engine holds. The first one on a connection is full; later
-// ones carry what changed since the one before.
+// Holding is what an engine holds. The first one that a listener gets is full;
+// later ones carry what changed since the one before.
 type Holding struct {
+	Seq      uint64 // counts the changes told in the keeper's lifetime; a full one has that of the latest change in it
 	Full     bool
+	Answer   bool // only what a gateway asked for: changes may be missing before it
 	Known    bool // the keeper has a report of the engine
 	Upstream wardturn.UpstreamID
 	Models   []wardturn.BaseModel
@@ -50,6 +52,31 @@
 	Upstream wardturn.UpstreamID
 	Seen     int64 // position of the upstream's entry in the platform's list; a later lifetime has a higher one
 	Spec     wardturn.EngineSpec
+	Relayed  bool // a relay tells the gateway of the holding; here it is only told what it asks for
+}
+
+// Listen asks a keeper for its holding and all changes.
+type Listen struct{}
+
+// Follow asks a keeper to relay what another keeper tells, or to end that. Each
+// one is answered with the full holding as soon as the relay knows it.
+type Follow struct {
+	Keeper string // address, IP:port
+	End    bool
+}
+
+// Relayed is what another keeper tells.
+type Relayed struct {
+	Keeper  string               // address, IP:port
+	Process wardturn.Incarnation // of that keeper
+	Lost    bool                 // the relay has lost the keeper; there is no holding
+	Holding Holding
+}
+
+// Mark tells a gateway how far the changes of a holding go, so that it notices a
+// relay that is behind.
+type Mark struct {
+	Seq uint64
 }
 
 // LoadWish asks a keeper to hold an adapter. It is repeated while requests wait
@@ -105,3 +132,15 @@
 
 // Kind implements Message.
 func (*Usage) Kind() Kind { return KindUsage }
+
+// Kind implements Message.
+func (*Listen) Kind() Kind { return KindListen }
+
+// Kind implements Message.
+func (*Follow) Kind() Kind { return KindFollow }
+
+// Kind implements Message.
+func (*Relayed) Kind() Kind { return KindRelayed }
+
+// Kind implements Message.
+func (*Mark) Kind() Kind { return KindMark }
