Test of a relay that is no longer followed waits by condition

Cause: words told before the end could still be under way, so the test failed once in some 200 runs beside load (seen first in one run of the package, then in a loop of 192). Now a second keeper that is followed orders the connection: what comes after its first word must not be of the first keeper.

--- a/keeper/relay_test.go
+++ b/keeper/relay_test.go
@@ -209,8 +209,21 @@
 	})
 
 	It("tells nothing more to a gateway that ends to follow", func() {
+		_, second := startKeeper("second", emptyEngine())
 		Expect(conn.Send(&peer.Follow{Keeper: addr, End: true})).To(Succeed())
+		Expect(conn.Send(&peer.Follow{Keeper: second})).To(Succeed())
+		Eventually(func() string { // what was told before the end has come by then
+			return next[*peer.Relayed](w).Keeper
+		}, soon).Should(Equal(second))
 		Expect(ask.Send(wishFor("a"))).To(Succeed())
-		Consistently(w.all, "300ms").ShouldNot(Receive())
+		Consistently(func() bool {
+			select {
+			case m := <-w.all:
+				r, ok := m.(*peer.Relayed)
+				return ok && r.Keeper == addr
+			default:
+				return false
+			}
+		}, "300ms").Should(BeFalse())
 	})
 })
