Tests: upstreams stop when the caller of their request leaves

Before the first byte (stream, resumable stream, repeatable lookup), in the middle of a stream, and while its adapter is waited for: within 500 ms nothing of it runs. They pass on the code as it was; no test showed it before. The stand-in can think before its first byte and linger between events.

--- /dev/null
+++ b/gateway/gone_test.go
@@ -0,0 +1,109 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn/standin"
+)
+
+// stopWithin is how soon an engine must stop when the caller of its request has
+// left.
+const stopWithin = 500 * time.Millisecond
+
+var _ = Describe("A request whose caller leaves", func() {
+	var x *rig
+	active := func() int {
+		n := 0
+		for _, m := range append(x.engines, x.apps...) {
+			n += m.Active()
+		}
+		return n
+	}
+	// call sends a request and returns what ends its caller's connection.
+	call := func(path, model string, read int) context.CancelFunc {
+		ctx, leave := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, x.front+path, strings.NewReader("prompt"))
+		Expect(err).NotTo(HaveOccurred())
+		req.Host = "h.example"
+		req.Header.Set("X-Wardturn-Attempt-Id", "leaves")
+		req.Header.Set("X-Wardturn-Deadline-Ms", "3000")
+		if model != "" {
+			req.Header.Set("X-Wardturn-Model", model)
+		}
+		client := &http.Client{
+			Transport: &http.Transport{},
+		}
+		begun := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			res, err := client.Do(req)
+			if err != nil {
+				return // it has left
+			}
+			defer res.Body.Close()
+			_, _ = io.ReadFull(res.Body, make([]byte, read))
+			close(begun)
+			_, _ = io.Copy(io.Discard, res.Body)
+		}()
+		if read > 0 {
+			Eventually(begun, soon).Should(BeClosed())
+		}
+		DeferCleanup(leave)
+		return leave
+	}
+	faults := func(f standin.WorkerFaults) {
+		for _, m := range append(x.engines, x.apps...) {
+			m.SetFaults(f)
+		}
+	}
+	BeforeEach(func() {
+		x = newRig()
+	})
+
+	for _, path := range []string{"/ask/x", "/resume/x", "/look/"} {
+		It("ends at its upstream before the first byte, on "+path, func() {
+			faults(standin.WorkerFaults{
+				Think: soon,
+			})
+			model := "m0"
+			if path == "/look/" {
+				model = ""
+			}
+			leave := call(path, model, 0)
+			Eventually(active, soon, often).Should(Equal(1))
+			leave()
+			Eventually(active, stopWithin, often).Should(BeZero())
+		})
+	}
+
+	It("ends at its engine in the middle of a stream", func() {
+		faults(standin.WorkerFaults{
+			Linger: soon,
+		})
+		leave := call("/ask/x", "m0", 5)
+		Expect(active()).To(Equal(1))
+		leave()
+		Eventually(active, stopWithin, often).Should(BeZero())
+	})
+
+	It("reaches no engine when its adapter comes later", func() {
+		faults(standin.WorkerFaults{
+			LoseOrders: true,
+		})
+		leave := call("/ask/x", "m0/late", 0)
+		time.Sleep(100 * time.Millisecond)
+		leave()
+		time.Sleep(stopWithin)
+		faults(standin.WorkerFaults{})
+		Consistently(func() int {
+			return x.runs("leaves")
+		}, stopWithin, often).Should(BeZero())
+	})
+})
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -44,13 +44,15 @@
 
 // WorkerFaults are the troubles of a worker.
 type WorkerFaults struct {
-	LoseOrders  bool // orders are neither carried out nor answered
-	LateOrders  bool // orders are not answered and carried out later, if they still fit then
-	LoseAnswers bool // requests are run and not answered
-	Stranger    bool // an answer to another request comes first
-	CutAfter    int  // events after which streams break off; zero: never
-	Full        bool // requests are rejected
-	Error       bool // requests run and fail
+	LoseOrders  bool          // orders are neither carried out nor answered
+	LateOrders  bool          // orders are not answered and carried out later, if they still fit then
+	LoseAnswers bool          // requests are run and not answered
+	Stranger    bool          // an answer to another request comes first
+	CutAfter    int           // events after which streams break off; zero: never
+	Full        bool          // requests are rejected
+	Error       bool          // requests run and fail
+	Think       time.Duration // before the first byte of an answer
+	Linger      time.Duration // between two events of a stream, beside the usual pause
 }
 
 // NewModelWorker returns a worker that holds its base model and no adapters.
@@ -118,6 +120,13 @@
 	return n
 }
 
+// Active returns how many requests are being worked on.
+func (m *ModelWorker) Active() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.active
+}
+
 // Fell reports whether an order asked for more than the worker can hold.
 func (m *ModelWorker) Fell() bool {
 	m.mu.Lock()
@@ -312,6 +321,11 @@
 		defer m.mu.Unlock()
 		m.active--
 	}()
+	select {
+	case <-time.After(f.Think):
+	case <-r.Context().Done():
+		return
+	}
 	h.Set("X-Wardturn-Server-Seal", "seal-"+attempt)
 	switch {
 	case f.LoseAnswers:
@@ -366,7 +380,7 @@
 		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
 		w.(http.Flusher).Flush()
 		select {
-		case <-time.After(m.cfg.Pause):
+		case <-time.After(m.cfg.Pause + f.Linger):
 		case <-r.Context().Done():
 			return
 		}
