Connections between daemons that go silent end after 2 s

Cause: a connection that is forgotten without a reset showed only by a heartbeat without an answer: 5 s in use, up to 14 s at rest, during which asks for adapters and words of what engines hold are lost.

Change: TCP_USER_TIMEOUT of 2 s on both ends; it stays open while the other host acknowledges, so a frozen process is not taken for gone. The option's code is one for upstreams and daemons.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 const (
@@ -83,7 +84,7 @@
 func (p *pool) dial(ctx context.Context, addr string) (*upstreamConn, error) {
 	d := net.Dialer{
 		Timeout: dialLimit,
-		Control: setUserTimeout,
+		Control: process.UserTimeout(userTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     probeIdle,
@@ -102,20 +103,6 @@
 	}, nil
 }
 
-// tcpUserTimeout is the socket option of that name, which package syscall lacks.
-const tcpUserTimeout = 18
-
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	ctlErr := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	if ctlErr != nil {
-		return ctlErr
-	}
-	return err
-}
-
 // quiet reports whether an idle connection is open with nothing to read: bytes
 // that nobody asked for, or an end, make it useless.
 func (c *upstreamConn) quiet() bool {
--- a/peer/client.go
+++ b/peer/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 const (
@@ -17,6 +18,10 @@
 	minRedial    = 50 * time.Millisecond
 	maxRedial    = 400 * time.Millisecond // a process that starts again is found soon
 	redialFactor = 2
+	// ackLimit is how long sent bytes may have no acknowledgement: a packet may be lost
+	// three times (sent again after 0.2, 0.6 and 1.4 s). A heartbeat without an answer
+	// shows a silent connection after 5 s.
+	ackLimit = 2 * time.Second
 )
 
 // Client keeps one connection to a process, and dials again when it is lost.
@@ -124,6 +129,7 @@
 func (c *Client) dial() (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: dialLimit,
+		Control: process.UserTimeout(ackLimit),
 	}
 	if c.conf != nil {
 		return tls.DialWithDialer(&d, "tcp", c.addr, c.conf)
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 // Server accepts connections of other processes.
@@ -68,6 +69,11 @@
 		nc.Close()
 		return
 	}
+	if err := process.SetUserTimeout(nc, ackLimit); err != nil {
+		nc.Close() // it has ended already
+		s.forget(nc)
+		return
+	}
 	c, r, err := establish(nc, s.clock, s.id)
 	if !s.promote(nc, c, err) {
 		nc.Close()
@@ -90,6 +96,13 @@
 	return true
 }
 
+// forget drops an accepted connection.
+func (s *Server) forget(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.fresh, nc)
+}
+
 // promote records that Hello was exchanged and reports whether to go on.
 func (s *Server) promote(nc net.Conn, c *Conn, err error) bool {
 	s.mu.Lock()
