Readings of the store that fail pause longer

Change: the turn of a reading doubles its pause after each failure, from the least time between two to 1 s, half of the time in which upstreams renew what lapsed. A reading that fails is no doubt of the list any more. The test of the pauses failed before.

--- a/decide/turn.go
+++ b/decide/turn.go
@@ -14,13 +14,14 @@
 type ReadTurn struct {
 	cfg       ReadTurnConfig
 	self      wardturn.Incarnation
-	start     time.Time // stamps count from here
-	part      float64   // of the spread that is this process's, 0 to 1
-	asOf      time.Time // what is known was true then, or later
-	own       bool      // by a reading of this process
-	doubtAt   time.Time // something contradicted it then
-	leaderAt  time.Time // when a process with a lower id was last heard
-	notBefore time.Time // no reading of its own before
+	start     time.Time     // stamps count from here
+	part      float64       // of the spread that is this process's, 0 to 1
+	asOf      time.Time     // what is known was true then, or later
+	own       bool          // by a reading of this process
+	doubtAt   time.Time     // something contradicted it then
+	leaderAt  time.Time     // when a process with a lower id was last heard
+	notBefore time.Time     // no reading of its own before
+	retry     time.Duration // pause after the latest reading, which failed; zero: it did not
 	lags      map[wardturn.Incarnation]time.Duration
 }
 
@@ -41,6 +42,9 @@
 	// with the lowest id is gone, the others step in within the slack.
 	turnSlack  = 0.15
 	turnSpread = 0.25
+	// mostRetry bounds the pause after a reading that failed: a half of the 2 s within
+	// which upstreams renew what lapsed while the store was away.
+	mostRetry = time.Second
 	// leaderLife is how long a process with a lower id counts after its last
 	// word, in Every.
 	leaderLife = 2
@@ -105,9 +109,18 @@
 	t.notBefore = now.Add(t.cfg.Least)
 }
 
+// Failed records that a reading of this process had no answer. The store is away, or
+// out of reach of this process alone: then others tell what they read. So pauses
+// double, up to mostRetry.
+func (t *ReadTurn) Failed(now time.Time) {
+	t.retry = min(max(2*t.retry, t.cfg.Least), mostRetry)
+	t.notBefore = now.Add(t.retry)
+}
+
 // Read records a reading of this process: all that was true at a time is known.
 // It returns the stamp for the word to the others.
 func (t *ReadTurn) Read(asOf time.Time) time.Duration {
+	t.retry = 0
 	t.renew(asOf, true)
 	return asOf.Sub(t.start)
 }
--- a/decide/turn_test.go
+++ b/decide/turn_test.go
@@ -38,6 +38,25 @@
 		Expect(due(t)).To(Equal(every))
 	})
 
+	It("pauses longer after each reading that fails, to a bound, until one has an answer", func() {
+		t := turn("b")
+		t.Read(now)
+		now = now.Add(2 * every)
+		t.Doubt(now)
+		var pauses []time.Duration
+		for range 5 {
+			t.Began(now)
+			t.Failed(now)
+			pauses = append(pauses, due(t))
+			now = now.Add(due(t))
+		}
+		Expect(pauses).To(Equal([]time.Duration{least, 2 * least, every, every, every}))
+		t.Began(now)
+		t.Read(now.Add(-time.Millisecond))
+		t.Doubt(now)
+		Expect(due(t)).To(Equal(least))
+	})
+
 	It("leaves the reading to the process with the lowest id while that tells of it", func() {
 		a, b := turn("a"), turn("b")
 		for range 10 {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -9,7 +9,6 @@
 
 // followConfig keeps the configuration up to date.
 func (g *Gateway) followConfig() {
-	pause := configRetry
 	away := false
 	first := true
 	for {
@@ -26,7 +25,6 @@
 				g.logger.Info("store answers again", "for", "configuration")
 			}
 			away = false
-			pause = configRetry
 			g.apply(change)
 			continue
 		}
@@ -35,10 +33,7 @@
 			g.logger.Warn("store away, the present configuration stays", "error", err)
 		}
 		away = true
-		if !g.tasks.Pause(pause) {
-			return
-		}
-		pause = min(2*pause, configMaxRetry)
+		g.news.failed(g.news.config)
 	}
 }
 
@@ -124,7 +119,7 @@
 	list, change, ok := g.list.read()
 	if !ok {
 		g.metrics.members.failed.Inc(1)
-		g.doubtMembers()
+		g.news.failed(g.news.members)
 		return
 	}
 	g.metrics.members.read.Inc(1)
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -38,6 +38,7 @@
 		woken:   make(chan struct{}),
 		config: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
 			Every: configWait,
+			Least: configRetry,
 		}),
 		members: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
 			Every: every,
@@ -138,6 +139,13 @@
 	})
 }
 
+// failed records that a reading had no answer.
+func (n *news) failed(t *decide.ReadTurn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t.Failed(n.g.clock.Now())
+}
+
 func (n *news) doubtMembers() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
