The project's own scale bench goes

Decisions keep Go benchmarks: by the number of engines for adapters that are held and that are nowhere, and by the number of wishes for a keeper's choice. The test that readings of the store do not grow with gateways moves to decide, with the same bound.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -51,7 +51,6 @@
 	Status     statusCmd                    `cmd:"" help:"Print an entry's view of the system."`
 	Drain      drainCmd                     `cmd:"" help:"Order an upstream to leave."`
 	Report     reportCmd                    `cmd:"" help:"Reports."`
-	Bench      benchCmd                     `cmd:"" help:"Measure costs at several sizes and work out the size in two years."`
 	Chaos      chaosCmd                     `cmd:"" help:"Run random histories of faults and check the promises."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print the line that makes the shell complete this command."`
 	Explain    explainCmd                   `cmd:"" help:"Print the story of a request from logs."`
--- a/decide/fleet_bench_test.go
+++ b/decide/fleet_bench_test.go
@@ -7,6 +7,7 @@
 
 	"wardturn"
 	"wardturn/decide"
+	"wardturn/policy"
 )
 
 // BenchmarkNowhere takes a request for an adapter that no engine holds, from its
@@ -109,3 +110,73 @@
 		Gone: []wardturn.ModelAdapter{adapterKey(name)},
 	})
 }
+
+// BenchmarkHeld takes a request whose adapter an engine holds, from its arrival to
+// its end.
+func BenchmarkHeld(b *testing.B) {
+	for _, engines := range []int{18, 74, 262, 1000, 2100} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			x := newNowhere(engines)
+			for i := range engines {
+				x.tell(wardturn.UpstreamID(fmt.Sprint("e", i)), decide.Holding{
+					Adapters: []decide.HeldVersion{readyAdapter(fmt.Sprint("a", i), 1)},
+				})
+			}
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				x.now = x.now.Add(time.Millisecond)
+				x.admitHeld(fmt.Sprint("a", i%engines))
+			}
+		})
+	}
+}
+
+// admitHeld takes a request whose adapter is held to its end.
+func (x *nowhere) admitHeld(name string) {
+	var out decide.Moves
+	x.f.Admit(x.now, &decide.Ticket{
+		Service:   fleetService,
+		Key:       adapterKey(name),
+		Arrived:   x.now,
+		Objective: time.Second,
+		Deadline:  x.now.Add(time.Second),
+		Assign: func(a decide.Assignment) {
+			x.f.Began(a.Member.ID, 0)
+			x.f.Ended(x.now, a.Member.ID, adapterKey(name), decide.EndedWell)
+		},
+	}, &out)
+}
+
+// BenchmarkOrderChoice finds the order that is due at a keeper, by the number of
+// adapters that gateways wish for.
+func BenchmarkOrderChoice(b *testing.B) {
+	for _, wishes := range []int{4, 64, 256} {
+		b.Run(fmt.Sprint(wishes), func(b *testing.B) {
+			p := decide.NewPlaces(start, policy.Default{})
+			p.SetSpec(wardturn.EngineSpec{
+				AdapterSlots: 9,
+				Models: []wardturn.ModelSpec{
+					{
+						Name: "m",
+					},
+				},
+			})
+			p.Report(start, wardturn.EngineState{
+				Models: []wardturn.LoadedModel{
+					{
+						Name: "m",
+					},
+				},
+			})
+			for i := range wishes {
+				p.Wish(start, "g", adapterVersion(fmt.Sprint("a", i), 1), 1+i%7, 0)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Next(start)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/decide/turn_reads_test.go
@@ -0,0 +1,77 @@
+package decide_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+// Readings of the store must not grow with the gateways: that is what sharing
+// them is for.
+func TestStoreReadsDoNotGrowWithGateways(t *testing.T) {
+	few, many := storeReads(3), storeReads(470)
+	t.Logf("reads an hour: 3 gateways %.0f, 470 gateways %.0f", few, many)
+	if many > 4*few {
+		t.Errorf("470 gateways read %.0f times an hour, 3 read %.0f times", many, few)
+	}
+}
+
+const (
+	readEvery = time.Second
+	readStep  = 2 * time.Millisecond // of virtual time; also how long a word takes
+	readFor   = 10 * time.Minute
+)
+
+// storeReads returns how often the list of upstreams is read in an hour by some
+// gateways that share their readings; one in a hundred is replaced each minute.
+func storeReads(n int) float64 {
+	now := start
+	started := 0
+	begin := func() (wardturn.Incarnation, *decide.ReadTurn) {
+		started++
+		id := wardturn.Incarnation(fmt.Sprintf("%08x", uint32(started)*2654435761))
+		return id, decide.NewReadTurn(now, id, decide.ReadTurnConfig{
+			Every: readEvery,
+			Pause: readEvery,
+			Least: readEvery / 4,
+		})
+	}
+	ids := make([]wardturn.Incarnation, n)
+	turns := make([]*decide.ReadTurn, n)
+	for i := range turns {
+		ids[i], turns[i] = begin()
+	}
+	reads := 0
+	replaced := time.Minute / time.Duration(max(1, n/100))
+	for ; now.Sub(start) < readFor; now = now.Add(readStep) {
+		if now.Sub(start)%replaced < readStep {
+			i := reads % n
+			ids[i], turns[i] = begin()
+		}
+		reads += readDue(now, ids, turns)
+	}
+	return float64(reads) * time.Hour.Hours() / readFor.Hours()
+}
+
+// readDue has the gateways read whose turn it is, and tells the others.
+func readDue(now time.Time, ids []wardturn.Incarnation, turns []*decide.ReadTurn) int {
+	var due []int
+	for i, t := range turns {
+		if !t.DueAt(now).After(now) {
+			due = append(due, i)
+		}
+	}
+	for _, i := range due {
+		turns[i].Began(now)
+		stamp := turns[i].Read(now)
+		for j, t := range turns {
+			if j != i {
+				t.Heard(now.Add(readStep), ids[i], stamp)
+			}
+		}
+	}
+	return len(due)
+}
