Test engine of keepers gives out reports of its own

Cause: once in some 70 runs of the package with the race detector, beside load, a race between the goroutine that gives orders and one that handles a gateway's message. By the code: the test's engine returned its state with the slice of models shared, and its Order writes into that while the keeper reads its report. The daemons' clients decode each report anew. Not reproduced on purpose.

--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -44,7 +45,9 @@
 	if e.down {
 		return wardturn.EngineState{}, wardturn.ErrUnavailable
 	}
-	return e.state, nil
+	st := e.state
+	st.Models = slices.Clone(st.Models) // Order changes its own
+	return st, nil
 }
 
 func (e *engine) Order(o wardturn.EngineOrder) wardturn.OrderAnswer {
