The number of gateways is told once a second

Cause: each gateway that connected to a keeper changed the number that it tells, a word to every listener: for each gateway that starts with the others a word for each pair of a keeper and a gateway.

Change: a change of the number alone is told at most once a second; with other words it goes along.

--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"wardturn"
 	"wardturn/peer"
@@ -108,7 +109,7 @@
 			m.Gone = append(m.Gone, key)
 		}
 	}
-	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.gateways == old.gateways && h.free == old.free &&
+	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.free == old.free &&
 		slices.Equal(h.models, old.models) && !h.stepped(old) {
 		return nil
 	}
@@ -119,6 +120,11 @@
 	return m
 }
 
+// countEvery is how soon a change of the number of gateways alone is told again.
+// Told with each gateway that comes, it is a word for each pair of a keeper and a
+// gateway to each gateway when all start together: 22,000 with 156 and 143.
+const countEvery = time.Second
+
 // readingStep is the change in tokens being read that is worth telling: half of
 // the least prompt that gateways tell of.
 const readingStep = 2048
@@ -137,9 +143,14 @@
 func (k *Keeper) tell() {
 	h := k.holding()
 	m := h.since(k.told)
+	now := k.clock.Now()
+	if m == nil && h.gateways != k.told.gateways && !now.Before(k.countAt) {
+		m = h.message()
+	}
 	if m == nil {
 		return
 	}
+	k.countAt = now.Add(countEvery)
 	if h.upstream != k.told.upstream {
 		m = h.full()
 	}
@@ -149,7 +160,7 @@
 	for c := range k.listeners.all {
 		_ = c.Send(m)
 	}
-	k.listeners.answer(k.clock.Now(), m)
+	k.listeners.answer(now, m)
 }
 
 // tellFull has a connection listen, and tells it everything; the lock is held.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -70,6 +70,7 @@
 	reading   map[*peer.Conn]int           // tokens of long prompts, by gateway's connection
 	told      *holding                     // what the listeners know
 	listeners listeners
+	countAt   time.Time // when a change of the number of gateways alone may be told
 }
 
 // New starts a keeper.
--- a/keeper/relay_test.go
+++ b/keeper/relay_test.go
@@ -1,7 +1,9 @@
 package keeper_test
 
 import (
+	"fmt"
 	"net"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/ginkgo/v2"
@@ -45,6 +47,9 @@
 func (w *words) Closed(*peer.Conn, error)            {}
 func (w *words) Handle(_ *peer.Conn, m peer.Message) { w.all <- m }
 
+// ends numbers the gateways' ends.
+var ends atomic.Int64
+
 // connect connects a gateway's end to a keeper.
 func connect(addr string) (*words, *peer.Conn) {
 	w := &words{
@@ -53,7 +58,7 @@
 	}
 	c := peer.NewClient(addr, nil, process.Clock{}, peer.Identity{
 		Role:    peer.RoleEntry,
-		Process: "g",
+		Process: wardturn.Incarnation(fmt.Sprint("g", ends.Add(1))),
 		Config: func() wardturn.Offset {
 			return 0
 		},
