A relay that fails is trusted for longer pauses, and start is waited for

Change: the pause after a failure doubles from 3 s to a minute, by chance a quarter longer or shorter; a relay may take 1 s to tell and 0.5 s to catch up with a mark; keepers in the own failure domain count as relays for 2 s before they are connected, so that the choice does not move with each that comes; a keeper that nobody follows is listened to for 5 s more. A counter says how often relays were left. Tests of the pauses; those of frozen and lost relays stay.

--- /dev/null
+++ b/decide/trust_test.go
@@ -0,0 +1,57 @@
+package decide_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn/decide"
+)
+
+var _ = Describe("Trust in a way", func() {
+	// pause returns how long the way is not used from now on.
+	pause := func(t *decide.Trust, now time.Time) time.Duration {
+		for d := time.Duration(0); ; d += 100 * time.Millisecond {
+			if t.Allows(now.Add(d)) {
+				return d
+			}
+		}
+	}
+
+	It("is there at first, and lost for longer each time that it fails soon", func() {
+		t := &decide.Trust{
+			Draw: func() float64 { return 0.5 },
+		}
+		now := start
+		Expect(t.Allows(now)).To(BeTrue())
+		var pauses []time.Duration
+		for range 7 {
+			since := now
+			now = now.Add(time.Second)
+			t.Fail(now, since)
+			pauses = append(pauses, pause(t, now))
+			now = now.Add(pauses[len(pauses)-1])
+		}
+		Expect(pauses).To(Equal([]time.Duration{
+			3 * time.Second, 6 * time.Second, 12 * time.Second, 24 * time.Second, 48 * time.Second, time.Minute, time.Minute,
+		}))
+		since := now
+		now = now.Add(time.Minute) // it holds for long
+		t.Fail(now, since)
+		Expect(pause(t, now)).To(Equal(3 * time.Second))
+	})
+
+	It("comes back at different times", func() {
+		early := &decide.Trust{
+			Draw: func() float64 { return 0 },
+		}
+		late := &decide.Trust{
+			Draw: func() float64 { return 0.99 },
+		}
+		early.Fail(start, start)
+		late.Fail(start, start)
+		Expect(pause(early, start)).To(BeNumerically("<", 2500*time.Millisecond))
+		Expect(pause(late, start)).To(BeNumerically(">", 3500*time.Millisecond))
+	})
+})
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -16,20 +16,22 @@
 	client *peer.Client
 	words  sync.Mutex // held while one word is taken, so that they are in order
 
-	mu       sync.Mutex
-	member   wardturn.Member
-	notice   peer.EngineNotice
-	told     bool // the notice was sent on the present connection
-	conn     *peer.Conn
-	begun    time.Time  // of the link
-	via      *link      // relay; nil: none
-	followed *peer.Conn // on which the relay was asked; nil: it has to be
-	directTo time.Time  // no relay before
-	synced   bool       // a full holding came
-	seq      uint64     // of the latest word
-	asked    time.Time  // when a full holding was last waited for
-	behind   peer.Mark  // that the relay had not reached when it came; zero: none
-	behindAt time.Time
+	mu         sync.Mutex
+	member     wardturn.Member
+	notice     peer.EngineNotice
+	told       bool // the notice was sent on the present connection
+	conn       *peer.Conn
+	begun      time.Time    // of the link
+	via        *link        // relay; nil: none
+	followed   *peer.Conn   // on which the relay was asked; nil: it has to be
+	viaSince   time.Time    // when it was chosen
+	trust      decide.Trust // in relays
+	distrusted bool         // the keeper tells directly until it may be relayed again
+	synced     bool         // a full holding came
+	seq        uint64       // of the latest word
+	asked      time.Time    // when a full holding was last waited for
+	behind     peer.Mark    // that the relay had not reached when it came; zero: none
+	behindAt   time.Time
 }
 
 // tell sends the notice to the keeper if it has not got it.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -12,20 +12,21 @@
 // Metrics are the gateway's counters and histograms. The series that it made are
 // kept, so that counting needs no look-up of labels.
 type Metrics struct {
-	scope   tally.Scope
-	resends tally.Counter
-	denied  tally.Counter
-	loads   tally.Histogram
-	warm    tally.Histogram
-	waiting tally.Gauge
-	under   tally.Gauge
-	window  tally.Gauge
-	sends   tally.Counter
-	direct  tally.Counter // words of keepers, from themselves
-	relayed tally.Counter // by relays
-	answers tally.Counter // on what was asked for
-	config  recordMetrics
-	members recordMetrics
+	scope      tally.Scope
+	resends    tally.Counter
+	denied     tally.Counter
+	loads      tally.Histogram
+	warm       tally.Histogram
+	waiting    tally.Gauge
+	under      tally.Gauge
+	window     tally.Gauge
+	sends      tally.Counter
+	direct     tally.Counter // words of keepers, from themselves
+	relayed    tally.Counter // by relays
+	answers    tally.Counter // on what was asked for
+	relaysLeft tally.Counter // relays that told nothing, were behind, or lost their keeper
+	config     recordMetrics
+	members    recordMetrics
 
 	mu       sync.RWMutex
 	requests map[series]outcomeSeries
@@ -78,21 +79,22 @@
 		}).Histogram("adapter_load_time", latencies)
 	}
 	return &Metrics{
-		scope:    scope,
-		resends:  scope.Counter("resends"),
-		denied:   scope.Counter("resends_denied"),
-		loads:    kind("store"),
-		warm:     kind("memory"),
-		waiting:  scope.Gauge("requests_waiting"),
-		under:    scope.Gauge("loads_under_way"),
-		window:   scope.Gauge("load_window"),
-		sends:    scope.Counter("sends"),
-		direct:   words(scope, "direct"),
-		relayed:  words(scope, "relay"),
-		answers:  words(scope, "answer"),
-		config:   newRecordMetrics(scope, "configuration"),
-		members:  newRecordMetrics(scope, "upstreams"),
-		requests: make(map[series]outcomeSeries),
+		scope:      scope,
+		resends:    scope.Counter("resends"),
+		denied:     scope.Counter("resends_denied"),
+		loads:      kind("store"),
+		warm:       kind("memory"),
+		waiting:    scope.Gauge("requests_waiting"),
+		under:      scope.Gauge("loads_under_way"),
+		window:     scope.Gauge("load_window"),
+		sends:      scope.Counter("sends"),
+		direct:     words(scope, "direct"),
+		relayed:    words(scope, "relay"),
+		answers:    words(scope, "answer"),
+		relaysLeft: scope.Counter("relays_left"),
+		config:     newRecordMetrics(scope, "configuration"),
+		members:    newRecordMetrics(scope, "upstreams"),
+		requests:   make(map[series]outcomeSeries),
 	}
 }
 
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -12,18 +12,18 @@
 
 const (
 	// relayStart is how long a new link in the own failure domain counts as a relay
-	// before it is connected: all gateways that start together choose alike. A
-	// connection takes a few milliseconds, a dial to a dead host 300.
-	relayStart = 400 * time.Millisecond
+	// before it is connected, so that gateways which start together choose alike and
+	// once. With 0.144 cores and 156 keepers all connections take over half a second;
+	// a choice among those that are there so far moves with each that comes.
+	relayStart = 2 * time.Second
 	// relaySync is how long a full holding may stay out until the keeper itself is
-	// asked: ten times what a relay needs to connect and pass it on.
-	relaySync = 300 * time.Millisecond
+	// asked: a dial to a host that is still dark takes 300 ms, and then another.
+	relaySync = time.Second
 	// relayLag is how long a relay may be behind a keeper's mark: far over the
-	// 2 ms of the way by a relay. A frozen relay is left after this and a
-	// tick of links.check, and sooner than its heartbeat shows it.
-	relayLag = 200 * time.Millisecond
-	// relayRetry is how long a keeper is listened to directly after its relay failed.
-	relayRetry = 3 * time.Second
+	// 2 ms of the way by a relay, and what a host of a fifth of its speed takes. A
+	// frozen relay is left after this and a tick of links.check, and sooner than its
+	// heartbeat shows it.
+	relayLag = 500 * time.Millisecond
 )
 
 // route chooses the way of a keeper's words when the link to it came or went. One in
@@ -110,7 +110,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.via == nil {
-		return !l.directTo.IsZero() && !now.Before(l.directTo)
+		return l.distrusted && l.trust.Allows(now)
 	}
 	if l.conn == nil {
 		return false
@@ -121,7 +121,7 @@
 		return false
 	}
 	l.links.g.logger.Info("relay left, its keeper tells directly", "upstream", l.member.ID, "relay", l.via.addr(), "behind", behind, "seq", l.seq, "mark", l.behind.Seq)
-	l.directTo = now.Add(relayRetry)
+	l.distrust(now)
 	return true
 }
 
@@ -129,15 +129,14 @@
 func (l *link) follow(now time.Time, via *link) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.member.Domain == l.links.g.cfg.Domain || now.Before(l.directTo) {
+	l.distrusted = l.distrusted && !l.trust.Allows(now)
+	if l.distrusted || l.member.Domain == l.links.g.cfg.Domain {
 		via = nil
 	}
-	if !now.Before(l.directTo) {
-		l.directTo = time.Time{}
-	}
 	if via != l.via {
 		l.leave()
 		l.via = via
+		l.viaSince = now
 		l.asked = now
 		l.behind = peer.Mark{}
 	}
@@ -209,10 +208,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != nil && l.conn.Peer().Process == process {
-		l.directTo = l.links.g.clock.Now().Add(relayRetry)
+		l.distrust(l.links.g.clock.Now())
 	}
 }
 
+// distrust has the keeper tell directly for a while; the lock is held.
+func (l *link) distrust(now time.Time) {
+	l.distrusted = true
+	l.trust.Fail(now, l.viaSince)
+	l.links.g.metrics.relaysLeft.Inc(1)
+}
+
 // mark takes a keeper's word on how far its changes go.
 func (l *link) mark(m peer.Mark) {
 	l.mu.Lock()
--- a/keeper/relay.go
+++ b/keeper/relay.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -17,6 +18,10 @@
 // 19 on average, and 500 when four of them are left.
 const maxRelays = 512
 
+// relayLinger is how long a keeper that nobody follows any more is listened to:
+// gateways that start or whose connections were cut come back within it.
+const relayLinger = 5 * time.Second
+
 // relays pass on what keepers in other failure domains tell to the gateways of
 // the own one. So a change crosses between two failure domains once and not once
 // for each gateway: with 68 gateways and 74 engines in five of them 0.089 GB crossed
@@ -97,18 +102,33 @@
 }
 
 // unfollow ends the wish of a gateway; the lock is held. A keeper that nobody
-// follows any more is not listened to.
+// follows any more is not listened to after a while.
 func (rs *relays) unfollow(c *peer.Conn, keeper string) {
 	r := rs.byKeeper[keeper]
-	if r == nil {
+	if r == nil || !r.followers[c] {
 		return
 	}
 	delete(r.followers, c)
 	if len(r.followers) > 0 {
 		return
 	}
-	delete(rs.byKeeper, keeper)
-	rs.tasks.Go(r.client.Close)
+	rs.tasks.Go(func() {
+		if rs.tasks.Pause(relayLinger) {
+			rs.end(r)
+		}
+	})
+}
+
+// end ends a relay if nobody has followed it again.
+func (rs *relays) end(r *relay) {
+	rs.mu.Lock()
+	if len(r.followers) > 0 || rs.byKeeper[r.keeper] != r {
+		rs.mu.Unlock()
+		return
+	}
+	delete(rs.byKeeper, r.keeper)
+	rs.mu.Unlock()
+	r.client.Close()
 }
 
 // lost ends all wishes of a gateway whose connection ended.
