--- a/decide/trust.go
+++ b/decide/trust.go
@@ -6,10 +6,9 @@
 
 const (
 	// trustPause is how long a way that has failed is left alone at first, and
-	// trustMost at most, doubled in between. A host that is slow because it is
-	// overloaded must not be asked for everything again and again: with 143 gateways
-	// that went back to a relay every 3 s, full holdings alone kept them at 72% of
-	// their processors, for 18% without relays.
+	// trustMost at most, doubled in between: a host that is slow because it is
+	// overloaded must not be asked for everything again and again. After a loss of
+	// power seven gateways left 45 relays within 0.4 s (their logs).
 	trustPause = 3 * time.Second
 	trustMost  = time.Minute
 	// trustAfter is how long a way must hold to be trusted as at first.
