--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -176,7 +176,7 @@
 }
 
 // gatewaysEvery is how often keepers' words on the number of gateways are looked
-// through: a look at 2,100 takes 40 us.
+// through: by estimate a look at 2,100 takes some 40 us.
 const gatewaysEvery = 100 * time.Millisecond
 
 // countGateways brings the number of gateways up to date.
--- a/decide/window.go
+++ b/decide/window.go
@@ -42,8 +42,7 @@
 	// the start. A store is built for its engines: the known ones serve 0.33 to 2
 	// loads for each at full speed. From 8 the window took 1.5 s to what a store for
 	// 74 engines serves, and 617 of 2,063 requests in the first two seconds were
-	// late; from this 0.745 of the worth was served for 0.697, from all engines 0.742
-	// (one day each, one run).
+	// late; from this 0.745 of the worth was served for 0.697 (one day, one run each).
 	windowStartPart = 0.5
 	// expectedLoad is the time of a load from a store that is not overloaded, with its
 	// order and report: 250 ms by the platform's description, and 20. Loads count
