Logs tell which old version served a request and when it began

Cause: the logs named a new version but no line said which version served a request, how long after the newer one was named it was sent and began, or how old a gateway's knowledge was, so the hypotheses of the incident could not be told apart.

Change: the line 'old version served' with the times from the first newer name to the send and to the first bytes; 'version named' says how long ago the version was surely not yet acknowledged; the histogram old_version_begin_time. No logic changed.

--- a/decide/turn.go
+++ b/decide/turn.go
@@ -90,6 +90,12 @@
 	return due
 }
 
+// AsOf returns a time at which all that is known was true; zero before the first
+// reading.
+func (t *ReadTurn) AsOf() time.Time {
+	return t.asOf
+}
+
 // Age returns how old the knowledge is; zero before the first reading.
 func (t *ReadTurn) Age(now time.Time) time.Duration {
 	if t.asOf.IsZero() {
--- a/decide/versions.go
+++ b/decide/versions.go
@@ -32,6 +32,7 @@
 		return
 	}
 	f.versions[key] = v.Version
+	f.named(now, v)
 	r := &rollout{
 		due: now,
 	}
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -90,3 +90,11 @@
 	defer g.mu.Unlock()
 	g.fleet.NotHeld(g.clock.Now(), id, key)
 }
+
+// superseded returns the first newer version of an adapter, and when it was named
+// here.
+func (g *Gateway) superseded(key wardturn.ModelAdapter, v wardturn.Version) (newer wardturn.Version, named time.Time, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Superseded(key, v)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -57,6 +57,7 @@
 	events  events
 	reading wardturn.UpstreamID // that is reading the prompt
 	timing  timing
+	send    sendTimes
 }
 
 // timing is when the parts of an answer came.
@@ -67,6 +68,13 @@
 	pause  time.Duration // the longest between bytes
 }
 
+// sendTimes is when the latest send went to its upstream, and when that began to
+// answer; zero: it has not.
+type sendTimes struct {
+	sent  time.Time
+	began time.Time
+}
+
 // refusal is the word that a request has not run.
 type refusal struct {
 	reason     wardturn.Reason
@@ -142,6 +150,7 @@
 		}
 		res := x.try(ctx, a)
 		x.began(a)
+		x.noteOldVersion(a)
 		x.g.ended(a.Member.ID, x.key, res)
 		x.tried = append(x.tried, a.Member.ID)
 		switch res {
@@ -202,6 +211,9 @@
 // arrivedBytes notes the time of bytes of the answer.
 func (x *exchange) arrivedBytes() {
 	now := x.g.clock.Now()
+	if x.send.began.IsZero() {
+		x.send.began = now
+	}
 	if x.timing.last.IsZero() {
 		x.timing.first = now.Sub(x.arrived)
 	} else {
@@ -313,6 +325,9 @@
 		return notRun
 	}
 	x.g.metrics.sends.Inc(1)
+	x.send = sendTimes{
+		sent: now,
+	}
 	ans, err := x.g.send(ctx, x, a.Member, x.head(a, leftTime), x.end.Add(answerMargin))
 	if err != nil {
 		return x.sendFailed(a, err)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,13 +19,14 @@
 		change, err := g.source.Next(configWait)
 		if err == nil {
 			g.metrics.config.read.Inc(1)
+			known := g.news.configKnown()
 			g.news.readConfig(configAsOf(sent, g.clock.Now(), change, first), change.To)
 			first = false
 			if away {
 				g.logger.Info("store answers again", "for", "configuration")
 			}
 			away = false
-			g.apply(change)
+			g.apply(change, known)
 			continue
 		}
 		g.metrics.config.failed.Inc(1)
@@ -49,15 +50,16 @@
 }
 
 // apply puts a change of the configuration in force. An older version than the
-// present one is passed over.
-func (g *Gateway) apply(c wardturn.ConfigChange) {
+// present one is passed over. What changed was not so yet at the time known; zero:
+// nothing was known then.
+func (g *Gateway) apply(c wardturn.ConfigChange, known time.Time) {
 	now := g.clock.Now()
 	var out decide.Moves
 	g.mu.Lock()
 	running := g.routes.Load() != nil
 	for _, v := range c.Versions {
 		g.fleet.SetVersion(now, v, running, &out)
-		g.logger.Info("version named", "model", v.Model, "adapter", v.Adapter, "version", v.Version)
+		g.logger.Info("version named", "model", v.Model, "adapter", v.Adapter, "version", v.Version, "unnamed_ago", now.Sub(known))
 	}
 	present := g.routes.Load()
 	if c.Table != nil && (present == nil || c.Table.Version > present.table.Version) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,10 +21,11 @@
 	under      tally.Gauge
 	window     tally.Gauge
 	sends      tally.Counter
-	direct     tally.Counter // words of keepers, from themselves
-	relayed    tally.Counter // by relays
-	answers    tally.Counter // on what was asked for
-	relaysLeft tally.Counter // relays that told nothing, were behind, or lost their keeper
+	direct     tally.Counter   // words of keepers, from themselves
+	relayed    tally.Counter   // by relays
+	answers    tally.Counter   // on what was asked for
+	oldBegan   tally.Histogram // from a newer version's name to the begin on an old one
+	relaysLeft tally.Counter   // relays that told nothing, were behind, or lost their keeper
 	config     recordMetrics
 	members    recordMetrics
 
@@ -91,6 +92,7 @@
 		direct:     words(scope, "direct"),
 		relayed:    words(scope, "relay"),
 		answers:    words(scope, "answer"),
+		oldBegan:   scope.Histogram("old_version_begin_time", latencies),
 		relaysLeft: scope.Counter("relays_left"),
 		config:     newRecordMetrics(scope, "configuration"),
 		members:    newRecordMetrics(scope, "upstreams"),
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -122,6 +122,14 @@
 	return c, false, false
 }
 
+// configKnown returns a time at which the configuration was as it is known here;
+// zero before the first reading.
+func (n *news) configKnown() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.AsOf()
+}
+
 // readConfig records and tells that the configuration was read up to a position.
 func (n *news) readConfig(asOf time.Time, to int64) {
 	n.mu.Lock()
