Tests of streams that go on elsewhere than they should (red)

Cause: the gateway does not look whether a resumed stream begins where it should; an engine that skips or repeats events, or begins anew with other words, is joined to the events that the caller has.

Conclusion: the fault is shown by a test each time.

--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -49,10 +49,13 @@
 	LoseAnswers bool          // requests are run and not answered
 	Stranger    bool          // an answer to another request comes first
 	CutAfter    int           // events after which streams break off; zero: never
+	CutFresh    int           // the same, of streams that are not resumed
 	Full        bool          // requests are rejected
 	Error       bool          // requests run and fail
 	Think       time.Duration // before the first byte of an answer
 	Linger      time.Duration // between two events of a stream, beside the usual pause
+	Fresh       StreamShape   // of streams that are not resumed
+	Resumed     StreamShape   // of those that are
 }
 
 // NewModelWorker returns a worker that holds its base model and no adapters.
@@ -353,46 +356,3 @@
 	}
 	_ = buf.Flush()
 }
-
-// whole returns the whole answer to a request; of a stream, from the event after
-// Last-Event-Id on.
-func (m *ModelWorker) whole(r *http.Request, body []byte) []byte {
-	if m.cfg.Pieces == 0 {
-		return append([]byte("echo:"), body...)
-	}
-	var b []byte
-	for i := lastEvent(r) + 1; i <= m.cfg.Pieces; i++ {
-		b = fmt.Appendf(b, "id: %d\ndata: piece %d\n\n", i, i)
-	}
-	return b
-}
-
-// stream writes events with rising ids, from the one after Last-Event-Id on.
-func (m *ModelWorker) stream(w http.ResponseWriter, r *http.Request, f WorkerFaults) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	for i := lastEvent(r) + 1; i <= m.cfg.Pieces; i++ {
-		if f.CutAfter > 0 && i > f.CutAfter {
-			fmt.Fprintf(w, "id: %d\ndata: ha", i) // a worker may stop partway through an event
-			w.(http.Flusher).Flush()
-			panic(http.ErrAbortHandler)
-		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
-		w.(http.Flusher).Flush()
-		select {
-		case <-time.After(m.cfg.Pause + f.Linger):
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-// lastEvent returns the id of the last event that a request has; zero if it names
-// none.
-func lastEvent(r *http.Request) int {
-	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
-		return 0
-	}
-	return last
-}
