A stream that goes on elsewhere has every event once, or is cut visibly

Cause: the gateway passed on whatever came after Last-Event-Id. An engine that skipped or repeated events, or began anew, was joined to what the caller had; events without an id were passed on and came again after a resume.

Change: each event of an answer that resumes a stream, for the gateway or for the caller, must have the number after the caller's last one. Anything else ends that answer before the event; the stream goes on at another engine if attempts and budget allow, else it is cut. A stream with an event without id, or with ids that are no numbers or do not rise by one, is not resumed by the gateway: nobody could tell whether it goes on rightly. Log line "resumed stream begins elsewhere" with the reason, counter streams_misplaced{reason}.

--- /dev/null
+++ b/gateway/events_internal_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// passAll passes the pieces of an answer on and returns what the caller gets.
+func passAll(e *events, pieces ...string) (string, misplacement) {
+	var got strings.Builder
+	for _, p := range pieces {
+		data, why := e.take([]byte(p))
+		got.Write(data)
+		if why != "" {
+			return got.String(), why
+		}
+	}
+	data, why := e.rest()
+	got.Write(data)
+	return got.String(), why
+}
+
+func TestEventsOfResumedStream(t *testing.T) {
+	const (
+		one   = "id: 1\ndata: a\n\n"
+		two   = "id: 2\ndata: b\n\n"
+		three = "versions: 4\nid: 3\ndata: c\n\n"
+		ping  = ": ping\n\n"
+	)
+	long := "id: 3\ndata: " + strings.Repeat("x", maxEvent) + "\n\n"
+	for _, c := range []struct {
+		name   string
+		answer string
+		want   string
+		why    misplacement
+	}{
+		{"next", three, three, ""},
+		{"nothing more", "", "", ""},
+		{"comment first", ping + three, ping + three, ""},
+		{"comment again", ping + ping + three, ping + ping + three, ""},
+		{"last again", two + three, three, ""},
+		{"anew", one + two + three, three, ""},
+		{"anew, not to the end", one, "", ""},
+		{"later one missing", three + "id: 5\ndata: e\n\n", three, missing},
+		{"back to the first", three + one, three, ""},
+		{"zero", "id: 0\ndata: z\n\n" + three, "", otherRun},
+		{"below zero", "id: -1\ndata: z\n\n" + three, "", noNumber},
+		{"data only", "data: c\n\n", "", noNumber},
+		{"id only", "id: 4\n\n", "", missing},
+		{"last part without an end", "id: 4\ndata: d", "", missing},
+		{"last part that follows", "id: 3\ndata: c", "id: 3\ndata: c", ""},
+		{"long", long, long, ""},
+		{"long, of another place", strings.Replace(long, "id: 3", "id: 4", 1), "", missing},
+	} {
+		for size := 1; size <= len(c.answer)+1; size += 1 + len(c.answer)/40 {
+			e := &events{}
+			if got, why := passAll(e, ping+one+two); got != ping+one+two || why != "" {
+				t.Fatalf("first run: %q, %q", got, why)
+			}
+			if !e.resume() {
+				t.Fatal("not resumed")
+			}
+			if got, why := passAll(e, split(c.answer, size)...); got != c.want || why != c.why {
+				t.Errorf("%s, pieces of %d bytes: got %.80q, %q, want %.80q, %q", c.name, size, got, why, c.want, c.why)
+			}
+		}
+	}
+}
+
+func split(s string, size int) []string {
+	var list []string
+	for len(s) > size {
+		list = append(list, s[:size])
+		s = s[size:]
+	}
+	return append(list, s)
+}
+
+func TestEventsThatCannotBeResumed(t *testing.T) {
+	for name, answer := range map[string]string{
+		"an event without id last":  "id: 1\ndata: a\n\ndata: b\n\n",
+		"an event without id first": "data: a\n\nid: 1\ndata: b\n\n",
+		"a number twice":            "id: 1\ndata: a\n\nid: 1\ndata: b\n\n",
+		"numbers that fall":         "id: 2\ndata: a\n\nid: 1\ndata: b\n\n",
+		"a long event":              "id: 1\ndata: " + strings.Repeat("x", maxEvent) + "\n\n",
+	} {
+		e := &events{}
+		if got, why := passAll(e, split(answer, 8<<10)...); got != answer || why != "" {
+			t.Errorf("%s: got %.80q, %q", name, got, why)
+		}
+		if e.resume() {
+			t.Errorf("%s: resumed", name)
+		}
+	}
+}
+
+func TestEventsManyOfOneStream(t *testing.T) {
+	e := &events{}
+	var all strings.Builder
+	for i := range maxSums + 2 {
+		all.WriteString("id: ")
+		all.WriteString(strconv.Itoa(i))
+		all.WriteString("\ndata: x\n\n")
+	}
+	if got, why := passAll(e, all.String()); got != all.String() || why != "" {
+		t.Fatalf("got %d bytes, %q", len(got), why)
+	}
+	if !e.resume() {
+		t.Fatal("not resumed")
+	}
+	again := "id: " + strconv.Itoa(maxSums) + "\ndata: x\n\n"
+	if got, why := passAll(e, again); got != "" || why != otherRun {
+		t.Errorf("got %q, %q", got, why)
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -104,6 +104,13 @@
 	}).Counter("keeper_words")
 }
 
+// misplaced counts an answer that did not go on where its stream should.
+func (m *Metrics) misplaced(why misplacement) {
+	m.scope.Tagged(map[string]string{
+		"reason": string(why),
+	}).Counter("streams_misplaced").Inc(1)
+}
+
 // told counts a word of a keeper.
 func (m *Metrics) told(relayed, answer bool) {
 	switch {
--- a/gateway/misplaced_test.go
+++ b/gateway/misplaced_test.go
@@ -175,8 +175,11 @@
 
 	It("goes on at another engine if the first begins elsewhere", func() {
 		x.bothHold(standin.WorkerFaults{})
-		Eventually(func() int64 { // until the first engine was asked
-			x.engines[0].SetFaults(standin.WorkerFaults{
+		tries := 0
+		Eventually(func() int64 { // until the engine in trouble was asked first
+			x.engines[tries%2].SetFaults(standin.WorkerFaults{})
+			tries++
+			x.engines[tries%2].SetFaults(standin.WorkerFaults{
 				Resumed: standin.StreamShape{
 					Shift: 1,
 				},
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,6 +38,9 @@
 		timeout = min(timeout, time.Duration(n)*time.Millisecond)
 	}
 	x.end = x.arrived.Add(timeout)
+	if x.route.Resumable {
+		x.events.startAfter(x.r.Header.Get(x.g.names.LastEvent))
+	}
 	if x.engine {
 		model, adapter, _ := strings.Cut(x.r.Header.Get(x.g.names.Adapter), "/")
 		x.key = wardturn.ModelAdapter{
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"bytes"
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,81 +9,32 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEvent bounds what is kept of an event that is not whole yet, in bytes;
-// longer ones are passed on in parts, and their stream cannot be resumed.
-const maxEvent = 64 << 10
-
-// events passes a resumable stream on event by event, so that it can go on at
-// another upstream after the last whole one.
-type events struct {
-	part []byte // of an event that is not whole
-	last string // id of the last whole event
-	lost bool   // a part was passed on
-}
-
-var (
-	eventEnd = []byte("\n\n")
-	eventID  = []byte("id:")
-)
-
-// take returns the whole events of what arrived so far.
-func (e *events) take(data []byte) []byte {
-	e.part = append(e.part, data...)
-	end := bytes.LastIndex(e.part, eventEnd)
-	if end < 0 {
-		return e.overflow()
-	}
-	end += len(eventEnd)
-	whole := bytes.Clone(e.part[:end])
-	e.part = append(e.part[:0], e.part[end:]...)
-	e.note(whole)
-	return whole
-}
-
-func (e *events) overflow() []byte {
-	if len(e.part) < maxEvent {
-		return nil
-	}
-	e.lost = true
-	data := e.part
-	e.part = nil
-	return data
-}
-
-// note remembers the id of the last event that has one.
-func (e *events) note(whole []byte) {
-	for line := range bytes.Lines(whole) {
-		if rest, ok := bytes.CutPrefix(line, eventID); ok {
-			e.last = string(bytes.TrimSpace(rest))
-		}
-	}
-}
-
-// rest returns what came after the last whole event, at the stream's end.
-func (e *events) rest() []byte {
-	data := e.part
-	e.part = nil
-	return data
-}
+// errMisplaced is returned when an answer does not go on where it should.
+var errMisplaced = errors.New("gateway: resumed stream begins elsewhere")
 
 // resume reports whether a stream that was cut may go on at another upstream,
 // and takes that from the budget.
 func (x *exchange) resume() bool {
-	if !x.begun || !x.route.Resumable || x.events.lost || x.r.Context().Err() != nil {
+	if !x.begun || !x.route.Resumable || x.r.Context().Err() != nil {
 		return false
 	}
-	if x.ran >= x.route.MaxUpstreams || !x.g.clock.Now().Before(x.end) || !x.g.mayResend(x.service) {
+	if x.ran >= x.route.MaxUpstreams || !x.g.clock.Now().Before(x.end) || !x.events.resume() || !x.g.mayResend(x.service) {
 		return false
 	}
-	x.events.part = nil
-	x.g.logger.Info("stream goes on elsewhere", "id", x.attempt, "after", x.events.last, "tried", len(x.tried))
+	x.g.logger.Info("stream goes on elsewhere", "id", x.attempt, "after", x.lastEvent(), "tried", len(x.tried))
 	return true
 }
 
+// lastEvent returns the id of the last event that the caller has.
+func (x *exchange) lastEvent() string {
+	return cmp.Or(x.events.last, x.r.Header.Get(x.g.names.LastEvent))
+}
+
 // stream passes an answer on as it comes. The answer that resumes a stream adds
 // to the head that the caller has.
 func (x *exchange) stream(a assignment, ans *answer) result {
 	x.startStream(ans.res)
+	defer x.noteRepeated(a)
 	flusher, _ := x.w.(http.Flusher)
 	buf := make([]byte, bodyChunk)
 	for {
@@ -91,14 +42,15 @@
 		if n > 0 {
 			x.began(a)
 			x.arrivedBytes()
-			if werr := x.pass(buf[:n]); werr != nil {
+			werr := x.pass(a, buf[:n])
+			flusher.Flush()
+			if werr != nil {
 				ans.discard()
-				return left
+				return stopped(werr)
 			}
-			flusher.Flush()
 		}
 		if errors.Is(err, io.EOF) {
-			return x.endStream(ans)
+			return x.endStream(a, ans)
 		}
 		if err != nil {
 			ans.discard()
@@ -124,22 +76,56 @@
 	x.begun = true
 }
 
+// stopped returns what became of a stream whose bytes were not passed on.
+func stopped(err error) result {
+	if errors.Is(err, errMisplaced) {
+		return cut
+	}
+	return left
+}
+
 // pass writes bytes of an answer to the caller; of a resumable stream, whole
 // events only.
-func (x *exchange) pass(data []byte) error {
-	if x.route.Resumable {
-		data = x.events.take(data)
+func (x *exchange) pass(a assignment, data []byte) error {
+	if !x.route.Resumable {
+		_, err := x.w.Write(data)
+		return err
 	}
-	_, err := x.w.Write(data)
-	return err
+	whole, why := x.events.take(data)
+	return x.writeEvents(a, whole, why)
 }
 
-func (x *exchange) endStream(ans *answer) result {
+func (x *exchange) endStream(a assignment, ans *answer) result {
 	ans.release()
-	if rest := x.events.rest(); len(rest) > 0 {
-		if _, err := x.w.Write(rest); err != nil {
-			return left
-		}
+	if !x.route.Resumable {
+		return passed
+	}
+	data, why := x.events.rest()
+	if err := x.writeEvents(a, data, why); err != nil {
+		return stopped(err)
 	}
 	return passed
 }
+
+// writeEvents passes events on and returns an error if what follows does not belong to
+// the caller's stream.
+func (x *exchange) writeEvents(a assignment, data []byte, why misplacement) error {
+	if _, err := x.w.Write(data); err != nil {
+		return err
+	}
+	if why == "" {
+		return nil
+	}
+	x.g.metrics.misplaced(why)
+	x.g.logger.Warn("resumed stream begins elsewhere", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID, "after", x.lastEvent(), "reason", why)
+	return errMisplaced
+}
+
+// noteRepeated tells of events that were left out since the caller has them.
+func (x *exchange) noteRepeated(a assignment) {
+	if x.events.skipped == 0 {
+		return
+	}
+	x.g.metrics.misplaced(repeated)
+	x.g.logger.Warn("resumed stream begins elsewhere", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID, "left_out", x.events.skipped, "reason", repeated)
+}
