--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -48,11 +48,14 @@
 	LoseAnswers bool          // requests are run and not answered
 	Stranger    bool          // an answer to another request comes first
 	CutAfter    int           // events after which streams break off; zero: never
+	CutFresh    int           // the same, of streams that are not resumed
 	Full        bool          // requests are rejected
 	Error       bool          // requests run and fail
 	HoldUp      time.Duration // between the arrival of a request and its begin
 	Think       time.Duration // before the first byte of an answer
 	Linger      time.Duration // between two events of a stream, beside the usual pause
+	Fresh       StreamShape   // of streams that are not resumed
+	Resumed     StreamShape   // of those that are
 }
 
 // NewModelWorker returns a worker that holds its base model and no adapters.
