The newest version of an adapter is kept once

Cause: the newest version stood in a map of its own beside the names of versions, and the first reading of the store put an end to be told for each adapter ever named, of which none can have a request.

Change: the newest version is the last name; no end is told for names of the first reading. No decision changes.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -16,8 +16,7 @@
 type Fleet struct {
 	cfg        FleetConfig
 	table      *wardturn.RouteTable
-	versions   map[wardturn.ModelAdapter]wardturn.Version // the newest named
-	namings    map[wardturn.ModelAdapter][]naming         // the latest, the oldest first
+	namings    map[wardturn.ModelAdapter][]naming // of each adapter the latest, the oldest first
 	rollouts   map[wardturn.ModelAdapter]*rollout
 	members    map[wardturn.UpstreamID]*Member
 	services   map[wardturn.ServiceName][]*Member // in order of id
@@ -57,7 +56,6 @@
 	}
 	return &Fleet{
 		cfg:        cfg,
-		versions:   make(map[wardturn.ModelAdapter]wardturn.Version),
 		namings:    make(map[wardturn.ModelAdapter][]naming),
 		rollouts:   make(map[wardturn.ModelAdapter]*rollout),
 		members:    make(map[wardturn.UpstreamID]*Member),
--- a/decide/naming.go
+++ b/decide/naming.go
@@ -31,6 +31,15 @@
 	return n
 }
 
+// newest returns the newest version of an adapter; zero if none was named.
+func (f *Fleet) newest(key wardturn.ModelAdapter) wardturn.Version {
+	list := f.namings[key]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].version
+}
+
 // replacedBy returns the first name that is newer than a version, or nil.
 func (f *Fleet) replacedBy(key wardturn.ModelAdapter, v wardturn.Version) *naming {
 	list := f.namings[key]
--- a/decide/versions.go
+++ b/decide/versions.go
@@ -34,10 +34,9 @@
 // no older version serves.
 func (f *Fleet) SetVersion(now time.Time, v wardturn.AdapterVersion, known time.Time, out *Moves) {
 	key := v.Key()
-	if v.Version <= f.versions[key] {
+	if v.Version <= f.newest(key) {
 		return
 	}
-	f.versions[key] = v.Version
 	end := now
 	if !known.IsZero() {
 		end = known.Add(f.cfg.VersionBound - versionSlack)
@@ -47,7 +46,10 @@
 		r = &rollout{}
 		f.rollouts[key] = r
 	}
-	r.ends = append(r.ends, f.named(v, now, end))
+	n := f.named(v, now, end)
+	if !known.IsZero() { // else no request was sent before
+		r.ends = append(r.ends, n)
+	}
 	f.advance(now, key, r, out)
 }
 
@@ -78,7 +80,7 @@
 	renewed := false
 	for _, m := range f.holders[key] {
 		switch v := m.held[key].version; {
-		case v >= f.versions[key]:
+		case v >= f.newest(key):
 			renewed = true
 		case f.VersionServes(now.Add(beginWithin), key, v):
 			serving = append(serving, m)
@@ -127,7 +129,7 @@
 			Adapter: wardturn.AdapterVersion{
 				Model:   key.Model,
 				Adapter: key.Adapter,
-				Version: f.versions[key],
+				Version: f.newest(key),
 			},
 			Waiting: 1,
 		})
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -138,7 +138,7 @@
 
 // place gives a request to an engine that is ready for it.
 func (f *Fleet) place(now time.Time, t *Ticket, out *Moves) bool {
-	m := f.engineFor(now, t, f.versions[t.Key], anyMember)
+	m := f.engineFor(now, t, f.newest(t.Key), anyMember)
 	if m == nil && f.oldVersionServes(now, t.Key) {
 		m = f.engineFor(now, t, 0, func(m *Member) bool {
 			return f.beginsInTime(now, m, t)
--- a/decide/want.go
+++ b/decide/want.go
@@ -57,7 +57,7 @@
 // one that loads it already, or the cheapest of those that held it before and of
 // the first in the order of homes that have a place for it.
 func (f *Fleet) home(now time.Time, w *want) *Member {
-	newest := f.versions[w.key]
+	newest := f.newest(w.key)
 	fits := func(m *Member) bool {
 		return m.Service == w.service && m.ID != w.failed && m.loads(now, w.key.Model) && !m.serves(now, w.key, newest) && m.fill() < engineOverfill
 	}
@@ -171,7 +171,7 @@
 		Adapter: wardturn.AdapterVersion{
 			Model:   w.key.Model,
 			Adapter: w.key.Adapter,
-			Version: f.versions[w.key],
+			Version: f.newest(w.key),
 		},
 		Waiting: w.backlog(now) + w.relief,
 		Oldest:  now.Sub(w.first),
@@ -182,7 +182,7 @@
 // it now.
 func (f *Fleet) arrived(now time.Time, m *Member, a wardturn.AdapterVersion, out *Moves) {
 	w := f.wants[a.Key()]
-	if w == nil || a.Version < f.versions[a.Key()] {
+	if w == nil || a.Version < f.newest(a.Key()) {
 		return
 	}
 	if w.home != m.ID {
