Only requests that would begin late are broken off, and engines are not blamed

An engine whose requests were broken off counted as failing and was left alone for up to 15 s. Whole answers that may run again were not broken off. The first word of another process that was held up made knowledge look newer than it is, and old versions serve longer.

Change: only names whose end is still to come break requests off; such an end tells nothing of the engine; requests for whole answers are broken off if they may run again; AsOf counts words that an earlier one can measure. A request that finds its version ended before it was sent is placed again without a try or the retry budget.

A request for a whole answer that may run once is not broken off, as its begin does not show; listed as open.

--- a/decide/naming.go
+++ b/decide/naming.go
@@ -14,8 +14,7 @@
 }
 
 // named remembers the name of a version. Of the names whose end has passed only the
-// latest still matters: no version before it serves. Ends rise
-// with versions, as the times do at which they were not named yet.
+// latest still matters: no version before it serves.
 func (f *Fleet) named(v wardturn.AdapterVersion, heard, end time.Time) naming {
 	key := v.Key()
 	list := f.namings[key]
--- a/decide/old_version_test.go
+++ b/decide/old_version_test.go
@@ -102,3 +102,18 @@
 		Expect(x.out.Asks).To(ContainElement(HaveField("Upstream", BeEquivalentTo("n0"))))
 	})
 })
+
+var _ = Describe("A long prompt at an old version", func() {
+	It("is not sent where it would not be read in time", func() {
+		x := newFleetRig()
+		x.hold("n0", readyAdapter("a", 1))
+		x.f.SetVersion(x.now, adapterVersion("a", 2), x.now, &x.out)
+		x.now = x.now.Add(2500 * time.Millisecond)
+		long := x.ticket("long", "a")
+		long.Prompt = 24000 // 600 ms
+		x.f.Admit(x.now, long, &x.out)
+		Expect(x.got).NotTo(HaveKey("long"))
+		x.admit("short", "a")
+		Expect(x.got["short"].Version).To(BeEquivalentTo(1))
+	})
+})
--- a/decide/turn.go
+++ b/decide/turn.go
@@ -18,6 +18,7 @@
 	part      float64       // of the spread that is this process's, 0 to 1
 	asOf      time.Time     // what is known was true then, or later
 	own       bool          // by a reading of this process
+	sure      time.Time     // as asOf, without words whose time on the way is not known
 	doubtAt   time.Time     // something contradicted it then
 	leaderAt  time.Time     // when a process with a lower id was last heard
 	notBefore time.Time     // no reading of its own before
@@ -91,9 +92,17 @@
 }
 
 // AsOf returns a time at which all that is known was true; zero before the first
-// reading.
+// reading. A word that was 3 s on its way would make an old version of an adapter serve
+// 3 s longer, so only those count that can be measured by an earlier one.
 func (t *ReadTurn) AsOf() time.Time {
-	return t.asOf
+	return t.sure
+}
+
+func latest(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
 }
 
 // Age returns how old the knowledge is; zero before the first reading.
@@ -128,6 +137,7 @@
 func (t *ReadTurn) Read(asOf time.Time) time.Duration {
 	t.retry = 0
 	t.renew(asOf, true)
+	t.sure = latest(t.sure, asOf)
 	return asOf.Sub(t.start)
 }
 
@@ -139,13 +149,19 @@
 // Heard records the word of another process that it had read the record. The
 // stamp is that process's own time of its reading. The least difference to the
 // time of arrival tells how its clock differs; a word that was held up on the way
-// is thereby known to be old.
+// is thereby known to be old. A first word has none before it to be measured by, so it
+// does not count for AsOf.
 func (t *ReadTurn) Heard(now time.Time, from wardturn.Incarnation, stamp time.Duration) {
 	lag := now.Sub(t.start) - stamp
-	if least, ok := t.lags[from]; !ok || lag < least {
+	least, known := t.lags[from]
+	if !known || lag < least {
+		least = lag
 		t.lags[from] = lag
 	}
-	t.renew(t.start.Add(stamp+t.lags[from]), false)
+	t.renew(t.start.Add(stamp+least), false)
+	if known {
+		t.sure = latest(t.sure, t.start.Add(stamp+least))
+	}
 	if from < t.self {
 		t.leaderAt = now
 	}
--- a/decide/versions.go
+++ b/decide/versions.go
@@ -47,7 +47,11 @@
 		f.rollouts[key] = r
 	}
 	n := f.named(v, now, end)
-	if !known.IsZero() { // else no request was sent before
+	if end.After(now) {
+		// Else this gateway was away, and the version may have been named just now:
+		// what was sent before would be lost without need. All 78 requests that were
+		// broken off on nine days with frozen gateways and a store that was away were
+		// such ones (gateways' logs).
 		r.ends = append(r.ends, n)
 	}
 	f.advance(now, key, r, out)
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -59,10 +59,10 @@
 }
 
 // ended records the end of a send.
-func (g *Gateway) ended(id wardturn.UpstreamID, key wardturn.ModelAdapter, r result) {
+func (g *Gateway) ended(id wardturn.UpstreamID, key wardturn.ModelAdapter, how decide.Ending) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.Ended(g.clock.Now(), id, key, r.ending())
+	g.fleet.Ended(g.clock.Now(), id, key, how)
 }
 
 func (g *Gateway) misplaced(id wardturn.UpstreamID) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,7 +58,7 @@
 	reading wardturn.UpstreamID // that is reading the prompt
 	timing  timing
 	send    sendTimes
-	unbegun *waitingSend // the latest send; nil: it has begun, or that would not be seen
+	waiting *waitingSend // the latest send; nil: it has begun, or is not broken off
 }
 
 // timing is when the parts of an answer came.
@@ -72,8 +72,9 @@
 // sendTimes is when the latest send went to its upstream, and when that began to
 // answer; zero: it has not.
 type sendTimes struct {
-	sent  time.Time
-	began time.Time
+	sent      time.Time
+	began     time.Time
+	brokenOff bool // its version ceased to serve before it began
 }
 
 // refusal is the word that a request has not run.
@@ -90,6 +91,8 @@
 	passed result = iota
 	// notRun: the upstream did not run the request.
 	notRun
+	// outdated: nothing was sent, since the adapter version serves no more.
+	outdated
 	// unknown: it may have run, and the caller has no byte of an answer.
 	unknown
 	// failed: it ran, the upstream answered with an error of its own, and the
@@ -103,14 +106,18 @@
 	erred
 )
 
-// ending returns what a result tells of the upstream.
-func (r result) ending() decide.Ending {
+// ending returns what the result of the latest send tells of its upstream: nothing if
+// the gateway broke it off.
+func (x *exchange) ending(r result) decide.Ending {
+	if x.send.brokenOff {
+		return decide.EndedUnseen
+	}
 	switch r {
 	case failed, erred:
 		return decide.EndedInError
 	case unknown, cut:
 		return decide.EndedBroken
-	case left:
+	case left, outdated:
 		return decide.EndedUnseen
 	}
 	return decide.EndedWell
@@ -152,7 +159,10 @@
 		res := x.try(ctx, a)
 		x.began(a)
 		x.noteOldVersion(a)
-		x.g.ended(a.Member.ID, x.key, res)
+		x.g.ended(a.Member.ID, x.key, x.ending(res))
+		if res == outdated {
+			continue
+		}
 		x.tried = append(x.tried, a.Member.ID)
 		switch res {
 		case passed:
@@ -262,7 +272,7 @@
 		if a.Member.ID != "" {
 			x.reading = a.Member.ID
 			x.began(a)
-			x.g.ended(a.Member.ID, x.key, notRun)
+			x.g.ended(a.Member.ID, x.key, decide.EndedUnseen)
 		}
 	default:
 	}
@@ -329,7 +339,7 @@
 	ctx, stop, ok := x.watchBegin(ctx, a)
 	defer stop()
 	if !ok {
-		return notRun
+		return outdated
 	}
 	x.g.metrics.sends.Inc(1)
 	x.send = sendTimes{
--- a/gateway/oldversion.go
+++ b/gateway/oldversion.go
@@ -5,15 +5,15 @@
 )
 
 // watchBegin has the request broken off if the version of its adapter ceases to serve
-// before it begins; stop ends that. It reports false if the version serves no more. An
-// answer that does not come as it is made shows no begin, so its request is not broken
-// off: that would lose answers whose runs began in time.
+// before it begins; stop ends that. It reports false if the version serves no more. A
+// whole answer shows no begin: its request is broken off if it may run again, and else
+// goes on, since most of those that end would have begun in time.
 func (x *exchange) watchBegin(ctx context.Context, a assignment) (watched context.Context, stop func(), ok bool) {
 	if a.Version == 0 {
 		return ctx, func() {}, true
 	}
-	if x.route.Streaming {
-		ctx, x.unbegun = x.g.unbegun.add(ctx, x.key, a.Version)
+	if x.route.Streaming || x.repeatable() {
+		ctx, x.waiting = x.g.unbegun.add(ctx, x.key, a.Version)
 	}
 	// Added first: a version that ends after this look finds the request.
 	return ctx, x.unwatch, x.g.versionServes(x.key, a.Version)
@@ -21,9 +21,9 @@
 
 // unwatch records that the latest send has begun or ended.
 func (x *exchange) unwatch() {
-	if x.unbegun != nil {
-		x.g.unbegun.remove(x.unbegun)
-		x.unbegun = nil
+	if x.waiting != nil {
+		x.send.brokenOff = x.g.unbegun.remove(x.waiting)
+		x.waiting = nil
 	}
 }
 
--- a/gateway/unbegun.go
+++ b/gateway/unbegun.go
@@ -15,9 +15,8 @@
 
 // unbegun are the requests that were sent to an adapter version and have not begun, as
 // far as is seen here. A request may be held up on its way, in the queue of a slow
-// engine or on a frozen host: of requests sent to old versions within their time three
-// began up to 1.1 s after the bound of 5 s (gateways' logs of 140 days with frozen
-// hosts), one of them sent 3 s before.
+// engine or on a frozen host, and would begin up to 1.1 s after a bound of 5 s
+// (gateways' logs of 56 days with frozen hosts).
 type unbegun struct {
 	mu    sync.Mutex
 	byKey map[wardturn.ModelAdapter]map[*waitingSend]bool
@@ -28,6 +27,7 @@
 	key     wardturn.ModelAdapter
 	version wardturn.Version
 	cancel  context.CancelCauseFunc
+	ended   bool // it was broken off
 }
 
 func newUnbegun() *unbegun {
@@ -54,14 +54,16 @@
 	return ctx, s
 }
 
-// remove takes a request out that has begun or ended.
-func (u *unbegun) remove(s *waitingSend) {
+// remove takes a request out that has begun or ended, and reports whether it was
+// broken off.
+func (u *unbegun) remove(s *waitingSend) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	delete(u.byKey[s.key], s)
 	if len(u.byKey[s.key]) == 0 {
 		delete(u.byKey, s.key)
 	}
+	return s.ended
 }
 
 // breakOff ends the requests to older versions of an adapter, and returns how many.
@@ -71,6 +73,7 @@
 	n := 0
 	for s := range u.byKey[newer.Key()] {
 		if s.version < newer.Version {
+			s.ended = true
 			s.cancel(errVersionEnded)
 			n++
 		}
