Tests, red: orders while an engine replaces an adapter that is in use

The tests: a replacement waits for the runs that gateways tell of, others are loaded meanwhile; nothing is ordered and nothing leaves while the report says busy. They fail: the keeper looks at neither.

--- a/decide/places_test.go
+++ b/decide/places_test.go
@@ -232,6 +232,58 @@
 		})
 	})
 
+	It("replaces no version that runs or was just in use, and loads others meanwhile", func() {
+		report(nil, "a")
+		pass(time.Second)
+		p.Use(now, "g1", key("a"), 1, 1)
+		renew := func() {
+			p.Wish(now, "g1", version("a", 2), 5, 0)
+		}
+		renew()
+		none()
+		Expect(p.Leaving(key("a"))).To(BeTrue())
+		for range 10 {
+			pass(300 * time.Millisecond)
+			renew()
+			none()
+			Expect(p.Leaving(key("a"))).To(BeTrue()) // nothing new is sent to it
+		}
+		wish("b", 1)
+		expect(decide.PlaceOrder{
+			Target:  key("b"),
+			Version: 1,
+		})
+		p.Use(now, "g1", key("a"), 0, 0)
+		report([]string{"b"}, "a")
+		pass(300 * time.Millisecond)
+		renew()
+		expect(decide.PlaceOrder{
+			Target:  key("a"),
+			Version: 2,
+		})
+	})
+
+	It("gives no order and has nothing leave while the engine says that one is under way", func() {
+		report(nil, "a", "b", "c")
+		st := p.State()
+		st.Busy = true
+		p.Report(now, st)
+		pass(time.Second)
+		wish("d", 1)
+		none()
+		pass(10 * time.Millisecond)
+		none()
+		for _, name := range []string{"a", "b", "c"} {
+			Expect(p.Leaving(key(name))).To(BeFalse())
+		}
+		report(nil, "a", "b", "c")
+		none()
+		pass(10 * time.Millisecond)
+		got, ok := next()
+		Expect(ok).To(BeTrue())
+		Expect(got.Unload).To(BeTrue())
+	})
+
 	It("forgets wishes that are not repeated", func() {
 		report(nil)
 		wish("a", 1)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -349,6 +349,25 @@
 		Expect(e.given()[2].Expected).To(BeEquivalentTo(7))
 	})
 
+	It("gives no order while the engine says that one is under way, and soon after it", func() {
+		busy := func(is bool) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.state.Busy = is
+		}
+		busy(true)
+		start()
+		notice()
+		Consistently(func() []wardturn.EngineOrder {
+			wish()
+			return e.given()
+		}, 300*time.Millisecond, 50*time.Millisecond).Should(BeEmpty())
+		busy(false)
+		ended := time.Now()
+		Eventually(e.given, soon, time.Millisecond).Should(HaveLen(1))
+		Expect(time.Since(ended)).To(BeNumerically("<", 200*time.Millisecond))
+	})
+
 	It("says so when the engine does not answer", func() {
 		start()
 		notice()
