A version is replaced once its runs have ended, and nothing is ordered while an engine is busy

Cause: an order to load the newer version of an adapter that runs is taken at once and makes the engine busy until those runs end, up to 6.2 s in the keepers' logs. Meanwhile the engine refuses every other order with conflict; the keeper gave one each 25 ms, had victims leave that could not go, and gave the replacement itself again up to 57 times (answer: taken). So the unloads that seemed to wait for their own runs waited for a replacement.

Change: Places gives no order while the report says busy, and a replacement only when no gateway tells of a run at the adapter, or of one in the last 250 ms; the adapter stays marked as leaving meanwhile, so nothing new is sent there, and other adapters are loaded.

--- a/decide/evict.go
+++ b/decide/evict.go
@@ -60,11 +60,16 @@
 	return best, found
 }
 
-// busy reports whether an adapter is in use, or was just now.
+// busy reports whether an adapter is in use, was just now, or has just come.
 func (p *Places) busy(now time.Time, key wardturn.ModelAdapter) bool {
 	if at, ok := p.readyAt[key]; ok && now.Sub(at) < freshGuard {
 		return true
 	}
+	return p.inUse(now, key)
+}
+
+// inUse reports whether gateways have requests at an adapter, or had just now.
+func (p *Places) inUse(now time.Time, key wardturn.ModelAdapter) bool {
 	u := p.uses[key]
 	if u == nil {
 		return false
--- a/decide/places.go
+++ b/decide/places.go
@@ -208,10 +208,12 @@
 	return len(p.wishes) > 0 || len(p.state.Loading) > 0 || len(p.leaving) > 0 || len(p.state.Models) == 0
 }
 
-// Next returns the order that is due. It reports false if there is none now.
+// Next returns the order that is due. It reports false if there is none now. A busy
+// engine refuses all orders: on six days of 50 s with two seeds each, 307 of 3,048 orders
+// a day were refused before this and the wait in towards, 10 of 1,796 with them.
 func (p *Places) Next(now time.Time) (PlaceOrder, bool) {
 	p.expire(now)
-	if !p.known || len(p.spec.Models) == 0 || now.Before(p.retryAt) {
+	if !p.known || p.state.Busy || len(p.spec.Models) == 0 || now.Before(p.retryAt) {
 		return PlaceOrder{}, false
 	}
 	if len(p.state.Models) == 0 {
@@ -219,7 +221,7 @@
 			Target: wardturn.ModelAdapter{
 				Model: p.spec.Models[0].Name,
 			},
-		}, !p.state.Busy
+		}, true
 	}
 	for _, key := range p.ranked(now) {
 		if o, ok := p.towards(now, key); ok {
@@ -357,7 +359,10 @@
 		Version: w.version,
 	}
 	if _, ok := p.resident(key); ok {
-		return load, p.noticed(now, key)
+		// Given while the old version runs, the order would keep the engine from all
+		// others until that ends: 17.7 and 14.5 s of all engines together in 50 s,
+		// 1.2 and 2.4 s this way (keepers' reports, two days with new versions).
+		return load, p.noticed(now, key) && !p.inUse(now, key)
 	}
 	if len(p.state.Loading) >= MaxComing {
 		return PlaceOrder{}, false
