Calls to the store are counted by purpose and result, readings by cause

Change: store_calls (purpose, result) counts each call where it is made, in gateways and keepers; store_read_causes (record, cause) counts why a gateway reads itself. Tests of both.

--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -114,7 +114,7 @@
 		func() wardturn.Clock { return process.Clock{} },
 		func() hclog.Logger { return c.logger("gateway", queue) },
 		func() tally.Scope { return scope },
-		func() *platform.Store { return platform.NewStore(c.Store) },
+		func() *platform.Store { return platform.NewStore(c.Store, scope) },
 		gateway.NewMetrics,
 		c.newGateway(front, ready),
 	)
--- a/cli/fleet/keeper.go
+++ b/cli/fleet/keeper.go
@@ -55,7 +55,7 @@
 		func() hclog.Logger { return c.logger("keeper", queue) },
 		func() tally.Scope { return scope },
 		func() wardturn.OrderedEngine { return platform.NewWorker(c.Engine) },
-		func() wardturn.FenceSource { return platform.NewStore(c.Store) },
+		func() wardturn.FenceSource { return platform.NewStore(c.Store, scope) },
 		func() wardturn.Policy { return policy.Default{} },
 		c.newKeeper(ln),
 	)
--- a/decide/turn.go
+++ b/decide/turn.go
@@ -64,8 +64,55 @@
 	}
 }
 
+// ReadCause is why a process reads a record itself.
+type ReadCause string
+
+// Causes of readings.
+const (
+	ReadFirst   ReadCause = "first"   // nothing was known
+	ReadForAll  ReadCause = "for_all" // it reads for the others
+	ReadStepIn  ReadCause = "step_in" // the words of the others stayed out
+	ReadDoubted ReadCause = "doubted" // something contradicted what was known
+	ReadAgain   ReadCause = "again"   // the reading before it failed
+)
+
+// ReadCauses lists all causes.
+func ReadCauses() []ReadCause {
+	return []ReadCause{ReadFirst, ReadForAll, ReadStepIn, ReadDoubted, ReadAgain}
+}
+
+// Cause returns why this process reads now.
+func (t *ReadTurn) Cause(now time.Time) ReadCause {
+	switch {
+	case t.retry > 0:
+		return ReadAgain
+	case t.asOf.IsZero():
+		return ReadFirst
+	case now.Before(t.usualAt(now)):
+		return ReadDoubted
+	case t.reads(now):
+		return ReadForAll
+	}
+	return ReadStepIn
+}
+
 // DueAt returns when this process has to read.
 func (t *ReadTurn) DueAt(now time.Time) time.Time {
+	due := t.usualAt(now)
+	if t.doubtAt.After(t.asOf) {
+		doubted := t.doubtAt.Add(time.Duration(t.part * float64(doubtSpread)))
+		if doubted.Before(due) {
+			due = doubted
+		}
+	}
+	if due.Before(t.notBefore) {
+		return t.notBefore
+	}
+	return due
+}
+
+// usualAt returns when this process has to read by the age of what is known alone.
+func (t *ReadTurn) usualAt(now time.Time) time.Time {
 	due := t.asOf
 	switch {
 	case t.asOf.IsZero():
@@ -78,15 +125,6 @@
 		late := 1 + turnSlack + turnSpread*t.part
 		due = due.Add(time.Duration(late * float64(t.cfg.Every)))
 	}
-	if t.doubtAt.After(t.asOf) {
-		doubted := t.doubtAt.Add(time.Duration(t.part * float64(doubtSpread)))
-		if doubted.Before(due) {
-			due = doubted
-		}
-	}
-	if due.Before(t.notBefore) {
-		return t.notBefore
-	}
 	return due
 }
 
--- a/decide/turn_test.go
+++ b/decide/turn_test.go
@@ -57,6 +57,23 @@
 		Expect(due(t)).To(Equal(least))
 	})
 
+	It("tells why it reads", func() {
+		t := turn("b")
+		Expect(t.Cause(now)).To(Equal(decide.ReadFirst))
+		t.Read(now)
+		now = now.Add(2 * every)
+		Expect(t.Cause(now)).To(Equal(decide.ReadForAll))
+		t.Failed(now)
+		Expect(t.Cause(now)).To(Equal(decide.ReadAgain))
+		t.Read(now)
+		t.Doubt(now.Add(time.Millisecond))
+		Expect(t.Cause(now.Add(time.Millisecond))).To(Equal(decide.ReadDoubted))
+		t.Read(now.Add(2 * time.Millisecond))
+		t.Heard(now, "a", 0)
+		now = now.Add(time.Duration(1.5 * float64(every)))
+		Expect(t.Cause(now)).To(Equal(decide.ReadStepIn))
+	})
+
 	It("leaves the reading to the process with the lowest id while that tells of it", func() {
 		a, b := turn("a"), turn("b")
 		for range 10 {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -16,6 +16,7 @@
 			return
 		}
 		sent := g.clock.Now()
+		g.news.beganConfig(sent)
 		change, err := g.source.Next(configWait)
 		if err == nil {
 			g.metrics.config.read.Inc(1)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -38,6 +38,7 @@
 	failed tally.Counter
 	heard  tally.Counter // readings of other gateways
 	age    tally.Gauge   // of what is known, in seconds
+	causes map[decide.ReadCause]tally.Counter
 }
 
 func newRecordMetrics(scope tally.Scope, record string) recordMetrics {
@@ -47,6 +48,13 @@
 			"result": result,
 		}).Counter("store_reads")
 	}
+	causes := make(map[decide.ReadCause]tally.Counter)
+	for _, cause := range decide.ReadCauses() {
+		causes[cause] = scope.Tagged(map[string]string{
+			"record": record,
+			"cause":  string(cause),
+		}).Counter("store_read_causes")
+	}
 	return recordMetrics{
 		read:   reads("answered"),
 		failed: reads("failed"),
@@ -54,6 +62,7 @@
 		age: scope.Tagged(map[string]string{
 			"record": record,
 		}).Gauge("store_age_seconds"),
+		causes: causes,
 	}
 }
 
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -135,9 +135,18 @@
 	})
 }
 
+// beganConfig records that a reading of the configuration begins. It waits for a
+// change, so there is no least time between two.
+func (n *news) beganConfig(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.g.metrics.config.causes[n.config.Cause(now)].Inc(1)
+}
+
 func (n *news) beganMembers(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.g.metrics.members.causes[n.members.Cause(now)].Inc(1)
 	n.members.Began(now)
 }
 
--- a/gateway/news_test.go
+++ b/gateway/news_test.go
@@ -30,7 +30,7 @@
 			x.store.ServeHTTP(w, r)
 		}))
 		// Its id is the higher one, so it leaves the reading to the first.
-		other, x.front, x.ready = x.startGateway("second", platform.NewStore(ln.Addr().String()))
+		other, x.front, x.ready = x.startGateway("second", platform.NewStore(ln.Addr().String(), x.metrics))
 		Eventually(other.Ready, soon, often).Should(BeTrue())
 		Eventually(func() int {
 			return x.get("ready", "/ask/x", "m0").status
@@ -47,6 +47,8 @@
 		Expect(serversNow - servers).To(BeNumerically("<=", 16))
 		heard := x.metrics.Snapshot().Counters()["store_reads+record=upstreams,result=by_another"]
 		Expect(heard.Value()).To(BeNumerically(">", 0))
+		causes := x.metrics.Snapshot().Counters()
+		Expect(causes["store_read_causes+cause=for_all,record=upstreams"].Value()).To(BeNumerically(">", 0))
 	})
 
 	It("learn from each other that an upstream leaves", func() {
--- a/gateway/relays_test.go
+++ b/gateway/relays_test.go
@@ -45,7 +45,7 @@
 		// Its metrics are apart, so that the words are those of the first gateway.
 		metrics := x.metrics
 		x.metrics = newTestScope()
-		other, front, _ = x.startGateway("second", platform.NewStore(x.storeAddr))
+		other, front, _ = x.startGateway("second", platform.NewStore(x.storeAddr, x.metrics))
 		x.metrics = metrics
 		x.front = own
 		Eventually(other.Ready, soon, often).Should(BeTrue())
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -187,7 +187,7 @@
 	x.storeAddr = storeListener.Addr().String()
 	serve(storeListener, x.store)
 	x.store.PutConfig(config(1, ""))
-	store := platform.NewStore(x.storeAddr)
+	store := platform.NewStore(x.storeAddr, x.metrics)
 	hosts := []string{"127.0.0.11", "127.0.0.12"}
 	keepers, port := listenAll(hosts...)
 	x.keeper = port
