A replacement waits only while gateways tell of runs

Cause: the wait of 250 ms after the last use, taken in with the wait for runs, keeps a new version out for longer than the engine itself would.

Change: a replacement waits until gateways tell of no run at the adapter (they tell each 100 ms), no longer. The engine waits for a run that was not told of yet.

--- a/decide/evict.go
+++ b/decide/evict.go
@@ -65,14 +65,12 @@
 	if at, ok := p.readyAt[key]; ok && now.Sub(at) < freshGuard {
 		return true
 	}
-	return p.inUse(now, key)
+	u := p.uses[key]
+	return u != nil && (p.runs(key) || now.Sub(u.last) < idleGuard)
 }
 
-// inUse reports whether gateways have requests at an adapter, or had just now.
-func (p *Places) inUse(now time.Time, key wardturn.ModelAdapter) bool {
+// runs reports whether gateways tell of requests under way at an adapter.
+func (p *Places) runs(key wardturn.ModelAdapter) bool {
 	u := p.uses[key]
-	if u == nil {
-		return false
-	}
-	return len(u.running) > 0 || now.Sub(u.last) < idleGuard
+	return u != nil && len(u.running) > 0
 }
--- a/decide/places.go
+++ b/decide/places.go
@@ -210,7 +210,7 @@
 
 // Next returns the order that is due. It reports false if there is none now. A busy
 // engine refuses all orders: on six days of 50 s with two seeds each, 307 of 3,048 orders
-// a day were refused before this and the wait in towards, 10 of 1,796 with them.
+// a day were refused before this and the wait in towards, 10 of 1,796 with a wait of 250 ms more.
 func (p *Places) Next(now time.Time) (PlaceOrder, bool) {
 	p.expire(now)
 	if !p.known || p.state.Busy || len(p.spec.Models) == 0 || now.Before(p.retryAt) {
@@ -360,9 +360,9 @@
 	}
 	if _, ok := p.resident(key); ok {
 		// Given while the old version runs, the order would keep the engine from all
-		// others until that ends: 17.7 and 14.5 s of all engines together in 50 s,
-		// 1.2 and 2.4 s this way (keepers' reports, two days with new versions).
-		return load, p.noticed(now, key) && !p.inUse(now, key)
+		// others until that ends: 17.7 and 14.5 s of all engines together in 50 s
+		// (keepers' reports, two days with new versions).
+		return load, p.noticed(now, key) && !p.runs(key)
 	}
 	if len(p.state.Loading) >= MaxComing {
 		return PlaceOrder{}, false
