Lines about sizes of prompts stay within the budget of one message

Cause: up to 64 lines were written at once, where the budget of a message takes 20; the others were left out, and the sizes of their routes were lost without a sign of which. Change: at most 20 routes are counted between two lines.

--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -19,8 +19,8 @@
 	// least size of a step is at most an eighth below the others.
 	promptSteps = 8
 	// promptRoutes bounds the routes that are counted between two lines, and so their
-	// memory and lines: 64 lines each 5 s are 13 a second.
-	promptRoutes = 64
+	// memory and lines: the logs take 20 lines of a message at once, and leave out more.
+	promptRoutes = 20
 )
 
 // prompts count the requests of each route by the size of their prompt, since the line
