Red: configuration that an earlier state is put over, or whose end nobody is told

Cause, by reading for the class 'an order for an older version lands after a newer one': (1) Replica.Seed tells the watchers only the keys of the peer's documents, so a document that a newer peer no longer has stays in the catalog, for good: the key of a deleted caller is still let in. (2) State.Seed takes a peer's documents although records between them and the log as read were missed, and calls itself based; a change among those records is lost, and the next one conflicts. (3) Catalog.load reads a document before it takes its lock, and is called from two goroutines.

Change: tests only.

--- /dev/null
+++ b/control/seed_test.go
@@ -0,0 +1,94 @@
+package control_test
+
+import (
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/control"
+	"wardturn/process"
+	"wardturn/standin"
+)
+
+// told collects the keys that a replica tells of.
+type told struct {
+	mu   sync.Mutex
+	keys []control.Key
+}
+
+func (t *told) add(k control.Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.keys = append(t.keys, k)
+}
+
+func (t *told) take() []control.Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	keys := t.keys
+	t.keys = nil
+	return keys
+}
+
+// docAt is a document that was published at an offset.
+func docAt(key control.Key, version wardturn.Offset, body string) control.Doc {
+	return control.Doc{
+		Key:     key,
+		Version: version,
+		Body:    []byte(body),
+	}
+}
+
+var _ = Describe("Documents of a peer", func() {
+	It("tell the watchers also of documents that are gone", func() {
+		log := standin.NewLog(process.Clock{}, standin.LogConfig{})
+		log.SetFaults(standin.LogFaults{
+			Down: true,
+		})
+		r := replica(log)
+		var t told
+		r.Watch(t.add)
+		catalog := control.NewCatalog(r)
+		r.Seed([]control.Doc{
+			docAt("adapter/a", 1, "{base_model: m, team: t, version: 1}"),
+			docAt("caller/c", 2, "{team: t, key_digests: [d]}"),
+		}, 10)
+		Expect(t.take()).To(ConsistOf(control.Key("adapter/a"), control.Key("caller/c")))
+		_, known := catalog.CallerOfKey("d")
+		Expect(known).To(BeTrue())
+
+		r.Seed([]control.Doc{
+			docAt("adapter/a", 1, "{base_model: m, team: t, version: 1}"),
+		}, 20)
+		Expect(t.take()).To(ContainElement(control.Key("caller/c")))
+		_, known = catalog.CallerOfKey("d")
+		Expect(known).To(BeFalse(), "the key of a caller that was deleted")
+	})
+
+	It("are not taken when records between them and the log as read were missed", func() {
+		const peerAt, first = 200, 250
+		record := func(offset wardturn.Offset, base wardturn.Offset, body string) wardturn.LogRecord {
+			c := change(body, base, body)
+			data, err := control.Encode(control.Record{
+				Change: &c,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			return wardturn.LogRecord{
+				Offset: offset,
+				Data:   data,
+			}
+		}
+		s := control.NewState(false)
+		s.Skip(first)
+		// The record at 230, which this process missed, put version 230 in
+		// force; the one at 250 replaces it.
+		s.Apply(record(first, 230, "newest"))
+		s.Seed([]control.Doc{
+			docAt("adapter/a", 100, "old"),
+		}, peerAt)
+		Expect(s.Based()).To(BeFalse())
+		Expect(s.Applied()).To(BeZero(), "what is in force at 250 is not known")
+	})
+})
