Configuration is taken one change after the other, and ends are told

Change: Replica takes records and peers' documents under one lock, together with telling the watchers; Seed tells what changed in the state, documents that are gone included; State.Seed refuses documents with missed records between them and those read; Catalog.load reads under its lock.

Figures: 'go test -race ./control' ok; 'go test ./agent ./entry ./scenario ./demo ./chaos' and 'go test -race ./entry' ok.

--- a/control/catalog.go
+++ b/control/catalog.go
@@ -44,11 +44,12 @@
 	return c
 }
 
-// load takes the present state of a document.
+// load takes the present state of a document. It is read under the lock, so that
+// of two loads the one that writes last has the newer state.
 func (c *Catalog) load(key Key) {
-	d, ok := c.replica.Get(key)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	d, ok := c.replica.Get(key)
 	name := NameOf(key)
 	switch KindOf(key) {
 	case KindAdapter:
--- a/control/replica.go
+++ b/control/replica.go
@@ -30,6 +30,11 @@
 	clock  wardturn.Clock
 	logger hclog.Logger
 
+	// taking is held while records or a peer's documents are taken and the
+	// watchers told of them: they hear of one change after the other.
+	taking sync.Mutex
+	dirty  []Key // changed by what is taken now
+
 	mu       sync.Mutex
 	state    *State
 	visible  wardturn.Offset // applied, and the watchers were told
@@ -58,13 +63,12 @@
 		keepClaims: keepClaims,
 		done:       make(chan struct{}),
 	}
-	var dirty []Key
 	r.state.onChange = func(k Key) {
-		dirty = append(dirty, k)
+		r.dirty = append(r.dirty, k)
 	}
 	go func() {
 		defer close(r.done)
-		r.follow(ctx, &dirty)
+		r.follow(ctx)
 	}()
 	return r
 }
@@ -75,9 +79,8 @@
 	<-r.done
 }
 
-// Watch calls f for each document that changes from now on, from the goroutine
-// that follows the log. Register watchers before they matter and read the
-// present state after.
+// Watch calls f for each document that changes from now on, for one change at a
+// time. Register watchers before they matter and read the present state after.
 func (r *Replica) Watch(f func(Key)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,22 +125,22 @@
 
 // Seed adopts a peer's documents; see State.Seed.
 func (r *Replica) Seed(docs []Doc, applied wardturn.Offset) {
+	r.taking.Lock()
+	defer r.taking.Unlock()
 	r.mu.Lock()
+	r.dirty = r.dirty[:0]
 	r.state.Seed(docs, applied)
-	keys := make([]Key, 0, len(docs))
-	for _, d := range docs {
-		keys = append(keys, d.Key)
-	}
 	r.mu.Unlock()
-	r.tell(keys)
+	r.tell()
 }
 
-// tell tells the watchers of changed documents, then those that wait.
-func (r *Replica) tell(keys []Key) {
+// tell tells the watchers of the documents that what was taken changed, then those
+// that wait. Taking is held.
+func (r *Replica) tell() {
 	r.mu.Lock()
 	watchers := r.watchers
 	r.mu.Unlock()
-	for _, key := range keys {
+	for _, key := range r.dirty {
 		for _, f := range watchers {
 			f(key)
 		}
@@ -153,7 +156,7 @@
 // there, it starts again from the log's first record.
 const tailRecords = 20_000
 
-func (r *Replica) follow(ctx context.Context, dirty *[]Key) {
+func (r *Replica) follow(ctx context.Context) {
 	if !r.keepClaims {
 		r.startNearEnd(ctx)
 	}
@@ -164,7 +167,7 @@
 		switch {
 		case err == nil:
 			wait = minBackoff
-			r.apply(page, dirty)
+			r.apply(page)
 			if r.next() >= page.Next {
 				r.startOver()
 			}
@@ -218,22 +221,27 @@
 
 func (r *Replica) skip(next, first wardturn.Offset) {
 	r.logger.Warn("records out of retention", "next", next, "first", first)
+	r.taking.Lock()
+	defer r.taking.Unlock()
 	r.mu.Lock()
+	r.dirty = r.dirty[:0]
 	r.state.Skip(first)
 	r.mu.Unlock()
-	r.tell(nil)
+	r.tell()
 }
 
-func (r *Replica) apply(page wardturn.LogPage, dirty *[]Key) {
+func (r *Replica) apply(page wardturn.LogPage) {
+	r.taking.Lock()
+	defer r.taking.Unlock()
 	r.mu.Lock()
-	*dirty = (*dirty)[:0]
+	r.dirty = r.dirty[:0]
 	for _, rec := range page.Records {
 		r.state.Apply(rec)
 	}
 	r.lastRead = r.clock.Now()
 	r.mu.Unlock()
 	if len(page.Records) > 0 {
-		r.tell(*dirty)
+		r.tell()
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -345,9 +345,11 @@
 }
 
 // Seed adopts the documents of a peer while the log is out: those in force after
-// the record at applied. They are not taken if they are older than those held.
+// the record at applied. They are not taken if they are older than those held, or
+// if records between them and the oldest one read were missed.
 func (s *State) Seed(docs []Doc, applied wardturn.Offset) {
-	if applied <= s.applied {
+	missed := s.read > applied && s.from > applied+1
+	if applied <= s.applied || missed {
 		return
 	}
 	p := &partial{
