Red: a policy that takes long to compile is put over a newer one

Cause: the agent reads the policy document, compiles it, and puts it in force, and nothing keeps the three together. At its start it does so beside the goroutine of the log, so an older policy can land after a newer one, and stays until the next change.

Change: a test only.

--- /dev/null
+++ b/agent/policy_internal_test.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/control"
+	"wardturn/policy"
+	"wardturn/process"
+	"wardturn/standin"
+)
+
+const (
+	// appendTime is far over what a goroutine takes to start, and under what
+	// slowSource takes.
+	appendTime = 20 * time.Millisecond
+	// slowSource takes 0.28 to 0.45 s to compile, in one step of the program (three
+	// compilations, nothing else running).
+	slowSource  = "x = len(sorted(range(10000000)))\ndef slot(a):\n  return 1\n"
+	quickSource = "def slot(a):\n  return 2\n"
+)
+
+// newPlainAgent starts an agent of a plain service that is never called.
+func newPlainAgent(t *testing.T, log wardturn.Log) *Agent {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	metrics := process.NewMetrics()
+	t.Cleanup(metrics.Close)
+	a := New(Deps{
+		Config: Config{
+			Upstream: "u",
+			Process:  "a1",
+			Region:   "r",
+			Domain:   "d",
+			Service:  "s",
+		},
+		Clock:    process.Clock{},
+		Logger:   hclog.NewNullLogger(),
+		Metrics:  NewMetrics(metrics.Scope),
+		Log:      log,
+		Hosts:    standin.NewHostList(process.Clock{}, 0),
+		Policy:   policy.Default{},
+		Listener: ln,
+	})
+	t.Cleanup(a.Close)
+	return a
+}
+
+func publishPolicy(t *testing.T, a *Agent, name, source string) {
+	t.Helper()
+	body := "active: true\nsource: |\n  " + strings.ReplaceAll(source, "\n", "\n  ")
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := a.replica.Publish(ctx, control.Change{
+		ID: control.PublicationID(name),
+		Docs: []control.DocChange{{
+			Key:  control.KeyOf(control.KindPolicy, name),
+			Body: []byte(body),
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestNewerPolicyStaysInForce checks that a policy which takes long to compile, as
+// at the start of the agent, is not put over one that came meanwhile.
+func TestNewerPolicyStaysInForce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := newPlainAgent(t, standin.NewLog(process.Clock{}, standin.LogConfig{
+		Latency: appendTime,
+	}))
+	inForce := func() string { return a.Status().Policy }
+	publishPolicy(t, a, "slow", slowSource)
+	g.Eventually(inForce).WithTimeout(20 * time.Second).Should(gomega.Equal("slow"))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.applyPolicy()
+	}()
+	publishPolicy(t, a, "quick", quickSource)
+	g.Eventually(ended).WithTimeout(20 * time.Second).Should(gomega.BeClosed())
+	g.Eventually(a.replica.Applied).WithTimeout(20 * time.Second).Should(gomega.BeNumerically(">=", 2))
+	g.Expect(inForce()).To(gomega.Equal("quick"))
+}
