A policy or shares are in force before a newer reading of them begins

Change: the agent holds a lock from the reading of policies and of teams' shares until they are in force.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -52,6 +52,10 @@
 	server  *peer.Server
 	tls     *tls.Config
 
+	// applying is held from the reading of a document until it is in force, so that
+	// an older one does not land after a newer. It is taken before mu.
+	applying sync.Mutex
+
 	mu       sync.Mutex
 	core     *decide.Agent
 	ledger   *decide.Ledger
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -172,6 +172,8 @@
 // checked before publication, leaves the present one in force; without an active
 // policy the one of the start is.
 func (a *Agent) applyPolicy() {
+	a.applying.Lock()
+	defer a.applying.Unlock()
 	active := a.builtin
 	if doc, ok := control.ActivePolicy(a.replica); ok {
 		p := a.compile(doc)
@@ -195,6 +197,8 @@
 
 // applyShares puts the teams' shares of the configuration in force.
 func (a *Agent) applyShares() {
+	a.applying.Lock()
+	defer a.applying.Unlock()
 	weights := control.Shares(a.replica)
 	a.mu.Lock()
 	defer a.mu.Unlock()
