A request's deadline is looked at again when it would begin

Change: an item that is picked to run and is past its deadline is refused as not run.

Conclusion: nothing begins past its deadline at the agent's core.

--- a/decide/agent.go
+++ b/decide/agent.go
@@ -320,11 +320,19 @@
 		return
 	}
 	late := func(it *item) bool {
-		return !it.work.Deadline.IsZero() && !now.Before(it.work.Deadline)
+		return it.late(now)
 	}
 	a.refuseWaiting(late, wardturn.ReasonDeadline, a.queueDelay(), out)
 }
 
+// refuseLate refuses a waiting item that would begin past its deadline. The tick
+// that finds such items may come later than the event that lets one begin.
+func (a *Agent) refuseLate(it *item, out *Orders) {
+	a.dequeue(it)
+	delete(a.work, it.work.Attempt)
+	out.Refuse = append(out.Refuse, refuse(it.work, wardturn.ReasonDeadline, a.queueDelay()))
+}
+
 // sweep forgets adapters that nobody asked for in a long time.
 func (a *Agent) sweep(now time.Time) {
 	for ref, ad := range a.adapters {
--- a/decide/plan.go
+++ b/decide/plan.go
@@ -34,10 +34,14 @@
 		if it == nil {
 			it = a.nextBatch(now)
 		}
-		if it == nil {
+		switch {
+		case it == nil:
 			return
+		case it.late(now):
+			a.refuseLate(it, out)
+		default:
+			a.start(now, it, out)
 		}
-		a.start(now, it, out)
 	}
 }
 
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -18,6 +18,11 @@
 	running   bool
 }
 
+// late reports whether an item is past its deadline.
+func (it *item) late(now time.Time) bool {
+	return !it.work.Deadline.IsZero() && !now.Before(it.work.Deadline)
+}
+
 // adapter is what an agent remembers of one adapter version.
 type adapter struct {
 	ref         wardturn.AdapterRef
