--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -111,12 +111,16 @@
 }
 
 func newTesterWithLog(t *testing.T, cfg agent.Config, faults standin.LogFaults) *tester {
+	t.Helper()
+	return newTesterOn(t, cfg, standin.NewFastClock(10), faults)
+}
+
+func newTesterOn(t *testing.T, cfg agent.Config, clock wardturn.Clock, faults standin.LogFaults) *tester {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	clock := standin.NewFastClock(10)
 	metrics := process.NewMetrics()
 	t.Cleanup(metrics.Close)
 	cfg.Upstream = "u"
--- /dev/null
+++ b/agent/orphan_internal_test.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/peer"
+	"wardturn/standin"
+)
+
+// lostEntry is the side of a connection that is lost.
+type lostEntry struct {
+	up chan *peer.Conn
+}
+
+func (l *lostEntry) Connected(c *peer.Conn) { l.up <- c }
+
+func (*lostEntry) Handle(*peer.Conn, peer.Message) {}
+
+func (*lostEntry) Closed(*peer.Conn, error) {}
+
+// TestOrphanIsNoticedByAnEarlierSend checks that the grace of an attempt without an
+// entry begins also when a piece of its answer finds the connection closed before
+// the agent is told of that.
+func TestOrphanIsNoticedByAnEarlierSend(t *testing.T) {
+	g := gomega.NewWithT(t)
+	clock := standin.NewClock()
+	log := &gatedLog{
+		Log:     standin.NewLog(clock, standin.LogConfig{}),
+		entered: make(chan struct{}, 1),
+		gate:    make(chan struct{}),
+	}
+	t.Cleanup(func() { close(log.gate) })
+	a := newPlainAgent(t, clock, log, &countedService{})
+	entry := &lostEntry{
+		up: make(chan *peer.Conn, 1),
+	}
+	client := peer.NewClient(a.Addr(), nil, clock, peer.Identity{
+		Role:    peer.RoleEntry,
+		Process: "e1",
+		Config:  func() wardturn.Offset { return 0 },
+	}, entry)
+	t.Cleanup(client.Close)
+	id := wardturn.AttemptID{
+		Entry: "e1",
+		Seq:   1,
+	}
+	g.Expect((<-entry.up).Send(&peer.Submit{
+		Attempt:    id,
+		Service:    "s",
+		Method:     "POST",
+		Key:        "k",
+		KeyCreated: clock.Now(),
+	})).To(gomega.Succeed())
+	running := func() *attempt {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.attempts[id]
+	}
+	g.Eventually(running).WithTimeout(patience).ShouldNot(gomega.BeNil())
+	at := running()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at.conn.Close()
+	a.send(at, &peer.Head{
+		Attempt: id,
+	})
+	g.Expect(at.conn).To(gomega.BeNil())
+	g.Expect(at.orphan).NotTo(gomega.BeNil())
+}
--- a/agent/policy_internal_test.go
+++ b/agent/policy_internal_test.go
@@ -27,8 +27,8 @@
 	quickSource = "def slot(a):\n  return 2\n"
 )
 
-// newPlainAgent starts an agent of a plain service that is never called.
-func newPlainAgent(t *testing.T, log wardturn.Log) *Agent {
+// newPlainAgent starts an agent of a plain service.
+func newPlainAgent(t *testing.T, clock wardturn.Clock, log wardturn.Log, service wardturn.Service) *Agent {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -44,11 +44,12 @@
 			Domain:   "d",
 			Service:  "s",
 		},
-		Clock:    process.Clock{},
+		Clock:    clock,
 		Logger:   hclog.NewNullLogger(),
 		Metrics:  NewMetrics(metrics.Scope),
 		Log:      log,
-		Hosts:    standin.NewHostList(process.Clock{}, 0),
+		Hosts:    standin.NewHostList(clock, 0),
+		Service:  service,
 		Policy:   policy.Default{},
 		Listener: ln,
 	})
@@ -77,9 +78,11 @@
 // at the start of the agent, is not put over one that came meanwhile.
 func TestNewerPolicyStaysInForce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	a := newPlainAgent(t, standin.NewLog(process.Clock{}, standin.LogConfig{
+	clock := process.Clock{}
+	log := standin.NewLog(clock, standin.LogConfig{
 		Latency: appendTime,
-	}))
+	})
+	a := newPlainAgent(t, clock, log, nil)
 	inForce := func() string { return a.Status().Policy }
 	publishPolicy(t, a, "slow", slowSource)
 	g.Eventually(inForce).WithTimeout(20 * time.Second).Should(gomega.Equal("slow"))
