An attempt's time counts from when it came, and is looked at when it is sent

Change: the time left counts from when the submission came, before the agent catches up with the entry's configuration; before an attempt is given to its upstream its deadline and its withdrawal are looked at again, and it is refused as not run; a send that finds the connection closed begins the grace of an attempt without an entry.

The test of a claim passes the time at which the attempt came, which admit now takes.

A Submit that lies in the buffers of a frozen agent or connection is still counted from when it is read: the frame carries the time left, not a time.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -24,6 +24,7 @@
 	headSent   bool
 	arrived    time.Time
 	stalled    time.Duration
+	withdrawn  bool // nobody waits for it
 	ended      bool
 	outcome    wardturn.Outcome
 	first      control.ClaimResult // of the key, if another attempt was first
@@ -79,8 +80,12 @@
 }
 
 func (a *Agent) send(t *attempt, m peer.Message) {
-	if err := t.conn.Send(m); err != nil {
-		t.conn = nil // Closed will come for the connection
+	if err := t.conn.Send(m); err == nil {
+		return
+	}
+	t.conn = nil // Closed, which comes later, does not find the attempt
+	if !t.ended {
+		a.expectBack(t)
 	}
 }
 
--- a/agent/claim_internal_test.go
+++ b/agent/claim_internal_test.go
@@ -74,7 +74,7 @@
 		Key:        "k",
 		KeyCreated: clock.Now(),
 		Left:       left,
-	}, true)
+	}, clock.Now(), true)
 	gomega.NewWithT(t).Eventually(func() int {
 		clock.Advance(time.Millisecond) // the claim waits a moment for others
 		return len(c.log.entered)
--- a/agent/inbound.go
+++ b/agent/inbound.go
@@ -77,24 +77,26 @@
 	})
 }
 
-// onSubmit admits an attempt, after catching up with the entry's configuration.
+// onSubmit admits an attempt, after catching up with the entry's configuration. The
+// time for that is part of the attempt's.
 func (a *Agent) onSubmit(c *peer.Conn, m *peer.Submit) {
+	came := a.clock.Now()
 	if a.replica.Applied() >= m.Config {
-		a.admit(c, m, true)
+		a.admit(c, m, came, true)
 		return
 	}
 	a.tasks.Go(func() {
 		ctx, cancel := a.tasks.Limit(catchUpLimit)
 		defer cancel()
-		a.admit(c, m, a.replica.WaitFor(ctx, m.Config) == nil)
+		a.admit(c, m, came, a.replica.WaitFor(ctx, m.Config) == nil)
 	})
 }
 
-func (a *Agent) admit(c *peer.Conn, m *peer.Submit, upToDate bool) {
+// admit takes an attempt that came at a time.
+func (a *Agent) admit(c *peer.Conn, m *peer.Submit, came time.Time, upToDate bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.clock.Now()
-	state, outcome := a.ledger.Submit(now, m.Attempt)
+	state, outcome := a.ledger.Submit(a.clock.Now(), m.Attempt)
 	switch {
 	case state == decide.AttemptNew:
 	case a.attempts[m.Attempt] != nil:
@@ -105,8 +107,8 @@
 	}
 	t := &attempt{
 		id:      m.Attempt,
-		req:     request(now, m),
-		arrived: now,
+		req:     request(came, m),
+		arrived: came,
 
 		supersedes: m.Supersedes,
 	}
@@ -129,7 +131,7 @@
 	})
 }
 
-func request(now time.Time, m *peer.Submit) wardturn.Request {
+func request(came time.Time, m *peer.Submit) wardturn.Request {
 	r := wardturn.Request{
 		ID:         m.Request,
 		Caller:     m.Caller,
@@ -149,7 +151,7 @@
 		Body:       m.Body,
 	}
 	if m.Left > 0 {
-		r.Deadline = now.Add(m.Left)
+		r.Deadline = came.Add(m.Left)
 	}
 	return r
 }
@@ -217,12 +219,13 @@
 }
 
 // onCancel withdraws an attempt that nobody waits for. What may not be repeated
-// and has been sent runs on to its end.
+// and has been sent runs on to its end; while its claim is under way it has not.
 func (a *Agent) onCancel(id wardturn.AttemptID) {
 	t := a.attempts[id]
 	if t == nil || t.ended {
 		return
 	}
+	t.withdrawn = true
 	queued := false
 	a.do(func(now time.Time, out *decide.Orders) {
 		queued = a.core.Cancel(now, id, out)
--- a/agent/run.go
+++ b/agent/run.go
@@ -37,8 +37,8 @@
 			return
 		}
 	}
-	if !a.beginSend(t) {
-		a.ended(t, wardturn.Refused(wardturn.ReasonCanceled, 0))
+	if reason := a.beginSend(t); reason != wardturn.ReasonNone {
+		a.ended(t, wardturn.Refused(reason, 0))
 		return
 	}
 	if a.engine != nil {
@@ -61,17 +61,22 @@
 }
 
 // beginSend marks the attempt as possibly run, and tells the entry that it
-// runs. From here on "not run" needs the upstream's word.
-func (a *Agent) beginSend(t *attempt) bool {
+// runs. From here on "not run" needs the upstream's word. It returns the reason for
+// which the attempt must not be sent any more, if there is one: a claim takes time.
+func (a *Agent) beginSend(t *attempt) wardturn.Reason {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.ledger.Send(t.id) {
-		return false
+	late := !t.req.Deadline.IsZero() && !a.clock.Now().Before(t.req.Deadline)
+	switch {
+	case late:
+		return wardturn.ReasonDeadline
+	case t.withdrawn, !a.ledger.Send(t.id):
+		return wardturn.ReasonCanceled
 	}
 	if a.engine != nil {
 		a.sendHead(t, 0, nil)
 	}
-	return true
+	return wardturn.ReasonNone
 }
 
 // sendHead starts the answer; the lock is held.
