Red: a request that waits begins on a version that was replaced long before

Cause: an entry fills in the version in force when it admits a request that names none, and nobody looks at it again: not the agent's queue, not a retry. With the deadline of 60 s that requests have by default (24 h at most) that is how late after the acceptance of a newer version a request can begin on the old one.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -62,6 +62,7 @@
 			"publish": command(publishDoc),
 			"policy":  command(waitPolicy),
 			"ready":   command(waitSlots),
+			"knows":   command(waitConfig),
 		},
 	})
 }
@@ -469,6 +470,14 @@
 	})
 }
 
+// knows UPSTREAM: waits until an agent has the configuration of the first entry.
+func waitConfig(ts *testscript.TestScript, w *world, args []string) {
+	newest := w.sys.Entries[0].Replica().Applied()
+	until(ts, "configuration at "+args[0], func() bool {
+		return w.upstream(ts, args[0]).Agent.Status().Config >= newest
+	})
+}
+
 // entry start: adds an entry and waits until it is ready.
 func entryFault(ts *testscript.TestScript, w *world, args []string) {
 	if args[0] != "start" {
