A request that names no version begins on the version in force

Change: a submission says whether its caller named no version, and the configuration by which the entry found one. The agent hands such an attempt back as not run, while it waits and again when it would begin, once its own configuration has put another version in force later than that; the entry waits up to 1 s for the same configuration, takes the version in force and sends the request again, as often as it tries upstreams. Submit.Config is now the configuration at the time when the request was read, not when it is sent.

A request that names its version keeps it, also if the version is taken out of the document meanwhile. An entry that cannot read the log gets stale_config for adapters whose version changed, in place of answers of the old version.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -15,6 +15,9 @@
 	id         wardturn.AttemptID
 	req        wardturn.Request
 	supersedes wardturn.AttemptID // known not to have run, for the same key
+	newest     bool               // asked for the version in force
+	config     wardturn.Offset    // by which its entry found that version
+	replaced   wardturn.Offset    // configuration by which another version is in force
 	conn       *peer.Conn         // that gets the answer; nil while the entry is away
 	credit     int64              // offset up to which the entry takes bytes
 	sent       int64              // offset up to which bytes went to conn
@@ -95,6 +98,7 @@
 		Outcome:       t.outcome,
 		Length:        t.end(),
 		Hint:          a.core.Hint(),
+		Config:        t.replaced,
 		First:         t.first.Claim.Attempt,
 		FirstUpstream: t.first.Upstream,
 		FirstProcess:  t.first.Process,
--- a/agent/inbound.go
+++ b/agent/inbound.go
@@ -111,6 +111,8 @@
 		arrived: came,
 
 		supersedes: m.Supersedes,
+		newest:     m.Newest,
+		config:     m.Config,
 	}
 	t.attach(c, 0, m.Credit)
 	a.attempts[m.Attempt] = t
@@ -118,6 +120,10 @@
 		a.finish(t, wardturn.Refused(wardturn.ReasonStaleConfig, time.Second))
 		return
 	}
+	if a.outOfForce(t) {
+		a.finish(t, wardturn.Refused(wardturn.ReasonStaleConfig, 0))
+		return
+	}
 	a.do(func(now time.Time, out *decide.Orders) {
 		a.core.Admit(now, work(t), out)
 	})
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -154,6 +154,8 @@
 		a.applyPolicy()
 	case control.KindOf(key) == control.KindTeam:
 		a.applyShares()
+	case control.KindOf(key) == control.KindAdapter:
+		a.replaceVersion(wardturn.AdapterID(control.NameOf(key)))
 	}
 }
 
--- a/agent/run.go
+++ b/agent/run.go
@@ -70,6 +70,8 @@
 	switch {
 	case late:
 		return wardturn.ReasonDeadline
+	case a.outOfForce(t):
+		return wardturn.ReasonStaleConfig
 	case t.withdrawn, !a.ledger.Send(t.id):
 		return wardturn.ReasonCanceled
 	}
--- a/entry/api.go
+++ b/entry/api.go
@@ -117,6 +117,7 @@
 	if p.code != "" {
 		return nil, p
 	}
+	config := e.replica.Applied()
 	ref, model, ok := e.catalog.Resolve(c.ref)
 	if !ok {
 		return nil, unknownAdapter(c.ref)
@@ -137,6 +138,8 @@
 		entry:   e,
 		req:     req,
 		model:   model,
+		newest:  c.ref.Version == 0,
+		config:  config,
 		stream:  c.stream,
 		arrived: e.clock.Now(),
 	}, problem{}
@@ -145,6 +148,7 @@
 // callService passes a request through to a plain service.
 func (e *Entry) callService(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) {
 	name := wardturn.ServiceName(ctx.UserValue("name").(string))
+	config := e.replica.Applied()
 	doc, ok := e.catalog.Service(name)
 	if !ok {
 		writeProblem(ctx, unknownService(name))
@@ -178,6 +182,7 @@
 	x := &exchange{
 		entry:   e,
 		req:     req,
+		config:  config,
 		arrived: e.clock.Now(),
 	}
 	e.admit(ctx, x, false)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -12,12 +12,18 @@
 // word on it.
 const deadlineGrace = 500 * time.Millisecond
 
+// newerLimit is how long a request waits for the configuration by which an agent found
+// that another version is in force than it was sent for.
+const newerLimit = time.Second
+
 // exchange is one request of a caller on its way through the upstreams.
 type exchange struct {
 	entry    *Entry
 	req      wardturn.Request
 	model    wardturn.BaseModel
-	stream   bool // the caller wants the answer as it comes
+	newest   bool            // the caller asked for the version in force
+	config   wardturn.Offset // by which the request was read
+	stream   bool            // the caller wants the answer as it comes
 	arrived  time.Time
 	tried    []wardturn.UpstreamID
 	upstream wardturn.UpstreamID // of the present attempt
@@ -30,6 +36,7 @@
 	spare    []byte
 	attempts int
 
+	renewals   int // of the version
 	takeOvers  int
 	supersedes wardturn.AttemptID // the latest attempt known not to have run
 }
@@ -169,6 +176,7 @@
 		Team:       x.req.Team,
 		Class:      x.req.Class,
 		Adapter:    x.req.Adapter,
+		Newest:     x.newest,
 		Service:    x.req.Service,
 		Prompt:     x.req.Prompt,
 		Output:     x.req.Output,
@@ -181,7 +189,7 @@
 		Header:     x.req.Header,
 		Body:       x.req.Body,
 		Supersedes: x.supersedes,
-		Config:     x.entry.replica.Applied(),
+		Config:     x.config,
 		Credit:     peer.Window,
 	}
 	if !x.req.Deadline.IsZero() {
@@ -197,6 +205,10 @@
 		return
 	}
 	notRun := end.Outcome.Kind == wardturn.NotRun
+	if notRun && end.Config > 0 {
+		x.renewVersion(end)
+		return
+	}
 	if notRun && end.Outcome.Reason != wardturn.ReasonKeyInProgress {
 		x.supersedes = x.call.id
 		if x.call.follows {
@@ -207,6 +219,37 @@
 	x.onOutcome(end.Outcome, notRun)
 }
 
+// renewVersion starts anew on the version in force, after an agent has seen a newer
+// one accepted than the request was sent for.
+func (x *exchange) renewVersion(end *peer.End) {
+	x.endAttempt(true)
+	x.outcome = end.Outcome
+	x.renewals++
+	if x.renewals > x.entry.cfg.Tries || x.late() || !x.catchUp(end.Config) {
+		x.ended = true
+		return
+	}
+	x.config = x.entry.replica.Applied()
+	ref, model, ok := x.entry.catalog.Resolve(wardturn.AdapterRef{
+		Adapter: x.req.Adapter.Adapter,
+	})
+	if !ok {
+		x.ended = true
+		return
+	}
+	x.req.Adapter = ref
+	x.model = model
+	x.req.Body = renameModel(x.req.Body, ref, x.req.Class)
+	x.tried = nil
+}
+
+// catchUp waits until the entry has a configuration and reports whether it has.
+func (x *exchange) catchUp(config wardturn.Offset) bool {
+	ctx, cancel := x.entry.tasks.Limit(newerLimit)
+	defer cancel()
+	return x.entry.replica.WaitFor(ctx, config) == nil
+}
+
 // onOutcome tries elsewhere if that is allowed, and ends the request if not.
 func (x *exchange) onOutcome(outcome wardturn.Outcome, healthy bool) {
 	x.endAttempt(healthy)
--- a/entry/openai.go
+++ b/entry/openai.go
@@ -100,6 +100,20 @@
 	return c.doc.MarshalTo(nil)
 }
 
+// renameModel names another version of the adapter in a body that rewrite made.
+func renameModel(body []byte, ref wardturn.AdapterRef, class wardturn.Class) []byte {
+	parser := parsers.Get()
+	defer parsers.Put(parser)
+	doc, err := parser.ParseBytes(body)
+	if err != nil {
+		panic("entry: a body that was rewritten is not JSON")
+	}
+	c := completion{
+		doc: doc,
+	}
+	return c.rewrite(ref, class)
+}
+
 // models answers /v1/models.
 func (e *Entry) models(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) {
 	var buf bytes.Buffer
--- a/peer/message.go
+++ b/peer/message.go
@@ -75,6 +75,7 @@
 	Team       wardturn.TeamID
 	Class      wardturn.Class
 	Adapter    wardturn.AdapterRef
+	Newest     bool // the caller named no version: it asked for the one in force
 	Service    wardturn.ServiceName
 	Prompt     wardturn.Tokens
 	Output     wardturn.Tokens
@@ -124,6 +125,9 @@
 	Outcome wardturn.Outcome
 	Length  int64
 	Hint    decide.Hint
+	// Config, if set, is the configuration that put another version in force than
+	// the attempt was for, which named none: it did not run.
+	Config wardturn.Offset
 	// First names the attempt that holds the answer for an idempotency key that
 	// was claimed before, and the upstream that knows it.
 	First         wardturn.AttemptID
