--- a/peer/message.go
+++ b/peer/message.go
@@ -75,7 +75,6 @@
 	Team       wardturn.TeamID
 	Class      wardturn.Class
 	Adapter    wardturn.AdapterRef
-	Newest     bool // the caller named no version: it asked for the one in force
 	Service    wardturn.ServiceName
 	Prompt     wardturn.Tokens
 	Output     wardturn.Tokens
@@ -91,6 +90,7 @@
 	Supersedes wardturn.AttemptID // claimed the key and is known not to have run
 	Config     wardturn.Offset    // that the entry decided by
 	Credit     int64              // bytes of the answer that may be sent
+	Newest     bool               // the caller named no version: it asked for the one in force
 }
 
 // Attach asks for an attempt again after a lost connection. With Follow it asks
@@ -125,14 +125,14 @@
 	Outcome wardturn.Outcome
 	Length  int64
 	Hint    decide.Hint
-	// Config, if set, is the configuration that put another version in force than
-	// the attempt was for, which named none: it did not run.
-	Config wardturn.Offset
 	// First names the attempt that holds the answer for an idempotency key that
 	// was claimed before, and the upstream that knows it.
 	First         wardturn.AttemptID
 	FirstUpstream wardturn.UpstreamID
 	FirstProcess  wardturn.Incarnation
+	// Config, if set, is the configuration that put another version in force than
+	// the attempt was for, which named none: it did not run.
+	Config wardturn.Offset
 }
 
 // Credit allows an agent to send an answer up to an offset.
