The permits used of an allocator are remembered while another is heard of

Change: an agent keeps the count of the allocator that it heard of before; when it turns back to that one, what it did not use then counts as used.

Conclusion: a late word of an earlier allocator allows no loads.

--- a/decide/permits_allocated.go
+++ b/decide/permits_allocated.go
@@ -27,16 +27,22 @@
 	urgent   bool // a place at the store became free
 	sentAt   time.Time
 	askedAt  time.Time // first wish without an answer; zero if answered
-	epoch    uint64
-	total    uint64
-	used     uint64
-	gotAt    time.Time
-	pace     time.Duration
-	backlog  int
-	load     float64
-	heardAt  time.Time
-	loading  int
-	busy     int
+	permitCount
+	before  permitCount // of the allocator heard of before
+	gotAt   time.Time
+	pace    time.Duration
+	backlog int
+	load    float64
+	heardAt time.Time
+	loading int
+	busy    int
+}
+
+// permitCount counts the permits of one allocator.
+type permitCount struct {
+	epoch uint64
+	total uint64
+	used  uint64
 }
 
 // NewAllocatedPermits returns permits that an allocator hands out.
@@ -129,9 +135,7 @@
 // Granted implements Permits.
 func (p *AllocatedPermits) Granted(now time.Time, g Grant) {
 	if g.Epoch != p.epoch {
-		p.epoch = g.Epoch
-		p.total = 0
-		p.used = 0
+		p.turnTo(g.Epoch)
 	}
 	p.askedAt = time.Time{}
 	p.pace = g.Interval
@@ -144,6 +148,20 @@
 	}
 }
 
+// turnTo counts the permits of another allocator. The count of the one before is kept:
+// hosts that come and go change who allocates, and back, and a late word may do so too.
+func (p *AllocatedPermits) turnTo(epoch uint64) {
+	next := permitCount{
+		epoch: epoch,
+	}
+	if p.before.epoch == epoch {
+		next = p.before
+		next.used = next.total // what was not used then is too old by now
+	}
+	p.before = p.permitCount
+	p.permitCount = next
+}
+
 // Pending implements Permits.
 func (p *AllocatedPermits) Pending(now time.Time) (Wish, bool) {
 	p.expire(now)
