An entry that cannot read the log takes the newest configuration of its agents

Change: after 5 s without a read of the log, at any time of its life, an entry asks up to three agents every 2 s how new their configuration is, and takes it from one that is ahead. Connections remember the newest configuration that the other side told of. The router knows a list of hosts before the entry calls itself ready by it.

While the log is out for all, nothing but heartbeats is sent.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -244,11 +244,11 @@
 	for _, h := range hosts {
 		byID[h.Upstream] = h
 	}
-	e.mu.Lock()
-	e.hosts = byID
-	e.listedAt = e.clock.Now()
-	e.mu.Unlock()
 	e.routerMu.Lock()
-	defer e.routerMu.Unlock()
 	e.router.SetHosts(hosts)
+	e.routerMu.Unlock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hosts = byID // the entry is ready from here on
+	e.listedAt = e.clock.Now()
 }
--- a/entry/seed.go
+++ b/entry/seed.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	seedAfter = 2 * time.Second // without the log
 	seedEvery = 2 * time.Second
 	seedPeers = 3 // asked at once, in different failure domains
+	// logSilence is the time without a read of the log after which peers are asked
+	// for the configuration. A read without news returns after 2 s.
+	logSilence = 5 * time.Second
 )
 
 // seeds collects the configuration that peers send while the log is out.
@@ -29,22 +31,36 @@
 }
 
 // seedFromPeers asks peers for the configuration for as long as the log cannot
-// be read from the start of the process on. Each whole answer is offered to the
-// replica, which takes nothing older than what it holds.
+// be read. Each whole answer is offered to the replica, which takes nothing older
+// than what it holds.
 func (e *Entry) seedFromPeers() {
-	if !e.tasks.Pause(seedAfter) {
-		return
-	}
-	for e.replica.LastRead().IsZero() {
-		for _, h := range e.spread(seedPeers) {
-			e.askConfig(h.Upstream, 0)
+	for e.tasks.Pause(seedEvery) {
+		if e.clock.Now().Sub(e.replica.LastRead()) < logSilence {
+			continue
 		}
-		if !e.tasks.Pause(seedEvery) {
-			return
+		for _, h := range e.spread(seedPeers) {
+			e.seedFrom(h.Upstream)
 		}
 	}
 }
 
+// seedFrom asks a peer for the configuration if it has a newer one, and otherwise
+// how new its own is: the next round knows.
+func (e *Entry) seedFrom(id wardturn.UpstreamID) {
+	l := e.link(id)
+	if l == nil {
+		return
+	}
+	conn := l.wait(e.cfg.ConnectLimit)
+	switch {
+	case conn == nil:
+	case conn.Config() > e.replica.Applied():
+		_ = conn.Send(&peer.ConfigPull{})
+	default:
+		_ = conn.Send(&peer.Ping{})
+	}
+}
+
 // spread returns up to n hosts, of different failure domains first.
 func (e *Entry) spread(n int) []wardturn.Host {
 	e.mu.Lock()
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -71,6 +71,7 @@
 	dialed   bool          // this side sends the heartbeats, the other answers
 	askedAt  atomic.Int64  // of the oldest heartbeat without an answer; zero: none
 	seq      uint64
+	heard    atomic.Int64 // newest configuration that the other side told of
 }
 
 // Identity is what a process says of itself.
@@ -121,6 +122,7 @@
 		config: id.Config,
 	}
 	c.ready = sync.NewCond(&c.mu)
+	c.heard.Store(int64(hello.Config))
 	c.lastRead.Store(clock.Now().UnixNano())
 	return c, r, nil
 }
@@ -130,6 +132,11 @@
 	return c.peer
 }
 
+// Config returns the newest configuration that the other side told of.
+func (c *Conn) Config() wardturn.Offset {
+	return wardturn.Offset(c.heard.Load())
+}
+
 // Send queues a message. It does not block: a peer that does not take its bytes
 // loses the connection. An error means that the message was not queued; nil
 // does not mean that it arrives.
@@ -256,7 +263,11 @@
 		c.askedAt.Store(0)
 		c.noteUse(m)
 		switch m := m.(type) {
+		case *Pong:
+			c.heard.Store(int64(m.Config))
+			h.Handle(c, m)
 		case *Ping:
+			c.heard.Store(int64(m.Config))
 			h.Handle(c, m)
 			_ = c.Send(&Pong{
 				Seq:    m.Seq,
