--- a/entry/behind_test.go
+++ b/entry/behind_test.go
@@ -92,6 +92,18 @@
 		}
 		Eventually(inForce).WithTimeout(10 * time.Second).Should(Equal(res.Version))
 
+		By("learning what became of its own publication")
+		res, err = e.Replica().Publish(ctx, control.Change{
+			ID: "own",
+			Docs: []control.DocChange{{
+				Key:  key,
+				Base: res.Version,
+				Body: []byte("base_model: base\nteam: demo\nversion: 3\n"),
+			}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.Accepted).To(BeTrue())
+
 		log.cut.Store(false)
 		res, err = sys.Entries[0].Replica().Publish(ctx, control.Change{
 			ID: "newest",
