A peer's configuration comes with the results of recent publications

Beyond 256 publications in one silence of the log the publisher is told that it is not known, and sends it again with its id.

--- a/agent/inbound.go
+++ b/agent/inbound.go
@@ -272,8 +272,8 @@
 }
 
 func (a *Agent) onConfigPull(c *peer.Conn, m *peer.ConfigPull) {
-	docs, pages, applied := a.replica.Page(m.Page)
-	data, err := control.EncodeDocs(docs)
+	page, pages, applied := a.replica.Page(m.Page)
+	data, err := control.EncodePage(page)
 	if err != nil {
 		a.logger.Error("configuration page", "error", err)
 		return
--- a/control/docs.go
+++ b/control/docs.go
@@ -184,21 +184,21 @@
 	return best, best.Version > 0
 }
 
-// EncodeDocs encodes documents for a peer.
-func EncodeDocs(docs []Doc) ([]byte, error) {
-	data, err := msgpack.Marshal(docs)
-	return data, errors.Wrap(err, "control: encode documents")
+// EncodePage encodes a page for a peer.
+func EncodePage(p Page) ([]byte, error) {
+	data, err := msgpack.Marshal(p)
+	return data, errors.Wrap(err, "control: encode page")
 }
 
-// DecodeDocs decodes documents from a peer.
-func DecodeDocs(data []byte) (docs []Doc, err error) {
+// DecodePage decodes a page of a peer.
+func DecodePage(data []byte) (p Page, err error) {
 	defer func() {
-		if p := recover(); p != nil {
-			err = errors.Wrapf(ErrBadRecord, "%v", p)
+		if v := recover(); v != nil {
+			err = errors.Wrapf(ErrBadRecord, "%v", v)
 		}
 	}()
-	if err := msgpack.Unmarshal(data, &docs); err != nil {
-		return nil, errors.Wrapf(ErrBadRecord, "%v", err)
+	if err := msgpack.Unmarshal(data, &p); err != nil {
+		return Page{}, errors.Wrapf(ErrBadRecord, "%v", err)
 	}
-	return docs, nil
+	return p, nil
 }
--- a/control/replica.go
+++ b/control/replica.go
@@ -123,13 +123,13 @@
 	return r.lastRead
 }
 
-// Seed adopts a peer's documents; see State.Seed.
-func (r *Replica) Seed(docs []Doc, applied wardturn.Offset) {
+// Seed adopts a peer's configuration; see State.Seed.
+func (r *Replica) Seed(page Page, applied wardturn.Offset) {
 	r.taking.Lock()
 	defer r.taking.Unlock()
 	r.mu.Lock()
 	r.dirty = r.dirty[:0]
-	r.state.Seed(docs, applied)
+	r.state.Seed(page, applied)
 	r.mu.Unlock()
 	r.tell()
 }
--- a/control/replica_test.go
+++ b/control/replica_test.go
@@ -172,7 +172,9 @@
 			Key:  "adapter/a",
 			Body: []byte("old"),
 		}
-		r.Seed([]control.Doc{old}, 1)
+		r.Seed(control.Page{
+			Docs: []control.Doc{old},
+		}, 1)
 		doc, _ := r.Get("adapter/a")
 		Expect(string(doc.Body)).To(Equal("new"))
 	})
--- a/control/seed_test.go
+++ b/control/seed_test.go
@@ -51,16 +51,20 @@
 		var t told
 		r.Watch(t.add)
 		catalog := control.NewCatalog(r)
-		r.Seed([]control.Doc{
-			docAt("adapter/a", 1, "{base_model: m, team: t, version: 1}"),
-			docAt("caller/c", 2, "{team: t, key_digests: [d]}"),
+		r.Seed(control.Page{
+			Docs: []control.Doc{
+				docAt("adapter/a", 1, "{base_model: m, team: t, version: 1}"),
+				docAt("caller/c", 2, "{team: t, key_digests: [d]}"),
+			},
 		}, 10)
 		Expect(t.take()).To(ConsistOf(control.Key("adapter/a"), control.Key("caller/c")))
 		_, known := catalog.CallerOfKey("d")
 		Expect(known).To(BeTrue())
 
-		r.Seed([]control.Doc{
-			docAt("adapter/a", 1, "{base_model: m, team: t, version: 1}"),
+		r.Seed(control.Page{
+			Docs: []control.Doc{
+				docAt("adapter/a", 1, "{base_model: m, team: t, version: 1}"),
+			},
 		}, 20)
 		Expect(t.take()).To(ContainElement(control.Key("caller/c")))
 		_, known = catalog.CallerOfKey("d")
@@ -85,8 +89,10 @@
 		// The record at 230, which this process missed, put version 230 in
 		// force; the one at 250 replaces it.
 		s.Apply(record(first, 230, "newest"))
-		s.Seed([]control.Doc{
-			docAt("adapter/a", 100, "old"),
+		s.Seed(control.Page{
+			Docs: []control.Doc{
+				docAt("adapter/a", 100, "old"),
+			},
 		}, peerAt)
 		Expect(s.Based()).To(BeFalse())
 		Expect(s.Applied()).To(BeZero(), "what is in force at 250 is not known")
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -102,14 +102,23 @@
 // checked whether one is due.
 const snapshotChecks = 4
 
-// Page returns one page of the documents for a peer, the number of pages, and
+// Page is a part of a process's configuration, for a peer.
+type Page struct {
+	Docs    []Doc    `msgpack:"d"`
+	Results []Result `msgpack:"r"` // of recent publications; in the first page
+}
+
+// Page returns one page of the configuration for a peer, the number of pages, and
 // the offset that they stand for.
-func (r *Replica) Page(i int) (docs []Doc, pages int, applied wardturn.Offset) {
+func (r *Replica) Page(i int) (p Page, pages int, applied wardturn.Offset) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := parts(r.state.Docs(""))
 	if i >= 0 && i < len(list) {
-		docs = list[i]
+		p.Docs = list[i]
+	}
+	if i == 0 {
+		p.Results = r.state.Recent()
 	}
-	return docs, len(list), r.state.Applied()
+	return p, len(list), r.state.Applied()
 }
--- a/control/state.go
+++ b/control/state.go
@@ -345,17 +345,18 @@
 }
 
 // Seed adopts the documents of a peer while the log is out: those in force after
-// the record at applied. They are not taken if they are older than those held, or
+// the record at applied, and the results of publications up to it. They are not taken if they are older than those held, or
 // if records between them and the oldest one read were missed.
-func (s *State) Seed(docs []Doc, applied wardturn.Offset) {
+func (s *State) Seed(page Page, applied wardturn.Offset) {
 	missed := s.read > applied && s.from > applied+1
 	if applied <= s.applied || missed {
 		return
 	}
 	p := &partial{
-		docs: make(map[Key]Doc, len(docs)),
+		docs:    make(map[Key]Doc, len(page.Docs)),
+		results: page.Results,
 	}
-	for _, d := range docs {
+	for _, d := range page.Docs {
 		p.docs[d.Key] = d
 	}
 	s.rebase(applied, p)
--- a/entry/seed.go
+++ b/entry/seed.go
@@ -26,7 +26,7 @@
 // seed is one peer's configuration, as far as it has come.
 type seed struct {
 	config wardturn.Offset
-	docs   []control.Doc
+	page   control.Page
 	next   int
 }
 
@@ -93,7 +93,7 @@
 
 // onConfigPage takes a page of a peer's configuration and asks for the next.
 func (e *Entry) onConfigPage(from wardturn.UpstreamID, m *peer.ConfigPage) {
-	docs, err := control.DecodeDocs(m.Data)
+	page, err := control.DecodePage(m.Data)
 	if err != nil {
 		return
 	}
@@ -110,7 +110,8 @@
 		e.seeds.mu.Unlock()
 		return
 	}
-	s.docs = append(s.docs, docs...)
+	s.page.Docs = append(s.page.Docs, page.Docs...)
+	s.page.Results = append(s.page.Results, page.Results...)
 	s.next++
 	whole := s.next >= m.Pages
 	if whole {
@@ -123,6 +124,6 @@
 		})
 		return
 	}
-	e.logger.Info("configuration from a peer", "upstream", from, "config", s.config, "documents", len(s.docs))
-	e.replica.Seed(s.docs, s.config)
+	e.logger.Info("configuration from a peer", "upstream", from, "config", s.config, "documents", len(s.page.Docs))
+	e.replica.Seed(s.page, s.config)
 }
