Test: what a charge is told without the log, by an agent that is up to date or behind

Cause: scenario charge_log_out got stale_config in place of log_unavailable in some runs beside load. Both answers are right: an agent that lags behind the entry cannot catch up without the log and says stale_config; one that has caught up fails at the claim and says log_unavailable. In neither does the charge run.

Change: a test of both, on a clock that only the test moves.

--- /dev/null
+++ b/agent/behind_internal_test.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/peer"
+	"wardturn/standin"
+)
+
+// TestRefusalsWithoutTheLog checks what a charge is told while the log is out: by an
+// agent that has the configuration of the entry, that the log is not there for its
+// claim; by one that is behind, that it cannot catch up. It runs at neither.
+func TestRefusalsWithoutTheLog(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		config wardturn.Offset // of the entry; the agent has read nothing
+		want   wardturn.Reason
+	}{
+		{
+			name:   "up to date",
+			config: 0,
+			want:   wardturn.ReasonLogUnavailable,
+		},
+		{
+			name:   "behind",
+			config: 1,
+			want:   wardturn.ReasonStaleConfig,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			clock := standin.NewClock()
+			log := standin.NewLog(clock, standin.LogConfig{})
+			log.SetFaults(standin.LogFaults{
+				Down: true,
+			})
+			service := &countedService{}
+			a := newPlainAgent(t, clock, log, service)
+			id := wardturn.AttemptID{
+				Entry: "e1",
+				Seq:   1,
+			}
+			a.onSubmit(nil, &peer.Submit{
+				Attempt:    id,
+				Service:    "s",
+				Method:     "POST",
+				Key:        "k",
+				KeyCreated: clock.Now(),
+				Left:       time.Hour,
+				Config:     c.config,
+			})
+			g.Eventually(func() wardturn.Outcome {
+				clock.Advance(10 * time.Millisecond)
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				if t := a.attempts[id]; t != nil {
+					return t.outcome
+				}
+				return wardturn.Outcome{}
+			}).WithTimeout(patience).Should(gomega.Equal(wardturn.Refused(c.want, time.Second)))
+			g.Expect(service.calls.Load()).To(gomega.BeZero())
+		})
+	}
+}
