--- a/demo/system.go
+++ b/demo/system.go
@@ -38,6 +38,7 @@
 	Logger       hclog.Logger
 	Clock        wardturn.Clock
 	Deadline     time.Duration // of requests that name none; zero: the entry's default
+	Grace        time.Duration // past a deadline, for the agent's word; zero: the entry's default
 	ConnectLimit time.Duration // of a first connection to an agent; zero: the entry's default
 	Relays       bool          // put a relay before each agent, so that its network can fail
 }
@@ -269,13 +270,14 @@
 	s.metrics = append(s.metrics, metrics)
 	s.Entries = append(s.Entries, entry.New(entry.Deps{
 		Config: entry.Config{
-			Process:      s.process("e"),
-			Region:       Region,
-			Domain:       s.domain(i),
-			Open:         true,
-			Deadline:     s.cfg.Deadline,
-			ConnectLimit: s.cfg.ConnectLimit,
-			OperatorKeys: []entry.KeyGrant{{Name: "demo", Digest: control.KeyDigest(OperatorKey)}},
+			Process:       s.process("e"),
+			Region:        Region,
+			Domain:        s.domain(i),
+			Open:          true,
+			Deadline:      s.cfg.Deadline,
+			DeadlineGrace: s.cfg.Grace,
+			ConnectLimit:  s.cfg.ConnectLimit,
+			OperatorKeys:  []entry.KeyGrant{{Name: "demo", Digest: control.KeyDigest(OperatorKey)}},
 		},
 		Clock:    s.cfg.Clock,
 		Logger:   s.cfg.Logger.Named("entry"),
--- a/entry/config.go
+++ b/entry/config.go
@@ -23,6 +23,7 @@
 	MaxRequests   int           // at once
 	Deadline      time.Duration // of requests that name none
 	MaxDeadline   time.Duration
+	DeadlineGrace time.Duration // past its deadline that a request waits for its agent's word
 	AttachLimit   time.Duration // to find a lost attempt again
 	ConnectLimit  time.Duration // for a first connection to an agent
 	IdleLink      time.Duration // after which an unused connection is closed
@@ -48,6 +49,7 @@
 	DefaultMaxRequests  = 20_000
 	DefaultDeadline     = 60 * time.Second
 	DefaultMaxDeadline  = 24 * time.Hour
+	DefaultGrace        = 500 * time.Millisecond
 	DefaultAttachLimit  = 5 * time.Second
 	DefaultConnectLimit = 500 * time.Millisecond
 	DefaultIdleLink     = 2 * time.Minute
@@ -64,6 +66,7 @@
 	c.MaxRequests = cmp.Or(c.MaxRequests, DefaultMaxRequests)
 	c.Deadline = cmp.Or(c.Deadline, DefaultDeadline)
 	c.MaxDeadline = cmp.Or(c.MaxDeadline, DefaultMaxDeadline)
+	c.DeadlineGrace = cmp.Or(c.DeadlineGrace, DefaultGrace)
 	c.AttachLimit = cmp.Or(c.AttachLimit, DefaultAttachLimit)
 	c.ConnectLimit = cmp.Or(c.ConnectLimit, DefaultConnectLimit)
 	c.IdleLink = cmp.Or(c.IdleLink, DefaultIdleLink)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -8,10 +8,6 @@
 	"wardturn/peer"
 )
 
-// deadlineGrace is how long past its deadline a request waits for the agent's
-// word on it.
-const deadlineGrace = 500 * time.Millisecond
-
 // newerLimit is how long a request waits for the configuration by which an agent found
 // that another version is in force than it was sent for.
 const newerLimit = time.Second
@@ -89,7 +85,7 @@
 }
 
 func (x *exchange) late() bool {
-	return !x.req.Deadline.IsZero() && x.now().After(x.req.Deadline.Add(deadlineGrace))
+	return !x.req.Deadline.IsZero() && x.now().After(x.req.Deadline.Add(x.entry.cfg.DeadlineGrace))
 }
 
 // wait sleeps until something arrives, or until a limit may have passed.
@@ -99,7 +95,7 @@
 		limit = x.entry.cfg.AttachLimit - x.now().Sub(st.since)
 	}
 	if !x.req.Deadline.IsZero() {
-		limit = min(limit, x.req.Deadline.Add(deadlineGrace).Sub(x.now()))
+		limit = min(limit, x.req.Deadline.Add(x.entry.cfg.DeadlineGrace).Sub(x.now()))
 	}
 	woken := make(chan struct{})
 	timer := x.entry.clock.AfterFunc(limit+time.Millisecond, func() {
