--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 
 	"wardturn/gateway"
 	"wardturn/platform"
@@ -31,7 +32,7 @@
 			x.store.ServeHTTP(w, r)
 		}))
 		x.store.SetPage(3)
-		late, x.front, x.ready = x.startGateway("late", platform.NewStore(ln.Addr().String()))
+		late, x.front, x.ready = x.startGateway("late", platform.NewStore(ln.Addr().String(), tally.NoopScope))
 	}
 	status := func(path, model string) func() int {
 		return func() int {
