Faults in settings are collected by one type

Cause: agent and entry each built their list of bad settings with the same closure, and the daemons on the users' platform with a type of their own that did the same. Change: wardturn.SettingProblems has Require, Error and Err. Config.Check of agent and entry and the settings of gateway and keeper use it; messages are the same. Conclusion: one copy.

--- a/agent/config.go
+++ b/agent/config.go
@@ -58,24 +58,16 @@
 }
 
 // Check returns every problem of the configuration.
-func (c Config) Check() []wardturn.SettingProblem {
-	var list []wardturn.SettingProblem
-	add := func(ok bool, setting, reason string) {
-		if !ok {
-			list = append(list, wardturn.SettingProblem{
-				Setting: setting,
-				Reason:  reason,
-			})
-		}
-	}
-	add(wardturn.ValidName(string(c.Upstream)), "upstream", "must be a name")
-	add(wardturn.ValidName(string(c.Region)), "region", "must be a name")
-	add(wardturn.ValidName(string(c.Domain)), "domain", "must be a name")
-	add((c.Model == "") != (c.Service == ""), "model", "exactly one of --model and --service must be set")
-	add(c.Model == "" || c.Slots > 0, "slots", "must be positive for a model engine")
-	add(c.MaxRunning >= 0, "max-running", "must not be negative")
-	add(c.MaxQueue >= 0, "max-queue", "must not be negative")
-	add(c.Model == "" || c.Store.Rate > 0, "store-rate", "must be positive")
-	add(c.Model == "" || c.Store.Parallel > 0, "store-parallel", "must be positive")
+func (c Config) Check() wardturn.SettingProblems {
+	var list wardturn.SettingProblems
+	list.Require(wardturn.ValidName(string(c.Upstream)), "upstream", "must be a name")
+	list.Require(wardturn.ValidName(string(c.Region)), "region", "must be a name")
+	list.Require(wardturn.ValidName(string(c.Domain)), "domain", "must be a name")
+	list.Require((c.Model == "") != (c.Service == ""), "model", "exactly one of --model and --service must be set")
+	list.Require(c.Model == "" || c.Slots > 0, "slots", "must be positive for a model engine")
+	list.Require(c.MaxRunning >= 0, "max-running", "must not be negative")
+	list.Require(c.MaxQueue >= 0, "max-queue", "must not be negative")
+	list.Require(c.Model == "" || c.Store.Rate > 0, "store-rate", "must be positive")
+	list.Require(c.Model == "" || c.Store.Parallel > 0, "store-parallel", "must be positive")
 	return list
 }
--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -100,7 +100,7 @@
 		return ExitUsage
 	}
 	err = k.Run()
-	var bad badSettings
+	var bad wardturn.SettingProblems
 	switch {
 	case errors.As(err, &bad):
 		for _, p := range bad {
@@ -114,21 +114,14 @@
 	return ExitOK
 }
 
-// badSettings are all faults found in the settings.
-type badSettings []wardturn.SettingProblem
-
-// Error implements error.
-func (b badSettings) Error() string {
-	return fmt.Sprintf("%d bad settings", len(b))
+// badSettings collects the faults of a command line's settings.
+type badSettings struct {
+	wardturn.SettingProblems
 }
 
 func (b *badSettings) addr(setting, value string) {
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		*b = append(*b, wardturn.SettingProblem{
-			Setting: setting,
-			Reason:  fmt.Sprintf("%q is not IP:port", value),
-		})
-	}
+	_, err := netip.ParseAddrPort(value)
+	b.Require(err == nil, setting, fmt.Sprintf("%q is not IP:port", value))
 }
 
 func (b *badSettings) optionalAddr(setting, value string) {
@@ -137,22 +130,6 @@
 	}
 }
 
-func (b *badSettings) require(setting string, ok bool, reason string) {
-	if !ok {
-		*b = append(*b, wardturn.SettingProblem{
-			Setting: setting,
-			Reason:  reason,
-		})
-	}
-}
-
-func (b badSettings) err() error {
-	if len(b) == 0 {
-		return nil
-	}
-	return b
-}
-
 func newProcess() wardturn.Incarnation {
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // never fails
--- a/cli/fleet/keeper.go
+++ b/cli/fleet/keeper.go
@@ -30,7 +30,7 @@
 	b.addr("engine", c.Engine)
 	b.optionalAddr("metrics", c.Metrics)
 	b.addr("ip", net.JoinHostPort(c.IP, c.Port))
-	return b.err()
+	return b.Err()
 }
 
 // Run implements the keeper command.
--- a/cli/fleet/settings.go
+++ b/cli/fleet/settings.go
@@ -11,6 +11,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+
+	"wardturn"
 )
 
 const (
@@ -136,7 +138,7 @@
 	if err == nil {
 		return false
 	}
-	var bad badSettings
+	var bad wardturn.SettingProblems
 	if errors.As(err, &bad) {
 		for _, p := range bad {
 			logger.Error("bad setting, the present settings stay", "setting", p.Setting, "reason", p.Reason)
--- a/entry/config.go
+++ b/entry/config.go
@@ -80,22 +80,14 @@
 var ErrBadKey = errors.New("must be name:sha256 in hexadecimal")
 
 // Check returns every problem of the configuration.
-func (c Config) Check() []wardturn.SettingProblem {
-	var list []wardturn.SettingProblem
-	add := func(ok bool, setting, reason string) {
-		if !ok {
-			list = append(list, wardturn.SettingProblem{
-				Setting: setting,
-				Reason:  reason,
-			})
-		}
-	}
-	add(wardturn.ValidName(string(c.Region)), "region", "must be a name")
-	add(wardturn.ValidName(string(c.Domain)), "domain", "must be a name")
-	add(c.MaxBody >= 0, "max-body", "must not be negative")
-	add(c.MaxRequests >= 0, "max-requests", "must not be negative")
-	add(c.Deadline >= 0, "deadline", "must not be negative")
-	add(c.RetryShare >= 0 && c.RetryShare <= 1, "retry-share", "must be from 0 to 1")
+func (c Config) Check() wardturn.SettingProblems {
+	var list wardturn.SettingProblems
+	list.Require(wardturn.ValidName(string(c.Region)), "region", "must be a name")
+	list.Require(wardturn.ValidName(string(c.Domain)), "domain", "must be a name")
+	list.Require(c.MaxBody >= 0, "max-body", "must not be negative")
+	list.Require(c.MaxRequests >= 0, "max-requests", "must not be negative")
+	list.Require(c.Deadline >= 0, "deadline", "must not be negative")
+	list.Require(c.RetryShare >= 0 && c.RetryShare <= 1, "retry-share", "must be from 0 to 1")
 	return list
 }
 
--- a/setting.go
+++ b/setting.go
@@ -1,5 +1,7 @@
 package wardturn
 
+import "fmt"
+
 // SettingProblem says which setting is bad, and why. Setting is the name of its
 // flag.
 type SettingProblem struct {
@@ -11,3 +13,30 @@
 func (p SettingProblem) Error() string {
 	return p.Setting + ": " + p.Reason
 }
+
+// SettingProblems are all faults found in the settings of a process.
+type SettingProblems []SettingProblem
+
+// Require records a problem of a setting unless ok.
+func (p *SettingProblems) Require(ok bool, setting, reason string) {
+	if ok {
+		return
+	}
+	*p = append(*p, SettingProblem{
+		Setting: setting,
+		Reason:  reason,
+	})
+}
+
+// Error implements error.
+func (p SettingProblems) Error() string {
+	return fmt.Sprintf("%d bad settings", len(p))
+}
+
+// Err returns the problems as an error, or nil if there are none.
+func (p SettingProblems) Err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
