The daemons' wiring stands once

Cause: gateway and keeper each put clock, log, metrics and container together, entry and agent each read and checked their settings and provided clock, log, host list and listener; provideAll and the name of a run stood in two packages. cli/daemon.go held the agent's own part as well. Change: process.NewIncarnation and process.Provide in place of four functions; cli/fleet has newDaemon, and watchSettings reads the settings itself; cli has readSettings and processSettings.provide. The agent's part moved to cli/agentd.go, beside cli/entryd.go. Flags, messages and exit codes are the same. The GC setting of gateway and keeper now follows their listeners. Test: a daemon that ends by itself in the tests of cli shows its log, which was thrown away; the check is the same. Seen: TestProcessesOverTLS failed once, run beside the tests of cli/fleet, process and scenario ("did not come: readiness", a daemon ended with exit code 1), and passed alone. The test frees a port before its daemon binds it. Conclusion: one copy of what the daemons share; what is left in gateway and keeper is their own.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -1,11 +1,8 @@
 package cli
 
 import (
-	"context"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/hex"
 	"fmt"
 	"net"
 	"net/netip"
@@ -17,9 +14,7 @@
 	"go.uber.org/dig"
 
 	"wardturn"
-	"wardturn/agent"
 	"wardturn/driver"
-	"wardturn/policy"
 	"wardturn/process"
 )
 
@@ -40,7 +35,7 @@
 
 // problems collects bad settings, one for each flag.
 type problems struct {
-	list []wardturn.SettingProblem
+	list wardturn.SettingProblems
 }
 
 // add records a problem of a flag, unless there is none or the flag has one.
@@ -53,14 +48,11 @@
 			return
 		}
 	}
-	p.list = append(p.list, wardturn.SettingProblem{
-		Setting: flag,
-		Reason:  err.Error(),
-	})
+	p.list.Require(false, flag, err.Error())
 }
 
 // check records the problems that a configuration found in itself.
-func (p *problems) check(list []wardturn.SettingProblem) {
+func (p *problems) check(list wardturn.SettingProblems) {
 	for _, sp := range list {
 		p.add(sp.Setting, errors.New(sp.Reason))
 	}
@@ -77,6 +69,22 @@
 	}
 }
 
+// checkOnly implements daemonSettings.
+func (s *processSettings) checkOnly() bool {
+	return s.Check
+}
+
+// provide adds what entry and agent are both built from.
+func (s *processSettings) provide(c *dig.Container, logger hclog.Logger, ln net.Listener) error {
+	return process.Provide(c,
+		func() wardturn.Clock { return process.Clock{} },
+		func() hclog.Logger { return logger },
+		func() wardturn.Log { return driver.NewLog(s.LogAddr) },
+		func() wardturn.HostList { return driver.NewHostList(s.HostList) },
+		func() net.Listener { return ln },
+	)
+}
+
 // variable is the environment variable of a flag.
 func variable(flag string) string {
 	return "WARDTURN_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
@@ -119,13 +127,6 @@
 	}, nil
 }
 
-// NewProcess returns a name for one run of a process.
-func NewProcess() wardturn.Incarnation {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return wardturn.Incarnation(hex.EncodeToString(b[:]))
-}
-
 func newLogger(s Streams, name, level string) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:   name,
@@ -134,6 +135,26 @@
 	})
 }
 
+// daemonSettings are the settings of a daemon with its command line.
+type daemonSettings interface {
+	// problems returns what is wrong with the settings.
+	problems() *problems
+	// checkOnly reports whether the daemon is to end after that check.
+	checkOnly() bool
+}
+
+// readSettings fills a daemon's settings from its command line and checks them. It
+// returns the exit code if the daemon is not to start.
+func readSettings(name, description string, settings daemonSettings, args []string, s Streams) (code int, done bool) {
+	if code, done := parse(name, description, settings, args, s); done {
+		return code, true
+	}
+	if p := settings.problems(); len(p.list) > 0 {
+		return p.refuse(name, s), true
+	}
+	return ExitOK, settings.checkOnly()
+}
+
 // parse fills a daemon's settings, or returns the exit code.
 func parse(name, description string, settings any, args []string, s Streams) (code int, done bool) {
 	exit := -1
@@ -166,137 +187,3 @@
 	}
 	return ExitUsage
 }
-
-// provideAll adds constructors to a container.
-func provideAll(c *dig.Container, constructors ...any) error {
-	for _, f := range constructors {
-		if err := c.Provide(f); err != nil {
-			return errors.Wrap(err, "wiring")
-		}
-	}
-	return nil
-}
-
-// agentSettings are the settings of wardturn-agent.
-type agentSettings struct {
-	processSettings
-	Upstream       string  `required:"" help:"Name of the upstream beside this agent."`
-	UpstreamAddr   string  `required:"" help:"Address of the upstream, IP:port."`
-	Model          string  `help:"Base model of the upstream, if it is a model engine."`
-	Service        string  `help:"Service of the upstream, if it is a plain service."`
-	Slots          int     `default:"8" help:"Adapter slots of the engine."`
-	MaxRunning     int     `default:"16" help:"Requests that run at once."`
-	MaxQueue       int     `default:"1024" help:"Requests that wait at most."`
-	StoreRate      float64 `default:"9" help:"Loads a second that the weight store allows all agents."`
-	StoreParallel  int     `default:"4" help:"Loads at full speed at once."`
-	StoreAgents    int     `default:"18" help:"Agents that share the store, as a first guess."`
-	ChecksFences   bool    `default:"true" negatable:"" help:"Whether the upstream checks who gives it orders."`
-	GuardAddr      string  `help:"Loopback address that this agent binds for life, so that no second one runs; for upstreams that check no fences."`
-	MetricsAddress string  `help:"Address of /metrics and /healthz, IP:port; empty: none."`
-}
-
-func (s *agentSettings) config(p wardturn.Incarnation) agent.Config {
-	cfg := agent.Config{
-		Upstream:     wardturn.UpstreamID(s.Upstream),
-		Process:      p,
-		Region:       wardturn.Region(s.Region),
-		Domain:       wardturn.FailureDomain(s.Domain),
-		Model:        wardturn.BaseModel(s.Model),
-		Service:      wardturn.ServiceName(s.Service),
-		Slots:        s.Slots,
-		MaxRunning:   s.MaxRunning,
-		MaxQueue:     s.MaxQueue,
-		StoreAgents:  s.StoreAgents,
-		RequireFence: true,
-	}
-	cfg.Store.Rate = s.StoreRate
-	cfg.Store.Parallel = s.StoreParallel
-	if s.Service != "" {
-		cfg.Slots = 0
-	}
-	return cfg
-}
-
-func (s *agentSettings) problems() *problems {
-	p := &problems{}
-	s.processSettings.problems(p)
-	p.add("upstream-addr", checkAddr(s.UpstreamAddr, false))
-	p.check(s.config("check").Check())
-	if !s.ChecksFences && s.GuardAddr == "" {
-		p.add("guard-addr", errors.New("must be set for an upstream that checks no fences"))
-	}
-	return p
-}
-
-// AgentMain runs wardturn-agent and returns its exit code.
-func AgentMain(ctx context.Context, args []string, s Streams) int {
-	const name = "wardturn-agent"
-	var set agentSettings
-	if code, done := parse(name, "The process beside one upstream.", &set, args, s); done {
-		return code
-	}
-	if p := set.problems(); len(p.list) > 0 {
-		return p.refuse(name, s)
-	}
-	if set.Check {
-		return ExitOK
-	}
-	if set.GuardAddr != "" {
-		guard, err := net.Listen("tcp", set.GuardAddr)
-		if err != nil {
-			fmt.Fprintln(s.Err, name+": another agent gives this upstream orders:", err)
-			return ExitFailure
-		}
-		defer guard.Close()
-	}
-	return exitCode(s, runAgent(ctx, &set, newLogger(s, name, set.LogLevel)))
-}
-
-func runAgent(ctx context.Context, set *agentSettings, logger hclog.Logger) error {
-	ln, err := net.Listen("tcp", set.Listen)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	conf, err := set.tlsConfig()
-	if err != nil {
-		return err
-	}
-	metrics := process.NewMetrics()
-	defer metrics.Close()
-	if set.MetricsAddress != "" {
-		stop, err := process.ServeMetrics(set.MetricsAddress, metrics)
-		if err != nil {
-			return err
-		}
-		defer stop()
-	}
-	c := dig.New()
-	err = provideAll(c,
-		func() agent.Config { return set.config(NewProcess()) },
-		func() wardturn.Clock { return process.Clock{} },
-		func() hclog.Logger { return logger },
-		func() *agent.Metrics { return agent.NewMetrics(metrics.Scope) },
-		func() wardturn.Log { return driver.NewLog(set.LogAddr) },
-		func() wardturn.HostList { return driver.NewHostList(set.HostList) },
-		func() wardturn.Policy { return policy.Default{} },
-		func() net.Listener { return ln },
-		func() *tls.Config { return conf },
-		agent.New,
-	)
-	if err != nil {
-		return err
-	}
-	if set.Service != "" {
-		err = c.Provide(func() wardturn.Service { return driver.NewService(set.UpstreamAddr) })
-	} else {
-		err = c.Provide(func() wardturn.Engine { return driver.NewEngine(set.UpstreamAddr) })
-	}
-	if err != nil {
-		return errors.Wrap(err, "wiring")
-	}
-	return c.Invoke(func(a *agent.Agent) {
-		<-ctx.Done()
-		<-a.Leave()
-		a.Close()
-	})
-}
--- a/cli/entryd.go
+++ b/cli/entryd.go
@@ -11,7 +11,6 @@
 	"go.uber.org/dig"
 
 	"wardturn"
-	"wardturn/driver"
 	"wardturn/entry"
 	"wardturn/process"
 )
@@ -96,15 +95,9 @@
 func EntryMain(ctx context.Context, args []string, s Streams) int {
 	const name = "wardturn-entry"
 	var set entrySettings
-	if code, done := parse(name, "The process on an entry host.", &set, args, s); done {
+	if code, done := readSettings(name, "The process on an entry host.", &set, args, s); done {
 		return code
 	}
-	if p := set.problems(); len(p.list) > 0 {
-		return p.refuse(name, s)
-	}
-	if set.Check {
-		return ExitOK
-	}
 	return exitCode(s, runEntry(ctx, &set, newLogger(s, name, set.LogLevel)))
 }
 
@@ -154,14 +147,12 @@
 	metrics := process.NewMetrics()
 	defer metrics.Close()
 	c := dig.New()
-	err = provideAll(c,
-		func() entry.Config { return set.config(NewProcess()) },
-		func() wardturn.Clock { return process.Clock{} },
-		func() hclog.Logger { return logger },
+	if err := set.provide(c, logger, ln); err != nil {
+		return err
+	}
+	err = process.Provide(c,
+		func() entry.Config { return set.config(process.NewIncarnation()) },
 		func() *entry.Metrics { return entry.NewMetrics(metrics.Scope, metrics.Handler) },
-		func() wardturn.Log { return driver.NewLog(set.LogAddr) },
-		func() wardturn.HostList { return driver.NewHostList(set.HostList) },
-		func() net.Listener { return ln },
 		newEntry,
 	)
 	if err != nil {
--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -5,11 +5,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net/netip"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
@@ -130,12 +129,6 @@
 	}
 }
 
-func newProcess() wardturn.Incarnation {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return wardturn.Incarnation(hex.EncodeToString(b[:]))
-}
-
 func (c *common) logger(name string, w io.Writer) hclog.Logger {
 	l := hclog.New(&hclog.LoggerOptions{
 		Name:       name,
@@ -154,6 +147,39 @@
 	})
 }
 
+// daemon has what gateway and keeper are both built from.
+type daemon struct {
+	*dig.Container
+
+	logs        *process.LogQueue
+	stopMetrics func()
+}
+
+// newDaemon starts the metrics and the log of a daemon and provides them, with the
+// clock. Whoever builds it stops the metrics and closes the log.
+func (c *common) newDaemon(name string, out io.Writer) (*daemon, error) {
+	debug.SetGCPercent(gcPercent)
+	scope, stopMetrics, err := c.serveMetrics()
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{
+		Container:   dig.New(),
+		logs:        process.NewLogQueue(out, logLines),
+		stopMetrics: stopMetrics,
+	}
+	err = process.Provide(d.Container,
+		func() wardturn.Clock { return process.Clock{} },
+		func() hclog.Logger { return c.logger(name, d.logs) },
+		func() tally.Scope { return scope },
+	)
+	if err != nil {
+		stopMetrics()
+		return nil, err
+	}
+	return d, nil
+}
+
 // serveMetrics returns the scope of the process's metrics.
 func (c *common) serveMetrics() (tally.Scope, func(), error) {
 	if c.Metrics == "" {
@@ -169,12 +195,3 @@
 		m.Close()
 	}, nil
 }
-
-func provideAll(c *dig.Container, constructors ...any) error {
-	for _, f := range constructors {
-		if err := c.Provide(f); err != nil {
-			return errors.Wrap(err, "wiring")
-		}
-	}
-	return nil
-}
--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -4,13 +4,10 @@
 	"context"
 	"io"
 	"net"
-	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
-	"github.com/uber-go/tally/v4"
-	"go.uber.org/dig"
 
 	"wardturn"
 	"wardturn/decide"
@@ -56,7 +53,7 @@
 
 func (c *gatewayCmd) config() gateway.Config {
 	return gateway.Config{
-		Process:     newProcess(),
+		Process:     process.NewIncarnation(),
 		Domain:      wardturn.FailureDomain(c.Domain),
 		KeeperPort:  c.Port,
 		Drain:       c.Drain,
@@ -100,7 +97,6 @@
 	if err := c.problems(); err != nil || c.Check {
 		return err
 	}
-	debug.SetGCPercent(gcPercent)
 	front, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -109,17 +105,12 @@
 	if err != nil {
 		return errors.Wrap(err, "ready")
 	}
-	scope, stopMetrics, err := c.serveMetrics()
+	d, err := c.newDaemon("gateway", out)
 	if err != nil {
 		return err
 	}
-	defer stopMetrics()
-	queue := process.NewLogQueue(out, logLines)
-	d := dig.New()
-	err = provideAll(d,
-		func() wardturn.Clock { return process.Clock{} },
-		func() hclog.Logger { return c.logger("gateway", queue) },
-		func() tally.Scope { return scope },
+	defer d.stopMetrics()
+	err = process.Provide(d.Container,
 		func() *platform.Store { return platform.NewStore(c.Store) },
 		gateway.NewMetrics,
 		c.newGateway(front, ready),
@@ -128,16 +119,14 @@
 		return err
 	}
 	return d.Invoke(func(g *gateway.Gateway, logger hclog.Logger) {
-		watchSettings(ctx, args, func() {
-			reload(args, logger, func(root *commands) {
-				c.retune(g, logger, &root.Gateway)
-			})
+		watchSettings(ctx, args, logger, func(root *commands) {
+			c.retune(g, logger, &root.Gateway)
 		})
 		limit, cancel := context.WithTimeout(context.Background(), c.Grace-leaveMargin)
 		defer cancel()
 		g.Leave(limit)
 		g.Close()
-		queue.Close()
+		d.logs.Close()
 	})
 }
 
--- a/cli/fleet/keeper.go
+++ b/cli/fleet/keeper.go
@@ -4,12 +4,10 @@
 	"context"
 	"io"
 	"net"
-	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
-	"go.uber.org/dig"
 
 	"wardturn"
 	"wardturn/keeper"
@@ -38,22 +36,16 @@
 	if err := c.problems(); err != nil || c.Check {
 		return err
 	}
-	debug.SetGCPercent(gcPercent)
 	ln, err := net.Listen("tcp", net.JoinHostPort(c.IP, c.Port))
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	scope, stopMetrics, err := c.serveMetrics()
+	d, err := c.newDaemon("keeper", out)
 	if err != nil {
 		return err
 	}
-	defer stopMetrics()
-	queue := process.NewLogQueue(out, logLines)
-	d := dig.New()
-	err = provideAll(d,
-		func() wardturn.Clock { return process.Clock{} },
-		func() hclog.Logger { return c.logger("keeper", queue) },
-		func() tally.Scope { return scope },
+	defer d.stopMetrics()
+	err = process.Provide(d.Container,
 		func() wardturn.OrderedEngine { return platform.NewWorker(c.Engine) },
 		func() wardturn.FenceSource { return platform.NewStore(c.Store) },
 		func() wardturn.Policy { return policy.Default{} },
@@ -63,16 +55,15 @@
 		return err
 	}
 	return d.Invoke(func(k *keeper.Keeper, logger hclog.Logger) {
-		watchSettings(ctx, args, func() {
-			reload(args, logger, func(root *commands) {
-				if !refused(logger, root.Keeper.problems()) {
-					logger.SetLevel(hclog.LevelFromString(root.Keeper.LogLevel))
-					logger.Info("settings read again", "log_level", root.Keeper.LogLevel)
-				}
-			})
+		watchSettings(ctx, args, logger, func(root *commands) {
+			if refused(logger, root.Keeper.problems()) {
+				return
+			}
+			logger.SetLevel(hclog.LevelFromString(root.Keeper.LogLevel))
+			logger.Info("settings read again", "log_level", root.Keeper.LogLevel)
 		})
 		k.Close()
-		queue.Close()
+		d.logs.Close()
 	})
 }
 
@@ -80,7 +71,7 @@
 	return func(clock wardturn.Clock, logger hclog.Logger, scope tally.Scope, e wardturn.OrderedEngine, f wardturn.FenceSource, p wardturn.Policy) *keeper.Keeper {
 		return keeper.New(keeper.Deps{
 			Config: keeper.Config{
-				Process: newProcess(),
+				Process: process.NewIncarnation(),
 				Name:    c.Node,
 			},
 			Clock:    clock,
--- a/cli/fleet/settings.go
+++ b/cli/fleet/settings.go
@@ -81,9 +81,9 @@
 	return nil, nil
 }
 
-// watchSettings calls reload at each SIGHUP and when the settings file has
-// changed, until ctx ends.
-func watchSettings(ctx context.Context, args []string, reload func()) {
+// watchSettings reads the settings again at each SIGHUP and when their file has
+// changed, and hands them to apply, until ctx ends.
+func watchSettings(ctx context.Context, args []string, logger hclog.Logger, apply func(*commands)) {
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	defer signal.Stop(hups)
@@ -93,12 +93,12 @@
 		limit, cancel := context.WithTimeout(ctx, settingsEvery)
 		select {
 		case <-hups:
-			reload()
+			reload(args, logger, apply)
 			seen = changedAt(path)
 		case <-limit.Done():
 			if at := changedAt(path); !at.Equal(seen) {
 				seen = at
-				reload()
+				reload(args, logger, apply)
 			}
 		}
 		cancel()
--- a/cli/helpers_test.go
+++ b/cli/helpers_test.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,16 +76,17 @@
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	code := make(chan int, 1)
+	var logs strings.Builder // read once the daemon has ended
 	go func() {
 		code <- main(ctx, args, cli.Streams{
 			Out: io.Discard,
-			Err: io.Discard,
+			Err: &logs,
 		})
 	}()
 	t.Cleanup(func() {
 		stop()
 		if c := <-code; c != cli.ExitOK {
-			t.Errorf("daemon ended with exit code %d", c)
+			t.Errorf("daemon ended with exit code %d:\n%s", c, logs.String())
 		}
 	})
 }
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -19,6 +19,7 @@
 	"wardturn"
 	"wardturn/control"
 	"wardturn/entry"
+	"wardturn/process"
 )
 
 // docFile is a document in a file. Its key is the end of its path, kind/name.
@@ -100,7 +101,7 @@
 		ID: control.PublicationID(c.ID),
 	}
 	if req.ID == "" {
-		req.ID = control.PublicationID("cli-" + string(NewProcess()))
+		req.ID = control.PublicationID("cli-" + string(process.NewIncarnation()))
 	}
 	for _, f := range files {
 		have, _, err := cl.doc(f.key)
@@ -334,7 +335,7 @@
 	}
 	body, _ := json.Marshal(c.Reason) // JSON strings are YAML
 	req := entry.ChangeRequest{
-		ID: control.PublicationID("cli-" + string(NewProcess())),
+		ID: control.PublicationID("cli-" + string(process.NewIncarnation())),
 		Docs: []entry.DocRequest{{
 			Key:    key,
 			Base:   have.Version,
