The drivers wait for calls in one way; digests are checked in one place

Cause: four methods of driver carried the two results of a call through await with a struct type of their own each, and CallerDoc and TeamDoc checked key digests with the same loop. Change: await takes and returns value and error, and tells whether the call ended; the errors that stand for an ended context are the same. isNoDigest checks the digests of both documents. Ruled out: one constructor for the clients of log, service and engine, and with platform.Store and Worker: they share the address and one option, and differ in every limit, so a common one would have to take all of them. The wrapper types of control/check.go stay: the YAML library names them in its messages on unknown fields, so moving their methods to the documents would change what operators read.

--- a/control/check.go
+++ b/control/check.go
@@ -125,13 +125,15 @@
 
 var digestForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
+// isNoDigest reports whether a text is not the digest of a key.
+func isNoDigest(s string) bool {
+	return !digestForm.MatchString(s)
+}
+
 func (d *checkCaller) problem() (field, reason string) {
-	for _, k := range d.KeyDigests {
-		if !digestForm.MatchString(k) {
-			return "key_digests", "must be SHA-256 in hexadecimal"
-		}
-	}
 	switch {
+	case slices.ContainsFunc(d.KeyDigests, isNoDigest):
+		return "key_digests", "must be SHA-256 in hexadecimal"
 	case d.Rate < 0:
 		return "rate", "must not be negative"
 	case d.Burst < 0:
@@ -148,12 +150,10 @@
 }
 
 func (d *checkTeam) problem() (field, reason string) {
-	for _, k := range d.Operators {
-		if !digestForm.MatchString(k) {
-			return "operators", "must be SHA-256 in hexadecimal"
-		}
-	}
-	if d.Share < 0 {
+	switch {
+	case slices.ContainsFunc(d.Operators, isNoDigest):
+		return "operators", "must be SHA-256 in hexadecimal"
+	case d.Share < 0:
 		return "share", "must not be negative"
 	}
 	return "", ""
--- a/driver/await.go
+++ b/driver/await.go
@@ -2,19 +2,26 @@
 
 import "context"
 
-// await runs f and returns its result, or the error of ctx if that ends first.
-// The HTTP library cannot be told to give up a request under way; f is then left
-// to end by itself, so it must own whatever it uses.
-func await[T any](ctx context.Context, f func() T) (T, error) {
-	ended := make(chan T, 1)
+// await runs f and returns its result. If ctx ends first, ended is false and err is
+// the error of ctx. The HTTP library cannot be told to give up a request under way;
+// f is then left to end by itself, so it must own whatever it uses.
+func await[T any](ctx context.Context, f func() (T, error)) (v T, ended bool, err error) {
+	type result struct {
+		v   T
+		err error
+	}
+	done := make(chan result, 1)
 	go func() {
-		ended <- f()
+		v, err := f()
+		done <- result{
+			v:   v,
+			err: err,
+		}
 	}()
 	select {
-	case v := <-ended:
-		return v, nil
+	case r := <-done:
+		return r.v, true, r.err
 	case <-ctx.Done():
-		var zero T
-		return zero, ctx.Err()
+		return v, false, ctx.Err()
 	}
 }
--- a/driver/engine.go
+++ b/driver/engine.go
@@ -60,26 +60,13 @@
 	}
 }
 
-// runResult is the end of a generation.
-type runResult struct {
-	res wardturn.EngineResult
-	err error
-}
-
 // Run implements wardturn.Engine. Cancelling ctx closes the connection at the
 // next piece of the answer, which the engine takes as a cancel.
 func (e *Engine) Run(ctx context.Context, r wardturn.EngineRequest, emit func([]byte) error) (wardturn.EngineResult, error) {
-	out, err := await(ctx, func() runResult {
-		res, err := e.run(ctx, r, emit)
-		return runResult{
-			res: res,
-			err: err,
-		}
+	res, _, err := await(ctx, func() (wardturn.EngineResult, error) {
+		return e.run(ctx, r, emit)
 	})
-	if err != nil {
-		return wardturn.EngineResult{}, err
-	}
-	return out.res, out.err
+	return res, err
 }
 
 func (e *Engine) run(ctx context.Context, r wardturn.EngineRequest, emit func([]byte) error) (wardturn.EngineResult, error) {
@@ -256,13 +243,13 @@
 }
 
 func (e *Engine) order(ctx context.Context, path string, order wardturn.SlotOrder, body AdapterOrder) error {
-	res, err := await(ctx, func() error {
-		return e.send(ctx, path, order, body)
+	_, ended, err := await(ctx, func() (struct{}, error) {
+		return struct{}{}, e.send(ctx, path, order, body)
 	})
-	if err != nil {
+	if !ended {
 		return errors.Wrap(wardturn.ErrReplyLost, "engine: order canceled")
 	}
-	return res
+	return err
 }
 
 func (e *Engine) send(ctx context.Context, path string, order wardturn.SlotOrder, body AdapterOrder) error {
--- a/driver/log.go
+++ b/driver/log.go
@@ -37,25 +37,15 @@
 	}
 }
 
-// appendResult is the end of an append.
-type appendResult struct {
-	offset wardturn.Offset
-	err    error
-}
-
 // Append implements wardturn.Log.
 func (l *Log) Append(ctx context.Context, data []byte) (wardturn.Offset, error) {
-	r, err := await(ctx, func() appendResult {
-		offset, err := l.append(ctx, data)
-		return appendResult{
-			offset: offset,
-			err:    err,
-		}
+	offset, ended, err := await(ctx, func() (wardturn.Offset, error) {
+		return l.append(ctx, data)
 	})
-	if err != nil {
+	if !ended {
 		return 0, errors.Wrap(wardturn.ErrReplyLost, "log: append canceled")
 	}
-	return r.offset, r.err
+	return offset, err
 }
 
 func (l *Log) append(ctx context.Context, data []byte) (wardturn.Offset, error) {
@@ -91,25 +81,15 @@
 	return errors.Wrapf(wardturn.ErrReplyLost, "log: %v", err)
 }
 
-// readResult is the end of a read.
-type readResult struct {
-	page wardturn.LogPage
-	err  error
-}
-
 // Read implements wardturn.Log.
 func (l *Log) Read(ctx context.Context, from wardturn.Offset, limit int, wait time.Duration) (wardturn.LogPage, error) {
-	r, err := await(ctx, func() readResult {
-		page, err := l.read(ctx, from, limit, wait)
-		return readResult{
-			page: page,
-			err:  err,
-		}
+	page, ended, err := await(ctx, func() (wardturn.LogPage, error) {
+		return l.read(ctx, from, limit, wait)
 	})
-	if err != nil {
+	if !ended {
 		return wardturn.LogPage{}, errors.Wrap(wardturn.ErrUnavailable, "log: read canceled")
 	}
-	return r.page, r.err
+	return page, err
 }
 
 func (l *Log) read(ctx context.Context, from wardturn.Offset, limit int, wait time.Duration) (wardturn.LogPage, error) {
--- a/driver/service.go
+++ b/driver/service.go
@@ -31,25 +31,12 @@
 	}
 }
 
-// callResult is the end of a call.
-type callResult struct {
-	res wardturn.ServiceResponse
-	err error
-}
-
 // Call implements wardturn.Service.
 func (s *Service) Call(ctx context.Context, r wardturn.Request) (wardturn.ServiceResponse, error) {
-	c, err := await(ctx, func() callResult {
-		res, err := s.call(ctx, r)
-		return callResult{
-			res: res,
-			err: err,
-		}
+	res, _, err := await(ctx, func() (wardturn.ServiceResponse, error) {
+		return s.call(ctx, r)
 	})
-	if err != nil {
-		return wardturn.ServiceResponse{}, err
-	}
-	return c.res, c.err
+	return res, err
 }
 
 func (s *Service) call(ctx context.Context, r wardturn.Request) (wardturn.ServiceResponse, error) {
