decide says which files serve which system

Cause: 41 files of two systems and of what both use stood side by side, and the package comment named the types of one only; place.go (embedded) stood beside places.go (the users' platform), and files of what both use held types of one. Change: decide/doc.go lists every file under its system and daemon, and what both use: breaker, demand, rendezvous, retry. Quota moved from retry.go to quota.go, meter from demand.go to meter.go, the hash functions to rendezvous.go; place.go is now locations.go. AllocatorOf moved to allocator.go and uses First in place of its own copy of the same loop: same key, same names, same choice; two specs were added for it. LoadWindow is of the gateway only and is listed there. Checked: for each top-level name of a file, which files use it, by a script; no type of one system is used by files of the other.

--- a/decide/allocator.go
+++ b/decide/allocator.go
@@ -220,3 +220,18 @@
 		Load:     l.misses.rate(now) * pace.Seconds(),
 	}
 }
+
+// AllocatorOf returns the host whose agent shares the store of a model in a
+// region: the first by rendezvous hashing over the live hosts.
+func AllocatorOf(hosts []wardturn.Host, model wardturn.BaseModel, region wardturn.Region) (wardturn.Host, bool) {
+	var live []wardturn.Host
+	for _, h := range hosts {
+		if h.Model == model && h.Region == region && h.State == wardturn.HostLive {
+			live = append(live, h)
+		}
+	}
+	key := "allocator/" + string(model) + "/" + string(region)
+	return First(key, live, func(h wardturn.Host) string {
+		return string(h.Upstream)
+	})
+}
--- a/decide/allocator_test.go
+++ b/decide/allocator_test.go
@@ -1,6 +1,7 @@
 package decide_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -96,3 +97,37 @@
 		Expect(grants[0].Interval).To(BeNumerically(">", 100*time.Millisecond))
 	})
 })
+
+var _ = Describe("AllocatorOf", func() {
+	host := func(id wardturn.UpstreamID) wardturn.Host {
+		return wardturn.Host{
+			Upstream: id,
+			Model:    "m",
+			Region:   "r",
+			State:    wardturn.HostLive,
+		}
+	}
+	chosen := func(hosts []wardturn.Host) wardturn.UpstreamID {
+		h, ok := decide.AllocatorOf(hosts, "m", "r")
+		Expect(ok).To(BeTrue())
+		return h.Upstream
+	}
+
+	It("is the same host in whatever order the list comes", func() {
+		hosts := []wardturn.Host{host("a"), host("b"), host("c"), host("d")}
+		first := chosen(hosts)
+		slices.Reverse(hosts)
+		Expect(chosen(hosts)).To(Equal(first))
+	})
+
+	It("passes over hosts of other models and regions and those that are not live", func() {
+		elsewhere, other, leaving := host("a"), host("b"), host("c")
+		elsewhere.Region = "s"
+		other.Model = "n"
+		leaving.State = wardturn.HostLeaving
+		hosts := []wardturn.Host{elsewhere, other, leaving}
+		_, ok := decide.AllocatorOf(hosts, "m", "r")
+		Expect(ok).To(BeFalse())
+		Expect(chosen(append(hosts, host("d")))).To(BeEquivalentTo("d"))
+	})
+})
--- /dev/null
+++ b/decide/quota.go
@@ -0,0 +1,42 @@
+package decide
+
+import "time"
+
+// Quota limits one caller: a rate with a burst, and requests at once. Zero
+// limits do not limit.
+type Quota struct {
+	Rate        float64
+	Burst       float64
+	Concurrency int
+
+	bucket bucket
+	open   int
+}
+
+// Enter reports whether a request may be admitted now, and when to come back if
+// not. Each admitted request ends with Leave.
+func (q *Quota) Enter(now time.Time) (retryAfter time.Duration, ok bool) {
+	if q.Concurrency > 0 && q.open >= q.Concurrency {
+		return time.Second, false
+	}
+	if q.Rate > 0 {
+		q.bucket.rate = q.Rate
+		q.bucket.burst = max(q.Burst, 1)
+		if !q.bucket.take(now) {
+			missing := 1 - q.bucket.tokens
+			return time.Duration(missing / q.Rate * float64(time.Second)), false
+		}
+	}
+	q.open++
+	return 0, true
+}
+
+// Leave records the end of an admitted request.
+func (q *Quota) Leave() {
+	q.open--
+}
+
+// Open returns the number of admitted requests that have not ended.
+func (q *Quota) Open() int {
+	return q.open
+}
--- a/decide/rendezvous.go
+++ b/decide/rendezvous.go
@@ -16,3 +16,28 @@
 	}
 	return first, ok
 }
+
+// hashString is FNV-1a over the string's bytes, then mixed.
+func hashString(s string) uint64 {
+	const (
+		offset = 14695981039346656037
+		prime  = 1099511628211
+	)
+	h := uint64(offset)
+	for i := 0; i < len(s); i++ {
+		h ^= uint64(s[i])
+		h *= prime
+	}
+	return mix(h)
+}
+
+// mix spreads every input bit over the whole word (the finalizer of
+// splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
