--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -4,13 +4,11 @@
 	"context"
 	"io"
 	"net"
-	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
-	"go.uber.org/dig"
 
 	"wardturn"
 	"wardturn/decide"
@@ -43,20 +41,20 @@
 	b.addr("ready", c.Ready)
 	b.addr("store", c.Store)
 	b.optionalAddr("metrics", c.Metrics)
-	b.require("drain", c.Drain >= time.Second, "must be at least 1s")
-	b.require("grace", c.Grace > c.LeaveAfter, "must be over leave-after")
-	b.require("retry-share", c.RetryShare >= 0 && c.RetryShare <= 1, "must be 0 to 1")
-	b.require("retry-extra", c.RetryExtra >= 0, "must not be negative")
-	b.require("retry-window", c.RetryWindow > 0, "must be over 0")
-	b.require("version-bound", c.VersionBound >= 0, "must not be negative")
-	b.require("loads-at-start", c.LoadsAtStart >= 1, "must be at least 1")
-	b.require("loads-at-most", c.LoadsAtMost >= c.LoadsAtStart, "must not be under loads-at-start")
-	return b.err()
+	b.Require(c.Drain >= time.Second, "drain", "must be at least 1s")
+	b.Require(c.Grace > c.LeaveAfter, "grace", "must be over leave-after")
+	b.Require(c.RetryShare >= 0 && c.RetryShare <= 1, "retry-share", "must be 0 to 1")
+	b.Require(c.RetryExtra >= 0, "retry-extra", "must not be negative")
+	b.Require(c.RetryWindow > 0, "retry-window", "must be over 0")
+	b.Require(c.VersionBound >= 0, "version-bound", "must not be negative")
+	b.Require(c.LoadsAtStart >= 1, "loads-at-start", "must be at least 1")
+	b.Require(c.LoadsAtMost >= c.LoadsAtStart, "loads-at-most", "must not be under loads-at-start")
+	return b.Err()
 }
 
 func (c *gatewayCmd) config() gateway.Config {
 	return gateway.Config{
-		Process:     newProcess(),
+		Process:     process.NewIncarnation(),
 		Domain:      wardturn.FailureDomain(c.Domain),
 		KeeperPort:  c.Port,
 		Drain:       c.Drain,
@@ -100,7 +98,6 @@
 	if err := c.problems(); err != nil || c.Check {
 		return err
 	}
-	debug.SetGCPercent(gcPercent)
 	front, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -109,18 +106,13 @@
 	if err != nil {
 		return errors.Wrap(err, "ready")
 	}
-	scope, stopMetrics, err := c.serveMetrics()
+	d, err := c.newDaemon("gateway", out)
 	if err != nil {
 		return err
 	}
-	defer stopMetrics()
-	queue := process.NewLogQueue(out, logLines)
-	d := dig.New()
-	err = provideAll(d,
-		func() wardturn.Clock { return process.Clock{} },
-		func() hclog.Logger { return c.logger("gateway", queue) },
-		func() tally.Scope { return scope },
-		func() *platform.Store { return platform.NewStore(c.Store, scope) },
+	defer d.stopMetrics()
+	err = process.Provide(d.Container,
+		func(scope tally.Scope) *platform.Store { return platform.NewStore(c.Store, scope) },
 		gateway.NewMetrics,
 		c.newGateway(front, ready),
 	)
@@ -128,16 +120,14 @@
 		return err
 	}
 	return d.Invoke(func(g *gateway.Gateway, logger hclog.Logger) {
-		watchSettings(ctx, args, func() {
-			reload(args, logger, func(root *commands) {
-				c.retune(g, logger, &root.Gateway)
-			})
+		watchSettings(ctx, args, logger, func(root *commands) {
+			c.retune(g, logger, &root.Gateway)
 		})
 		limit, cancel := context.WithTimeout(context.Background(), c.Grace-leaveMargin)
 		defer cancel()
 		g.Leave(limit)
 		g.Close()
-		queue.Close()
+		d.logs.Close()
 	})
 }
 
