--- a/gateway/old_version_test.go
+++ b/gateway/old_version_test.go
@@ -52,6 +52,12 @@
 	return x.engines[0].Held() + x.engines[1].Held()
 }
 
+// configAge returns how old the gateway's knowledge of the configuration was when it was
+// last counted, in seconds.
+func (x *rig) configAge() float64 {
+	return x.metrics.Snapshot().Gauges()["store_age_seconds+record=configuration"].Value()
+}
+
 // sendLong sends a request that may take 20 s, and returns where its answer comes.
 func (x *rig) sendLong(id, path, model string) <-chan reply {
 	req, err := http.NewRequest(http.MethodPost, x.front+path, strings.NewReader("prompt"))
@@ -143,7 +149,7 @@
 		x.store.SetFaults(standin.MetaFaults{
 			Away: true,
 		})
-		time.Sleep(oldVersionLimit)
+		Eventually(x.configAge, 3*soon, often).Should(BeNumerically(">", oldVersionLimit.Seconds()))
 		x.fault(standin.WorkerFaults{
 			HoldUp:     2 * time.Second, // gateways read again each second at least
 			LoseOrders: true,
