Known red: a whole answer that may run once begins late on an old version

Cause: its begin does not show to a gateway, so the request is not broken off at the end of its version; breaking it off would lose answers whose runs began in time.

Conclusion: open; the engine's report names its runs, which would tell.

--- a/gateway/old_version_test.go
+++ b/gateway/old_version_test.go
@@ -244,3 +244,30 @@
 		Eventually(got, 2*oldVersionLimit+soon).Should(Receive(haveStatus(http.StatusOK)))
 	})
 })
+
+// longOnceRoute is a route to engines whose answers are no streams and whose requests
+// may run once.
+const longOnceRoute = `,{"name":"once","host":"h.example","path_prefix":"/once/","type":"mutating","timeout_ms":20000,"slo_ms":1500,"priority":1,"service":"llm","max_attempts":1}`
+
+// The begin of a whole answer does not show, so a gateway cannot tell a request that is
+// held up from one that runs, and may not lose the answer of one that runs. Its engine's
+// report names what runs there.
+var _ = Describe("A request for a whole answer that may run once and is held up on its way to an old version", func() {
+	It("does not begin after the version's time", func() {
+		x := newOldVersionRig()
+		x.store.PutConfig(config(3, longRoute+longOnceRoute))
+		Eventually(func() int {
+			return x.get("first-once", "/once/x", "m0/a1").status
+		}, soon, often).Should(Equal(http.StatusOK))
+		x.fault(standin.WorkerFaults{
+			HoldUp:     oldVersionLimit + time.Second,
+			LoseOrders: true, // the newer version does not come
+		})
+		id := "held-up-once"
+		ended := x.sendLong(id, "/once/x", "m0/a1")
+		Eventually(x.held, soon, often).Should(Equal(1))
+		x.nameNewer()
+		Eventually(ended, 4*soon).Should(Receive())
+		Expect(x.runs(id)).To(Equal(0))
+	})
+})
