The times of an earlier send do not count for one that was not sent

Cause: by reading: a send that is stopped before it begins kept the times and the end of the one before it, so its log line and what it tells of its engine were the earlier ones'.

Change: they are cleared at each send.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -331,6 +331,7 @@
 // try sends the request to one upstream and passes its answer on.
 func (x *exchange) try(ctx context.Context, a assignment) result {
 	now := x.g.clock.Now()
+	x.send = sendTimes{}
 	x.timing.placed = now.Sub(x.arrived)
 	leftTime := x.end.Sub(now)
 	if leftTime <= 0 {
@@ -342,9 +343,7 @@
 		return outdated
 	}
 	x.g.metrics.sends.Inc(1)
-	x.send = sendTimes{
-		sent: now,
-	}
+	x.send.sent = now
 	ans, err := x.g.send(ctx, x, a.Member, x.head(a, leftTime), x.end.Add(answerMargin))
 	if err != nil && errors.Is(context.Cause(ctx), errVersionEnded) {
 		err = errors.Wrap(err, errVersionEnded.Error())
