--- a/gateway/old_version_test.go
+++ b/gateway/old_version_test.go
@@ -86,6 +86,20 @@
 	return got
 }
 
+// expectNoLateBegin holds a request up for longer than its version may serve once a
+// newer one was named, and expects that it does not run.
+func (x *rig) expectNoLateBegin(id, path string) {
+	x.fault(standin.WorkerFaults{
+		HoldUp:     oldVersionLimit + time.Second,
+		LoseOrders: true, // the newer version does not come
+	})
+	ended := x.sendLong(id, path, "m0/a1")
+	Eventually(x.held, soon, often).Should(Equal(1))
+	x.nameNewer()
+	Eventually(ended, 4*soon).Should(Receive())
+	Expect(x.runs(id)).To(Equal(0))
+}
+
 func haveStatus(status int) types.GomegaMatcher {
 	return WithTransform(func(r reply) int {
 		return r.status
@@ -109,32 +123,14 @@
 var _ = Describe("A request that is held up on its way to an old version", func() {
 	It("does not begin after the version's time", func() {
 		x := newOldVersionRig()
-		x.fault(standin.WorkerFaults{
-			HoldUp:     oldVersionLimit + time.Second,
-			LoseOrders: true, // the newer version does not come
-		})
-		id := "held-up"
-		ended := x.sendLong(id, "/long/x", "m0/a1")
-		Eventually(x.held, soon, often).Should(Equal(1))
-		x.nameNewer()
-		Eventually(ended, 4*soon).Should(Receive())
-		Expect(x.runs(id)).To(Equal(0))
+		x.expectNoLateBegin("held-up", "/long/x")
 	})
 })
 
 var _ = Describe("A request for a whole answer that is held up on its way to an old version", func() {
 	It("does not begin after the version's time, if it may run again", func() {
 		x := newOldVersionRig()
-		x.fault(standin.WorkerFaults{
-			HoldUp:     oldVersionLimit + time.Second,
-			LoseOrders: true, // the newer version does not come
-		})
-		id := "held-up-whole"
-		ended := x.sendLong(id, "/whole/x", "m0/a1")
-		Eventually(x.held, soon, often).Should(Equal(1))
-		x.nameNewer()
-		Eventually(ended, 4*soon).Should(Receive())
-		Expect(x.runs(id)).To(Equal(0))
+		x.expectNoLateBegin("held-up-whole", "/whole/x")
 	})
 })
 
@@ -259,15 +255,6 @@
 		Eventually(func() int {
 			return x.get("first-once", "/once/x", "m0/a1").status
 		}, soon, often).Should(Equal(http.StatusOK))
-		x.fault(standin.WorkerFaults{
-			HoldUp:     oldVersionLimit + time.Second,
-			LoseOrders: true, // the newer version does not come
-		})
-		id := "held-up-once"
-		ended := x.sendLong(id, "/once/x", "m0/a1")
-		Eventually(x.held, soon, often).Should(Equal(1))
-		x.nameNewer()
-		Eventually(ended, 4*soon).Should(Receive())
-		Expect(x.runs(id)).To(Equal(0))
+		x.expectNoLateBegin("held-up-once", "/once/x")
 	})
 })
