Test of an unreachable engine keeps its port bound

Cause: TestEngineUnreachable closed a listener and then called the address. In between another process could listen there and answer, or close the connection, and the engine's client rightly did not say that nothing ran.

Change: the address is the near end of a connection that stays open. Its port is bound until the test ends and nothing listens on it, so that a dial is refused each time. The demand, ErrNotStarted, is the same.

--- a/driver/engine_test.go
+++ b/driver/engine_test.go
@@ -87,15 +87,30 @@
 }
 
 func TestEngineUnreachable(t *testing.T) {
+	if _, _, err := run(deafAddr(t)); !errors.Is(err, wardturn.ErrNotStarted) {
+		t.Fatalf("%v, want ErrNotStarted", err)
+	}
+}
+
+// deafAddr returns an address that refuses connections. Its port is the near end of a
+// connection, which is bound until the test ends, so that nothing else can listen
+// there.
+func deafAddr(t *testing.T) string {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := ln.Addr().String()
-	ln.Close()
-	if _, _, err := run(addr); !errors.Is(err, wardturn.ErrNotStarted) {
-		t.Fatalf("%v, want ErrNotStarted", err)
+	t.Cleanup(func() { ln.Close() })
+	near := net.Dialer{
+		LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)},
+	}
+	c, err := near.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { c.Close() })
+	return c.LocalAddr().String()
 }
 
 // TestEngineLost closes the connection after the request was taken.
