Test of processes over TLS lets the daemons choose their ports

Cause: freeAddr looked up a free port and closed it, and the daemon bound it later. In between another process could take it; the daemon ended with "bind: address already in use", and the test waited 30 s for readiness.

A daemon that ends before that fails the test at once with its log. The agent is listed after it started, as its address is known then. freeAddr is gone from this package. All demands are the same.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -215,11 +215,9 @@
 		"--region=r", "--domain=d", "--log-addr=" + plat.log, "--host-list=" + plat.hosts,
 		"--tls-cert=" + cert, "--tls-key=" + key, "--tls-ca=" + cert,
 	}
-	agentAddr := freeAddr(t)
+	agentAddr := start(t, cli.AgentMain, append(shared, "--upstream=u", "--upstream-addr="+plat.engine, "--model=base", "--store-agents=1"))
 	plat.list(agentAddr)
-	start(t, cli.AgentMain, append(shared, "--listen="+agentAddr, "--upstream=u", "--upstream-addr="+plat.engine, "--model=base", "--store-agents=1"))
-	entryAddr := freeAddr(t)
-	start(t, cli.EntryMain, append(shared, "--listen="+entryAddr, "--caller-keys=me:"+digest("secret")))
+	entryAddr := start(t, cli.EntryMain, append(shared, "--caller-keys=me:"+digest("secret")))
 	c := httpsClient(t, cert)
 	waitFor(t, "readiness", func() bool { return c.status("https://"+entryAddr+"/readyz", "") == 200 })
 	waitFor(t, "an answer", func() bool {
--- a/cli/helpers_test.go
+++ b/cli/helpers_test.go
@@ -6,7 +6,9 @@
 	"crypto/x509"
 	"io"
 	"net"
+	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -40,17 +42,6 @@
 	return ln.Addr().String()
 }
 
-// freeAddr returns an address whose port the kernel just chose and freed.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 func publishAdapter(t *testing.T, log *standin.Log) {
 	t.Helper()
 	data, err := control.Encode(control.Record{
@@ -70,25 +61,65 @@
 	}
 }
 
+// logText keeps what a daemon logs, to be read while it runs.
+type logText struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logText) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(data)
+}
+
+// String returns what was logged so far.
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// startedAt finds the address in the line that a daemon logs once it serves.
+var startedAt = regexp.MustCompile(` started: .*\baddr=(\S+) `)
+
 // start runs a daemon's main until the test ends, and then expects it to stop as
-// planned.
-func start(t *testing.T, main func(context.Context, []string, cli.Streams) int, args []string) {
+// planned. The kernel chooses the port that the daemon listens on; start returns the
+// address.
+func start(t *testing.T, main func(context.Context, []string, cli.Streams) int, args []string) string {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
-	code := make(chan int, 1)
-	var logs strings.Builder // read once the daemon has ended
+	logs := &logText{}
+	ended := make(chan struct{})
+	code := cli.ExitOK // read once the daemon has ended
 	go func() {
-		code <- main(ctx, args, cli.Streams{
+		defer close(ended)
+		code = main(ctx, append([]string{"--listen=127.0.0.1:0"}, args...), cli.Streams{
 			Out: io.Discard,
-			Err: &logs,
+			Err: logs,
 		})
 	}()
 	t.Cleanup(func() {
 		stop()
-		if c := <-code; c != cli.ExitOK {
-			t.Errorf("daemon ended with exit code %d:\n%s", c, logs.String())
+		<-ended
+		if code != cli.ExitOK {
+			t.Errorf("daemon ended with exit code %d:\n%s", code, logs)
+		}
+	})
+	addr := ""
+	waitFor(t, "start of a daemon", func() bool {
+		select {
+		case <-ended:
+			t.Fatalf("daemon ended at its start with exit code %d:\n%s", code, logs)
+		default:
+		}
+		if m := startedAt.FindStringSubmatch(logs.String()); m != nil {
+			addr = m[1]
 		}
+		return addr != ""
 	})
+	return addr
 }
 
 func waitFor(t *testing.T, what string, holds func() bool) {
