Callers' keys: teams of the configuration, 401 without a good key, 503 while the keys may be out of date

Change: platform/ decodes tenants into teams with digests of their keys; the gateway looks keys up by digest, sets the team's name and urgency itself and passes no key on. A request runs only if it arrived within the bound of a time as of which the configuration is known here. What a configuration was known as of is recorded after it is in force, not before. The digest of a key and the reading of a bearer key exist once, in the root package.

--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -30,11 +30,16 @@
 	RetryWindow  time.Duration `default:"10s" help:"That window."`
 	MaxBody      int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
 	VersionBound time.Duration `default:"5s" help:"Time after the store's word of a newer version of an adapter in which requests may begin on an older one."`
+	KeyBound     time.Duration `default:"5s" help:"Time after the store's word that a key was taken away in which requests may be sent that still run with it, on hosts out of touch too; 0: no bound."`
 	CrossBytes   int           `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
 	LoadsAtStart float64       `default:"8" help:"Adapter loads under way from the weight store, for all gateways, at the start, at least: no more than the smallest known store serves at full speed. Half of the engines if that is more."`
 	LoadsAtMost  float64       `default:"1024" help:"Adapter loads under way from the weight store, for all gateways, at most; ten times what the largest known store serves at full speed."`
 }
 
+// leastKeyBound leaves time for the readings of the configuration: gateways that rely
+// on another's word know it as of up to 1.7 s ago.
+const leastKeyBound = 3 * time.Second
+
 func (c *gatewayCmd) problems() error {
 	var b badSettings
 	b.addr("listen", c.Listen)
@@ -47,6 +52,7 @@
 	b.Require(c.RetryExtra >= 0, "retry-extra", "must not be negative")
 	b.Require(c.RetryWindow > 0, "retry-window", "must be over 0")
 	b.Require(c.VersionBound >= 0, "version-bound", "must not be negative")
+	b.Require(c.KeyBound == 0 || c.KeyBound >= leastKeyBound, "key-bound", "must be 0 or at least 3s")
 	b.Require(c.LoadsAtStart >= 1, "loads-at-start", "must be at least 1")
 	b.Require(c.LoadsAtMost >= c.LoadsAtStart, "loads-at-most", "must not be under loads-at-start")
 	return b.Err()
@@ -64,6 +70,7 @@
 		RetryExtra:  c.RetryExtra,
 		RetryWindow: c.RetryWindow,
 		LeaveAfter:  c.LeaveAfter,
+		KeyBound:    c.KeyBound,
 		Fleet: decide.FleetConfig{
 			Domain:       wardturn.FailureDomain(c.Domain),
 			CrossBytes:   c.CrossBytes,
--- a/control/catalog.go
+++ b/control/catalog.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"strings"
 	"sync"
@@ -157,8 +155,7 @@
 
 // KeyDigest returns the digest under which a key is configured.
 func KeyDigest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+	return wardturn.DigestKey(key).String()
 }
 
 // Allowed reports whether a name matches one of the patterns: names, or
--- a/entry/auth.go
+++ b/entry/auth.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,15 +13,13 @@
 // anonymous is the caller of requests without a key, where that is allowed.
 const anonymous wardturn.CallerID = "anonymous"
 
-var bearer = []byte("Bearer ")
-
 // keyDigest returns the digest of the request's key, or the empty string.
 func keyDigest(ctx *fasthttp.RequestCtx) string {
-	key, ok := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), bearer)
-	if !ok || len(key) == 0 {
+	key, ok := wardturn.BearerKey(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)))
+	if !ok {
 		return ""
 	}
-	return control.KeyDigest(string(key))
+	return control.KeyDigest(key)
 }
 
 // authenticate returns the caller that a key belongs to.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -43,7 +43,9 @@
 	r       *http.Request
 	route   *wardturn.Route
 	service wardturn.ServiceName
-	engine  bool // the service's upstreams are model engines
+	engine  bool           // the service's upstreams are model engines
+	keyed   bool           // the configuration has teams: keys stay here
+	team    *wardturn.Team // nil: the route is public, or there are no teams
 	key     wardturn.ModelAdapter
 	prompt  wardturn.Tokens // zero if the caller does not say
 	attempt string
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -22,15 +22,17 @@
 		change, err := g.source.Next(configWait)
 		if err == nil {
 			g.metrics.config.read.Inc(1)
-			known := g.news.configKnown()
-			g.news.readConfig(configAsOf(sent, g.clock.Now(), change, first), change.To)
+			asOf := configAsOf(sent, g.clock.Now(), change, first)
 			first = false
 			if away {
 				g.logger.Info("store answers again", "for", "configuration")
 			}
 			away = false
 			pause = configRetry
-			g.apply(change, known)
+			g.apply(change, g.news.configKnown())
+			// Recorded last: whoever finds the configuration known as of a time has
+			// it in force up to then.
+			g.news.readConfig(asOf, change.To)
 			continue
 		}
 		g.metrics.config.failed.Inc(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,7 +51,10 @@
 	RetryExtra  float64       // resends beyond that in a RetryWindow
 	RetryWindow time.Duration
 	LeaveAfter  time.Duration // that a leaving gateway goes on taking requests
-	Fleet       decide.FleetConfig
+	// KeyBound is how long after the store's word that a key was taken away requests
+	// may be sent that still run with it, on any host; zero: there is no bound.
+	KeyBound time.Duration
+	Fleet    decide.FleetConfig
 }
 
 // Deps are what a gateway is built from.
--- /dev/null
+++ b/gateway/keys_test.go
@@ -0,0 +1,189 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn/platform"
+	"wardturn/standin"
+)
+
+// keyed returns the rig's configuration with teams.
+func keyed(version int, teams string) string {
+	plain := config(version, `,{"name":"open","host":"h.example","path_prefix":"/open/","type":"idempotent","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":2,"public":true}`)
+	return strings.TrimSuffix(plain, "}") + `,"tenants":[` + teams + `]}`
+}
+
+const (
+	clerks = `{"name":"clerks","api_keys":["key-a","key-b"],"priority":1}`
+	robots = `{"name":"robots","api_keys":["key-c"],"priority":7}`
+)
+
+// with sends a request with some headers, each as given.
+func (x *rig) with(front, path, model string, headers http.Header) (id string, r reply) {
+	id = fmt.Sprintf("keyed-%d", attempts.Add(1))
+	req, err := http.NewRequest("POST", front+path, strings.NewReader("prompt"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h.example"
+	req.Header.Set("X-Wardturn-Attempt-Id", id)
+	req.Header.Set("X-Wardturn-Deadline-Ms", "3000")
+	if model != "" {
+		req.Header.Set("X-Wardturn-Model", model)
+	}
+	for name, values := range headers {
+		req.Header[name] = values
+	}
+	res, err := x.client.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return id, reply{
+		status: res.StatusCode,
+		header: res.Header,
+		body:   string(body),
+		err:    err,
+	}
+}
+
+func bearer(keys ...string) http.Header {
+	h := http.Header{}
+	for _, k := range keys {
+		h["Authorization"] = append(h["Authorization"], "Bearer "+k)
+	}
+	return h
+}
+
+var _ = Describe("Keys of teams", func() {
+	var x *rig
+	status := func(path string, h http.Header) int {
+		_, r := x.with(x.front, path, "", h)
+		return r.status
+	}
+	BeforeEach(func() {
+		x = newRig()
+		x.store.PutConfig(keyed(2, clerks+","+robots))
+		Eventually(func() int {
+			return status("/look/a", nil)
+		}, soon, often).Should(Equal(http.StatusUnauthorized))
+	})
+
+	It("refuses a request without a good key at once and sends nothing on", func() {
+		for _, h := range []http.Header{
+			nil,
+			bearer("key-x"),
+			bearer("key"),
+			bearer("key-a "+"key-b"),
+			bearer("key-a", "key-a"),
+			{"Authorization": {"Basic key-a"}},
+			{"Authorization": {"Bearer"}},
+			{"Authorization": {"key-a"}},
+			{"X-Wardturn-Tenant": {"clerks"}},
+		} {
+			id, r := x.with(x.front, "/look/a", "", h)
+			Expect(r.status).To(Equal(http.StatusUnauthorized), "%v", h)
+			Expect(r.header.Get("WWW-Authenticate")).To(Equal("Bearer"))
+			Expect(x.runs(id)).To(BeZero())
+		}
+	})
+
+	It("tells the upstream the team and the urgency, whatever the caller says, and not the key", func() {
+		h := bearer("key-c")
+		h["authorization"] = nil
+		h["X-Wardturn-Tenant"] = []string{"clerks", "other"}
+		h["x-wardturn-tenant"] = []string{"clerks"}
+		h["Priority"] = []string{"0"}
+		id, r := x.with(x.front, "/ask/a", "m0", h)
+		Expect(r.status).To(Equal(http.StatusOK))
+		got := x.headersOf(id)
+		Expect(got.Values("X-Wardturn-Tenant")).To(Equal([]string{"robots"}))
+		Expect(got.Values("Authorization")).To(BeEmpty())
+		Expect(got.Values("Priority")).To(Equal([]string{"7"}))
+		Expect(x.log.String()).NotTo(ContainSubstring("key-c"))
+	})
+
+	It("keeps the key of a request to a public route, and names no team there", func() {
+		h := bearer("key-a")
+		h["X-Wardturn-Tenant"] = []string{"clerks"}
+		id, r := x.with(x.front, "/open/a", "", h)
+		Expect(r.status).To(Equal(http.StatusOK))
+		Expect(x.headersOf(id).Values("Authorization")).To(BeEmpty())
+		Expect(x.headersOf(id).Values("X-Wardturn-Tenant")).To(BeEmpty())
+	})
+
+	It("names the team of a stream that goes on elsewhere", func() {
+		for _, m := range x.engines {
+			m.SetFaults(standin.WorkerFaults{
+				CutFresh: 2,
+			})
+		}
+		id, r := x.with(x.front, "/resume/a", "m0", bearer("key-b"))
+		Expect(r.status).To(Equal(http.StatusOK))
+		Expect(x.runs(id)).To(Equal(2))
+		for _, m := range x.engines {
+			Expect(m.Headers(id).Values("X-Wardturn-Tenant")).To(Equal([]string{"clerks"}))
+			Expect(m.Headers(id).Values("Authorization")).To(BeEmpty())
+		}
+	})
+
+	It("serves no key that was taken away, and one that was added", func() {
+		Expect(status("/look/a", bearer("key-a"))).To(Equal(http.StatusOK))
+		x.store.PutConfig(keyed(3, `{"name":"clerks","api_keys":["key-b","key-n"]}`))
+		Eventually(func() int {
+			return status("/look/a", bearer("key-n"))
+		}, soon, often).Should(Equal(http.StatusOK))
+		Expect(status("/look/a", bearer("key-a"))).To(Equal(http.StatusUnauthorized))
+		Expect(status("/look/a", bearer("key-c"))).To(Equal(http.StatusUnauthorized))
+	})
+
+	It("leaves what is good of a team's record in force", func() {
+		x.store.PutConfig(keyed(3, `{"name":"clerks","api_keys":["key-n",7,"key-b"],"rate_per_s":"many"},{"api_keys":["key-z"]},`+robots))
+		Eventually(func() int {
+			return status("/look/a", bearer("key-n"))
+		}, soon, often).Should(Equal(http.StatusOK))
+		Expect(status("/look/a", bearer("key-b"))).To(Equal(http.StatusOK))
+		Expect(status("/look/a", bearer("key-c"))).To(Equal(http.StatusOK))
+		Expect(status("/look/a", bearer("key-z"))).To(Equal(http.StatusUnauthorized))
+		Expect(x.log.String()).To(ContainSubstring("field of a team passed over"))
+		Expect(x.log.String()).NotTo(ContainSubstring("key-n"))
+	})
+})
+
+var _ = Describe("Keys on a host out of touch", func() {
+	It("serves until they may have been taken away too long ago, and then says that nothing ran", func() {
+		x := newRig()
+		x.store.PutConfig(keyed(2, clerks))
+		x.keyBound = 2 * time.Second
+		g, front, _ := x.startGateway("late", platform.NewStore(x.storeAddr, x.metrics))
+		Eventually(g.Ready, soon, often).Should(BeTrue())
+		try := func() int {
+			_, r := x.with(front, "/look/a", "", bearer("key-a"))
+			return r.status
+		}
+		Eventually(try, soon, often).Should(Equal(http.StatusOK))
+		x.store.SetFaults(standin.MetaFaults{
+			Away: true,
+		})
+		away := time.Now()
+		last := away
+		Eventually(func() int {
+			s := try()
+			if s == http.StatusOK {
+				last = time.Now()
+			}
+			return s
+		}, soon, often).Should(Equal(http.StatusServiceUnavailable))
+		Expect(last.Sub(away)).To(BeNumerically("<", x.keyBound))
+		id, r := x.with(front, "/look/a", "", bearer("key-x"))
+		Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(x.runs(id)).To(BeZero())
+		x.store.SetFaults(standin.MetaFaults{})
+		Eventually(try, soon, often).Should(Equal(http.StatusOK))
+	})
+})
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,6 +27,7 @@
 	oldBegan   tally.Histogram // from a newer version's name to the begin on an old one
 	oldEnded   tally.Counter   // requests broken off that had not begun on an old version
 	relaysLeft tally.Counter   // relays that told nothing, were behind, or lost their keeper
+	staleKeys  tally.Counter   // requests refused because the keys were known too long ago
 	config     recordMetrics
 	members    recordMetrics
 
@@ -105,6 +106,7 @@
 		oldBegan:   scope.Histogram("old_version_begin_time", latencies),
 		oldEnded:   scope.Counter("old_version_broken_off"),
 		relaysLeft: scope.Counter("relays_left"),
+		staleKeys:  scope.Counter("refused_stale_keys"),
 		config:     newRecordMetrics(scope, "configuration"),
 		members:    newRecordMetrics(scope, "upstreams"),
 		requests:   make(map[series]outcomeSeries),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -13,6 +13,8 @@
 // resolve finds the route and reads the headers. It answers requests that have
 // none.
 func (x *exchange) resolve() bool {
+	// Asked first: the routes are then at least as new as that.
+	known := x.g.news.configKnown()
 	rs := x.g.routes.Load()
 	if rs == nil {
 		x.refuse(wardturn.ReasonStaleConfig, unreadyPause)
@@ -27,6 +29,9 @@
 		x.fail(http.StatusBadRequest, "no attempt id")
 		return false
 	}
+	if !x.identify(rs, known) {
+		return false
+	}
 	x.service = target(x.route, x.attempt)
 	spec := rs.table.Services[x.service]
 	x.engine = spec.Engine != nil
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -67,6 +67,7 @@
 	// leaveAfter is how long gateways that are started go on taking requests once
 	// they leave.
 	leaveAfter time.Duration
+	keyBound   time.Duration // of gateways that are started; zero: none
 }
 
 const rigConfig = `{"version":%d,"routes":[
@@ -247,6 +248,7 @@
 			RetryExtra:  52,
 			RetryWindow: 10 * time.Second,
 			LeaveAfter:  x.leaveAfter,
+			KeyBound:    x.keyBound,
 			Fleet: decide.FleetConfig{
 				Domain:       x.domain,
 				CrossBytes:   28000,
@@ -309,6 +311,16 @@
 	return x.send("POST", fmt.Sprintf("%s-%d", name, attempts.Add(1)), path, model, "prompt")
 }
 
+// headersOf returns the headers of an attempt's run at a worker, or nil.
+func (x *rig) headersOf(id string) http.Header {
+	for _, m := range append(x.engines, x.apps...) {
+		if h := m.Headers(id); h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
 // runs counts the runs of an attempt at all workers.
 func (x *rig) runs(id string) int {
 	n := 0
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -145,8 +145,11 @@
 	if x.events.last != "" {
 		b = appendHeader(b, n.LastEvent, x.events.last)
 	}
+	if x.team != nil {
+		b = appendHeader(b, n.Team, string(x.team.ID))
+	}
 	if x.engine {
-		b = appendHeader(b, n.Priority, strconv.Itoa(min(x.route.Priority, maxPriority)))
+		b = appendHeader(b, n.Priority, strconv.Itoa(min(x.priority(), maxPriority)))
 	}
 	if a.Version > 0 {
 		b = appendHeader(b, n.ExpectVersion, strconv.FormatInt(int64(a.Version), 10))
@@ -169,8 +172,10 @@
 	switch name {
 	case "Content-Length", http.CanonicalHeaderKey(n.DeadlineMS), http.CanonicalHeaderKey(n.ExpectInstance):
 		return true
-	case http.CanonicalHeaderKey(n.ExpectVersion), http.CanonicalHeaderKey(n.Priority):
+	case http.CanonicalHeaderKey(n.ExpectVersion), http.CanonicalHeaderKey(n.Priority), http.CanonicalHeaderKey(n.Team):
 		return true
+	case headerAuthorization:
+		return x.keyed
 	case http.CanonicalHeaderKey(n.LastEvent):
 		return x.events.last != ""
 	}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -14,12 +14,19 @@
 type routes struct {
 	table  *wardturn.RouteTable
 	byHost map[string][]*wardturn.Route // the longest prefix first
+	byKey  map[wardturn.KeyDigest]*wardturn.Team
 }
 
 func newRoutes(t *wardturn.RouteTable) *routes {
 	rs := &routes{
 		table:  t,
 		byHost: make(map[string][]*wardturn.Route),
+		byKey:  make(map[wardturn.KeyDigest]*wardturn.Team),
+	}
+	for i := range t.Teams {
+		for _, key := range t.Teams[i].Keys {
+			rs.byKey[key] = &t.Teams[i]
+		}
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
--- a/routes.go
+++ b/routes.go
@@ -20,6 +20,10 @@
 	Routes   []Route
 	Services map[ServiceName]ServiceSpec
 	Limits   CallerLimits
+	Teams    []Team
+	// Keyed says that the configuration has teams: a request of a route that is not
+	// public carries the key of one.
+	Keyed bool
 }
 
 // Route sends the requests of a host and path prefix to services.
@@ -35,6 +39,7 @@
 	Objective    time.Duration // latency within which the answer is on time; of a stream, to its first event
 	MaxPause     time.Duration // between events of a stream that is on time
 	Priority     int           // 0 is the most urgent
+	Public       bool          // requests need no key
 	MaxUpstreams int           // upstreams that may run one attempt
 }
 
@@ -206,6 +211,7 @@
 	ExpectVersion  string // version of the weights that may run it
 	Instance       string // lifetime of the upstream that answered
 	Priority       string // urgency at the upstream, 0 first
+	Team           string // team of the request, set by the system alone
 	// Reserved are headers by which an upstream sets memory aside, moves what it
 	// keeps or waits. Only the system may send them.
 	Reserved []string
