--- a/decide/places.go
+++ b/decide/places.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// Restarted forgets what was known of the engine's lifetime before: it is empty, and no
+// request of any gateway runs there.
+func (p *Places) Restarted() {
+	clear(p.leaving)
+	clear(p.readyAt)
+	for _, u := range p.uses {
+		clear(u.running)
+	}
+	p.known = false
+}
+
 // Lost forgets the report: the engine does not answer.
 func (p *Places) Lost() {
 	p.known = false
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -47,7 +47,7 @@
 }
 
 func (x *exchange) misdirected(a assignment, res *http.Response) {
-	if got := res.Header.Get(x.g.names.Instance); got != "" && got != string(a.Member.ID) {
+	if got := res.Header.Get(x.g.names.Instance); got != "" && got != a.Member.ID.Instance() {
 		x.g.logger.Info("another upstream at the address", "upstream", a.Member.ID, "found", got, "addr", a.Member.Addr)
 		x.g.misplaced(a.Member.ID)
 		return
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -285,6 +285,25 @@
 		}, soon, often).Should(Equal(http.StatusOK))
 	})
 
+	It("serves an engine that started again under its id, and knows that it is empty", func() {
+		for i, e := range x.engines {
+			e.StartAgain(int64(1000 + i))
+			x.list(e, "llm", fmt.Sprintf("e%d", i), "ready")
+		}
+		Eventually(func() int {
+			return x.get("b", "/ask/x", "m0/a5").status
+		}, soon, often).Should(Equal(http.StatusOK))
+		for i, e := range x.engines {
+			e.StartAgain(int64(2000 + i))
+			x.list(e, "llm", fmt.Sprintf("e%d", i), "ready")
+		}
+		Eventually(func() bool {
+			return strings.Count(x.log.String(), "upstream listed: upstream=e0~2000")+strings.Count(x.log.String(), "upstream listed: upstream=e1~2001") == 2
+		}, soon, often).Should(BeTrue())
+		r := x.get("b", "/ask/x", "m0/a5") // waits for the adapter; nothing is sent to what was held before
+		Expect(r.status).To(Equal(http.StatusOK))
+	})
+
 	It("ends requests under way before it leaves, and is not ready meanwhile", func() {
 		done := make(chan reply, 1)
 		x.get("first", "/ask/x", "m0/a9")
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -141,7 +141,7 @@
 		}
 	}
 	b = appendHeader(b, n.DeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	b = appendHeader(b, n.ExpectInstance, string(a.Member.ID))
+	b = appendHeader(b, n.ExpectInstance, a.Member.ID.Instance())
 	if x.events.last != "" {
 		b = appendHeader(b, n.LastEvent, x.events.last)
 	}
--- a/ids.go
+++ b/ids.go
@@ -14,7 +14,8 @@
 // zero means "the version in force".
 type Version int64
 
-// UpstreamID names one back end: a model engine or a plain service instance.
+// UpstreamID names one lifetime of a back end, a model engine or a plain service
+// instance: see Lifetime.
 type UpstreamID string
 
 // FailureDomain names a group of hosts that can fail together.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -205,13 +205,35 @@
 	if !k.places.Known() {
 		k.logger.Info("engine reports", "seq", st.Seq, "models", len(st.Models), "upstream", st.Upstream)
 	}
-	if st.Upstream != "" {
-		k.upstream = st.Upstream
+	if now := reporting(st, k.upstream); now != k.upstream {
+		k.begins(now)
 	}
 	k.places.Report(k.clock.Now(), st)
 	k.tell()
 }
 
+// reporting returns the lifetime of the engine that reports; named is the one known so
+// far. An engine that does not tell its name may tell its start.
+func reporting(st wardturn.EngineState, named wardturn.UpstreamID) wardturn.UpstreamID {
+	if st.Upstream != "" {
+		return st.Upstream
+	}
+	if st.Born == 0 {
+		return named
+	}
+	return wardturn.Lifetime(named.Instance(), st.Born)
+}
+
+// begins takes a lifetime of the engine; the lock is held. If it is a later one of the
+// same instance, nothing that is known of the one before holds.
+func (k *Keeper) begins(id wardturn.UpstreamID) {
+	if k.upstream.Born() != 0 && k.upstream.Before(id) {
+		k.logger.Info("engine has started again", "upstream", id, "before", k.upstream)
+		k.places.Restarted()
+	}
+	k.upstream = id
+}
+
 // step gives the order that is due, if any, and reports whether to go on at
 // once.
 func (k *Keeper) step() bool {
@@ -365,11 +387,11 @@
 // named takes the lifetime of the engine; the lock is held. Orders that another
 // lifetime refused say nothing about this one.
 func (k *Keeper) named(id wardturn.UpstreamID) {
-	if id == k.upstream {
+	if id == k.upstream || id.Before(k.upstream) {
 		return
 	}
 	k.logger.Info("engine named", "upstream", id, "before", k.upstream, "position", k.seen)
-	k.upstream = id
+	k.begins(id)
 	k.tell()
 	k.places.Defer(k.clock.Now())
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -275,6 +275,28 @@
 		Expect(e.given()[0].Upstream).To(BeEquivalentTo("i-2"))
 	})
 
+	It("knows a lifetime that began under the same id by the engine's report, and passes over a gateway that is behind", func() {
+		e.state.Born = 1000
+		start()
+		name(wardturn.Lifetime("i-1", 1000), 10)
+		wish()
+		Eventually(e.given, soon).Should(HaveLen(1))
+		Expect(e.given()[0].Upstream).To(Equal(wardturn.Lifetime("i-1", 1000)))
+		e.mu.Lock()
+		e.state.Born = 2000
+		e.state.Seq = 0
+		e.state.Models[0].Adapters = nil
+		e.mu.Unlock()
+		Eventually(func() wardturn.UpstreamID {
+			return (<-g.holdings).Upstream
+		}, soon).Should(Equal(wardturn.Lifetime("i-1", 2000)))
+		name(wardturn.Lifetime("i-1", 1000), 11) // its entry was written once more
+		wish()
+		Eventually(e.given, soon).Should(HaveLen(2))
+		Expect(e.given()[1].Upstream).To(Equal(wardturn.Lifetime("i-1", 2000)))
+		Expect(e.given()[1].Expected).To(BeZero())
+	})
+
 	It("gives orders to a new lifetime at once, whatever the one before refused", func() {
 		e.answers = []wardturn.OrderAnswer{wardturn.OrderInvalid}
 		start()
--- /dev/null
+++ b/lifetime_test.go
@@ -0,0 +1,20 @@
+package wardturn_test
+
+import (
+	"fmt"
+
+	"wardturn"
+)
+
+func ExampleLifetime() {
+	first := wardturn.Lifetime("i-7", 1000)
+	second := wardturn.Lifetime("i-7", 2000)
+	fmt.Println(second, second.Instance(), second.Born())
+	fmt.Println(first.Before(second), second.Before(first), second.Before(second))
+	plain := wardturn.Lifetime("i-8", 0)
+	fmt.Println(plain, plain.Instance(), plain.Born(), plain.Before(second))
+	// Output:
+	// i-7~2000 i-7 2000
+	// true false false
+	// i-8 i-8 0 false
+}
--- a/routes.go
+++ b/routes.go
@@ -116,6 +116,7 @@
 // EngineState is what an engine reports of itself.
 type EngineState struct {
 	Upstream UpstreamID // lifetime that reports; empty if the engine does not say
+	Born     int64      // its start in Unix ms; zero if the engine does not say
 	Seq      uint64     // orders taken since its start
 	Busy     bool       // an order on a base model is under way
 	Running  int
@@ -207,9 +208,9 @@
 	LastEvent      string // last event that the caller has of a stream
 	Receipt        string // proof of an upstream that the answer is its own
 	NotExecuted    string // the upstream did not run the request
-	ExpectInstance string // lifetime of the upstream that may run the request
+	ExpectInstance string // instance of the upstream that may run the request
 	ExpectVersion  string // version of the weights that may run it
-	Instance       string // lifetime of the upstream that answered
+	Instance       string // instance of the upstream that answered
 	Priority       string // urgency at the upstream, 0 first
 	Team           string // team of the request, set by the system alone
 	// Reserved are headers by which an upstream sets memory aside, moves what it
--- a/soak/world.go
+++ b/soak/world.go
@@ -206,11 +206,18 @@
 	}
 }
 
-// restart begins a new lifetime of an upstream, empty and under another id.
+// restart begins a new lifetime of an upstream, empty: under another id, or each second
+// time under the one that it has.
 func (w *world) restart(u *upstream) {
 	u.mu.Lock()
 	old := u.id
 	u.lives++
+	if u.lives%2 == 0 {
+		u.worker.StartAgain(time.Now().UnixMilli())
+		u.mu.Unlock()
+		w.enter(u)
+		return
+	}
 	u.id = fmt.Sprintf("%s-%d", old, u.lives)
 	u.worker.Restart(u.id)
 	u.mu.Unlock()
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -17,6 +17,7 @@
 
 	mu       sync.Mutex
 	id       string
+	born     int64 // Unix ms of its start; zero: it does not tell
 	seq      uint64
 	fence    int64
 	model    bool
@@ -98,6 +99,16 @@
 	clear(m.coming)
 }
 
+// StartAgain begins a new lifetime under the id that the worker has. From then on it
+// tells its start, in Unix milliseconds.
+func (m *ModelWorker) StartAgain(born int64) {
+	m.mu.Lock()
+	id := m.id
+	m.born = born
+	m.mu.Unlock()
+	m.Restart(id)
+}
+
 // Runs returns how often an attempt ran.
 func (m *ModelWorker) Runs(attempt string) int {
 	m.mu.Lock()
@@ -154,7 +165,13 @@
 
 // Entry returns the worker's entry in the store.
 func (m *ModelWorker) Entry(service, addr, zone, state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"seq":1}`, service, addr, zone, state)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	born := ""
+	if m.born > 0 {
+		born = fmt.Sprintf(`,"born":%d`, m.born)
+	}
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"seq":1%s}`, service, addr, zone, state, born)
 }
 
 // settle completes the loads that are due; the lock is held.
@@ -204,15 +221,21 @@
 	for name := range m.coming {
 		coming = append(coming, m.cfg.Model+"/"+name+"@1")
 	}
-	w.Header().Set("X-Wardturn-Instance-Id", m.id)
-	writeBody(w, map[string]any{
+	if m.born == 0 {
+		w.Header().Set("X-Wardturn-Instance-Id", m.id)
+	}
+	report := map[string]any{
 		"stage":    "dual",
 		"models":   models,
 		"seq":      m.seq,
 		"active":   m.active,
 		"kv_total": 1000,
 		"coming":   coming,
-	})
+	}
+	if m.born > 0 {
+		report["born"] = m.born
+	}
+	writeBody(w, report)
 }
 
 // lateOrder is how much later a late order is carried out: after the keeper has
