The urgency of a team goes before that of the route, and the route's counts among equal teams

Cause: a team's priority took the place of the route's, so that on a deployment whose teams nearly all have priority 1 long digests (2) and short explanations (0) were equally urgent to engines.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -38,15 +38,16 @@
 
 // exchange is one request of a caller on its way.
 type exchange struct {
-	g       *Gateway
-	w       http.ResponseWriter
-	r       *http.Request
-	route   *wardturn.Route
-	service wardturn.ServiceName
-	engine  bool           // the service's upstreams are model engines
-	keyed   bool           // the configuration has teams: keys stay here
-	team    *wardturn.Team // nil: the route is public, or there are no teams
-	units   int64          // taken from the team's cap
+	g           *Gateway
+	w           http.ResponseWriter
+	r           *http.Request
+	route       *wardturn.Route
+	service     wardturn.ServiceName
+	engine      bool           // the service's upstreams are model engines
+	keyed       bool           // the configuration has teams: keys stay here
+	team        *wardturn.Team // nil: the route is public, or there are no teams
+	units       int64          // taken from the team's cap
+	routeLevels int            // of the routes' priorities
 	// mayHaveRun says that an upstream may have run the request.
 	mayHaveRun bool
 	key        wardturn.ModelAdapter
--- a/gateway/identify.go
+++ b/gateway/identify.go
@@ -22,6 +22,7 @@
 // away too long ago.
 func (x *exchange) identify(rs *routes, known time.Time) bool {
 	x.keyed = rs.table.Keyed
+	x.routeLevels = rs.levels
 	if !x.keyed || x.route.Public {
 		return true
 	}
@@ -69,11 +70,11 @@
 	return team, ""
 }
 
-// priority returns how urgent the request is, 0 first: by its team if that says so,
-// else by its route.
+// priority returns how urgent the request is, 0 first: by its team if that says so, and
+// among equal teams by its route.
 func (x *exchange) priority() int {
-	if x.team != nil && x.team.Priority != nil {
-		return max(*x.team.Priority, 0)
+	if x.team == nil || x.team.Priority == nil {
+		return x.route.Priority
 	}
-	return x.route.Priority
+	return max(*x.team.Priority, 0)*x.routeLevels + x.route.Priority
 }
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -15,6 +15,7 @@
 	table  *wardturn.RouteTable
 	byHost map[string][]*wardturn.Route // the longest prefix first
 	byKey  map[wardturn.KeyDigest]*wardturn.Team
+	levels int // of the routes' priorities
 }
 
 func newRoutes(t *wardturn.RouteTable) *routes {
@@ -30,6 +31,7 @@
 	}
 	for i := range t.Routes {
 		r := &t.Routes[i]
+		rs.levels = max(rs.levels, r.Priority+1)
 		host := strings.ToLower(r.Host)
 		rs.byHost[host] = append(rs.byHost[host], r)
 	}
