--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -31,7 +31,6 @@
 	MaxBody      int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
 	VersionBound time.Duration `default:"5s" help:"Time after the store's word of a newer version of an adapter in which requests may begin on an older one."`
 	KeyBound     time.Duration `default:"5s" help:"Time after the store's word that a key was taken away in which requests may be sent that still run with it, on hosts out of touch too; 0: no bound."`
-	CapWindow    time.Duration `default:"8s" help:"Span over which the use of a team's cap is added up: in none may it go over the rate times the span and the burst."`
 	EqualCaps    bool          `help:"Give each gateway the same part of each team's usage cap, whatever the others take. Without it they tell each other, and a team may use its whole cap at any of them."`
 	CrossBytes   int           `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
 	LoadsAtStart float64       `default:"8" help:"Adapter loads under way from the weight store, for all gateways, at the start, at least: no more than the smallest known store serves at full speed. Half of the engines if that is more."`
@@ -53,7 +52,6 @@
 	b.Require(c.RetryShare >= 0 && c.RetryShare <= 1, "retry-share", "must be 0 to 1")
 	b.Require(c.RetryExtra >= 0, "retry-extra", "must not be negative")
 	b.Require(c.RetryWindow > 0, "retry-window", "must be over 0")
-	b.Require(c.CapWindow >= time.Second, "cap-window", "must be at least 1s")
 	b.Require(c.VersionBound >= 0, "version-bound", "must not be negative")
 	b.Require(c.KeyBound == 0 || c.KeyBound >= leastKeyBound, "key-bound", "must be 0 or at least 3s")
 	b.Require(c.LoadsAtStart >= 1, "loads-at-start", "must be at least 1")
@@ -75,7 +73,6 @@
 		LeaveAfter:  c.LeaveAfter,
 		KeyBound:    c.KeyBound,
 
-		CapWindow:      c.CapWindow,
 		EqualCapShares: c.EqualCaps,
 		Fleet: decide.FleetConfig{
 			Domain:       wardturn.FailureDomain(c.Domain),
--- a/decide/teamcaps.go
+++ b/decide/teamcaps.go
@@ -9,23 +9,21 @@
 )
 
 // TeamCaps keeps the requests of each team under its usage cap over all gateways
-// together: in no span of Window may they use more than the cap's rate over it and its
-// burst. Each gateway adds up what it takes itself, at once, and what the others tell
-// that they took. While all are heard, a team may use the whole cap at any of them,
-// however its callers are spread.
+// together. Each gateway counts down one bucket for all of them: by what it takes
+// itself, at once, and by what the others tell that they took. While all are heard, a
+// team may use the whole cap at any of them, however its callers are spread.
 //
 // The load that this answers is a team that sends many times its usual from one
 // second to the next, to all gateways: what they have taken and not yet told is
-// bounded (untoldPart), and what goes over the cap counts like the rest. A gateway
-// that does not hear the others takes its share by number only, and those that do
-// leave the shares of the missing ones aside.
+// bounded (untoldPart), and what goes over the cap is a debt that the bucket works
+// off. A gateway that does not hear the others takes its share by number only, and
+// those that do leave the shares of the missing ones aside.
 type TeamCaps struct {
 	cfg         TeamCapConfig
 	self        wardturn.Incarnation
 	start       time.Time
 	gateways    int     // how many there are taken to be
 	part        float64 // of each cap that the gateways heard here may use
-	othersPart  float64 // of what the others took in the window, that those heard here took
 	refreshedAt time.Time
 	caps        map[wardturn.TeamID]*teamCap
 	others      map[wardturn.Incarnation]*otherGateway
@@ -35,8 +33,6 @@
 
 // TeamCapConfig says how gateways share a cap.
 type TeamCapConfig struct {
-	// Window is the span over which use is added up; the platform names it.
-	Window time.Duration
 	// EqualShares gives each gateway the same part of each cap at any time; what the
 	// others take does not count.
 	EqualShares bool
@@ -47,7 +43,7 @@
 	// may keep to themselves while the cap is nearly used up. With a team that sends
 	// 4.2 times its cap and words every 250 ms, 1.05 s of the rate can go over.
 	untoldPart = 0.25
-	// freePart is the same as a part of what is left of the cap: far from the cap
+	// freePart is the same as a part of what is left of the bucket: far from the cap
 	// fewer words do.
 	freePart = 0.5
 	// capBeat is the longest time between two words of a gateway.
@@ -60,18 +56,18 @@
 	// otherMemory is how long the counts of a gateway that is silent are kept: one
 	// that was frozen goes on with them.
 	otherMemory = time.Minute
+	// leastBurst is the least that a cap takes at once, in seconds of its rate: without
+	// any, a cap that sets no burst would take nothing at all.
+	leastBurst = 0.25
 	// maxCapWait bounds the time told to callers beyond a cap.
 	maxCapWait = 8 * time.Second
 )
 
-// teamCap is what was taken of one team's cap.
+// teamCap is the bucket of one team.
 type teamCap struct {
 	limit   wardturn.UsageCap
-	allowed capWindow // by the rate that was in force then
-	own     capWindow
-	others  capWindow
-	unknown capWindow // taken before this gateway began to count, as is assumed
-	waiting float64   // units of callers that were told to come back and are not due yet
+	level   float64 // units that may be taken now; under zero: a debt
+	waiting float64 // units of callers that were told to come back and are not due yet
 	at      time.Time
 	used    int64 // taken by this gateway since its start
 	told    int64 // of that, as the latest word had it
@@ -100,8 +96,8 @@
 	Total int64
 }
 
-// NewTeamCaps returns caps that count as used up over the past: what the other gateways
-// have taken is not known yet, nor what a process before this one had.
+// NewTeamCaps returns buckets that are empty: what the other gateways have taken is
+// not known yet, nor what a process before this one had.
 func NewTeamCaps(now time.Time, self wardturn.Incarnation, cfg TeamCapConfig) *TeamCaps {
 	return &TeamCaps{
 		cfg:      cfg,
@@ -114,20 +110,22 @@
 	}
 }
 
-// SetTeams takes the caps of a configuration. A higher rate holds for the whole window
-// at once, a lower one for what passes from now on.
+// SetTeams takes the caps of a configuration. A bucket whose cap changes keeps its
+// level, up to the new burst.
 func (c *TeamCaps) SetTeams(now time.Time, teams []wardturn.Team) {
 	present := make(map[wardturn.TeamID]bool, len(teams))
 	for _, t := range teams {
 		present[t.ID] = true
 		have := c.caps[t.ID]
 		if have == nil {
-			have = c.newCap(now, t.Cap)
+			have = &teamCap{
+				at: now,
+			}
 			c.caps[t.ID] = have
 		}
-		c.advance(now, have)
+		have.fill(now, c.part)
 		have.limit = t.Cap
-		have.allowed.fill(c.slotUnits(t.Cap))
+		have.level = min(have.level, have.burst(c.part))
 	}
 	for id := range c.caps {
 		if !present[id] {
@@ -136,55 +134,6 @@
 	}
 }
 
-// newCap returns a cap that counts as used up in the part of the window before this
-// gateway began to count.
-func (c *TeamCaps) newCap(now time.Time, limit wardturn.UsageCap) *teamCap {
-	t := &teamCap{
-		limit: limit,
-		at:    c.start,
-	}
-	t.allowed.fill(c.slotUnits(limit))
-	t.unknown.fill(c.slotUnits(limit))
-	t.unknown.add(limit.Burst)
-	c.advance(now, t)
-	return t
-}
-
-// slotUnits returns what a cap allows in a slot of the window.
-func (c *TeamCaps) slotUnits(limit wardturn.UsageCap) float64 {
-	return limit.Rate * c.cfg.Window.Seconds() / capSlots
-}
-
-// advance lets time pass.
-func (c *TeamCaps) advance(now time.Time, t *teamCap) {
-	turn := slotOf(now.Sub(c.start), c.cfg.Window)
-	t.allowed.advance(turn, c.slotUnits(t.limit))
-	t.own.advance(turn, 0)
-	t.others.advance(turn, 0)
-	t.unknown.advance(turn, 0)
-	t.waiting = max(0, t.waiting-c.part*t.limit.Rate*now.Sub(t.at).Seconds())
-	t.at = now
-}
-
-// left returns the units that the gateways which are heard may take now.
-func (c *TeamCaps) left(t *teamCap) float64 {
-	// The window's slots are one more than fit in it, since the present one has begun.
-	allowed := t.allowed.sum*capSlots/(capSlots+1) + t.limit.Burst - t.unknown.sum
-	return c.part*allowed - t.own.sum - c.othersPart*t.others.sum
-}
-
-// roomIn returns how long it takes until some units have left the window beyond what
-// comes in by the rate.
-func (c *TeamCaps) roomIn(t *teamCap, units float64) time.Duration {
-	for slot := range capSlots {
-		units -= c.part*t.unknown.oldest(slot) + t.own.oldest(slot) + c.othersPart*t.others.oldest(slot)
-		if units < 0 {
-			return time.Duration(slot+1) * c.cfg.Window / capSlots
-		}
-	}
-	return c.cfg.Window
-}
-
 // SetGateways takes the number of gateways, as keepers count them; zero: no keeper is
 // heard.
 func (c *TeamCaps) SetGateways(now time.Time, counted int) {
@@ -199,13 +148,8 @@
 	}
 	c.gateways = max(counted, heard, 1)
 	c.part = float64(heard) / float64(c.gateways)
-	c.othersPart = 0
-	if c.gateways > 1 {
-		c.othersPart = float64(heard-1) / float64(c.gateways-1)
-	}
 	if c.cfg.EqualShares {
 		c.part = 1 / float64(c.gateways)
-		c.othersPart = 0
 	}
 	c.refreshedAt = now
 }
@@ -218,31 +162,31 @@
 }
 
 // Take takes a request's units from its team's cap. It reports false, and when to
-// come back, if the cap is used up. A request may be larger than what is left: the
-// rest is missing later.
+// come back, if the cap is used up. A request may be larger than what is left, or
+// than the burst: the rest is a debt.
 func (c *TeamCaps) Take(now time.Time, team wardturn.TeamID, units int64) (retryAfter time.Duration, ok bool) {
 	t := c.caps[team]
 	if t == nil || t.limit.Rate <= 0 {
 		return 0, true
 	}
 	c.refresh(now)
-	c.advance(now, t)
-	left := c.left(t)
-	if left > 0 {
-		t.own.add(float64(units))
+	t.fill(now, c.part)
+	if t.level > 0 {
+		t.level -= float64(units)
 		t.used += units
 		return 0, true
 	}
 	// Callers that come back together would be refused together again: each is told
 	// when the cap will have taken those that were told before.
 	t.waiting += float64(units)
-	return min(c.roomIn(t, t.waiting-left), maxCapWait), false
+	wait := (t.waiting - t.level) / (t.limit.Rate * c.part)
+	return min(time.Duration(wait*float64(time.Second)), maxCapWait), false
 }
 
 // GiveBack returns the units of a request that no upstream ran.
 func (c *TeamCaps) GiveBack(team wardturn.TeamID, units int64) {
 	if t := c.caps[team]; t != nil && t.limit.Rate > 0 {
-		t.own.add(-float64(units))
+		t.level += float64(units)
 		t.used -= units
 	}
 }
@@ -256,9 +200,8 @@
 	beat := now.Sub(c.toldAt) >= capBeat
 	for _, id := range slices.Sorted(maps.Keys(c.caps)) {
 		t := c.caps[id]
-		c.advance(now, t)
 		untold := float64(max(t.used-t.told, t.told-t.used))
-		if !t.again && untold < c.mayKeep(t)/float64(c.gateways) && (!beat || untold == 0) {
+		if !t.again && untold < t.mayKeep(now, c.part)/float64(c.gateways) && (!beat || untold == 0) {
 			continue
 		}
 		due = due || untold > 0
@@ -284,8 +227,9 @@
 }
 
 // mayKeep returns the units that all gateways together may take untold.
-func (c *TeamCaps) mayKeep(t *teamCap) float64 {
-	return max(untoldPart*t.limit.Rate, freePart*c.left(t))
+func (t *teamCap) mayKeep(now time.Time, part float64) float64 {
+	t.fill(now, part)
+	return max(untoldPart*t.limit.Rate, freePart*t.level)
 }
 
 // Heard takes the word of another gateway.
@@ -314,8 +258,8 @@
 		if t == nil || !known && o.earlier {
 			continue // taken before this gateway began to count, as far as is known
 		}
-		c.advance(now, t)
-		t.others.add(float64(u.Total - before))
+		t.fill(now, c.part)
+		t.level -= float64(u.Total - before)
 	}
 }
 
@@ -329,12 +273,25 @@
 }
 
 // Left returns what is left of a team's cap now, as far as known, in seconds of its
-// rate; under zero: more was taken.
+// rate; under zero: a debt.
 func (c *TeamCaps) Left(now time.Time, team wardturn.TeamID) float64 {
 	t := c.caps[team]
 	if t == nil || t.limit.Rate <= 0 {
 		return 0
 	}
-	c.advance(now, t)
-	return c.left(t) / t.limit.Rate
+	t.fill(now, c.part)
+	return t.level / t.limit.Rate
+}
+
+// burst returns what the gateways that are heard may take at once.
+func (t *teamCap) burst(part float64) float64 {
+	return part * max(t.limit.Burst, leastBurst*t.limit.Rate, 1)
+}
+
+// fill lets time pass.
+func (t *teamCap) fill(now time.Time, part float64) {
+	more := part * t.limit.Rate * max(0, now.Sub(t.at).Seconds())
+	t.at = now
+	t.level = min(t.level+more, t.burst(part))
+	t.waiting = max(0, t.waiting-more)
 }
--- a/gateway/caps.go
+++ b/gateway/caps.go
@@ -32,7 +32,6 @@
 	return &caps{
 		g: g,
 		teams: decide.NewTeamCaps(g.clock.Now(), g.cfg.Process, decide.TeamCapConfig{
-			Window:      g.cfg.CapWindow,
 			EqualShares: g.cfg.EqualCapShares,
 		}),
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,8 +53,7 @@
 	LeaveAfter  time.Duration // that a leaving gateway goes on taking requests
 	// KeyBound is how long after the store's word that a key was taken away requests
 	// may be sent that still run with it, on any host; zero: there is no bound.
-	KeyBound  time.Duration
-	CapWindow time.Duration // over which the use of a team's cap is added up
+	KeyBound time.Duration
 	// EqualCapShares gives each gateway the same part of each team's cap, whatever the
 	// others take.
 	EqualCapShares bool
