The window of loads is remembered in the store while no gateway runs

Cause: after all hosts lost power the window starts at half of the engines (24) and takes 1.2 s to what the store serves (104); that is when all 600 places are empty. Change: the gateway that reads for the others records the window, at most every 10 s and when it has changed by a quarter; each gateway takes it at its start, if it is more than its own. Cost: a call to the store at each start of a gateway, one write each 10 s at most.

--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -151,6 +151,7 @@
 			Names:     platform.Headers(),
 			Source:    platform.NewConfiguration(s, logger),
 			Members:   platform.NewMembers(s, clock, logger),
+			Memory:    s,
 			Front:     front,
 			Ready:     ready,
 			ReadyPath: platform.ReadyPath,
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -167,6 +167,17 @@
 	f.window.Expect(engines)
 }
 
+// RecallWindow takes the window of loads that gateways had learned before all of them
+// ended.
+func (f *Fleet) RecallWindow(size int) {
+	f.window.Recall(size)
+}
+
+// LearnedWindow returns the window of loads, and whether loads have confirmed it.
+func (f *Fleet) LearnedWindow() (size int, ok bool) {
+	return f.window.Learned()
+}
+
 // Members returns the members of a service.
 func (f *Fleet) Members(s wardturn.ServiceName) []*Member {
 	return f.services[s]
--- a/decide/turn.go
+++ b/decide/turn.go
@@ -88,7 +88,7 @@
 		return ReadFirst
 	case now.Before(t.usualAt(now)):
 		return ReadDoubted
-	case t.reads(now):
+	case t.Reads(now):
 		return ReadForAll
 	}
 	return ReadStepIn
@@ -114,9 +114,9 @@
 	due := t.asOf
 	switch {
 	case t.asOf.IsZero():
-	case t.reads(now) && t.own:
+	case t.Reads(now) && t.own:
 		due = due.Add(t.cfg.Pause)
-	case t.reads(now):
+	case t.Reads(now):
 		late := time.Duration(turnSlack * t.part * float64(t.cfg.Every))
 		due = due.Add(t.cfg.Pause + late)
 	default:
@@ -148,9 +148,9 @@
 	return max(0, now.Sub(t.asOf))
 }
 
-// reads reports whether this process reads for the others: none with a lower id
-// was heard lately.
-func (t *ReadTurn) reads(now time.Time) bool {
+// Reads reports whether this process reads for the others: none with a lower id was
+// heard lately.
+func (t *ReadTurn) Reads(now time.Time) bool {
 	return t.leaderAt.IsZero() || now.Sub(t.leaderAt) > leaderLife*t.cfg.Every
 }
 
--- a/decide/window.go
+++ b/decide/window.go
@@ -80,6 +80,7 @@
 	typical   time.Duration // the median of the recent ones
 	usual     time.Duration // the least typical time seen
 	learned   bool          // a load was seen
+	recalled  float64       // size that was learned by processes before; zero: none
 	narrowing narrowing
 	quick     int  // loads in a row that seemed to come from memory
 	probing   bool // no load was slow yet
@@ -115,10 +116,24 @@
 // Expect says how many engines there are, which counts until a load was seen.
 func (w *LoadWindow) Expect(engines int) {
 	if !w.learned {
-		w.size = min(max(w.cfg.Start, windowStartPart*float64(engines)), w.cfg.Most)
+		w.size = min(max(w.cfg.Start, windowStartPart*float64(engines), w.recalled), w.cfg.Most)
 	}
 }
 
+// Recall takes a size that was learned by processes before, from which the window
+// starts if that is more.
+func (w *LoadWindow) Recall(size int) {
+	w.recalled = float64(size)
+	if !w.learned {
+		w.size = min(max(w.size, w.recalled), w.cfg.Most)
+	}
+}
+
+// Learned returns the size, and whether loads have confirmed it.
+func (w *LoadWindow) Learned() (size int, ok bool) {
+	return w.Size(), w.learned
+}
+
 // Size returns the loads that may be under way.
 func (w *LoadWindow) Size() int {
 	return int(w.size)
--- a/decide/window_test.go
+++ b/decide/window_test.go
@@ -38,6 +38,27 @@
 		return now
 	}
 
+	It("starts from what processes before have learned, if that is more, until loads tell otherwise", func() {
+		w := decide.NewLoadWindow(decide.WindowConfig{})
+		w.Recall(104)
+		w.Expect(47)
+		Expect(w.Size()).To(Equal(104))
+		_, learned := w.Learned()
+		Expect(learned).To(BeFalse())
+		less := decide.NewLoadWindow(decide.WindowConfig{})
+		less.Expect(47)
+		less.Recall(5)
+		Expect(less.Size()).To(Equal(23))
+		now := start
+		for range 60 {
+			now = now.Add(time.Second)
+			w.Loaded(now, 2*time.Second, 104)
+		}
+		size, learned := w.Learned()
+		Expect(learned).To(BeTrue())
+		Expect(size).To(BeNumerically("<", 104))
+	})
+
 	It("settles near what the store serves at full speed, small or large", func() {
 		for _, atOnce := range []int{8, 16, 88, 300} {
 			w := decide.NewLoadWindow(decide.WindowConfig{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,7 @@
 	Names   wardturn.HeaderNames
 	Source  wardturn.ConfigSource
 	Members wardturn.MemberSource
+	Memory  wardturn.LoadMemory
 	Front   net.Listener // for callers
 	Ready   net.Listener // for the balancer's question; may be nil
 	// ReadyPath is the path of that question.
@@ -84,21 +85,24 @@
 	prompts *prompts
 	names   wardturn.HeaderNames
 	source  wardturn.ConfigSource
-	list    *roster
-	news    *news
-	caps    *caps
-	routes  atomic.Pointer[routes]
-	pool    *pool
-	links   *links
-	unbegun *unbegun
-	server  *http.Server
-	ready   *http.Server
-	front   net.Listener
-	open    atomic.Int64
-	leaving atomic.Bool
-	listed  atomic.Bool // the list of upstreams was read
-	served  sync.Once
-	tasks   *process.Tasks
+	memory  wardturn.LoadMemory
+	// remembered is the window of loads that was recorded last; used by one goroutine.
+	remembered int
+	list       *roster
+	news       *news
+	caps       *caps
+	routes     atomic.Pointer[routes]
+	pool       *pool
+	links      *links
+	unbegun    *unbegun
+	server     *http.Server
+	ready      *http.Server
+	front      net.Listener
+	open       atomic.Int64
+	leaving    atomic.Bool
+	listed     atomic.Bool // the list of upstreams was read
+	served     sync.Once
+	tasks      *process.Tasks
 
 	mu      sync.Mutex
 	fleet   *decide.Fleet
@@ -117,6 +121,7 @@
 		prompts: newPrompts(),
 		names:   d.Names,
 		source:  d.Source,
+		memory:  d.Memory,
 		pool:    newPool(d.Clock),
 		front:   d.Front,
 		unbegun: newUnbegun(),
@@ -140,6 +145,12 @@
 	}
 	g.tasks.Go(g.followConfig)
 	g.tasks.Go(g.followMembers)
+	g.tasks.Go(func() {
+		g.recallLoads()
+		for g.tasks.Pause(rememberEvery) {
+			g.rememberLoads()
+		}
+	})
 	g.tasks.Go(func() {
 		if g.tasks.Pause(serveLimit) {
 			g.serve()
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -129,6 +129,13 @@
 	return n.config.AsOf()
 }
 
+// readsForAll reports whether this gateway reads the configuration for the others.
+func (n *news) readsForAll() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.Reads(n.g.clock.Now())
+}
+
 // readConfig records and tells that the configuration was read up to a position.
 func (n *news) readConfig(asOf time.Time, to int64) {
 	n.mu.Lock()
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -261,6 +261,7 @@
 		Names:     platform.Headers(),
 		Source:    platform.NewConfiguration(store, logger),
 		Members:   platform.NewMembers(store, process.Clock{}, logger),
+		Memory:    store,
 		Front:     frontListener,
 		Ready:     readyListener,
 		ReadyPath: platform.ReadyPath,
--- a/routes.go
+++ b/routes.go
@@ -244,6 +244,20 @@
 	Take(c MemberChange) (MemberList, bool)
 }
 
+// LoadFacts are what gateways have learned of the weight store.
+type LoadFacts struct {
+	Window int // loads that may be under way at once; zero: nothing is known
+}
+
+// LoadMemory keeps what gateways have learned of the weight store while none of them
+// runs.
+type LoadMemory interface {
+	// RecallLoads returns what was remembered last.
+	RecallLoads() (LoadFacts, error)
+	// RememberLoads replaces it.
+	RememberLoads(f LoadFacts) error
+}
+
 // OrderedEngine is a model engine as the process beside it sees it.
 type OrderedEngine interface {
 	// Report returns the engine's state.
--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -26,6 +27,9 @@
 	page    int            // most records of an answer with the newest ones
 }
 
+// sizeBytes is the length of a record's length.
+const sizeBytes = 4
+
 // newestPage is the most records of one answer of the users' store.
 const newestPage = 500
 
@@ -261,14 +265,27 @@
 }
 
 func (s *MetaStore) serveAppend(w http.ResponseWriter, r *http.Request, topic string, lost bool) {
-	if strings.HasPrefix(topic, "keyed.") {
+	if topic == "keyed.op" || topic == "keyed.servers" {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
+	record, err := io.ReadAll(r.Body)
+	if err != nil || len(record) < sizeBytes {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	record = record[sizeBytes:] // one record a call
 	s.mu.Lock()
 	t := s.topic(topic)
 	offset := t.end()
-	s.add(t, []byte("record"))
+	if strings.HasPrefix(topic, "keyed.") {
+		key := 1 + int(record[0])
+		t.newest[string(record[1:key])] = metaRecord{
+			value:  record[key:],
+			offset: offset,
+		}
+	}
+	s.add(t, record)
 	s.mu.Unlock()
 	if lost {
 		<-r.Context().Done()
