--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -127,6 +127,16 @@
 	return err == nil && quiet
 }
 
+// abort ends a connection whose request nobody waits for, by a reset: a request that a
+// frozen host has not taken yet is dropped with it. Closed in the usual way, 9 requests
+// of one frozen host reached its engine 3.3 s after their callers had left (one day).
+func (c *upstreamConn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // else it is closed in the usual way
+	}
+	c.Close()
+}
+
 // put keeps a connection for later.
 func (p *pool) put(c *upstreamConn, keep time.Duration) {
 	_ = c.SetDeadline(time.Time{})
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -56,14 +56,12 @@
 		}
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() {
-		c.Close()
-	})
+	stop := context.AfterFunc(ctx, c.abort)
 	_ = c.SetDeadline(limit)
 	res, err := x.converse(c, head)
 	if err != nil {
 		stop()
-		c.Close()
+		c.abort()
 		return nil, err
 	}
 	return &answer{
@@ -117,10 +115,10 @@
 	a.pool.put(a.conn, keep)
 }
 
-// discard closes the connection.
+// discard ends the connection: nobody waits for the rest of the answer.
 func (a *answer) discard() {
 	a.stop()
-	a.conn.Close()
+	a.conn.abort()
 }
 
 // head returns the request line and headers for an upstream.
