The soak plays keys; keeper and places split by matter

Change: callers carry a key of the team, one that each new version takes away, or none that exists; what ran is held against the time at which the store took the removal, and every run against its team and the absence of a key. TestKeyChecksCanFail shows that the checks fail. The lifetime of the engine, the words on caps and the report of the engine have files of their own; no function changed.

--- /dev/null
+++ b/decide/places_report.go
@@ -0,0 +1,54 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// Report takes a fresh report of the engine.
+func (p *Places) Report(now time.Time, st wardturn.EngineState) {
+	p.state = st
+	p.known = true
+	held := make(map[wardturn.ModelAdapter]bool)
+	for _, m := range st.Models {
+		for _, a := range m.Adapters {
+			held[a.Key()] = true
+			if _, ok := p.readyAt[a.Key()]; !ok {
+				p.readyAt[a.Key()] = now
+			}
+		}
+	}
+	for key := range p.readyAt {
+		if !held[key] {
+			delete(p.readyAt, key)
+			delete(p.leaving, key)
+		}
+	}
+}
+
+// Restarted forgets what was known of the engine's lifetime before: it is empty, and no
+// request of any gateway runs there.
+func (p *Places) Restarted() {
+	clear(p.leaving)
+	clear(p.readyAt)
+	for _, u := range p.uses {
+		clear(u.running)
+	}
+	p.known = false
+}
+
+// Lost forgets the report: the engine does not answer.
+func (p *Places) Lost() {
+	p.known = false
+}
+
+// Known reports whether the engine's state is known.
+func (p *Places) Known() bool {
+	return p.known
+}
+
+// State returns the latest report.
+func (p *Places) State() wardturn.EngineState {
+	return p.state
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -212,28 +212,6 @@
 	k.tell()
 }
 
-// reporting returns the lifetime of the engine that reports; named is the one known so
-// far. An engine that does not tell its name may tell its start.
-func reporting(st wardturn.EngineState, named wardturn.UpstreamID) wardturn.UpstreamID {
-	if st.Upstream != "" {
-		return st.Upstream
-	}
-	if st.Born == 0 {
-		return named
-	}
-	return wardturn.Lifetime(named.Instance(), st.Born)
-}
-
-// begins takes a lifetime of the engine; the lock is held. If it is a later one of the
-// same instance, nothing that is known of the one before holds.
-func (k *Keeper) begins(id wardturn.UpstreamID) {
-	if k.upstream.Born() != 0 && k.upstream.Before(id) {
-		k.logger.Info("engine has started again", "upstream", id, "before", k.upstream)
-		k.places.Restarted()
-	}
-	k.upstream = id
-}
-
 // step gives the order that is due, if any, and reports whether to go on at
 // once.
 func (k *Keeper) step() bool {
@@ -363,39 +341,6 @@
 	}
 }
 
-// teamUsePause is how long words on usage caps are gathered, so that a gateway gets
-// one message for those of all others.
-const teamUsePause = 50 * time.Millisecond
-
-// gatherTeamUse keeps words on usage caps to be passed on together; the lock is held.
-func (k *Keeper) gatherTeamUse(m *peer.TeamUse) {
-	if len(k.teamWords) == 0 {
-		k.clock.AfterFunc(teamUsePause, k.passTeamUse)
-	}
-	k.teamWords = append(k.teamWords, m.Words...)
-}
-
-func (k *Keeper) passTeamUse() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.passOn(nil, &peer.TeamUse{
-		Words: k.teamWords,
-	})
-	k.teamWords = nil
-}
-
-// named takes the lifetime of the engine; the lock is held. Orders that another
-// lifetime refused say nothing about this one.
-func (k *Keeper) named(id wardturn.UpstreamID) {
-	if id == k.upstream || id.Before(k.upstream) {
-		return
-	}
-	k.logger.Info("engine named", "upstream", id, "before", k.upstream, "position", k.seen)
-	k.begins(id)
-	k.tell()
-	k.places.Defer(k.clock.Now())
-}
-
 // Closed implements peer.Handler.
 func (k *Keeper) Closed(c *peer.Conn, _ error) {
 	k.relays.lost(c)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -57,6 +57,7 @@
 	counts     Counts
 	notRun     []string // attempts that were told so
 	once       []string // attempts that may run once
+	keyed      []keyedAttempt
 	violations []string
 }
 
@@ -66,6 +67,12 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
+func (l *ledger) note(a keyedAttempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keyed = append(l.keyed, a)
+}
+
 // callers send requests until stop is closed.
 func (s *soak) callers(n int) {
 	for i := range n {
@@ -86,7 +93,7 @@
 				}
 				g := s.gateways[r.IntN(len(s.gateways))]
 				id := fmt.Sprintf("c%d-%d", i, n)
-				s.call(client, g, kinds[r.IntN(len(kinds))], id, r.ExpFloat64())
+				s.call(client, g, kinds[r.IntN(len(kinds))], id, s.world.keys.draw(r), r.ExpFloat64())
 			}
 		}()
 	}
@@ -98,8 +105,8 @@
 	adapterSpread  = 4 // the mean of the exponential that adapters are drawn from
 )
 
-// call sends one request and holds its answer against the promises.
-func (s *soak) call(client *http.Client, g *gatewayProcess, k kind, id string, draw float64) int {
+// call sends one request with a key and holds its answer against the promises.
+func (s *soak) call(client *http.Client, g *gatewayProcess, k kind, id, key string, draw float64) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+g.front+k.path, strings.NewReader(id))
 	if err != nil {
 		s.ledger.broken("%s: %v", id, err)
@@ -111,7 +118,13 @@
 	if k.model {
 		req.Header.Set(names.Adapter, fmt.Sprintf("m0/a%d", int(draw*adapterSpread)))
 	}
+	req.Header.Set("Authorization", "Bearer "+key)
 	began := time.Now()
+	s.ledger.note(keyedAttempt{
+		id:   id,
+		key:  key,
+		sent: began,
+	})
 	res, err := client.Do(req)
 	if err != nil {
 		s.judgeCut(g, k, id, began, err)
@@ -123,6 +136,9 @@
 		s.judgeCut(g, k, id, began, err)
 		return 0
 	}
+	if key == stayKey && res.StatusCode == http.StatusUnauthorized {
+		s.ledger.broken("%s: 401 for a key that every configuration holds", id)
+	}
 	s.judge(k, id, res, string(body))
 	return res.StatusCode
 }
@@ -200,6 +216,7 @@
 			l.broken("%s: may run once, and ran %d times", id, n)
 		}
 	}
+	l.settleKeys()
 	for _, u := range l.w.upstreams {
 		if u.worker.Fell() {
 			l.broken("upstream %s was ordered to hold more than it can", u.id)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -196,7 +196,7 @@
 		for j, k := range kinds {
 			for n := 0; ; n++ {
 				id := fmt.Sprintf("probe-%d-%d-%d-%d", began.UnixNano(), i, j, n)
-				if s.call(client, g, k, id, 0) == http.StatusOK {
+				if s.call(client, g, k, id, stayKey, 0) == http.StatusOK {
 					break
 				}
 				if time.Since(began) > limit {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,3 +87,40 @@
 		t.Fatalf("a wrong receipt and a wrong body are not seen: %q", l.violations)
 	}
 }
+
+func TestKeyChecksCanFail(t *testing.T) {
+	w, err := newWorld(0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.close()
+	w.configure() // takes the first key away
+	u := w.upstreams[0]
+	ranOnce(t, u, "unknown")
+	ranOnce(t, u, "late")
+	ranOnce(t, u, "intime")
+	l := &ledger{
+		w: w,
+		keyed: []keyedAttempt{
+			{
+				id:  "unknown",
+				key: noKey,
+			},
+			{
+				id:   "late",
+				key:  turnKey(1),
+				sent: time.Now().Add(keyBound + time.Second),
+			},
+			{
+				id:   "intime",
+				key:  turnKey(1),
+				sent: time.Now(),
+			},
+		},
+	}
+	l.settleKeys()
+	// Two ran without a right, and all three without their team.
+	if len(l.violations) != 5 {
+		t.Fatalf("%d violations: %q", len(l.violations), l.violations)
+	}
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -43,6 +43,7 @@
 	upstreams []*upstream
 	port      string // of keepers
 	version   int
+	keys      teamKeys
 	stop      chan struct{}
 	wg        sync.WaitGroup
 }
@@ -53,7 +54,8 @@
 {"name":"charge","host":"h","path_prefix":"/charge/","type":"mutating","timeout_ms":1500,"slo_ms":150,"service":"app","max_attempts":1},
 {"name":"look","host":"h","path_prefix":"/look/","type":"idempotent","timeout_ms":1500,"slo_ms":150,"service":"app","max_attempts":2}],
 "services":[{"name":"llm","max_conns":100,"engine":{"slots":8,"adapter_slots":%d,"models":[{"name":"m0","load_s":0.1}]}},{"name":"app","max_conns":100}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":%q,"api_keys":[%q,%q],"unit":"token_count","raw_tokens":200,"rate_per_s":1000000,"burst":1000000}]}`
 
 func serve(addr string, h http.Handler) (*http.Server, string, error) {
 	ln, err := net.Listen("tcp", addr)
@@ -113,7 +115,8 @@
 // configure publishes the next configuration.
 func (w *world) configure() {
 	w.version++
-	w.store.PutConfig(fmt.Sprintf(soakConfig, w.version, slots))
+	w.store.PutConfig(fmt.Sprintf(soakConfig, w.version, slots, soakTeam, stayKey, turnKey(w.version)))
+	w.keys.configured(w.version)
 }
 
 // frontHost and backHost are the two sides of an upstream's links.
