--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"wardturn/platform"
 	"wardturn/standin"
 )
 
@@ -304,6 +305,20 @@
 		Expect(r.status).To(Equal(http.StatusOK))
 	})
 
+	It("starts from the window of loads that gateways before it had learned", func() {
+		x.store.Put("keyed.wardturn", "loads", []byte(`{"window":77}`))
+		x.startGateway("second", platform.NewStore(x.storeAddr, x.metrics))
+		Eventually(x.log.String, soon, often).Should(ContainSubstring("window of loads recalled: window=77"))
+		Eventually(func() bool {
+			for _, g := range x.metrics.Snapshot().Gauges() {
+				if g.Name() == "load_window" && g.Value() == 77 {
+					return true
+				}
+			}
+			return false
+		}, soon, often).Should(BeTrue())
+	})
+
 	It("ends requests under way before it leaves, and is not ready meanwhile", func() {
 		done := make(chan reply, 1)
 		x.get("first", "/ask/x", "m0/a9")
