--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -48,23 +48,22 @@
 	team        *wardturn.Team // nil: the route is public, or there are no teams
 	units       int64          // taken from the team's cap
 	routeLevels int            // of the routes' priorities
-	// mayHaveRun says that an upstream may have run the request.
-	mayHaveRun bool
-	key        wardturn.ModelAdapter
-	prompt     wardturn.Tokens // zero if the caller does not say
-	attempt    string
-	body       []byte
-	arrived    time.Time
-	end        time.Time // when the caller or the route stops waiting
-	tried      []wardturn.UpstreamID
-	ran        int  // upstreams that may have run it
-	begun      bool // the caller has the head of an answer
-	refusal    *refusal
-	events     events
-	reading    wardturn.UpstreamID // that is reading the prompt
-	timing     timing
-	send       sendTimes
-	waiting    *waitingSend // the latest send; nil: it has begun, or is not broken off
+	mayHaveRun  bool           // at an upstream; then its units are not given back
+	key         wardturn.ModelAdapter
+	prompt      wardturn.Tokens // zero if the caller does not say
+	attempt     string
+	body        []byte
+	arrived     time.Time
+	end         time.Time // when the caller or the route stops waiting
+	tried       []wardturn.UpstreamID
+	ran         int  // upstreams that may have run it
+	begun       bool // the caller has the head of an answer
+	refusal     *refusal
+	events      events
+	reading     wardturn.UpstreamID // that is reading the prompt
+	timing      timing
+	send        sendTimes
+	waiting     *waitingSend // the latest send; nil: it has begun, or is not broken off
 }
 
 // timing is when the parts of an answer came.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -331,8 +331,8 @@
 	k.signal()
 }
 
-// passOn tells what gateways tell each other to those that hear it here, but not to the gateway
-// that brought it, if that is named; the lock is held.
+// passOn tells what gateways tell each other to those that hear it here, but not to the
+// one that brought it, if that is named; the lock is held.
 func (k *Keeper) passOn(from *peer.Conn, m peer.Message) {
 	for c := range k.hears {
 		if c != from {
