Test, red: whole answers on old versions of which nobody knows whether they began

Reproduced: go test ./gateway -ginkgo.focus 'may run once and is held up' fails each time (begins 6.02 s after the newer version was named). Two ways more, found by looking for the same cause elsewhere: a request that may run again is broken off at its version's end also while it runs (the caller got 502 after 4.4 s), and a keeper that says nothing leaves the held-up one as it was. The stand-in's report names its runs, as the platform's does; the rig keeps its keepers so that tests can end them. No figure of the product changes.

--- /dev/null
+++ b/gateway/begun_test.go
@@ -0,0 +1,84 @@
+package gateway_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn/standin"
+)
+
+// newBegunRig is newOldVersionRig with a route of requests that may run once.
+func newBegunRig() *rig {
+	x := newOldVersionRig()
+	x.store.PutConfig(config(3, longRoute+longWholeRoute+longOnceRoute))
+	Eventually(func() int {
+		return x.get("first-once", "/once/x", "m0/a1").status
+	}, soon, often).Should(Equal(http.StatusOK))
+	return x
+}
+
+// expectWhole has a request for a whole answer begin on a version that is old by the
+// time of the answer, and expects that answer.
+func (x *rig) expectWhole(id, path string, f standin.WorkerFaults) {
+	f.Think = oldVersionLimit + time.Second
+	f.LoseOrders = true // the newer version does not come
+	x.fault(f)
+	got := x.sendLong(id, path, "m0/a1")
+	Eventually(func() int {
+		return x.runs(id)
+	}, soon, often).Should(Equal(1))
+	x.nameNewer()
+	Eventually(got, 4*soon).Should(Receive(haveStatus(http.StatusOK)))
+	Expect(x.runs(id)).To(Equal(1))
+}
+
+var _ = Describe("A request for a whole answer that began on an old version in time", func() {
+	It("has its answer after the version's time, if it may run once", func() {
+		newBegunRig().expectWhole("begun-once", "/once/x", standin.WorkerFaults{})
+	})
+
+	It("has its answer after the version's time, if its engine does not name its runs", func() {
+		newBegunRig().expectWhole("begun-unnamed", "/once/x", standin.WorkerFaults{
+			HideRuns: true,
+		})
+	})
+
+	// The begin of a whole answer does not show, so all requests that might run again
+	// were broken off when their version ended, those that ran as well: what their
+	// engines had made was lost, and with no newer version at hand the caller got 502.
+	// The gateway logged
+	//
+	//	older versions serve no more: adapter=a1 newer=2 broken_off=1
+	//	send failed: id=begun-again upstream=e1 sent_ago=4.422238863s error="gateway: the adapter version serves no more: ..."
+	//	failed: id=begun-again status=502 why="the answer was lost"
+	It("is not run again", func() {
+		newBegunRig().expectWhole("begun-again", "/whole/x", standin.WorkerFaults{})
+	})
+})
+
+// Only the keeper beside an engine can say what runs there. A host that is frozen or
+// cut off has a keeper that says nothing, and requests that are held up on their way
+// there begin when it wakes. So a request of which nothing was heard counts as not begun.
+// Before, the gateway logged
+//
+//	old version served: id=held-up-silent version=1 newer=2 sent=-5.407806ms began=6.018439339s
+var _ = Describe("A request for a whole answer that may run once and is held up where no keeper tells what runs", func() {
+	It("does not begin after its version's time", func() {
+		x := newBegunRig()
+		x.fault(standin.WorkerFaults{
+			HoldUp:     oldVersionLimit + time.Second,
+			LoseOrders: true, // the newer version does not come
+		})
+		ended := x.sendLong("held-up-silent", "/once/x", "m0/a1")
+		Eventually(x.held, soon, often).Should(Equal(1))
+		x.nameNewer()
+		for _, k := range x.keepers {
+			k.Close()
+		}
+		Eventually(ended, 4*soon).Should(Receive())
+		Expect(x.runs("held-up-silent")).To(Equal(0))
+	})
+})
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -58,7 +58,8 @@
 	gateway   *gateway.Gateway
 	front     string
 	ready     string
-	keeper    string                 // port of the keepers
+	keeper    string // port of the keepers
+	keepers   []*keeper.Keeper
 	way       *standin.Relay         // to the first keeper
 	domain    wardturn.FailureDomain // of gateways that are started
 	metrics   tally.TestScope
@@ -168,6 +169,7 @@
 		Policy:   policy.Default{},
 		Listener: ln,
 	})
+	x.keepers = append(x.keepers, k)
 	DeferCleanup(k.Close)
 }
 
--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -55,7 +55,7 @@
 	attempt := r.Header.Get("X-Wardturn-Attempt-Id")
 	m.runs[attempt]++
 	m.headers[attempt] = r.Header.Clone()
-	m.active++
+	m.running[attempt]++
 	return 0
 }
 
@@ -84,7 +84,7 @@
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.active--
+		m.ended(attempt)
 	}()
 	select {
 	case <-time.After(f.Think):
@@ -112,6 +112,14 @@
 	}
 }
 
+// ended takes a run of an attempt out; the lock is held.
+func (m *ModelWorker) ended(attempt string) {
+	m.running[attempt]--
+	if m.running[attempt] == 0 {
+		delete(m.running, attempt)
+	}
+}
+
 // answerTwice writes an answer to another request before the right one.
 func (m *ModelWorker) answerTwice(w http.ResponseWriter, attempt string, body []byte) {
 	nc, buf, err := w.(http.Hijacker).Hijack()
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -25,7 +25,7 @@
 	coming   map[string]time.Time // when it is there
 	runs     map[string]int       // runs by attempt id
 	held     int                  // requests that have arrived and not begun
-	active   int
+	running  map[string]int       // requests being worked on, by attempt id
 	faults   WorkerFaults
 	fell     bool
 	newest   map[string]int64
@@ -59,6 +59,7 @@
 	HoldUp      time.Duration // between the arrival of a request and its begin
 	Think       time.Duration // before the first byte of an answer
 	Linger      time.Duration // between two events of a stream, beside the usual pause
+	HideRuns    bool          // reports do not name the runs
 	CrashOn     string        // a request with this body crashes the worker as it begins; empty: none does
 	Fresh       StreamShape   // of streams that are not resumed
 	Resumed     StreamShape   // of those that are
@@ -73,6 +74,7 @@
 		adapters: make(map[string]int64),
 		coming:   make(map[string]time.Time),
 		runs:     make(map[string]int),
+		running:  make(map[string]int),
 		newest:   make(map[string]int64),
 		headers:  make(map[string]http.Header),
 	}
@@ -155,7 +157,16 @@
 func (m *ModelWorker) Active() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.active
+	return m.active()
+}
+
+// active is Active; the lock is held.
+func (m *ModelWorker) active() int {
+	n := 0
+	for _, k := range m.running {
+		n += k
+	}
+	return n
 }
 
 // Fell reports whether an order asked for more than the worker can hold.
@@ -238,16 +249,29 @@
 		"stage":    "dual",
 		"models":   models,
 		"seq":      m.seq,
-		"active":   m.active,
+		"active":   m.active(),
 		"kv_total": 1000,
 		"coming":   coming,
 	}
 	if m.born > 0 {
 		report["born"] = m.born
 	}
+	if !m.faults.HideRuns {
+		report["runs"] = m.runRows()
+	}
 	writeBody(w, report)
 }
 
+// runRows returns the runs as a report names them: id, tokens in memory, events made
+// and priority. Only the id is told truly. The lock is held.
+func (m *ModelWorker) runRows() [][]any {
+	rows := [][]any{}
+	for id := range m.running {
+		rows = append(rows, []any{id, 0, 0, 5})
+	}
+	return rows
+}
+
 // lateOrder is how much later a late order is carried out: after the keeper has
 // given up on its answer.
 const lateOrder = 200 * time.Millisecond
