Keepers tell which whole answers have begun on an old version

Symptom: a request for a whole answer that may run once and is held up begins 6.0 s after a newer version was named (bound 5 s); one that may run again is broken off at its version's end though it runs (502 after 4.4 s). Cause: the begin of a whole answer does not show to a gateway, so both had to be treated alike. Ruled out: a late name or end (broken_off=0 at 4.5 s, in time). The peer protocol is 6. The line 'old version served' gives the end of a whole answer as answered, not as began.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -67,6 +67,7 @@
 
 // whole reads an answer to its end before the caller sees any of it.
 func (x *exchange) whole(a assignment, ans *answer) result {
+	x.unwatch() // it has begun, or the upstream would not answer
 	res := ans.res
 	if res.ContentLength > plainAnswerLimit {
 		return x.stream(a, ans)
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -31,9 +31,7 @@
 		g.logger.Info("adapter there", "adapter", n.Adapter.Adapter, "version", n.Adapter.Version, "upstream", n.Upstream, "took", n.Took, "waited", n.Waited, "warm", n.Warm, "cause", n.Cause, "window", n.Window, "under_way", n.Under)
 	}
 	for _, v := range out.Ended {
-		n := g.unbegun.breakOffOlder(v)
-		g.metrics.oldEnded.Inc(int64(n))
-		g.logger.Info("older versions serve no more", "adapter", v.Adapter, "newer", v.Version, "broken_off", n)
+		g.endOlder(v)
 	}
 	g.links.ask(out)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,6 +166,7 @@
 	g.tasks.Every(usageEvery, g.links.report)
 	g.tasks.Every(checkEvery, g.links.check)
 	g.tasks.Every(capEvery, g.caps.tell)
+	g.tasks.Every(begunEvery, g.checkBegun)
 	g.tasks.Every(sweepEvery, g.sweep)
 	g.tasks.Every(promptsEvery, g.logPrompts)
 	g.logger.Info("gateway started", "front", d.Front.Addr(), "process", d.Config.Process, "domain", d.Config.Domain)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -102,6 +102,8 @@
 		l.links.g.crashes.heard(m)
 	case *peer.TeamUse:
 		l.links.g.caps.heard(m)
+	case *peer.Begun:
+		l.links.g.unbegun.begun(m.Upstream, m.IDs)
 	case *peer.Holding:
 		l.take(c.Peer().Process, m, false)
 	case *peer.Relayed:
--- a/gateway/oldversion.go
+++ b/gateway/oldversion.go
@@ -6,16 +6,16 @@
 
 // watchBegin has the request broken off if, before it begins, the version of its adapter
 // ceases to serve or it turns out to crash upstreams; stop ends that. It reports false if
-// the version serves no more. A whole answer shows no begin: its request is broken off for
-// its version only if it may run again, and else goes on, since most of those that end
-// would have begun in time.
+// the version serves no more. The begin of a stream shows by its first bytes, that of a
+// whole answer only to the keeper beside the engine.
 func (x *exchange) watchBegin(ctx context.Context, a assignment) (watched context.Context, stop func(), ok bool) {
 	x.waiting = &waitingSend{
-		key:     x.key,
-		content: x.content,
-	}
-	if x.route.Streaming || x.repeatable() {
-		x.waiting.version = a.Version
+		attempt:  x.attempt,
+		upstream: a.Member.ID,
+		key:      x.key,
+		version:  a.Version,
+		content:  x.content,
+		unseen:   !x.route.Streaming,
 	}
 	ctx = x.g.unbegun.add(ctx, x.waiting)
 	// Added first: a version that ends after this look finds the request.
@@ -43,9 +43,13 @@
 		return
 	}
 	line := []any{"id", x.attempt, "adapter", x.key.Adapter, "version", a.Version, "newer", newer, "upstream", a.Member.ID, "sent", x.send.sent.Sub(named)}
-	if !began.IsZero() {
+	switch {
+	case began.IsZero():
+	case x.route.Streaming:
 		x.g.metrics.oldBegan.RecordDuration(began.Sub(named))
 		line = append(line, "began", began.Sub(named))
+	default: // when it began does not show
+		line = append(line, "answered", began.Sub(named))
 	}
 	x.g.logger.Info("old version served", line...)
 }
--- a/gateway/unbegun.go
+++ b/gateway/unbegun.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,11 +31,17 @@
 
 // waitingSend is a request that has not begun.
 type waitingSend struct {
-	key     wardturn.ModelAdapter
-	version wardturn.Version // zero: none, or its begin does not show
-	content wardturn.ContentID
-	cancel  context.CancelCauseFunc
-	ended   bool // it was broken off
+	attempt  string
+	upstream wardturn.UpstreamID
+	key      wardturn.ModelAdapter
+	version  wardturn.Version // zero: none
+	content  wardturn.ContentID
+	unseen   bool // its begin does not show: only the upstream's keeper can tell
+	cancel   context.CancelCauseFunc
+
+	begun bool      // as the keeper has told
+	until time.Time // when it is broken off unless the keeper tells that; zero: its version serves
+	ended bool      // it was broken off
 }
 
 func newUnbegun() *unbegun {
@@ -62,12 +70,55 @@
 }
 
 // breakOffOlder ends the requests to older versions of an adapter, and returns how many.
-func (u *unbegun) breakOffOlder(newer wardturn.AdapterVersion) int {
+// Those whose begin does not show end a little later, unless their keepers tell that they
+// have begun; they are returned as doubtful.
+func (u *unbegun) breakOffOlder(newer wardturn.AdapterVersion, now time.Time) (n, doubtful int) {
+	n = u.breakOff(errVersionEnded, func(s *waitingSend) bool {
+		old := s.version > 0 && s.key == newer.Key() && s.version < newer.Version
+		if !old || !s.unseen {
+			return old
+		}
+		if !s.begun && s.until.IsZero() {
+			s.until = now.Add(begunGrace)
+			doubtful++
+		}
+		return false
+	})
+	return n, doubtful
+}
+
+// breakOffDue ends the requests whose begin nobody told in time, and returns how many.
+func (u *unbegun) breakOffDue(now time.Time) int {
 	return u.breakOff(errVersionEnded, func(s *waitingSend) bool {
-		return s.version > 0 && s.key == newer.Key() && s.version < newer.Version
+		return !s.begun && !s.until.IsZero() && !now.Before(s.until)
 	})
 }
 
+// unseen returns the requests on some version of which only a keeper can tell whether
+// they have begun, and none has.
+func (u *unbegun) unseen() []*waitingSend {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var list []*waitingSend
+	for s := range u.sends {
+		if s.unseen && !s.begun && !s.ended && s.version > 0 {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// begun records a keeper's word that requests have begun at its upstream.
+func (u *unbegun) begun(id wardturn.UpstreamID, attempts []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for s := range u.sends {
+		if s.upstream == id && slices.Contains(attempts, s.attempt) {
+			s.begun = true
+		}
+	}
+}
+
 // breakOffContent ends the requests that ask the same, and returns how many.
 func (u *unbegun) breakOffContent(content wardturn.ContentID) int {
 	return u.breakOff(errContentCrashes, func(s *waitingSend) bool {
@@ -80,7 +131,7 @@
 	defer u.mu.Unlock()
 	n := 0
 	for s := range u.sends {
-		if match(s) {
+		if !s.ended && match(s) {
 			s.ended = true
 			s.cancel(why)
 			n++
--- /dev/null
+++ b/keeper/begun.go
@@ -0,0 +1,85 @@
+package keeper
+
+import (
+	"slices"
+	"sync"
+
+	"wardturn/peer"
+)
+
+// begunAsks are the questions of gateways which of their requests the engine has begun.
+// Those that come while a report is under way are answered together by the next one.
+type begunAsks struct {
+	mu    sync.Mutex
+	ids   map[*peer.Conn][]string
+	woken chan struct{}
+}
+
+func newBegunAsks() begunAsks {
+	return begunAsks{
+		ids:   make(map[*peer.Conn][]string),
+		woken: make(chan struct{}, 1),
+	}
+}
+
+func (b *begunAsks) add(c *peer.Conn, ids []string) {
+	b.mu.Lock()
+	b.ids[c] = append(b.ids[c], ids...)
+	b.mu.Unlock()
+	select {
+	case b.woken <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the questions that have no answer yet, once.
+func (b *begunAsks) take() map[*peer.Conn][]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ids := b.ids
+	b.ids = make(map[*peer.Conn][]string)
+	return ids
+}
+
+// answerBegun answers the questions by reports that are taken after them.
+func (k *Keeper) answerBegun() {
+	for {
+		select {
+		case <-k.begun.woken:
+		case <-k.tasks.Context().Done():
+			return
+		}
+		asked := k.begun.take()
+		runs, named, err := k.engine.Runs()
+		if err != nil {
+			k.logger.Warn("engine does not tell its runs, gateways have to ask again", "error", err)
+			continue
+		}
+		if !named {
+			// Most requests that are asked for have begun: a gateway asks while it
+			// waits for their answers.
+			k.logger.Warn("engine does not name its runs, requests count as begun", "asked", asked)
+		}
+		k.tellBegun(asked, func(id string) bool {
+			return !named || slices.Contains(runs, id)
+		})
+	}
+}
+
+func (k *Keeper) tellBegun(asked map[*peer.Conn][]string, begun func(id string) bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c, ids := range asked {
+		ids = slices.DeleteFunc(ids, func(id string) bool {
+			return !begun(id)
+		})
+		if len(ids) == 0 {
+			continue
+		}
+		// A gateway that does not get it asks again.
+		_ = c.Send(&peer.Begun{
+			Upstream: k.upstream,
+			IDs:      ids,
+		})
+	}
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -73,6 +73,7 @@
 	listeners listeners
 	countAt   time.Time         // when a change of the number of gateways alone may be told
 	teamWords []decide.TeamWord // on usage caps, that wait to be passed on
+	begun     begunAsks
 }
 
 // New starts a keeper.
@@ -93,6 +94,7 @@
 		places:    decide.NewPlaces(d.Clock.Now(), d.Policy),
 		told:      &holding{},
 		listeners: newListeners(),
+		begun:     newBegunAsks(),
 	}
 	k.takeFence()
 	id := peer.Identity{
@@ -105,6 +107,7 @@
 	k.relays = newRelays(k, id)
 	k.server = peer.NewServer(d.Listener, nil, d.Clock, id, k)
 	k.tasks.Go(k.run)
+	k.tasks.Go(k.answerBegun)
 	k.logger.Info("keeper started", "addr", d.Listener.Addr(), "process", d.Config.Process)
 	return k
 }
@@ -294,6 +297,8 @@
 		k.passOn(c, m)
 	case *peer.TeamUse:
 		k.gatherTeamUse(m)
+	case *peer.BegunAsk:
+		k.begun.add(c, m.IDs)
 	case *peer.Usage:
 		for _, u := range m.Uses {
 			k.places.Use(now, c.Peer().Process, u.Adapter, u.Started, u.Running)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -33,6 +33,7 @@
 	orders  []wardturn.EngineOrder
 	answers []wardturn.OrderAnswer // of the next orders; then all are taken
 	down    bool
+	runs    []string      // nil: they are not named
 	slow    chan struct{} // if set, reports wait until it is closed
 }
 
@@ -50,6 +51,15 @@
 	return st, nil
 }
 
+func (e *engine) Runs() (ids []string, named bool, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, false, wardturn.ErrUnavailable
+	}
+	return slices.Clone(e.runs), e.runs != nil, nil
+}
+
 func (e *engine) Order(o wardturn.EngineOrder) wardturn.OrderAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,7 +9,7 @@
 
 // Protocol is the version of the protocol. Processes of different versions
 // refuse each other at Hello.
-const Protocol = 5
+const Protocol = 6
 
 // Kind names the type of a message in its frame.
 type Kind uint8
@@ -43,6 +43,8 @@
 	KindMark
 	KindTeamUse
 	KindCrashNews
+	KindBegunAsk
+	KindBegun
 )
 
 // Message is one typed message.
@@ -292,6 +294,10 @@
 		return &TeamUse{}
 	case KindCrashNews:
 		return &CrashNews{}
+	case KindBegunAsk:
+		return &BegunAsk{}
+	case KindBegun:
+		return &Begun{}
 	}
 	return nil
 }
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -115,6 +115,18 @@
 	Tokens int
 }
 
+// BegunAsk asks a keeper which of some requests its engine has begun.
+type BegunAsk struct {
+	IDs []string // as callers gave them
+}
+
+// Begun answers BegunAsk: these requests have begun. Nothing is said of the others; their
+// begin may have been missed, or their run may have ended.
+type Begun struct {
+	Upstream wardturn.UpstreamID
+	IDs      []string
+}
+
 // AdapterUse counts a gateway's requests to one adapter of an engine.
 type AdapterUse struct {
 	Adapter wardturn.ModelAdapter
@@ -137,6 +149,12 @@
 // Kind implements Message.
 func (*TeamUse) Kind() Kind { return KindTeamUse }
 
+// Kind implements Message.
+func (*BegunAsk) Kind() Kind { return KindBegunAsk }
+
+// Kind implements Message.
+func (*Begun) Kind() Kind { return KindBegun }
+
 // Kind implements Message.
 func (*Holding) Kind() Kind { return KindHolding }
 
--- a/routes.go
+++ b/routes.go
@@ -263,6 +263,9 @@
 type OrderedEngine interface {
 	// Report returns the engine's state.
 	Report() (EngineState, error)
+	// Runs returns the ids, as callers gave them, of the requests that the engine has
+	// begun and not ended. It reports false if the engine does not name them.
+	Runs() (ids []string, named bool, err error)
 	// Order gives an order and returns what became of it.
 	Order(o EngineOrder) OrderAnswer
 }
