--- a/decide/turn.go
+++ b/decide/turn.go
@@ -187,8 +187,8 @@
 // stamp is that process's own time of its reading. The least difference to the
 // time of arrival tells how its clock differs; a word that was held up on the way
 // is thereby known to be old. A first word has none before it to be measured by, so it
-// does not count for AsOf.
-func (t *ReadTurn) Heard(now time.Time, from wardturn.Incarnation, stamp time.Duration) {
+// does not count for AsOf. It returns the time of the reading, or zero for such a word.
+func (t *ReadTurn) Heard(now time.Time, from wardturn.Incarnation, stamp time.Duration) (asOf time.Time) {
 	lag := now.Sub(t.start) - stamp
 	least, known := t.lags[from]
 	if !known || lag < least {
@@ -197,7 +197,8 @@
 	}
 	t.renew(t.start.Add(stamp+least), false)
 	if known {
-		t.sure = latest(t.sure, t.start.Add(stamp+least))
+		asOf = t.start.Add(stamp + least)
+		t.sure = latest(t.sure, asOf)
 	}
 	if from < t.self {
 		t.leaderAt = now
@@ -205,6 +206,7 @@
 	if len(t.lags) > maxReaders {
 		clear(t.lags)
 	}
+	return asOf
 }
 
 // maxReaders bounds the processes that are remembered; those that have ended are
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -114,7 +114,7 @@
 // those of other gateways.
 func (g *Gateway) followMembers() {
 	for {
-		c, due, ok := g.news.awaitMembers()
+		told, due, ok := g.news.awaitMembers()
 		if !ok {
 			return
 		}
@@ -122,7 +122,7 @@
 			g.readMembers()
 			continue
 		}
-		now, ok := g.list.take(c)
+		now, ok := g.list.take(told.change, told.asOf)
 		if !ok {
 			g.doubtMembers()
 			continue
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -16,7 +16,7 @@
 // nothing reads as if it were alone.
 type news struct {
 	g       *Gateway
-	changes chan wardturn.MemberChange // heard, for the goroutine that follows the list
+	changes chan toldMembers // for the goroutine that follows the list
 
 	mu       sync.Mutex
 	woken    chan struct{} // closed and replaced when a turn may have changed
@@ -25,6 +25,12 @@
 	members  *decide.ReadTurn
 }
 
+// toldMembers is a change of the list that another gateway has read.
+type toldMembers struct {
+	change wardturn.MemberChange
+	asOf   time.Time // of that reading; zero: not known
+}
+
 // changesKept is how many changes heard may wait; one more is dropped, and the
 // gap makes the gateway read.
 const changesKept = 32
@@ -52,7 +58,7 @@
 	every := time.Duration(membersPart * float64(g.cfg.Drain))
 	return &news{
 		g:       g,
-		changes: make(chan wardturn.MemberChange, changesKept),
+		changes: make(chan toldMembers, changesKept),
 		woken:   make(chan struct{}),
 		config: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
 			Every: configWait,
@@ -103,22 +109,22 @@
 
 // awaitMembers waits for a change of the list that another gateway has read, or
 // until the list has to be read here, which due reports.
-func (n *news) awaitMembers() (c wardturn.MemberChange, due, ok bool) {
+func (n *news) awaitMembers() (told toldMembers, due, ok bool) {
 	for n.g.tasks.Context().Err() == nil {
 		limit, cancel, woken, due := n.look(n.members)
 		if due {
-			return c, true, true
+			return told, true, true
 		}
 		select {
-		case c := <-n.changes:
+		case told := <-n.changes:
 			cancel()
-			return c, false, true
+			return told, false, true
 		case <-woken:
 		case <-limit.Done():
 		}
 		cancel()
 	}
-	return c, false, false
+	return told, false, false
 }
 
 // configKnown returns a time at which the configuration was as it is known here;
@@ -241,10 +247,10 @@
 // heardMembers hands a change of the list on; the lock is held. If that cannot be
 // taken, the list counts as out of date.
 func (n *news) heardMembers(now time.Time, m *peer.StoreNews) {
+	asOf := n.members.Heard(now, m.Reader, m.Stamp)
 	select {
-	case n.changes <- *m.Members:
+	case n.changes <- toldMembers{change: *m.Members, asOf: asOf}:
 		n.g.metrics.members.heard.Inc(1)
-		n.members.Heard(now, m.Reader, m.Stamp)
 	default:
 		n.members.Doubt(now)
 	}
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -35,6 +35,9 @@
 	often = 5 * time.Millisecond
 )
 
+// lapseGrace is how long gateways keep entries that lapsed while the store was away.
+const lapseGrace = 900 * time.Millisecond
+
 // testLogger returns a logger whose lines are shown with a test that fails, and
 // written to others.
 func testLogger(name string, others ...io.Writer) hclog.Logger {
@@ -69,6 +72,7 @@
 	// they leave.
 	leaveAfter time.Duration
 	keyBound   time.Duration // of gateways that are started; zero: none
+	drain      time.Duration // of gateways that are started
 }
 
 const rigConfig = `{"version":%d,"routes":[
@@ -180,7 +184,14 @@
 // newRigIn returns a rig whose two engines are in some failure domains; that of
 // the gateway is d.
 func newRigIn(domains ...string) *rig {
+	return newRigDraining(500*time.Millisecond, domains...)
+}
+
+// newRigDraining is newRigIn with another time in which a leaving upstream may get new
+// requests: gateways read the list of upstreams twice in it.
+func newRigDraining(drain time.Duration, domains ...string) *rig {
 	x := &rig{
+		drain:      drain,
 		domain:     "d",
 		domains:    make(map[*standin.ModelWorker]string),
 		store:      standin.NewMetaStore(),
@@ -243,8 +254,8 @@
 			Process:     name,
 			Domain:      x.domain,
 			KeeperPort:  x.keeper,
-			Drain:       500 * time.Millisecond,
-			LapseGrace:  900 * time.Millisecond,
+			Drain:       x.drain,
+			LapseGrace:  lapseGrace,
 			MaxBody:     1 << 20,
 			RetryShare:  0.2,
 			RetryExtra:  52,
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -78,9 +78,9 @@
 	return members, &list.Change, true
 }
 
-// take returns the upstreams with a change that another gateway has read. It
-// reports false if the change does not follow what is known.
-func (r *roster) take(c wardturn.MemberChange) (roll, bool) {
+// take returns the upstreams with a change that another gateway has read at a time; zero:
+// not known. It reports false if the change does not follow what is known.
+func (r *roster) take(c wardturn.MemberChange, _ time.Time) (roll, bool) {
 	list, ok := r.source.Take(c)
 	if !ok {
 		return roll{}, false
