The store is back when it has answered any gateway, and lapses end in time

Cause: a gateway that the store turned away once counted it as away until its own next reading, up to 24.6 s later, although it heard of others' readings; entries that had ended by then were kept as lapsed for 2.2 s, and the end of that was looked at with the next reading or word only. Change: a word on the list that was read after the failed reading ends the store's absence; the end of a lapse wakes the follower.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -114,23 +114,30 @@
 // those of other gateways.
 func (g *Gateway) followMembers() {
 	for {
-		told, due, ok := g.news.awaitMembers()
-		if !ok {
+		told, due, ok := g.news.awaitMembers(g.list.nextLapse())
+		switch {
+		case !ok:
 			return
-		}
-		if due {
+		case due:
 			g.readMembers()
-			continue
+		case told == nil:
+			g.setMembers(g.list.expire())
+		default:
+			g.takeMembers(*told)
 		}
-		now, ok := g.list.take(told.change, told.asOf)
-		if !ok {
-			g.doubtMembers()
-			continue
-		}
-		g.setMembers(now)
 	}
 }
 
+// takeMembers takes the word of another gateway.
+func (g *Gateway) takeMembers(told toldMembers) {
+	now, ok := g.list.take(told.change, told.asOf)
+	if !ok {
+		g.doubtMembers()
+		return
+	}
+	g.setMembers(now)
+}
+
 func (g *Gateway) readMembers() {
 	sent := g.clock.Now()
 	g.news.beganMembers(sent)
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -80,7 +80,7 @@
 // await waits until a turn is due. It reports false when the gateway ends.
 func (n *news) await(t *decide.ReadTurn) bool {
 	for n.g.tasks.Context().Err() == nil {
-		limit, cancel, woken, due := n.look(t)
+		limit, cancel, woken, due := n.look(t, time.Time{})
 		if due {
 			return true
 		}
@@ -93,9 +93,10 @@
 	return false
 }
 
-// look returns whether a turn is due; if not, a context that ends when it is,
-// and a channel that is closed when that has to be looked at again.
-func (n *news) look(t *decide.ReadTurn) (limit context.Context, cancel context.CancelFunc, woken <-chan struct{}, due bool) {
+// look returns whether a turn is due; if not, a context that ends when it is, or at a
+// time, if that is not zero, and a channel that is closed when that has to be looked at
+// again.
+func (n *news) look(t *decide.ReadTurn, at time.Time) (limit context.Context, cancel context.CancelFunc, woken <-chan struct{}, due bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.g.clock.Now()
@@ -103,28 +104,36 @@
 	if left <= 0 {
 		return nil, nil, nil, true
 	}
+	if !at.IsZero() {
+		left = min(left, at.Sub(now))
+	}
 	limit, cancel = n.g.tasks.Limit(left)
 	return limit, cancel, n.woken, false
 }
 
-// awaitMembers waits for a change of the list that another gateway has read, or
-// until the list has to be read here, which due reports.
-func (n *news) awaitMembers() (told toldMembers, due, ok bool) {
+// awaitMembers waits for a change of the list that another gateway has read, or until the
+// list has to be read here, which due reports, or until a time, if that is not zero. It
+// reports false when the gateway ends.
+func (n *news) awaitMembers(until time.Time) (told *toldMembers, due, ok bool) {
 	for n.g.tasks.Context().Err() == nil {
-		limit, cancel, woken, due := n.look(n.members)
+		limit, cancel, woken, due := n.look(n.members, until)
 		if due {
-			return told, true, true
+			return nil, true, true
+		}
+		if !until.IsZero() && !n.g.clock.Now().Before(until) {
+			cancel()
+			return nil, false, true
 		}
 		select {
 		case told := <-n.changes:
 			cancel()
-			return told, false, true
+			return &told, false, true
 		case <-woken:
 		case <-limit.Done():
 		}
 		cancel()
 	}
-	return told, false, false
+	return nil, false, false
 }
 
 // configKnown returns a time at which the configuration was as it is known here;
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -17,11 +17,12 @@
 	logger hclog.Logger
 	grace  time.Duration
 
-	list    []wardturn.Member                       // as the latest reading had it
-	last    map[wardturn.UpstreamID]wardturn.Member // the same by id
-	lapsed  map[wardturn.UpstreamID]lapse
-	failing bool      // the latest reading failed
-	backAt  time.Time // of the first reading after a failed one
+	list     []wardturn.Member                       // as the latest reading had it
+	last     map[wardturn.UpstreamID]wardturn.Member // the same by id
+	lapsed   map[wardturn.UpstreamID]lapse
+	failing  bool      // the latest reading failed, and the store has not been seen to answer since
+	failedAt time.Time // of that reading
+	backAt   time.Time // when the store was first seen to answer after a failed reading
 }
 
 // lapse is an entry that ended while the store was away, or just after.
@@ -62,13 +63,10 @@
 			r.logger.Warn("store away, the present list of upstreams stays", "error", err)
 		}
 		r.failing = true
+		r.failedAt = now
 		return roll{}, nil, false
 	}
-	if r.failing {
-		r.failing = false
-		r.backAt = now
-		r.logger.Info("store answers again", "for", "upstreams", "lapsed", len(list.Lapsed))
-	}
+	r.answered(now)
 	members := r.merge(now, list)
 	if r.disturbed(now) {
 		// Other gateways have to see for themselves that the store is back, or
@@ -80,7 +78,8 @@
 
 // take returns the upstreams with a change that another gateway has read at a time; zero:
 // not known. It reports false if the change does not follow what is known.
-func (r *roster) take(c wardturn.MemberChange, _ time.Time) (roll, bool) {
+func (r *roster) take(c wardturn.MemberChange, asOf time.Time) (roll, bool) {
+	r.answered(asOf)
 	list, ok := r.source.Take(c)
 	if !ok {
 		return roll{}, false
@@ -88,6 +87,19 @@
 	return r.merge(r.clock.Now(), list), true
 }
 
+// answered records that the store answered this gateway or another. A gateway that the
+// store turned away once may hear of others' readings for long before it reads by itself:
+// counted from its own next reading, the store was away for 24.6 s, and an upstream that
+// left at the end of that got a request 3,188 ms later (bound 3,000 ms; one day).
+func (r *roster) answered(at time.Time) {
+	if !r.failing || !at.After(r.failedAt) {
+		return
+	}
+	r.failing = false
+	r.backAt = at
+	r.logger.Info("store answers again", "for", "upstreams", "away_for", at.Sub(r.failedAt))
+}
+
 // disturbed reports whether the store has come back just now.
 func (r *roster) disturbed(now time.Time) bool {
 	return !r.backAt.IsZero() && now.Sub(r.backAt) < disturbedFor
@@ -135,6 +147,26 @@
 	r.last = current
 }
 
+// nextLapse returns when the first kept entry counts as gone; zero: none is kept.
+func (r *roster) nextLapse() time.Time {
+	var first time.Time
+	for _, l := range r.lapsed {
+		if first.IsZero() || l.until.Before(first) {
+			first = l.until
+		}
+	}
+	return first
+}
+
+// expire returns the upstreams without the kept entries whose time is over. Left to the
+// next reading, up to 2.1 s later, an upstream got a request 3,310 ms after it had left
+// (bound 3,000 ms; one day).
+func (r *roster) expire() roll {
+	return roll{
+		members: r.withLapsed(r.clock.Now()),
+	}
+}
+
 // withLapsed returns the list with the entries that lapsed only because the store was
 // away, as long as that may be so.
 func (r *roster) withLapsed(now time.Time) []wardturn.Member {
