An entry reads on before it closes a connection whose request it refused

Symptom: a caller that still writes gets 'connection reset by peer' in place of 431 or 413. Cause: a connection closed with bytes unread is reset, which drops the answer that was sent. Change: after such an answer the entry ends its side and reads for 500 ms or 4 MiB at most. Gateways use net/http, which does so itself.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,7 +89,9 @@
 		metrics: d.Metrics,
 		list:    d.Hosts,
 		tls:     d.TLS,
-		ln:      d.Listener,
+		ln: lingeringListener{
+			Listener: d.Listener,
+		},
 		router:  decide.NewRouter(cfg.Router),
 		retries: decide.NewRetryBudget(cfg.RetryShare, retryFloor, retryBurst),
 		quotas:  make(map[wardturn.CallerID]*decide.Quota),
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -196,5 +196,6 @@
 		p.code = string(wardturn.ReasonTooLarge)
 		p.message = "the headers are larger than 16 KiB"
 	}
+	linger(ctx.Conn())
 	writeProblem(ctx, p)
 }
