Tests, red: usage caps where gateways fall apart or begin anew

A team below its cap is refused next to nothing with words lost or a second without any (green, so that no mend buys one with the other).

--- a/decide/teamcaps_test.go
+++ b/decide/teamcaps_test.go
@@ -43,6 +43,7 @@
 	mute   int     // steps in which it is not heard
 	deaf   int     // steps in which it hears nobody
 	weight float64 // of its callers
+	side   int     // words and keepers' counts come from the same side only
 }
 
 type capWord struct {
@@ -118,7 +119,7 @@
 
 func (s *capSim) tell(g *capGateway, delay func() time.Duration, lost func() bool) {
 	counted := len(s.gateways)
-	if g.cut > 0 {
+	if g.cut > 0 || g.side != s.gateways[0].side {
 		counted = 0
 	}
 	g.caps.SetGateways(s.now, counted)
@@ -127,7 +128,7 @@
 		return
 	}
 	for _, to := range s.gateways {
-		if to == g || g.cut > 0 || to.cut > 0 || g.mute > 0 || to.deaf > 0 || lost() {
+		if to == g || g.cut > 0 || to.cut > 0 || g.mute > 0 || to.deaf > 0 || g.side != to.side || lost() {
 			continue
 		}
 		s.words = append(s.words, capWord{
