Test, red: an engine unloads what a gateway that is cut off still runs

Cause: a keeper forgets the requests of a gateway whose connection ended, so their adapters look idle; the engine waits for the runs and refuses all other orders. The second spec, that nothing is held for ever, is green.

--- a/decide/places_test.go
+++ b/decide/places_test.go
@@ -205,6 +205,48 @@
 		Expect(p.Leaving(key("a")) || p.Leaving(key("b")) || p.Leaving(key("c"))).To(BeTrue())
 	})
 
+	// A gateway that is cut off can't tell of its requests any more, so their adapters
+	// looked idle. An engine lets runs end before it unloads what they use, and refuses all
+	// other orders until then: keepers' logs of a day with hosts that were cut off show an
+	// engine that took no orders for up to 2 s.
+	It("unloads nothing that a gateway which was cut off may still run", func() {
+		runs := func(n int) {
+			st := p.State()
+			st.Running = n
+			p.Report(now, st)
+		}
+		report(nil, "a", "b", "c")
+		for _, name := range []string{"a", "b"} {
+			p.Use(now, "g", key(name), 1, 1)
+		}
+		p.Use(now, "other", key("c"), 1, 1)
+		runs(3)
+		pass(2 * time.Second)
+		p.GatewayLost("g")
+		runs(2) // one of the two has ended
+		wish("d", 1)
+		none()
+		Expect(p.Leaving(key("a")) || p.Leaving(key("b"))).To(BeFalse())
+		runs(1) // the other gateway's
+		none()
+		Expect(p.Leaving(key("a")) || p.Leaving(key("b"))).To(BeTrue())
+	})
+
+	It("holds no adapter for a gateway that was cut off longer than its requests may take", func() {
+		report(nil, "a", "b", "c")
+		for _, name := range []string{"a", "b", "c"} {
+			p.Use(now, "g", key(name), 1, 1)
+		}
+		st := p.State()
+		st.Running = 3
+		p.Report(now, st)
+		p.GatewayLost("g")
+		pass(20 * time.Second)
+		wish("d", 1)
+		none()
+		Expect(p.Leaving(key("a")) || p.Leaving(key("b")) || p.Leaving(key("c"))).To(BeTrue())
+	})
+
 	It("keeps an adapter that is wished for while it is about to leave", func() {
 		report(nil, "a", "b", "c")
 		p.Use(now, "g", key("a"), 5, 0)
