Test, red: usage caps under a cut that keepers are part of

Weighed and not built: the highest count of the last minute. Keepers count a process that lost power for up to 5 s beside its successor, so after a loss of 14 of 26 gateways it would be 40 for a minute and each cap 0.65 of itself. A second test, green, bounds what a gateway that is gone may cost.

--- a/decide/teamcaps_apart_test.go
+++ b/decide/teamcaps_apart_test.go
@@ -118,3 +118,40 @@
 		}
 	}
 }
+
+// Keepers on each side of a cut lose the gateways of the other side, and count their own
+// ones only from 5 s on: each side then took the whole cap for as long as the cut lasted.
+func TestTeamCapsKeepersApart(t *testing.T) {
+	s := newCapSim(26, false)
+	s.run(4.2*capRate, 4*time.Second)
+	for i, g := range s.gateways {
+		if i < 9 {
+			g.side = 1
+		}
+	}
+	s.run(4.2*capRate, 5*time.Second)
+	s.ownSide = true
+	s.run(4.2*capRate, 20*time.Second)
+	if over := s.over(); over > capAim {
+		t.Errorf("keepers that count their own side: %.2f s of the rate over the cap, at most %.2f", over, capAim)
+	}
+}
+
+// A gateway that is gone for good costs a team its part of the cap for a while, not for
+// ever, and nothing to a team that stays under what the others have.
+func TestTeamCapsGatewayGone(t *testing.T) {
+	s := newCapSim(26, false)
+	s.run(0.85*capRate, 4*time.Second)
+	s.gateways = s.gateways[1:]
+	s.refused = 0
+	s.run(0.85*capRate, 20*time.Second)
+	if got := float64(s.refused) / capRate; got > 0.1 {
+		t.Errorf("a gateway is gone: %.2f s of the rate refused at 0.85 of the cap", got)
+	}
+	s.run(0.99*capRate, 70*time.Second)
+	s.refused = 0
+	s.run(0.99*capRate, 10*time.Second)
+	if got := float64(s.refused) / capRate; got > 0.1 {
+		t.Errorf("a gateway was gone for long: %.2f s of the rate refused at 0.99 of the cap", got)
+	}
+}
--- a/decide/teamcaps_test.go
+++ b/decide/teamcaps_test.go
@@ -33,6 +33,7 @@
 	refused  int64
 	started  int
 	shares   bool
+	ownSide  bool // keepers count the gateways of their own side only
 }
 
 type capGateway struct {
@@ -119,7 +120,12 @@
 
 func (s *capSim) tell(g *capGateway, delay func() time.Duration, lost func() bool) {
 	counted := len(s.gateways)
-	if g.cut > 0 || g.side != s.gateways[0].side {
+	switch {
+	case g.cut > 0:
+		counted = 0
+	case s.ownSide:
+		counted = s.onSide(g.side)
+	case g.side != s.gateways[0].side:
 		counted = 0
 	}
 	g.caps.SetGateways(s.now, counted)
@@ -139,6 +145,16 @@
 	}
 }
 
+func (s *capSim) onSide(side int) int {
+	n := 0
+	for _, g := range s.gateways {
+		if g.side == side {
+			n++
+		}
+	}
+	return n
+}
+
 // run lets time pass without loss.
 func (s *capSim) run(rate float64, span time.Duration) {
 	for range int(span / capStep) {
