An agent leaves by list entries of its own time only

Symptom: an agent that starts while the list still shows the process before it as leaving leaves at once, for good (embedded system). Cause: an entry names an upstream, not a process, and the list is 2 s behind. Change: leaving counts when the list has had it live after leaving, or 10 s after the start; until then nobody sends there anyway, since callers' side goes by the same list. Ruled out: the address, which a process keeps when it starts again on its host.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -67,6 +67,8 @@
 	unfenced int             // orders not given for want of a fence
 	builtin  wardturn.Policy // in force while none is published
 	alloc    *allocatorRole
+	started  time.Time
+	listed   listedAs // what the platform's list has shown of this process
 	leaving  bool
 	idle     chan struct{} // closed when leaving and nothing is left
 	closed   bool
@@ -91,6 +93,7 @@
 		attempts: make(map[wardturn.AttemptID]*attempt),
 		builtin:  d.Policy,
 		idle:     make(chan struct{}),
+		started:  now,
 		tasks:    process.NewTasks(d.Clock),
 	}
 	a.core = decide.NewAgent(now, decide.AgentConfig{
--- a/agent/leaving_internal_test.go
+++ b/agent/leaving_internal_test.go
@@ -37,6 +37,14 @@
 			t.Error("the agent leaves by an entry of before its start")
 		}
 	})
+	t.Run("is passed over after one that still had it live", func(t *testing.T) {
+		a := start(t)
+		a.onHosts(entry(wardturn.HostLive))
+		a.onHosts(entry(wardturn.HostLeaving))
+		if a.Status().Leaving {
+			t.Error("the agent leaves by an entry of before its start")
+		}
+	})
 	t.Run("does not hide that this one is to leave", func(t *testing.T) {
 		a := start(t)
 		a.onHosts(entry(wardturn.HostLeaving))
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -134,13 +134,43 @@
 	}
 }
 
+// listedAs is what the list has shown under an agent's name since its start. The entries of
+// a process before it may come first, live or leaving: an agent that left by them would
+// serve no more for good. Only a live entry after a leaving one is surely its own.
+type listedAs uint8
+
+const (
+	listedBefore  listedAs = iota // perhaps as the process before
+	listedLeaving                 // as leaving, perhaps that one
+	listedAgain                   // as live after that
+)
+
+// next returns what the list has shown after one more entry.
+func (l listedAs) next(s wardturn.HostState) listedAs {
+	switch {
+	case l == listedBefore && s == wardturn.HostLeaving:
+		return listedLeaving
+	case l == listedLeaving && s == wardturn.HostLive:
+		return listedAgain
+	}
+	return l
+}
+
+// listBehind is how long the list may still have the entry of the process before this one:
+// five times the 2 s that the embedded system's list is behind.
+const listBehind = 10 * time.Second
+
 func (a *Agent) onHosts(hosts []wardturn.Host) {
 	a.alloc.setHosts(hosts)
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	for _, h := range hosts {
-		if h.Upstream == a.cfg.Upstream && h.State == wardturn.HostLeaving {
-			a.mu.Lock()
+		if h.Upstream != a.cfg.Upstream {
+			continue
+		}
+		a.listed = a.listed.next(h.State)
+		if h.State == wardturn.HostLeaving && (a.listed == listedAgain || a.clock.Now().Sub(a.started) > listBehind) {
 			a.leave("host list")
-			a.mu.Unlock()
 		}
 	}
 }
