--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -29,7 +29,7 @@
 		g.metrics.oldEnded.Inc(int64(n))
 		g.logger.Info("begins not told in time", "broken_off", n)
 	}
-	for id, ids := range g.doubtfulBegins() {
+	for id, ids := range g.unknownBegins() {
 		if l := g.links.of(id); l != nil {
 			l.send(&peer.BegunAsk{
 				IDs: ids,
@@ -38,10 +38,10 @@
 	}
 }
 
-// doubtfulBegins returns the requests that may begin on a version that a newer one has
+// unknownBegins returns the requests that may begin on a version that a newer one has
 // replaced, by upstream.
-func (g *Gateway) doubtfulBegins() map[wardturn.UpstreamID][]string {
-	sends := g.unbegun.unseen()
+func (g *Gateway) unknownBegins() map[wardturn.UpstreamID][]string {
+	sends := g.unbegun.unknown()
 	if len(sends) == 0 {
 		return nil
 	}
@@ -58,10 +58,10 @@
 
 // endOlder ends the versions before a newer one: what has not begun on them is broken off.
 func (g *Gateway) endOlder(newer wardturn.AdapterVersion) {
-	n, doubtful := g.unbegun.breakOffOlder(newer, g.clock.Now())
+	n, unknown := g.unbegun.breakOffOlder(newer, g.clock.Now())
 	g.metrics.oldEnded.Inc(int64(n))
-	g.logger.Info("older versions serve no more", "adapter", newer.Adapter, "newer", newer.Version, "broken_off", n, "unseen", doubtful)
-	if doubtful > 0 {
+	g.logger.Info("older versions serve no more", "adapter", newer.Adapter, "newer", newer.Version, "broken_off", n, "unknown", unknown)
+	if unknown > 0 {
 		g.checkBegun()
 	}
 }
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -256,12 +256,14 @@
 // heardMembers hands a change of the list on; the lock is held. If that cannot be
 // taken, the list counts as out of date.
 func (n *news) heardMembers(now time.Time, m *peer.StoreNews) {
-	asOf := n.members.Heard(now, m.Reader, m.Stamp)
-	select {
-	case n.changes <- toldMembers{change: *m.Members, asOf: asOf}:
-		n.g.metrics.members.heard.Inc(1)
-	default:
+	defer n.wake()
+	if len(n.changes) == cap(n.changes) { // nobody else adds to them while the lock is held
 		n.members.Doubt(now)
+		return
+	}
+	n.g.metrics.members.heard.Inc(1)
+	n.changes <- toldMembers{
+		change: *m.Members,
+		asOf:   n.members.Heard(now, m.Reader, m.Stamp),
 	}
-	n.wake()
 }
--- a/gateway/oldversion.go
+++ b/gateway/oldversion.go
@@ -15,7 +15,7 @@
 		key:      x.key,
 		version:  a.Version,
 		content:  x.content,
-		unseen:   !x.route.Streaming,
+		whole:    !x.route.Streaming,
 	}
 	ctx = x.g.unbegun.add(ctx, x.waiting)
 	// Added first: a version that ends after this look finds the request.
--- a/gateway/unbegun.go
+++ b/gateway/unbegun.go
@@ -36,7 +36,7 @@
 	key      wardturn.ModelAdapter
 	version  wardturn.Version // zero: none
 	content  wardturn.ContentID
-	unseen   bool // its begin does not show: only the upstream's keeper can tell
+	whole    bool // answer, whose begin does not show: only the upstream's keeper can tell
 	cancel   context.CancelCauseFunc
 
 	begun bool      // as the keeper has told
@@ -71,20 +71,20 @@
 
 // breakOffOlder ends the requests to older versions of an adapter, and returns how many.
 // Those whose begin does not show end a little later, unless their keepers tell that they
-// have begun; they are returned as doubtful.
-func (u *unbegun) breakOffOlder(newer wardturn.AdapterVersion, now time.Time) (n, doubtful int) {
+// have begun; they are returned as unknown.
+func (u *unbegun) breakOffOlder(newer wardturn.AdapterVersion, now time.Time) (n, unknown int) {
 	n = u.breakOff(errVersionEnded, func(s *waitingSend) bool {
 		old := s.version > 0 && s.key == newer.Key() && s.version < newer.Version
-		if !old || !s.unseen {
+		if !old || !s.whole {
 			return old
 		}
 		if !s.begun && s.until.IsZero() {
 			s.until = now.Add(begunGrace)
-			doubtful++
+			unknown++
 		}
 		return false
 	})
-	return n, doubtful
+	return n, unknown
 }
 
 // breakOffDue ends the requests whose begin nobody told in time, and returns how many.
@@ -94,14 +94,14 @@
 	})
 }
 
-// unseen returns the requests on some version of which only a keeper can tell whether
+// unknown returns the requests on some version of which only a keeper can tell whether
 // they have begun, and none has.
-func (u *unbegun) unseen() []*waitingSend {
+func (u *unbegun) unknown() []*waitingSend {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	var list []*waitingSend
 	for s := range u.sends {
-		if s.unseen && !s.begun && !s.ended && s.version > 0 {
+		if s.whole && !s.begun && !s.ended && s.version > 0 {
 			list = append(list, s)
 		}
 	}
--- a/gateway/unbegun_internal_test.go
+++ b/gateway/unbegun_internal_test.go
@@ -9,7 +9,7 @@
 )
 
 // oldSend is a request to version 1 of adapter a at upstream u.
-func oldSend(attempt string, unseen bool) *waitingSend {
+func oldSend(attempt string, whole bool) *waitingSend {
 	return &waitingSend{
 		attempt:  attempt,
 		upstream: "u",
@@ -18,7 +18,7 @@
 			Adapter: "a",
 		},
 		version: 1,
-		unseen:  unseen,
+		whole:   whole,
 	}
 }
 
@@ -31,22 +31,22 @@
 func TestUnbegunEndOfAVersion(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tests := []struct {
-		name   string
-		unseen bool                // the begin does not show
-		told   wardturn.UpstreamID // whose keeper tells of the begin; empty: nobody does
-		late   bool                // it does so after the end
-		want   bool                // broken off
+		name  string
+		whole bool                // the begin does not show
+		told  wardturn.UpstreamID // whose keeper tells of the begin; empty: nobody does
+		late  bool                // it does so after the end
+		want  bool                // broken off
 	}{
 		{name: "stream", want: true},
-		{name: "whole answer", unseen: true, want: true},
-		{name: "whole answer that began before the end", unseen: true, told: "u"},
-		{name: "whole answer of which that is told after the end", unseen: true, told: "u", late: true},
-		{name: "whole answer that began elsewhere before", unseen: true, told: "other", want: true},
+		{name: "whole answer", whole: true, want: true},
+		{name: "whole answer that began before the end", whole: true, told: "u"},
+		{name: "whole answer of which that is told after the end", whole: true, told: "u", late: true},
+		{name: "whole answer that began elsewhere before", whole: true, told: "other", want: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			u := newUnbegun()
-			s := oldSend("r", tt.unseen)
+			s := oldSend("r", tt.whole)
 			ctx := u.add(context.Background(), s)
 			if !tt.late {
 				u.begun(tt.told, []string{"r"})
@@ -56,7 +56,7 @@
 				u.begun(tt.told, []string{"r"})
 			}
 			u.breakOffDue(now.Add(begunGrace - time.Millisecond))
-			if tt.unseen && ctx.Err() != nil {
+			if tt.whole && ctx.Err() != nil {
 				t.Error("broken off before the keeper could tell")
 			}
 			u.breakOffDue(now.Add(begunGrace))
@@ -71,13 +71,13 @@
 }
 
 // Only requests whose begin neither showed nor was told are asked for.
-func TestUnbegunUnseen(t *testing.T) {
+func TestUnbegunUnknown(t *testing.T) {
 	u := newUnbegun()
 	for _, s := range []*waitingSend{oldSend("stream", false), oldSend("told", true), oldSend("asked for", true)} {
 		u.add(context.Background(), s)
 	}
 	u.begun("u", []string{"told"})
-	list := u.unseen()
+	list := u.unknown()
 	if len(list) != 1 || list[0].attempt != "asked for" {
 		t.Errorf("%d requests are asked for", len(list))
 	}
--- a/keeper/begun.go
+++ b/keeper/begun.go
@@ -43,6 +43,7 @@
 
 // answerBegun answers the questions by reports that are taken after them.
 func (k *Keeper) answerBegun() {
+	logged := false // that the engine does not name its runs; gateways ask again and again
 	for {
 		select {
 		case <-k.begun.woken:
@@ -52,13 +53,14 @@
 		asked := k.begun.take()
 		runs, named, err := k.engine.Runs()
 		if err != nil {
-			k.logger.Warn("engine does not tell its runs, gateways have to ask again", "error", err)
+			k.logger.Debug("engine does not tell its runs, gateways have to ask again", "error", err)
 			continue
 		}
-		if !named {
+		if !named && !logged {
 			// Most requests that are asked for have begun: a gateway asks while it
 			// waits for their answers.
-			k.logger.Warn("engine does not name its runs, requests count as begun", "asked", asked)
+			k.logger.Warn("engine does not name its runs, requests count as begun")
+			logged = true
 		}
 		k.tellBegun(asked, func(id string) bool {
 			return !named || slices.Contains(runs, id)
