Tests of two mechanisms that had none of their own

The head of a whole answer ends the wait for its begin (fails without, no keeper there), and a silent gateway's weight falls (1.40 s of the rate taken in the 0.7 s before the lapse without, under 1.1 with). Both by mutation. No code changes.

--- a/decide/teamcaps_apart_test.go
+++ b/decide/teamcaps_apart_test.go
@@ -88,6 +88,28 @@
 	return s.over()
 }
 
+// Parts that fall apart take less and less before they notice: both together 0.97 s of the
+// rate in the last 0.7 s before the lapse by a straight fall, and 1.4 s if each went on with
+// the whole cap.
+func TestTeamCapsFreshness(t *testing.T) {
+	const most = 1.1 // s of the rate, with a word that was on its way
+	s := newCapSim(2, false)
+	s.run(4.2*capRate, 4*time.Second)
+	for i, g := range s.gateways {
+		g.side = i
+	}
+	s.run(4.2*capRate, 900*time.Millisecond)
+	before := len(s.taken)
+	s.run(4.2*capRate, 700*time.Millisecond)
+	taken := int64(0)
+	for _, n := range s.taken[before:] {
+		taken += n
+	}
+	if got := float64(taken) / capRate; got > most {
+		t.Errorf("%.2f s of the rate taken in 0.7 s, at most %.2f", got, most)
+	}
+}
+
 // A team below its cap is refused next to nothing while words get lost or a keeper that
 // passes them on is gone.
 func TestTeamCapsLostWords(t *testing.T) {
--- a/gateway/begun_test.go
+++ b/gateway/begun_test.go
@@ -46,6 +46,23 @@
 		})
 	})
 
+	It("has its answer after the version's time, if its head has come and no keeper tells", func() {
+		x := newBegunRig()
+		x.fault(standin.WorkerFaults{
+			Linger:     oldVersionLimit / 2, // between the parts of the body
+			LoseOrders: true,                // the newer version does not come
+		})
+		got := x.sendLong("begun-head", "/once/x", "m0/a1")
+		Eventually(func() int {
+			return x.runs("begun-head")
+		}, soon, often).Should(Equal(1))
+		x.nameNewer()
+		for _, k := range x.keepers {
+			k.Close()
+		}
+		Eventually(got, 4*soon).Should(Receive(haveBody("piece 4")))
+	})
+
 	// The begin of a whole answer does not show, so all requests that might run again
 	// were broken off when their version ended, those that ran as well: what their
 	// engines had made was lost, and with no newer version at hand the caller got 502.
