A store that answers another gateway within a second was not away

Cause: any word read after a failed reading counted as the store's return. Change: an absence runs from the first failed reading in a row, and one under a second that another gateway's reading ends is none; own readings that succeed count as before. Left as it was: entries that end within half a second of a true return.

--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -21,8 +21,9 @@
 	last     map[wardturn.UpstreamID]wardturn.Member // the same by id
 	lapsed   map[wardturn.UpstreamID]lapse
 	failing  bool      // the latest reading failed, and the store has not been seen to answer since
-	failedAt time.Time // of that reading
-	backAt   time.Time // when the store was first seen to answer after a failed reading
+	since    time.Time // of the first such reading in a row
+	failedAt time.Time // of the latest
+	backAt   time.Time // when the store was first seen to answer after an absence
 }
 
 // lapse is an entry that ended while the store was away, or just after.
@@ -62,11 +63,14 @@
 		if !r.failing {
 			r.logger.Warn("store away, the present list of upstreams stays", "error", err)
 		}
+		if !r.failing {
+			r.since = now
+		}
 		r.failing = true
 		r.failedAt = now
 		return roll{}, nil, false
 	}
-	r.answered(now)
+	r.answered(now, 0)
 	members := r.merge(now, list)
 	if r.disturbed(now) {
 		// Other gateways have to see for themselves that the store is back, or
@@ -79,7 +83,7 @@
 // take returns the upstreams with a change that another gateway has read at a time; zero:
 // not known. It reports false if the change does not follow what is known.
 func (r *roster) take(c wardturn.MemberChange, asOf time.Time) (roll, bool) {
-	r.answered(asOf)
+	r.answered(asOf, leastAbsence)
 	list, ok := r.source.Take(c)
 	if !ok {
 		return roll{}, false
@@ -87,17 +91,26 @@
 	return r.merge(r.clock.Now(), list), true
 }
 
-// answered records that the store answered this gateway or another. A gateway that the
-// store turned away once may hear of others' readings for long before it reads by itself:
-// counted from its own next reading, the store was away for 24.6 s, and an upstream that
-// left at the end of that got a request 3,188 ms later (bound 3,000 ms; one day).
-func (r *roster) answered(at time.Time) {
+// leastAbsence is how long this gateway's readings must have failed for the store to count
+// as away, when it then answers another gateway: that one reads each 1 to 1.5 s, and tells
+// nothing for the first half second after an absence that it saw itself.
+const leastAbsence = time.Second
+
+// answered records that the store answered this gateway or another; an absence shorter than
+// the least is none. A gateway that the store turned away once may hear of others' readings
+// for long before it reads by itself: counted from its own next reading, the store was away
+// for 24.6 s, and an upstream that left at the end of that got a request 3,188 ms later
+// (bound 3,000 ms; one day).
+func (r *roster) answered(at time.Time, least time.Duration) {
 	if !r.failing || !at.After(r.failedAt) {
 		return
 	}
 	r.failing = false
-	r.backAt = at
-	r.logger.Info("store answers again", "for", "upstreams", "away_for", at.Sub(r.failedAt))
+	away := at.Sub(r.since)
+	if away >= least {
+		r.backAt = at
+	}
+	r.logger.Info("store answers again", "for", "upstreams", "away_for", away)
 }
 
 // disturbed reports whether the store has come back just now.
--- a/gateway/roster_internal_test.go
+++ b/gateway/roster_internal_test.go
@@ -108,8 +108,8 @@
 // took what ended in the next half second for lapsed. One gateway saw nine such absences, of 8
 // to 257 ms, on a day on which the store turned gateways away:
 //
-//	 9.4464 store answers again: for=upstreams away_for=32.168869ms
-//	 9.4754 upstream left the list: upstream=i-63e878534d store_was_away=true
+//	9.4464 store answers again: for=upstreams away_for=32.168869ms
+//	9.4754 upstream left the list: upstream=i-63e878534d store_was_away=true
 func TestRosterTurnedAway(t *testing.T) {
 	x := newRosterRig()
 	x.fail()
