Sight: what upstreams name as their limit, and headers that nobody reads

Cause: neither logs nor metrics told what an answer's head says of a limit, so the hypotheses of the incident could not be told apart. Each head of an answer is looked at, also of those that no caller gets; a line tells when an upstream names a limit, another one, none any more, or one that can't be read, and, once a name, which headers are passed on unread. No decision depends on it yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	list       *roster
 	news       *news
 	caps       *caps
+	limits     *limits
 	crashes    *crashes
 	routes     atomic.Pointer[routes]
 	pool       *pool
@@ -135,6 +136,7 @@
 	g.list = newRoster(d.Members, d.Clock, d.Logger, d.Config.LapseGrace)
 	g.news = newNews(g)
 	g.caps = newCaps(g)
+	g.limits = newLimits(g)
 	g.crashes = newCrashes(g, d.Crashes)
 	g.links = newLinks(g)
 	g.server = &http.Server{
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	res, err := x.converse(c, head)
+	res, err := x.converse(c, a, head)
 	if err != nil {
 		stop()
 		c.abort()
@@ -73,7 +73,7 @@
 
 // converse writes the request and reads the head of its answer. Answers to other
 // requests, which an upstream in trouble may send late, are passed over.
-func (x *exchange) converse(c *upstreamConn, head []byte) (*http.Response, error) {
+func (x *exchange) converse(c *upstreamConn, m wardturn.Member, head []byte) (*http.Response, error) {
 	n, err := c.Write(head)
 	if err != nil && n == 0 {
 		return nil, errors.Mark(errors.Wrap(err, "send"), errNotSent)
@@ -89,6 +89,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "answer")
 		}
+		x.g.limits.saw(m, res)
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
--- a/routes.go
+++ b/routes.go
@@ -213,6 +213,9 @@
 	Instance       string // instance of the upstream that answered
 	Priority       string // urgency at the upstream, 0 first
 	Team           string // team of the request, set by the system alone
+	// Limit is the requests a second that an upstream in need takes from all gateways
+	// together, for as long as its answers say so.
+	Limit string
 	// Reserved are headers by which an upstream sets memory aside, moves what it
 	// keeps or waits. Only the system may send them.
 	Reserved []string
