Test, red: an upstream that names a limit gets its usual load

Two gateways before two plain upstreams, one of which names 4 requests a second in its answers, and 8 callers: it gets 513 requests in the worst 4 s from half a second after it named that, where 29 are allowed. The stand-in can name a limit and remembers when requests arrived.

--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	fell     bool
 	newest   map[string]int64
 	headers  map[string]http.Header // of the latest run, by attempt id
+	arrivals []time.Time            // of requests
 }
 
 // ModelWorkerConfig says what a worker is.
@@ -63,6 +65,7 @@
 	CrashOn     string        // a request with this body crashes the worker as it begins; empty: none does
 	Fresh       StreamShape   // of streams that are not resumed
 	Resumed     StreamShape   // of those that are
+	Limit       string        // requests a second that answers name; empty: none
 }
 
 // NewModelWorker returns a worker that holds its base model and no adapters.
@@ -135,6 +138,13 @@
 	return m.headers[attempt]
 }
 
+// Arrivals returns when requests arrived, also those that were refused.
+func (m *ModelWorker) Arrivals() []time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.arrivals)
+}
+
 // Total returns how many requests ran.
 func (m *ModelWorker) Total() int {
 	m.mu.Lock()
