Limits that upstreams name are read, and kept by all gateways together

Cause: no process read the limit.

Change: the head of every answer is read, also of answers that no caller gets, and of reports to keepers. decide.Limits gives each gateway a fixed part; where a request of each gateway at once would be too many, only 1.5 for each request a second and two more have a part, by rank among the gateways that are known. A limit is told at once and again each second, and ends by two answers a second apart without a figure. Requests go where there is room, adapters are loaded at engines that name none, and where no upstream has room the request is refused at once.

Why it holds: a part depends on no word; at most 5.5 R + 2 requests in 4 s where 6 R + 5 are allowed. Model, 1 to 107 gateways, limits of 0 to 300, gateways apart before and after, random losses, delays, freezes, restarts: none over.

The measure of words' delays is one type now for readings and limits, and keepers gather words on caps and limits alike.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -34,6 +34,7 @@
 	coming     int                                // loads under way from the weight store, for all gateways
 	drawnAt    time.Time                          // latest draw for a share of the window below one
 	crossed    map[wardturn.ModelAdapter]int      // bytes sent to other failure domains
+	limits     *Limits
 }
 
 // FleetConfig holds the limits of a Fleet.
@@ -46,6 +47,7 @@
 	// VersionBound is how long after the store's word of a newer version of an adapter
 	// requests may begin on an older one.
 	VersionBound time.Duration
+	Limits       *Limits        // that upstreams name; nil: none
 	Draw         func() float64 // in [0, 1), by chance; nil: Draw
 }
 
@@ -54,6 +56,9 @@
 	if cfg.Draw == nil {
 		cfg.Draw = Draw
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = NewLimits(time.Time{}, "")
+	}
 	return &Fleet{
 		cfg:        cfg,
 		namings:    make(map[wardturn.ModelAdapter][]naming),
@@ -68,6 +73,7 @@
 		window:     NewLoadWindow(cfg.Window),
 		refilled:   make(map[wardturn.ServiceName]time.Time),
 		crossed:    make(map[wardturn.ModelAdapter]int),
+		limits:     cfg.Limits,
 	}
 }
 
@@ -143,12 +149,24 @@
 		}
 	}
 	f.members = members
+	f.limits.Keep(now, listed(list))
 	f.services = services
 	f.near = nearby(services, f.cfg.Domain)
 	f.expectLoads()
 	return lost
 }
 
+// listed returns whether an instance is in a list of upstreams.
+func listed(list []wardturn.Member) func(instance string) bool {
+	instances := make(map[string]bool, len(list))
+	for _, e := range list {
+		instances[e.ID.Instance()] = true
+	}
+	return func(instance string) bool {
+		return instances[instance]
+	}
+}
+
 // nearby returns the members in a failure domain.
 func nearby(services map[wardturn.ServiceName][]*Member, d wardturn.FailureDomain) map[wardturn.ServiceName][]*Member {
 	near := make(map[wardturn.ServiceName][]*Member, len(services))
--- a/decide/fleet_rig_test.go
+++ b/decide/fleet_rig_test.go
@@ -85,6 +85,11 @@
 
 // newFleetRig returns engines that hold nothing.
 func newFleetRig() *fleetRig {
+	return newLimitedRig(nil)
+}
+
+// newLimitedRig is newFleetRig with the limits that upstreams name.
+func newLimitedRig(limits *decide.Limits) *fleetRig {
 	x := &fleetRig{
 		now: start,
 		got: make(map[string]decide.Assignment),
@@ -93,6 +98,7 @@
 			CrossBytes: 5000,
 			// The last request on an old version is sent 3 s after the newer name.
 			VersionBound: 4500 * time.Millisecond,
+			Limits:       limits,
 			Draw:         func() float64 { return 0 },
 			Window: decide.WindowConfig{
 				Start: 4,
--- a/decide/holding.go
+++ b/decide/holding.go
@@ -20,6 +20,9 @@
 	Reading   int // tokens of long prompts that it reads for all gateways
 	Free      int // places that an adapter could have at once, counted up to MaxFree
 	Gateways  int // connected to the keeper
+	// Limit is the requests a second that the engine names; zero: none, which does not say
+	// that its other answers name none.
+	Limit wardturn.RequestRate
 }
 
 // HeldVersion is an adapter version that an engine holds or loads.
@@ -45,6 +48,9 @@
 	}
 	m.holding = h
 	m.heldAt = now
+	if h.Limit > 0 {
+		f.limits.Named(now, id, h.Limit)
+	}
 	f.gateways = max(f.gateways, h.Gateways)
 	m.atHold = m.running
 	f.setReading(now, m, h)
--- /dev/null
+++ b/decide/limited_test.go
@@ -0,0 +1,81 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+var _ = Describe("Fleet before upstreams that name a limit", func() {
+	var x *fleetRig
+	var limits *decide.Limits
+	name := func(ids ...wardturn.UpstreamID) {
+		for _, id := range ids {
+			limits.Named(x.now, id, 2)
+		}
+	}
+	BeforeEach(func() {
+		limits = decide.NewLimits(start, "p")
+		limits.SetGateways(start, 1)
+		x = newLimitedRig(limits)
+	})
+
+	It("sends a request to another that holds its adapter", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		x.hold("f0", readyAdapter("a", 1))
+		name("n0")
+		x.admit("r", "a")
+		Expect(x.got["r"].Member.ID).To(BeEquivalentTo("f0"))
+	})
+
+	It("has an adapter loaded elsewhere that only such a one holds", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		name("n0")
+		x.admit("r", "a")
+		Expect(x.got).To(BeEmpty())
+		Expect(x.out.Asks).To(HaveLen(1))
+		Expect(x.out.Asks[0].Upstream).NotTo(BeEquivalentTo("n0"))
+	})
+
+	It("sends what they take, and no more", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		name("n0", "n1", "f0", "f1")
+		sent := 0
+		for i := range 400 {
+			r := fmt.Sprint("r", i)
+			x.admit(r, "a")
+			x.tick(10 * time.Millisecond)
+			for _, a := range x.got {
+				if a.Member.ID == "n0" {
+					sent++
+					x.f.Began("n0", 0)
+					x.f.Ended(x.now, "n0", adapterKey("a"), decide.EndedWell)
+				}
+			}
+			clear(x.got)
+		}
+		Expect(sent).To(BeNumerically("~", 8, 1))
+	})
+
+	It("refuses at once when all do and none has room, with a time at which one has", func() {
+		x.hold("n0", readyAdapter("a", 1))
+		name("n0", "n1", "f0", "f1")
+		x.admit("r", "a")
+		Expect(x.got["r"].Reason).To(Equal(wardturn.ReasonLimited))
+		Expect(x.got["r"].RetryAfter).To(BeNumerically("~", 500*time.Millisecond, 10*time.Millisecond))
+		x.admit("later", "a")
+		Expect(x.got["later"].RetryAfter).To(BeNumerically("~", 500*time.Millisecond, 10*time.Millisecond), "at another upstream")
+		for range 4 {
+			x.admit("last", "a")
+		}
+		Expect(x.got["last"].RetryAfter).To(BeNumerically("~", time.Second, 10*time.Millisecond))
+		x.tick(510 * time.Millisecond)
+		x.admit("again", "a")
+		Expect(x.got["again"].Member.ID).To(BeEquivalentTo("n0"))
+	})
+})
--- /dev/null
+++ b/decide/limits.go
@@ -0,0 +1,332 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// Limits keeps the requests a second that upstreams in need say they take, over all
+// gateways together. Each gateway spends a fixed part of a limit and never more, whatever
+// the others use: the bound holds without a word between them, through cuts and restarts.
+//
+// A request can't be divided: where many gateways share a small limit, one request of
+// each at the same moment is more than the upstream takes. So only some of them, who
+// differ from upstream to upstream, send it anything; the others go elsewhere.
+type Limits struct {
+	self      wardturn.Incarnation
+	hash      uint64
+	start     time.Time // stamps of words count from here
+	gateways  int       // the most that were counted lately; zero: none has been
+	countedAt time.Time // when there were that many
+	named     map[string]*namedLimit
+	others    map[wardturn.Incarnation]*limitTeller
+	lags      leastLags
+	seq       uint64
+	toldAt    time.Time // the latest word
+	sharedAt  time.Time // parts were worked out
+}
+
+const (
+	// limitSenders and limitSpare are how many gateways may send: so many for each request
+	// a second, and so many more. With a request of each at once on top of 4 s at the
+	// limit, an upstream that names R gets at most 5.5 R + 2 in any 4 s.
+	limitSenders = 1.5
+	limitSpare   = 2
+	// leastLimit is the least rate, in requests a second, that a limit comes to: without
+	// any request nobody would learn that it is over.
+	leastLimit = 0.5
+	// limitBurst is what may be sent at once, in seconds of a gateway's part.
+	limitBurst = 0.25
+	// gatewaysMemory is how long gateways that are not counted any more keep their parts:
+	// behind a cut they go on with them.
+	gatewaysMemory = time.Minute
+	// liftAfter is how long an upstream's answers have to name no limit before it is
+	// over; one answer without it may come from something in between.
+	liftAfter = time.Second
+	// liftAnswers is how many answers have to, at least.
+	liftAnswers = 2
+	// limitProbe is how old the latest answer that is known has to be at least before a
+	// gateway without a part of the limit sends one request: it may have missed the end.
+	limitProbe = 10 * time.Second
+	// limitShares is how often parts are worked out anew.
+	limitShares = 100 * time.Millisecond
+)
+
+// namedLimit is the limit of one upstream, or the memory of one that is over.
+type namedLimit struct {
+	rate     float64   // requests a second, of all gateways; zero: it is over
+	namedAt  time.Time // the latest answer that names it was given about then
+	clearAt  time.Time // first of the answers since then that name none; zero: there is none
+	clear    int       // such answers
+	liftedAt time.Time // such an answer ended the limit before
+	probedAt time.Time
+	part     float64 // of the rate, for this gateway
+	// probeAfter is how old the latest answer may be while the part is zero.
+	probeAfter time.Duration
+	level      float64 // requests that may be sent now
+	owed       float64 // callers that were told to come back and are not due yet
+	at         time.Time
+	fresh      bool      // to be told at once
+	toldAt     time.Time // by any gateway
+	toldOf     time.Time // the latest answer that was told of
+}
+
+// NewLimits returns limits of no upstream, for a gateway's process.
+func NewLimits(now time.Time, self wardturn.Incarnation) *Limits {
+	return &Limits{
+		self:   self,
+		hash:   hashString(string(self)),
+		start:  now,
+		named:  make(map[string]*namedLimit),
+		others: make(map[wardturn.Incarnation]*limitTeller),
+		lags:   make(leastLags),
+	}
+}
+
+// SetGateways takes the number of gateways, as keepers count them; zero: no keeper is
+// heard.
+func (l *Limits) SetGateways(now time.Time, counted int) {
+	if counted >= l.gateways && counted > 0 || now.Sub(l.countedAt) > gatewaysMemory && counted > 0 {
+		l.gateways = counted
+		l.countedAt = now
+	}
+	l.share(now)
+}
+
+// Named takes an answer that names a limit. It reports whether that is another than
+// was known.
+func (l *Limits) Named(now time.Time, id wardturn.UpstreamID, rate wardturn.RequestRate) (changed bool) {
+	r := max(float64(rate), leastLimit)
+	n := l.limit(id)
+	changed = n.rate != r
+	n.fresh = n.fresh || changed
+	l.set(now, n, now, r)
+	return changed
+}
+
+// Unclear takes an answer that names a limit which can't be read: the one that is known
+// stays.
+func (l *Limits) Unclear(now time.Time, id wardturn.UpstreamID) {
+	if n := l.named[id.Instance()]; n != nil && n.rate > 0 {
+		n.confirm(now)
+	}
+}
+
+// Unnamed takes an answer that names no limit, to a request that was sent at a time. It
+// reports whether that ends one: answers to requests that were sent before the latest
+// that names it say nothing.
+func (l *Limits) Unnamed(now time.Time, id wardturn.UpstreamID, sent time.Time) (ended bool) {
+	n := l.named[id.Instance()]
+	if n == nil || n.rate == 0 || !sent.After(n.namedAt) {
+		return false
+	}
+	if n.clear == 0 {
+		n.clearAt = now
+	}
+	n.clear++
+	if n.clear < liftAnswers || now.Sub(n.clearAt) < liftAfter {
+		return false
+	}
+	n.lift(n.clearAt)
+	n.fresh = true
+	return true
+}
+
+// Any reports whether some upstream names a limit.
+func (l *Limits) Any() bool {
+	for _, n := range l.named {
+		if n.rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Limited reports whether an upstream names a limit.
+func (l *Limits) Limited(id wardturn.UpstreamID) bool {
+	return l.of(id) != nil
+}
+
+// Allows reports whether an upstream may be sent a request now.
+func (l *Limits) Allows(now time.Time, id wardturn.UpstreamID) bool {
+	n := l.of(id)
+	if n == nil {
+		return true
+	}
+	l.share(now)
+	n.fill(now)
+	return n.level >= 1 || n.probes(now)
+}
+
+// Sent records that a request goes to an upstream. Whatever becomes of it, the upstream
+// may get it.
+func (l *Limits) Sent(now time.Time, id wardturn.UpstreamID) {
+	n := l.of(id)
+	if n == nil {
+		return
+	}
+	n.fill(now)
+	if n.level < 1 {
+		n.probedAt = now
+	}
+	n.level = max(0, n.level-1)
+}
+
+// RoomIn returns when an upstream may be sent the request of a caller that comes back
+// then, after those that were told before; false: not as far as is known.
+func (l *Limits) RoomIn(now time.Time, id wardturn.UpstreamID) (time.Duration, bool) {
+	n := l.of(id)
+	if n == nil {
+		return 0, true
+	}
+	n.fill(now)
+	if n.part == 0 {
+		return 0, false
+	}
+	wait := max(0, n.owed+1-n.level) / (n.rate * n.part)
+	return time.Duration(wait * float64(time.Second)), true
+}
+
+// Owe records that a caller was told to come back for an upstream.
+func (l *Limits) Owe(id wardturn.UpstreamID) {
+	if n := l.of(id); n != nil {
+		n.owed++
+	}
+}
+
+// Keep forgets the limits of upstreams that have been gone for long: a list that was read
+// while the store was away may lack some for a while.
+func (l *Limits) Keep(now time.Time, present func(instance string) bool) {
+	for instance, n := range l.named {
+		if !present(instance) && now.Sub(latest(n.namedAt, n.liftedAt)) > gatewaysMemory {
+			delete(l.named, instance)
+		}
+	}
+}
+
+// of returns the limit of an upstream, or nil if it names none. A worker that starts
+// again under its name is taken to need it still, until its answers tell otherwise.
+func (l *Limits) of(id wardturn.UpstreamID) *namedLimit {
+	if len(l.named) == 0 {
+		return nil
+	}
+	if n := l.named[id.Instance()]; n != nil && n.rate > 0 {
+		return n
+	}
+	return nil
+}
+
+// limit returns what is kept of an upstream.
+func (l *Limits) limit(id wardturn.UpstreamID) *namedLimit {
+	n := l.named[id.Instance()]
+	if n == nil {
+		n = &namedLimit{}
+		l.named[id.Instance()] = n
+	}
+	return n
+}
+
+// set takes a limit that an upstream named at a time. It begins with nothing to spend.
+func (l *Limits) set(now time.Time, n *namedLimit, named time.Time, rate float64) {
+	if n.rate == 0 {
+		n.level = 0
+		n.owed = 0
+		n.part = 0
+		n.at = now
+		n.probedAt = now
+	}
+	n.fill(now)
+	n.rate = rate
+	n.confirm(named)
+	l.sharedAt = time.Time{}
+	l.share(now)
+}
+
+// confirm records that a limit was named at a time.
+func (n *namedLimit) confirm(named time.Time) {
+	n.namedAt = latest(n.namedAt, named)
+	if named.After(n.clearAt) {
+		n.clear = 0
+	}
+}
+
+// lift ends a limit by an answer of a time.
+func (n *namedLimit) lift(at time.Time) {
+	n.rate = 0
+	n.clear = 0
+	n.liftedAt = at
+}
+
+// probes reports whether a gateway without a part of a limit may look if it still holds.
+func (n *namedLimit) probes(now time.Time) bool {
+	return n.part == 0 && now.Sub(latest(n.namedAt, n.probedAt)) > n.probeAfter
+}
+
+// fill lets time pass.
+func (n *namedLimit) fill(now time.Time) {
+	more := n.rate * n.part * max(0, now.Sub(n.at).Seconds())
+	n.at = now
+	n.level = min(n.level+more, max(1, limitBurst*n.rate*n.part))
+	n.owed = max(0, n.owed-more)
+}
+
+// share works out this gateway's parts of all limits, if that was not done just now.
+func (l *Limits) share(now time.Time) {
+	if len(l.named) == 0 || now.Sub(l.sharedAt) < limitShares {
+		return
+	}
+	l.sharedAt = now
+	l.forget(now)
+	for instance, n := range l.named {
+		if n.rate == 0 {
+			continue
+		}
+		n.fill(now)
+		n.part = l.part(instance, n.rate)
+		if n.part == 0 {
+			n.level = 0
+			n.probeAfter = l.probeAfter(instance)
+		}
+	}
+}
+
+// part returns this gateway's part of the limit of an upstream. Of gateways that are
+// counted and not heard as many may have a part as of those that are.
+func (l *Limits) part(instance string, rate float64) float64 {
+	if l.gateways == 0 {
+		return 0
+	}
+	senders := limitSpare + int(limitSenders*rate)
+	if senders >= l.gateways {
+		return 1 / float64(l.gateways)
+	}
+	heard := min(1+len(l.others), l.gateways)
+	if l.rank(instance) >= senders*heard/l.gateways {
+		return 0
+	}
+	return 1 / float64(senders)
+}
+
+// probeAfter returns how old the latest answer on a limit may be while this gateway has no
+// part of it. All that have none come to one request in 1/leastLimit s together, each at its
+// own time.
+func (l *Limits) probeAfter(instance string) time.Duration {
+	each := time.Duration(float64(l.gateways) / leastLimit * float64(time.Second))
+	spread := 1 + float64(mix(hashString(instance)^l.hash))/(1<<64)
+	return time.Duration(spread * float64(max(limitProbe, each)))
+}
+
+// rank returns the place of this gateway among those that are known, in an order in
+// which each upstream ranks them its own way.
+func (l *Limits) rank(instance string) int {
+	h := hashString(instance)
+	own := mix(h ^ l.hash)
+	rank := 0
+	for _, o := range l.others {
+		if mix(h^o.hash) > own {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/decide/limits_test.go
@@ -0,0 +1,422 @@
+package decide_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+const (
+	limitID     = wardturn.UpstreamID("u")
+	limitStep   = 10 * time.Millisecond
+	limitLook   = 200 * time.Millisecond // between looks whether a word is due
+	limitWindow = 4 * time.Second
+	limitLearn  = time.Second            // from the first answer that names a limit until all keep it
+	limitGrace  = 500 * time.Millisecond // until a gateway that had such an answer keeps it
+	answerTime  = 30 * time.Millisecond
+)
+
+// limitSim plays gateways before an upstream that names a limit: callers that ask at a
+// rate, answers, words that are delayed and lost, gateways that are cut off, frozen and
+// started anew.
+type limitSim struct {
+	now      time.Time
+	rate     float64 // that answers name; negative: none
+	gateways []*limitGateway
+	words    []limitWord
+	answers  []limitAnswer
+	sent     []int // by step, of all gateways
+	told     []int // of them, of those that had an answer that names the limit limitGrace before
+	firstAt  int   // step at which the first gateway was told; negative: none was
+	all      int
+	refused  int
+	ownSide  bool // keepers count the gateways of their own side only
+	started  int
+}
+
+type limitGateway struct {
+	limits *decide.Limits
+	toldAt time.Time // its process had the first answer that names the limit; zero: none
+	owed   float64
+	frozen int // steps
+	side   int // words and keepers' counts come from the same side only
+}
+
+type limitWord struct {
+	to   *limitGateway
+	at   time.Time
+	word decide.LimitWord
+}
+
+type limitAnswer struct {
+	to   *limitGateway
+	sent time.Time
+	at   time.Time
+	rate float64
+}
+
+func newLimitSim(n int) *limitSim {
+	s := &limitSim{
+		now:     start,
+		rate:    -1,
+		firstAt: -1,
+	}
+	for range n {
+		g := &limitGateway{}
+		s.begin(g)
+		s.gateways = append(s.gateways, g)
+	}
+	return s
+}
+
+// begin starts a gateway's process.
+func (s *limitSim) begin(g *limitGateway) {
+	s.started++
+	g.toldAt = time.Time{}
+	g.limits = decide.NewLimits(s.now, wardturn.Incarnation(fmt.Sprint("p", s.started)))
+}
+
+// counted returns how many gateways keepers tell one of: none if it is cut off.
+func (s *limitSim) counted(g *limitGateway) int {
+	switch {
+	case !s.ownSide && g.side == 0:
+		return len(s.gateways)
+	case !s.ownSide:
+		return 0
+	}
+	n := 0
+	for _, o := range s.gateways {
+		if o.side == g.side {
+			n++
+		}
+	}
+	return n
+}
+
+// step lets a step of time pass in which callers ask each gateway for the upstream at a
+// rate.
+func (s *limitSim) step(demand float64, delay func() time.Duration, lost func() bool) {
+	s.now = s.now.Add(limitStep)
+	s.deliver()
+	sent, told := 0, 0
+	for _, g := range s.gateways {
+		if g.frozen > 0 {
+			g.frozen--
+			continue
+		}
+		for g.owed += demand * limitStep.Seconds(); g.owed >= 1; g.owed-- {
+			if !g.limits.Allows(s.now, limitID) {
+				s.refused++
+				continue
+			}
+			g.limits.Sent(s.now, limitID)
+			s.all++
+			sent++
+			if !g.toldAt.IsZero() && s.now.Sub(g.toldAt) >= limitGrace {
+				told++
+			}
+			s.answers = append(s.answers, limitAnswer{
+				to:   g,
+				sent: s.now,
+				at:   s.now.Add(answerTime),
+				rate: s.rate,
+			})
+		}
+		s.tell(g, s.now.Sub(start)%limitLook == 0, delay, lost)
+	}
+	s.sent = append(s.sent, sent)
+	s.told = append(s.told, told)
+}
+
+func (s *limitSim) tell(g *limitGateway, look bool, delay func() time.Duration, lost func() bool) {
+	if !look {
+		return
+	}
+	g.limits.SetGateways(s.now, s.counted(g))
+	w, _, due := g.limits.Word(s.now)
+	if !due {
+		return
+	}
+	for _, to := range s.gateways {
+		if to == g || to.side != g.side || lost() {
+			continue
+		}
+		s.words = append(s.words, limitWord{
+			to:   to,
+			at:   s.now.Add(delay()),
+			word: w,
+		})
+	}
+}
+
+func (s *limitSim) deliver() {
+	words := s.words[:0]
+	for _, w := range s.words {
+		if w.at.After(s.now) || w.to.frozen > 0 {
+			words = append(words, w)
+			continue
+		}
+		w.to.limits.Heard(s.now, w.word)
+	}
+	s.words = words
+	answers := s.answers[:0]
+	for _, a := range s.answers {
+		switch {
+		case a.at.After(s.now) || a.to.frozen > 0:
+			answers = append(answers, a)
+		case a.rate >= 0:
+			if a.to.toldAt.IsZero() {
+				a.to.toldAt = s.now
+			}
+			if s.firstAt < 0 {
+				s.firstAt = len(s.sent)
+			}
+			a.to.limits.Named(s.now, limitID, wardturn.RequestRate(a.rate))
+		default:
+			a.to.limits.Unnamed(s.now, limitID, a.sent)
+		}
+	}
+	s.answers = answers
+}
+
+func (s *limitSim) run(demand float64, span time.Duration) {
+	for range int(span / limitStep) {
+		s.step(demand, quick, never)
+	}
+}
+
+// name has the upstream name a limit from now on; a negative one: none.
+func (s *limitSim) name(rate float64) {
+	s.rate = rate
+	s.firstAt = -1
+}
+
+// apart cuts the first gateways off from the others.
+func (s *limitSim) apart(n int) {
+	for i, g := range s.gateways {
+		g.side = 0
+		if i < n {
+			g.side = 1
+		}
+	}
+}
+
+// mostSent returns the most requests that the upstream got in a window from all gateways,
+// once they had time to learn of the limit.
+func (s *limitSim) mostSent() int {
+	if s.firstAt < 0 {
+		return 0
+	}
+	from := s.firstAt + int(limitLearn/limitStep)
+	return mostIn(s.sent[min(from, len(s.sent)):], int(limitWindow/limitStep))
+}
+
+func mostIn(by []int, steps int) int {
+	sum, high := 0, 0
+	for i, n := range by {
+		sum += n
+		if i >= steps {
+			sum -= by[i-steps]
+		}
+		high = max(high, sum)
+	}
+	return high
+}
+
+// limitAllowed is the most that an upstream may get in any window.
+func limitAllowed(rate float64) int {
+	return int(1.5*rate*limitWindow.Seconds()) + 5
+}
+
+// An upstream gets no more than it says from all gateways together, however many there
+// are, when it begins to say so, and whatever callers ask for.
+func TestLimitsKeptTogether(t *testing.T) {
+	for _, n := range []int{1, 2, 4, 9, 26, 68, 107} {
+		for _, rate := range []float64{0, 0.3, 1, 3.9, 5.4, 12, 40, 300} {
+			for at := 3 * time.Second; at < 3400*time.Millisecond; at += 130 * time.Millisecond {
+				s := newLimitSim(n)
+				s.run(400/float64(n), at)
+				s.name(rate)
+				s.run(400/float64(n), 8*time.Second)
+				s.run(0, 12*time.Second) // nobody asks, so everything is spared that can be
+				s.run(4000/float64(n), 8*time.Second)
+				if got := s.mostSent(); got > limitAllowed(rate) {
+					t.Errorf("%d gateways, %g a second, named at %v: %d in 4 s, at most %d", n, rate, at, got, limitAllowed(rate))
+				}
+			}
+		}
+	}
+}
+
+// Gateways that do not hear each other keep a limit as well: those that were apart before
+// it was named, those that fall apart later, and where keepers count their own side only.
+func TestLimitsApart(t *testing.T) {
+	for _, n := range []int{2, 4, 9, 26, 68} {
+		for _, side := range []int{1, n / 3, n / 2} {
+			for _, rate := range []float64{0.3, 3.9, 5.4, 12} {
+				for _, before := range []bool{true, false} {
+					s := newLimitSim(n)
+					demand := 400 / float64(n)
+					s.run(demand, 2*time.Second)
+					if before {
+						s.apart(side)
+						s.run(demand, time.Second)
+					}
+					s.name(rate)
+					s.run(demand, 4*time.Second)
+					s.apart(side)
+					s.run(demand, 5*time.Second)
+					s.ownSide = true
+					s.run(demand, 30*time.Second)
+					s.ownSide = false
+					s.apart(0)
+					s.run(demand, 10*time.Second)
+					if got := s.mostSent(); got > limitAllowed(rate) {
+						t.Errorf("%d and %d gateways, %g a second, apart before it was named %v: %d in 4 s, at most %d", side, n-side, rate, before, got, limitAllowed(rate))
+					}
+				}
+			}
+		}
+	}
+}
+
+// Whatever happens to words and gateways, a limit is kept.
+func TestLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "gateways")
+		rate := rapid.Float64Range(0, 30).Draw(t, "rate")
+		s := newLimitSim(n)
+		share := rapid.Float64Range(0, 0.3).Draw(t, "lost")
+		delays := rapid.IntRange(0, 300)
+		draw := rapid.Float64Range(0, 1)
+		delay := func() time.Duration {
+			return time.Duration(delays.Draw(t, "delay ms")) * time.Millisecond
+		}
+		lost := func() bool {
+			return draw.Draw(t, "loss") < share
+		}
+		s.run(100, time.Duration(rapid.IntRange(0, 100).Draw(t, "before"))*limitStep)
+		s.name(rate)
+		for range rapid.IntRange(1, 4).Draw(t, "phases") {
+			g := s.gateways[rapid.IntRange(0, n-1).Draw(t, "of")]
+			switch rapid.IntRange(0, 3).Draw(t, "trouble") {
+			case 0:
+				s.begin(g)
+			case 1:
+				g.frozen = rapid.IntRange(1, 400).Draw(t, "steps")
+			case 2:
+				s.apart(rapid.IntRange(0, n).Draw(t, "apart"))
+			}
+			demand := rapid.Float64Range(0, 200).Draw(t, "demand")
+			for range rapid.IntRange(1, 300).Draw(t, "length") {
+				s.step(demand, delay, lost)
+			}
+		}
+		got := mostIn(s.told, int(limitWindow/limitStep))
+		if got > limitAllowed(rate) {
+			t.Fatalf("%d in 4 s from gateways that it had told, at most %d", got, limitAllowed(rate))
+		}
+	})
+}
+
+// What an upstream takes is used while callers ask for it.
+func TestLimitsUsed(t *testing.T) {
+	const least = 0.6 // of the limit
+	for _, n := range []int{1, 4, 26, 68} {
+		for _, rate := range []float64{1, 3.9, 12, 40} {
+			s := newLimitSim(n)
+			s.name(rate)
+			s.run(400/float64(n), 5*time.Second)
+			before := s.all
+			s.run(400/float64(n), 20*time.Second)
+			if got := float64(s.all-before) / 20; got < least*rate || got > 1.05*rate {
+				t.Errorf("%d gateways, %g a second: %.2f sent", n, rate, got)
+			}
+		}
+	}
+}
+
+// A limit ends when answers name none any more, also for gateways that get no answers, and
+// begins again.
+func TestLimitsEnd(t *testing.T) {
+	for _, n := range []int{1, 4, 26, 68} {
+		for _, rate := range []float64{1, 3.9, 12} {
+			s := newLimitSim(n)
+			demand := 200 / float64(n)
+			s.run(demand, time.Second)
+			s.name(rate)
+			s.run(demand, 6*time.Second)
+			s.name(-1)
+			s.run(demand, 12*time.Second)
+			refused := s.refused
+			s.run(demand, 5*time.Second)
+			if got := s.refused - refused; got > 0 {
+				t.Errorf("%d gateways, %g a second: %d refused 12 s after the end", n, rate, got)
+			}
+			s.name(rate)
+			s.run(demand, 10*time.Second)
+			if got := s.mostSent(); got > limitAllowed(rate) {
+				t.Errorf("%d gateways, %g a second, named again: %d in 4 s, at most %d", n, rate, got, limitAllowed(rate))
+			}
+		}
+	}
+}
+
+// One answer that names no limit, between others that do, ends none; nor does one to a
+// request that was sent before.
+func TestLimitsSingleAnswers(t *testing.T) {
+	l := decide.NewLimits(start, "p")
+	l.SetGateways(start, 1)
+	now := start
+	for i := range 60 {
+		now = now.Add(500 * time.Millisecond)
+		l.Named(now, limitID, 5)
+		if l.Unnamed(now.Add(time.Millisecond), limitID, now.Add(-time.Second)) {
+			t.Fatal("ended by an answer to a request that was sent before")
+		}
+		if i%2 == 0 && l.Unnamed(now.Add(400*time.Millisecond), limitID, now.Add(time.Millisecond)) {
+			t.Fatal("ended by one answer")
+		}
+	}
+	if !l.Limited(limitID) {
+		t.Error("not limited any more")
+	}
+}
+
+// A figure that can't be read neither ends a limit nor makes one.
+func TestLimitsUnclear(t *testing.T) {
+	l := decide.NewLimits(start, "p")
+	l.SetGateways(start, 1)
+	l.Unclear(start, limitID)
+	if l.Limited(limitID) {
+		t.Error("limited by a figure that can't be read")
+	}
+	l.Named(start, limitID, 5)
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		l.Unnamed(now, limitID, now)
+		l.Unclear(now, limitID)
+	}
+	if !l.Limited(limitID) {
+		t.Error("ended while answers name one")
+	}
+}
+
+// A worker that starts again under its name keeps its limit until it says otherwise; one
+// with another name has none.
+func TestLimitsReborn(t *testing.T) {
+	l := decide.NewLimits(start, "p")
+	l.SetGateways(start, 1)
+	l.Named(start, wardturn.Lifetime("u", 1000), 5)
+	if !l.Limited(wardturn.Lifetime("u", 2000)) {
+		t.Error("not limited after a restart")
+	}
+	if l.Limited("v") {
+		t.Error("another upstream is limited")
+	}
+}
--- /dev/null
+++ b/decide/limitwords.go
@@ -0,0 +1,167 @@
+package decide
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"wardturn"
+)
+
+const (
+	// limitBeat is the longest time between two words of a gateway that knows a limit.
+	limitBeat = time.Second
+	// limitRefresh is how long after a word on a limit, of any gateway, it is told again.
+	limitRefresh = time.Second
+	// limitSlack is by how much the time of another gateway's answer may seem later than it
+	// was, over all gateways that tell of it one after another.
+	limitSlack = 500 * time.Millisecond
+)
+
+// LimitWord tells the other gateways that its sender is there, and what it knows of
+// limits that upstreams name.
+type LimitWord struct {
+	Process wardturn.Incarnation
+	Seq     uint64        // counts the words of the process
+	Stamp   time.Duration // of the word, in the time of the process
+	Limits  []ToldLimit
+}
+
+// ToldLimit is what a gateway knows of the limit of one upstream.
+type ToldLimit struct {
+	Instance string
+	Rate     float64       // requests a second of all gateways; zero: it is over
+	Ago      time.Duration // since the answer that says so
+}
+
+// limitTeller is another gateway.
+type limitTeller struct {
+	hash    uint64
+	seq     uint64
+	heardAt time.Time
+}
+
+// Word returns what the other gateways have to be told now, if anything; fresh says that
+// it is something new.
+func (l *Limits) Word(now time.Time) (w LimitWord, fresh, due bool) {
+	knows := false
+	for _, instance := range slices.Sorted(maps.Keys(l.named)) {
+		n := l.named[instance]
+		knows = knows || n.rate > 0
+		if !n.fresh && !l.tellAgain(now, n) {
+			continue
+		}
+		fresh = fresh || n.fresh
+		n.fresh = false
+		n.toldAt = now
+		n.toldOf = latest(n.toldOf, n.namedAt)
+		w.Limits = append(w.Limits, n.told(now, instance))
+	}
+	beat := knows && now.Sub(l.toldAt) >= limitBeat
+	if len(w.Limits) == 0 && !beat {
+		return LimitWord{}, false, false
+	}
+	l.seq++
+	l.toldAt = now
+	w.Process = l.self
+	w.Seq = l.seq
+	w.Stamp = now.Sub(l.start)
+	return w, fresh, true
+}
+
+// tellAgain reports whether it is on this gateway to tell of a limit once more: it knows a
+// later answer than was told of, or no other gateway has told lately. The gateways look at
+// different times, so that few do at once.
+func (l *Limits) tellAgain(now time.Time, n *namedLimit) bool {
+	if n.rate == 0 {
+		return false
+	}
+	if n.namedAt.Sub(n.toldOf) >= limitRefresh {
+		return true
+	}
+	spread := float64(l.hash) / (1 << 64)
+	return now.Sub(n.toldAt) >= limitRefresh+time.Duration(spread*float64(limitRefresh))
+}
+
+func (n *namedLimit) told(now time.Time, instance string) ToldLimit {
+	at := n.namedAt
+	if n.rate == 0 {
+		at = n.liftedAt
+	}
+	return ToldLimit{
+		Instance: instance,
+		Rate:     n.rate,
+		Ago:      now.Sub(at),
+	}
+}
+
+// Heard takes the word of another gateway. It returns what was not known here.
+func (l *Limits) Heard(now time.Time, w LimitWord) (changes []ToldLimit) {
+	if w.Process == l.self {
+		return nil
+	}
+	o := l.others[w.Process]
+	if o == nil {
+		o = &limitTeller{
+			hash: hashString(string(w.Process)),
+		}
+		l.others[w.Process] = o
+		l.sharedAt = time.Time{}
+	}
+	if w.Seq <= o.seq {
+		return nil
+	}
+	o.seq = w.Seq
+	o.heardAt = now
+	lag := now.Sub(l.start) - w.Stamp
+	least, measured := l.lags.note(w.Process, lag)
+	sent := now.Add(least - lag)
+	for _, t := range w.Limits {
+		if l.heardOf(now, t, sent.Add(-t.Ago), measured) {
+			changes = append(changes, t)
+		}
+	}
+	l.share(now)
+	return changes
+}
+
+// heardOf takes what another gateway knows by an answer of a time, and reports whether that
+// is new. The later answer counts. A first word has no other to measure its way by, and may
+// be old: it ends no limit.
+func (l *Limits) heardOf(now time.Time, t ToldLimit, at time.Time, measured bool) (changed bool) {
+	n := l.named[t.Instance]
+	switch {
+	case n == nil && t.Rate == 0:
+		return false
+	case n == nil:
+		n = &namedLimit{}
+		l.named[t.Instance] = n
+	case t.Rate == 0:
+		ends := n.rate > 0 && measured && at.After(n.namedAt)
+		if ends {
+			n.lift(at)
+		}
+		return ends
+	case !at.After(n.liftedAt.Add(limitSlack)):
+		// The sender missed the end.
+		n.fresh = n.fresh || n.rate == 0 && now.Sub(n.toldAt) >= limitRefresh
+		return false
+	}
+	n.toldAt = now
+	n.toldOf = latest(n.toldOf, at)
+	if n.rate > 0 && !at.After(n.namedAt.Add(limitSlack)) {
+		return false
+	}
+	changed = n.rate != t.Rate
+	l.set(now, n, at, t.Rate)
+	return changed
+}
+
+// forget drops gateways that have been silent for long.
+func (l *Limits) forget(now time.Time) {
+	for p, o := range l.others {
+		if now.Sub(o.heardAt) > gatewaysMemory {
+			delete(l.others, p)
+		}
+	}
+}
--- a/decide/turn.go
+++ b/decide/turn.go
@@ -23,7 +23,7 @@
 	leaderAt  time.Time // when a process with a lower id was last heard
 	notBefore time.Time // no reading of its own before
 	failing   bool      // the latest reading had no answer
-	lags      map[wardturn.Incarnation]time.Duration
+	lags      leastLags
 }
 
 // ReadTurnConfig holds the times of a ReadTurn.
@@ -58,7 +58,7 @@
 		self:  self,
 		start: now,
 		part:  float64(hashString(string(self))) / (1 << 64),
-		lags:  make(map[wardturn.Incarnation]time.Duration),
+		lags:  make(leastLags),
 	}
 }
 
@@ -189,12 +189,7 @@
 // is thereby known to be old. A first word has none before it to be measured by, so it
 // does not count for AsOf. It returns the time of the reading, or zero for such a word.
 func (t *ReadTurn) Heard(now time.Time, from wardturn.Incarnation, stamp time.Duration) (asOf time.Time) {
-	lag := now.Sub(t.start) - stamp
-	least, known := t.lags[from]
-	if !known || lag < least {
-		least = lag
-		t.lags[from] = lag
-	}
+	least, known := t.lags.note(from, now.Sub(t.start)-stamp)
 	t.renew(t.start.Add(stamp+least), false)
 	if known {
 		asOf = t.start.Add(stamp + least)
@@ -203,16 +198,9 @@
 	if from < t.self {
 		t.leaderAt = now
 	}
-	if len(t.lags) > maxReaders {
-		clear(t.lags)
-	}
 	return asOf
 }
 
-// maxReaders bounds the processes that are remembered; those that have ended are
-// forgotten with the rest.
-const maxReaders = 1024
-
 func (t *ReadTurn) renew(asOf time.Time, own bool) {
 	if asOf.After(t.asOf) {
 		t.asOf = asOf
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -86,6 +86,10 @@
 	if f.place(now, t, out) {
 		return
 	}
+	if back, full := f.limitsFull(now, t); full {
+		t.refuse(wardturn.ReasonLimited, back)
+		return
+	}
 	f.wait(now, t, out)
 }
 
@@ -98,13 +102,17 @@
 		f.assign(now, t, m, 0)
 		return
 	}
+	if back, full := f.limitsFull(now, t); full {
+		t.refuse(wardturn.ReasonLimited, back)
+		return
+	}
 	t.refuse(f.emptiness(now, t), shortPause)
 }
 
 // plainMember returns the member of the least cost that is filled less than a limit, or nil.
 func (f *Fleet) plainMember(now time.Time, t *Ticket, limit float64) *Member {
 	return f.best(now, f.services[t.Service], func(m *Member) bool {
-		return m.usable(now, t.Tried) && m.fill() < limit
+		return m.usable(now, t.Tried) && m.fill() < limit && f.limits.Allows(now, m.ID)
 	})
 }
 
@@ -167,7 +175,7 @@
 		if m.Service != t.Service || !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
 			return false
 		}
-		return m.serves(now, t.Key, least) && match(m)
+		return m.serves(now, t.Key, least) && match(m) && f.limits.Allows(now, m.ID)
 	})
 }
 
--- a/decide/want.go
+++ b/decide/want.go
@@ -56,10 +56,25 @@
 // home returns the engine that should load an adapter for the requests that wait:
 // one that loads it already, or the cheapest of those that held it before and of
 // the first in the order of homes that have a place for it.
+// Engines that name a limit are asked if there is no other: their room may be used up when
+// the adapter is there.
 func (f *Fleet) home(now time.Time, w *want) *Member {
+	unlimited := func(m *Member) bool {
+		return !f.limits.Limited(m.ID)
+	}
+	if m := f.homeAmong(now, w, unlimited); m != nil || !f.limits.Any() {
+		return m
+	}
+	return f.homeAmong(now, w, func(m *Member) bool {
+		return f.limits.Allows(now, m.ID)
+	})
+}
+
+// homeAmong is home among the engines that match.
+func (f *Fleet) homeAmong(now time.Time, w *want, match func(*Member) bool) *Member {
 	newest := f.newest(w.key)
 	fits := func(m *Member) bool {
-		return m.Service == w.service && m.ID != w.failed && m.loads(now, w.key.Model) && !m.serves(now, w.key, newest) && m.fill() < engineOverfill
+		return m.Service == w.service && m.ID != w.failed && m.loads(now, w.key.Model) && !m.serves(now, w.key, newest) && m.fill() < engineOverfill && match(m)
 	}
 	for m := range inOrder(w.key, f.loaders[w.key]) {
 		if fits(m) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,13 +130,14 @@
 		front:   d.Front,
 		unbegun: newUnbegun(),
 		tasks:   process.NewTasks(d.Clock),
-		fleet:   decide.NewFleet(d.Config.Fleet),
 		budgets: make(map[wardturn.ServiceName]*decide.RetryBudget),
 	}
 	g.list = newRoster(d.Members, d.Clock, d.Logger, d.Config.LapseGrace)
 	g.news = newNews(g)
 	g.caps = newCaps(g)
 	g.limits = newLimits(g)
+	d.Config.Fleet.Limits = g.limits.book
+	g.fleet = decide.NewFleet(d.Config.Fleet)
 	g.crashes = newCrashes(g, d.Crashes)
 	g.links = newLinks(g)
 	g.server = &http.Server{
@@ -168,6 +169,7 @@
 	g.tasks.Every(usageEvery, g.links.report)
 	g.tasks.Every(checkEvery, g.links.check)
 	g.tasks.Every(capEvery, g.caps.tell)
+	g.tasks.Every(limitEvery, g.limits.tell)
 	g.tasks.Every(begunEvery, g.checkBegun)
 	g.tasks.Every(sweepEvery, g.sweep)
 	g.tasks.Every(promptsEvery, g.logPrompts)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -102,6 +102,8 @@
 		l.links.g.crashes.heard(m)
 	case *peer.TeamUse:
 		l.links.g.caps.heard(m)
+	case *peer.LimitNews:
+		l.links.g.limits.heard(m)
 	case *peer.Begun:
 		l.links.g.unbegun.begun(m.Upstream, m.IDs)
 	case *peer.Holding:
@@ -123,6 +125,9 @@
 	}
 	g := l.links.g
 	g.metrics.told(relayed, h.Answer)
+	if h.Limit > 0 {
+		g.limits.any.Store(true)
+	}
 	g.decide(func(now time.Time, out *decide.Moves) {
 		g.fleet.SetHolding(now, id, holdingOf(h), out)
 	})
@@ -168,6 +173,7 @@
 		Reading:   h.Reading,
 		Free:      h.Free,
 		Gateways:  h.Gateways,
+		Limit:     h.Limit,
 	}
 	for _, a := range h.Adapters {
 		out.Adapters = append(out.Adapters, decide.HeldVersion{
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -89,13 +89,14 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "answer")
 		}
-		x.g.limits.saw(m, res)
+		own := res.StatusCode >= http.StatusOK && res.Header.Get(x.g.names.Attempt) == x.attempt
+		x.sawLimit(m, res, own)
+		if own {
+			return res, nil
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		if res.Header.Get(x.g.names.Attempt) == x.attempt {
-			return res, nil
-		}
 		x.g.logger.Warn("answer to another request passed over", "id", x.attempt, "answers", res.Header.Get(x.g.names.Attempt), "addr", c.addr)
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, errors.Wrap(err, "answer to another request")
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -25,6 +25,7 @@
 	reading  int
 	free     int
 	gateways int
+	limit    wardturn.RequestRate // that the engine names; zero: none
 }
 
 // holding returns what the engine holds; the lock is held.
@@ -46,6 +47,7 @@
 	h.free = k.places.Free(k.clock.Now())
 	h.running = st.Running
 	h.queued = st.Queued
+	h.limit = st.Limit
 	for _, a := range st.Loading {
 		h.add(a, peer.HeldLoading)
 	}
@@ -81,6 +83,7 @@
 		Reading:  h.reading,
 		Free:     h.free,
 		Gateways: h.gateways,
+		Limit:    h.limit,
 	}
 }
 
@@ -109,7 +112,7 @@
 			m.Gone = append(m.Gone, key)
 		}
 	}
-	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.free == old.free &&
+	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.free == old.free && h.limit == old.limit &&
 		slices.Equal(h.models, old.models) && !h.stepped(old) {
 		return nil
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -71,8 +71,8 @@
 	reading   map[*peer.Conn]int           // tokens of long prompts, by gateway's connection
 	told      *holding                     // what the listeners know
 	listeners listeners
-	countAt   time.Time         // when a change of the number of gateways alone may be told
-	teamWords []decide.TeamWord // on usage caps, that wait to be passed on
+	countAt   time.Time // when a change of the number of gateways alone may be told
+	words     words
 	begun     begunAsks
 }
 
@@ -296,7 +296,13 @@
 	case *peer.StoreNews, *peer.CrashNews:
 		k.passOn(c, m)
 	case *peer.TeamUse:
-		k.gatherTeamUse(m)
+		k.gather(words{
+			teams: m.Words,
+		})
+	case *peer.LimitNews:
+		k.gather(words{
+			limits: m.Words,
+		})
 	case *peer.BegunAsk:
 		k.begun.add(c, m.IDs)
 	case *peer.Usage:
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -276,6 +276,21 @@
 		Expect(h.Gateways).To(Equal(1))
 	})
 
+	It("tells the limit that the engine's reports name, and its end", func() {
+		start()
+		notice()
+		var h *peer.Holding
+		Eventually(g.holdings, soon).Should(Receive(&h))
+		Expect(h.Limit).To(BeZero())
+		for _, limit := range []wardturn.RequestRate{4.5, 0} {
+			e.mu.Lock()
+			e.state.Limit = limit
+			e.mu.Unlock()
+			Eventually(g.holdings, soon).Should(Receive(&h))
+			Expect(h.Limit).To(Equal(limit))
+		}
+	})
+
 	It("keeps to the later lifetime of the engine when a gateway still names the earlier one", func() {
 		start()
 		name("i-2", 20)
--- a/limit.go
+++ b/limit.go
@@ -13,8 +13,10 @@
 // ErrBadRate is returned for a text that is not a number of requests a second.
 var ErrBadRate = errors.New("wardturn: not a rate of requests")
 
-// maxRateText bounds the length of a rate in characters.
-const maxRateText = 24
+const (
+	maxRateText = 24  // characters of a rate
+	maxRate     = 1e6 // requests a second; a higher figure is garbled
+)
 
 // ParseRequestRate reads a plain decimal number such as 12 or 4.5. Signs, exponents and
 // anything else are ErrBadRate: a garbled figure must not pass for a rate.
@@ -27,7 +29,7 @@
 		return 0, errors.Wrapf(ErrBadRate, "%.40q", s)
 	}
 	rate, err := strconv.ParseFloat(s, 64)
-	if err != nil {
+	if err != nil || rate > maxRate {
 		return 0, errors.Wrapf(ErrBadRate, "%.40q", s)
 	}
 	return RequestRate(rate), nil
--- a/outcome.go
+++ b/outcome.go
@@ -59,6 +59,8 @@
 	ReasonDuplicate      Reason = "duplicate"
 	// ReasonLoading: the adapter is on its way to an upstream.
 	ReasonLoading Reason = "adapter_loading"
+	// ReasonLimited: the upstreams take so many requests a second, and that is used up.
+	ReasonLimited Reason = "upstream_limit"
 	// ReasonCrashes: upstreams ended under requests that asked the same.
 	ReasonCrashes Reason = "crashes_upstreams"
 )
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,7 +9,7 @@
 
 // Protocol is the version of the protocol. Processes of different versions
 // refuse each other at Hello.
-const Protocol = 6
+const Protocol = 7
 
 // Kind names the type of a message in its frame.
 type Kind uint8
@@ -45,6 +45,7 @@
 	KindCrashNews
 	KindBegunAsk
 	KindBegun
+	KindLimitNews
 )
 
 // Message is one typed message.
@@ -298,6 +299,8 @@
 		return &BegunAsk{}
 	case KindBegun:
 		return &Begun{}
+	case KindLimitNews:
+		return &LimitNews{}
 	}
 	return nil
 }
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -45,6 +45,8 @@
 	Reading  int // tokens of long prompts that the engine reads, as gateways say
 	Free     int // places that an adapter could have at once, counted up to MaxFree
 	Gateways int // connected to the keeper
+	// Limit is the requests a second that the engine names; zero: none.
+	Limit wardturn.RequestRate
 }
 
 // EngineNotice tells a keeper what the operator says of its engine.
@@ -146,6 +148,15 @@
 	Words []decide.TeamWord
 }
 
+// LimitNews tells gateways what others know of limits that upstreams name. It takes the
+// same way as TeamUse.
+type LimitNews struct {
+	Words []decide.LimitWord
+}
+
+// Kind implements Message.
+func (*LimitNews) Kind() Kind { return KindLimitNews }
+
 // Kind implements Message.
 func (*TeamUse) Kind() Kind { return KindTeamUse }
 
--- a/routes.go
+++ b/routes.go
@@ -123,8 +123,11 @@
 	Queued   int
 	KVUsed   int // tokens that cannot give way
 	KVTotal  int // tokens
-	Models   []LoadedModel
-	Loading  []AdapterVersion
+	// Limit is the requests a second that it says it takes; zero: it names none, or one
+	// that can't be read.
+	Limit   RequestRate
+	Models  []LoadedModel
+	Loading []AdapterVersion
 }
 
 // LoadedModel is a base model that an engine holds.
--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -73,11 +73,6 @@
 	attempt := r.Header.Get("X-Wardturn-Attempt-Id")
 	h := w.Header()
 	h.Set("X-Wardturn-Attempt-Id", attempt)
-	m.mu.Lock()
-	if m.faults.Limit != "" {
-		h.Set("Server-Limit", m.faults.Limit)
-	}
-	m.mu.Unlock()
 	if status := m.admit(r); status != 0 {
 		m.mu.Lock()
 		h.Set("X-Wardturn-Instance-Id", m.id)
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -217,6 +217,11 @@
 
 // ServeHTTP implements http.Handler.
 func (m *ModelWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	if m.faults.Limit != "" {
+		w.Header().Set("Server-Limit", m.faults.Limit)
+	}
+	m.mu.Unlock()
 	switch r.Method + " " + r.URL.Path {
 	case "GET /wardturn/report":
 		m.serveReport(w)
