Parts of caps and limits go by the most gateways counted in the last minute

Change: the number that counts is the most of the last minute (gatewayCount, one type for caps and limits), and keepers count the processes of one host once, so that a process and the one before it, whose connection still counts after a loss of power, are not two for that minute.

--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -66,6 +66,7 @@
 func (c *gatewayCmd) config() gateway.Config {
 	return gateway.Config{
 		Process:     process.NewIncarnation(),
+		Host:        c.Node,
 		Domain:      wardturn.FailureDomain(c.Domain),
 		KeeperPort:  c.Port,
 		Drain:       c.Drain,
--- a/decide/limits.go
+++ b/decide/limits.go
@@ -14,17 +14,16 @@
 // each at the same moment is more than the upstream takes. So only some of them, who
 // differ from upstream to upstream, send it anything; the others go elsewhere.
 type Limits struct {
-	self      wardturn.Incarnation
-	hash      uint64
-	start     time.Time // stamps of words count from here
-	gateways  int       // the most that were counted lately; zero: none has been
-	countedAt time.Time // when there were that many
-	named     map[string]*namedLimit
-	others    map[wardturn.Incarnation]*limitTeller
-	lags      leastLags
-	seq       uint64
-	toldAt    time.Time // the latest word
-	sharedAt  time.Time // parts were worked out
+	self     wardturn.Incarnation
+	hash     uint64
+	start    time.Time // stamps of words count from here
+	gateways gatewayCount
+	named    map[string]*namedLimit
+	others   map[wardturn.Incarnation]*limitTeller
+	lags     leastLags
+	seq      uint64
+	toldAt   time.Time // the latest word
+	sharedAt time.Time // parts were worked out
 }
 
 const (
@@ -38,9 +37,6 @@
 	leastLimit = 0.5
 	// limitBurst is what may be sent at once, in seconds of a gateway's part.
 	limitBurst = 0.25
-	// gatewaysMemory is how long gateways that are not counted any more keep their parts:
-	// behind a cut they go on with them.
-	gatewaysMemory = time.Minute
 	// liftAfter is how long an upstream's answers have to name no limit before it is
 	// over; one answer without it may come from something in between.
 	liftAfter = time.Second
@@ -87,10 +83,7 @@
 // SetGateways takes the number of gateways, as keepers count them; zero: no keeper is
 // heard.
 func (l *Limits) SetGateways(now time.Time, counted int) {
-	if counted >= l.gateways && counted > 0 || now.Sub(l.countedAt) > gatewaysMemory && counted > 0 {
-		l.gateways = counted
-		l.countedAt = now
-	}
+	l.gateways.take(now, counted)
 	l.share(now)
 }
 
@@ -294,15 +287,15 @@
 // part returns this gateway's part of the limit of an upstream. Of gateways that are
 // counted and not heard as many may have a part as of those that are.
 func (l *Limits) part(instance string, rate float64) float64 {
-	if l.gateways == 0 {
+	if l.gateways.most == 0 {
 		return 0
 	}
 	senders := limitSpare + int(limitSenders*rate)
-	if senders >= l.gateways {
-		return 1 / float64(l.gateways)
+	if senders >= l.gateways.most {
+		return 1 / float64(l.gateways.most)
 	}
-	heard := min(1+len(l.others), l.gateways)
-	if l.rank(instance) >= senders*heard/l.gateways {
+	heard := min(1+len(l.others), l.gateways.most)
+	if l.rank(instance) >= senders*heard/l.gateways.most {
 		return 0
 	}
 	return 1 / float64(senders)
@@ -312,7 +305,7 @@
 // part of it. All that have none come to one request in 1/leastLimit s together, each at its
 // own time.
 func (l *Limits) probeAfter(instance string) time.Duration {
-	each := time.Duration(float64(l.gateways) / leastLimit * float64(time.Second))
+	each := time.Duration(float64(l.gateways.most) / leastLimit * float64(time.Second))
 	spread := 1 + float64(mix(hashString(instance)^l.hash))/(1<<64)
 	return time.Duration(spread * float64(max(limitProbe, each)))
 }
--- a/decide/teamcaps.go
+++ b/decide/teamcaps.go
@@ -20,7 +20,8 @@
 	cfg         TeamCapConfig
 	self        wardturn.Incarnation
 	start       time.Time
-	gateways    int     // how many there are taken to be
+	gateways    int // how many there are taken to be
+	counted     gatewayCount
 	recalled    int     // how many there were before this one started
 	part        float64 // of each cap that the gateways heard here may use
 	refreshedAt time.Time
@@ -117,6 +118,7 @@
 	if heard == len(c.others)+1 {
 		c.calm(now)
 	}
+	counted = c.counted.take(now, counted)
 	if counted == 0 {
 		counted = c.gateways // a gateway that is cut off was one of so many
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,7 @@
 // Config holds the settings of a gateway.
 type Config struct {
 	Process     wardturn.Incarnation
+	Host        string // its name
 	Domain      wardturn.FailureDomain
 	KeeperPort  string        // of the keeper beside each engine
 	Drain       time.Duration // after which a leaving upstream must get no new requests
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -102,6 +102,7 @@
 	l.client = peer.NewClient(net.JoinHostPort(host, ls.g.cfg.KeeperPort), nil, ls.g.clock, peer.Identity{
 		Role:    peer.RoleEntry,
 		Process: ls.g.cfg.Process,
+		Host:    ls.g.cfg.Host,
 		Config:  ls.g.configVersion,
 	}, l)
 	ls.keepers[l.client.Addr()] = l
--- a/keeper/gateways_test.go
+++ b/keeper/gateways_test.go
@@ -26,4 +26,20 @@
 		Consistently(heard.all, "300ms").ShouldNot(Receive())
 		Expect(words).To(BeNumerically("<=", 4))
 	})
+
+	It("counts the processes of one host once: one may not be known to have ended yet", func() {
+		_, addr := startKeeper("k", emptyEngine())
+		heard, conn := connect(addr)
+		Expect(conn.Send(engineNotice(false))).To(Succeed())
+		gateways := func() int {
+			return next[*peer.Holding](heard).Gateways
+		}
+		Eventually(gateways, soon).Should(Equal(1))
+		for _, host := range []string{"h", "h", "other"} {
+			_, c := connectFrom(host, addr)
+			Expect(c.Send(engineNotice(true))).To(Succeed())
+		}
+		Eventually(gateways, soon).Should(Equal(3))
+		Consistently(heard.all, "300ms").ShouldNot(Receive())
+	})
 })
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"net"
 	"sync"
 	"time"
@@ -64,12 +65,12 @@
 	upstream  wardturn.UpstreamID // the engine's present lifetime, as gateways and the engine say
 	seen      int64               // position of the entry that named it
 	fence     wardturn.Fence
-	fencing   bool                         // a start record is being written
-	greeted   map[*peer.Conn]bool          // connections that said which engine they mean
-	gateways  map[wardturn.Incarnation]int // such connections of each gateway
-	hears     map[*peer.Conn]bool          // connections on which news of the store is heard
-	reading   map[*peer.Conn]int           // tokens of long prompts, by gateway's connection
-	told      *holding                     // what the listeners know
+	fencing   bool                // a start record is being written
+	greeted   map[*peer.Conn]bool // connections that said which engine they mean
+	gateways  map[string]int      // such connections, by the gateway's host
+	hears     map[*peer.Conn]bool // connections on which news of the store is heard
+	reading   map[*peer.Conn]int  // tokens of long prompts, by gateway's connection
+	told      *holding            // what the listeners know
 	listeners listeners
 	countAt   time.Time // when a change of the number of gateways alone may be told
 	words     words
@@ -88,7 +89,7 @@
 		tasks:     process.NewTasks(d.Clock),
 		wake:      make(chan struct{}, 1),
 		greeted:   make(map[*peer.Conn]bool),
-		gateways:  make(map[wardturn.Incarnation]int),
+		gateways:  make(map[string]int),
 		hears:     make(map[*peer.Conn]bool),
 		reading:   make(map[*peer.Conn]int),
 		places:    decide.NewPlaces(d.Clock.Now(), d.Policy),
@@ -327,7 +328,7 @@
 	}
 	if !k.greeted[c] {
 		k.greeted[c] = true
-		k.gateways[c.Peer().Process]++
+		k.gateways[hostOf(c)]++
 	}
 	if m.News {
 		k.hears[c] = true
@@ -352,6 +353,12 @@
 	}
 }
 
+// hostOf returns the host of a gateway, so that a process and the one before it, whose
+// connection still counts after a loss of power, are one.
+func hostOf(c *peer.Conn) string {
+	return cmp.Or(c.Peer().Host, string(c.Peer().Process))
+}
+
 // Closed implements peer.Handler.
 func (k *Keeper) Closed(c *peer.Conn, _ error) {
 	k.relays.lost(c)
@@ -365,8 +372,9 @@
 		return
 	}
 	delete(k.greeted, c)
-	k.gateways[c.Peer().Process]--
-	if k.gateways[c.Peer().Process] == 0 {
-		delete(k.gateways, c.Peer().Process)
+	host := hostOf(c)
+	k.gateways[host]--
+	if k.gateways[host] == 0 {
+		delete(k.gateways, host)
 	}
 }
--- a/keeper/relay_test.go
+++ b/keeper/relay_test.go
@@ -52,6 +52,11 @@
 
 // connect connects a gateway's end to a keeper.
 func connect(addr string) (*words, *peer.Conn) {
+	return connectFrom("", addr)
+}
+
+// connectFrom is connect from a host.
+func connectFrom(host, addr string) (*words, *peer.Conn) {
 	w := &words{
 		conn: make(chan *peer.Conn, 8),
 		all:  make(chan peer.Message, 1000),
@@ -59,6 +64,7 @@
 	c := peer.NewClient(addr, nil, process.Clock{}, peer.Identity{
 		Role:    peer.RoleEntry,
 		Process: wardturn.Incarnation(fmt.Sprint("g", ends.Add(1))),
+		Host:    host,
 		Config: func() wardturn.Offset {
 			return 0
 		},
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -78,6 +78,7 @@
 type Identity struct {
 	Role     Role
 	Process  wardturn.Incarnation
+	Host     string // its name; may be empty
 	Upstream wardturn.UpstreamID
 	// Config returns the newest configuration applied.
 	Config func() wardturn.Offset
@@ -88,6 +89,7 @@
 		Protocol: Protocol,
 		Role:     id.Role,
 		Process:  id.Process,
+		Host:     id.Host,
 		Upstream: id.Upstream,
 		Config:   id.Config(),
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -68,6 +68,7 @@
 	Protocol int
 	Role     Role
 	Process  wardturn.Incarnation
+	Host     string              // name of the process's host; may be empty
 	Upstream wardturn.UpstreamID // of an agent
 	Config   wardturn.Offset     // newest configuration applied
 }
