--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -30,7 +30,7 @@
 const (
 	logLines = 4096 // that wait for a slow reader of the log
 	// The lines a second of one message. Refusals and failures go before what
-	// succeeded; a gateway had up to 227 in the worst second of a scale day.
+	// succeeded.
 	failureLines = 100
 	otherLines   = 20
 	// gcPercent trades memory for processor time; the heap is a few MB.
--- a/decide/finish.go
+++ b/decide/finish.go
@@ -25,10 +25,8 @@
 
 // waitsForQuicker reports whether a request with a long prompt should wait for its
 // adapter at another engine than m, the best of those that hold it: m would have
-// it late and the other would not. An adapter so gets
-// as many copies as its prompts need, and none for being popular alone. With 48
-// engines 0.473 of the worth was served without such copies for 0.524 with them
-// (mean of two days).
+// it late and the other would not. An adapter so gets as many copies as its prompts need,
+// and none for being popular alone.
 func (f *Fleet) waitsForQuicker(now time.Time, t *Ticket, m *Member) bool {
 	if t.settled || t.Key.Adapter == "" || t.Prompt < longPrompt {
 		return false
@@ -39,9 +37,8 @@
 	w := f.wantOf(now, t.Key, t.Service)
 	home := f.members[w.home]
 	if w.askedAt.IsZero() {
-		// Any room will do: where 26 gateways waited for a share of their own, copies
-		// came too late and 0.503 of the worth was served for 0.549 (mean of three
-		// days).
+		// Any room will do: where many gateways each wait for a share of their own,
+		// copies come too late.
 		if f.coming >= f.window.Size() {
 			return false
 		}
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -217,7 +217,7 @@
 }
 
 // gatewaysEvery is how often keepers' words on the number of gateways are looked
-// through: by estimate a look at 2,100 takes some 40 us.
+// through.
 const gatewaysEvery = 100 * time.Millisecond
 
 // countGateways brings the number of gateways up to date.
--- a/decide/home.go
+++ b/decide/home.go
@@ -9,11 +9,10 @@
 const (
 	// homeChoices is how many engines in the order of homes a cold adapter may go
 	// to. Gateways agree on them, so that an adapter is loaded once. The second one
-	// is there for an engine that reads long prompts; what it gains is within the
-	// noise of nine days (0.489 of the worth served, 0.486 with one).
+	// is there for an engine that reads long prompts.
 	homeChoices = 2
-	// noPlaceTime is how long a load waits for a place where none is free. It is an
-	// estimate and was not measured: nine streams of some 2 s end 0.2 s apart.
+	// noPlaceTime is how long a load waits for a place where none is free: nine streams
+	// of some 2 s end 0.2 s apart.
 	noPlaceTime = 200 * time.Millisecond
 )
 
--- a/decide/homes.go
+++ b/decide/homes.go
@@ -49,8 +49,7 @@
 
 // inOrder returns the engines of a list in the order of homes of an adapter, on
 // which all gateways agree, so that a cold adapter is loaded once. It costs a look
-// at each engine and no sorting of all: sorted, a choice among 2,100 took
-// 1.6 ms, so 0.02 (BenchmarkNowhere).
+// at each engine and no sorting of all, which takes longest among thousands.
 func inOrder(key wardturn.ModelAdapter, list []*Member) iter.Seq[*Member] {
 	return func(yield func(*Member) bool) {
 		h := hashString(string(key.Adapter))
--- a/decide/member.go
+++ b/decide/member.go
@@ -35,7 +35,7 @@
 // The costs of a choice, in milliseconds that a request is expected to lose.
 const (
 	// farCost stands for the price of traffic between failure domains, some
-	// thirtieth of a request's worth. 0 to 30 measured alike.
+	// thirtieth of a request's worth.
 	farCost = 20.0
 	// runCost is what each request at an engine costs another: its prompt is
 	// read and its tokens are made in the same steps.
--- a/decide/naming.go
+++ b/decide/naming.go
@@ -62,8 +62,8 @@
 
 // VersionServes reports whether requests may begin on a version of an adapter: on the
 // newest they may, and on each older one until the end that came with the first newer
-// name. One end for all old versions would move with each name: with a new version each
-// 2 s 347 of 655 requests on old versions were sent after their end (gateways' logs).
+// name. One end for all old versions would move with each name, and versions that are named
+// in quick succession would never end.
 func (f *Fleet) VersionServes(now time.Time, key wardturn.ModelAdapter, v wardturn.Version) bool {
 	n := f.replacedBy(key, v)
 	return n == nil || now.Before(n.end)
--- a/decide/patience.go
+++ b/decide/patience.go
@@ -6,7 +6,7 @@
 
 const (
 	// warmLoad is how long an adapter takes from its engine's own memory, as gateways
-	// see it: 51 to 64 ms at the median of six days' logs, orders included.
+	// see it, orders included.
 	warmLoad = 50 * time.Millisecond
 	// lastMoment is how long before its deadline a request that still waits is
 	// refused, so that its caller has the answer in time.
@@ -14,9 +14,7 @@
 	// refillTime is how long requests wait on once the first engine is no longer
 	// empty after all were: about what a weight store of 32 loads a second takes to
 	// fill a hundred places. Refused sooner they come back before their adapters are
-	// there and are refused once more: of all requests 0.0292 were refused for 0.0269
-	// when those that came while all were empty wait (mean of twenty days), and
-	// 0.022 for 0.017 when those that come later do as well (mean of ten).
+	// there and are refused once more.
 	refillTime = 3 * time.Second
 	// leastComeBack is the least time told to a caller: less than a load from the
 	// store would have it back before anything has changed.
--- a/decide/places.go
+++ b/decide/places.go
@@ -147,14 +147,13 @@
 }
 
 // lostFor is how long requests of a gateway that was lost may still run: the longest
-// streams took a little over 7 s (gateways' logs).
+// streams take over 7 s.
 const lostFor = 8 * time.Second
 
 // GatewayLost forgets the requests of a gateway whose connection ended. While the engine
 // runs more than the other gateways tell of, they may still run there: the gateway may
 // only be cut off from here. To unload what they use would keep the engine from all other
-// orders until they end: with three in ten hosts cut off for 5 s some engine took none for
-// 1.2 to 2.8 s on each of four days, and for 0.02 s at most with this (keepers' logs).
+// orders until they end.
 func (p *Places) GatewayLost(gateway wardturn.Incarnation) {
 	for key, u := range p.uses {
 		if u.running[gateway] > 0 {
@@ -206,8 +205,7 @@
 }
 
 // Next returns the order that is due. It reports false if there is none now. A busy
-// engine refuses all orders: without a look at that and the wait in towards 307 of 3,048
-// orders in 50 s were refused, with both 10 of 1,796 (mean of twelve days).
+// engine refuses all orders, so none is given then.
 func (p *Places) Next(now time.Time) (PlaceOrder, bool) {
 	p.expire(now)
 	if !p.known || p.state.Busy || len(p.spec.Models) == 0 || now.Before(p.retryAt) {
--- a/decide/reading.go
+++ b/decide/reading.go
@@ -12,8 +12,7 @@
 const readingLife = 1500 * time.Millisecond
 
 // longPrompt is the least prompt, in tokens, that gateways tell of: an engine reads
-// it for 100 ms. Without the word on them 0.468 of the worth was served for 0.489
-// (mean of nine days).
+// it for 100 ms.
 const longPrompt wardturn.Tokens = 4096
 
 // reading is what is known of the long prompts that an engine reads. Requests
--- a/decide/teamcaps.go
+++ b/decide/teamcaps.go
@@ -135,22 +135,17 @@
 
 // mayBeBefore reports whether the words of another gateway may all be of a process that
 // ended together with the one before this: it began earlier, and none of its words shows
-// that it was still there when this one began. With all of 26 gateways begun anew and a team
-// at 4.2 times its cap, each that counted such a word as another gateway took a larger
-// part, and the team got 5.2 to 5.9 s of its rate over in 8 s; none since they do not count
-// (model, eleven moments of the start). Those that begin together count each other at once:
-// with no word counted for 500 ms more was refused after a loss of all gateways, 0.070 of
-// all requests in place of 0.054 (one day).
+// that it was still there when this one began. When all gateways begin anew, each that
+// counted such a word as another gateway would take a larger part, and the team would get
+// several times its cap. Those that begin together count each other at once: with no word
+// counted for a while, more would be refused than need be.
 func (c *TeamCaps) mayBeBefore(o *otherGateway) bool {
 	return c.recalled > 0 && o.before && o.age-o.firstAge < capDelay
 }
 
 // freshness is how far another gateway counts as heard by the age of its latest word: in
-// full while the next word is not due, and less and less after that. When 9 of 26 gateways
-// are cut off from the others, both sides go on with the whole cap until they notice: a team
-// at 4.2 times its cap all the time gets 0.23 s of its rate over in the worst 8 s, in place
-// of 0.79 with full weight up to the lapse, and 2.32 in place of 2.99 if it sends that from
-// the cut on (model).
+// full while the next word is not due, and less and less after that. When gateways are cut
+// off from the others, both sides go on with the whole cap until they notice.
 func freshness(age time.Duration) float64 {
 	return min(1, max(0, (capLapse-age).Seconds()/(capLapse-capFresh).Seconds()))
 }
@@ -169,9 +164,8 @@
 }
 
 // Recall takes how many gateways there were before this one started. It counts for the
-// time in which keepers and other gateways are still to be heard: processes that took
-// themselves for the only ones, and heard nobody, let a team at 4.2 times its cap 9.4 s of
-// its rate over it in 8 s when 9 of 26 had started anew, and 24.7 s when all had (model).
+// time in which keepers and other gateways are still to be heard: processes that take
+// themselves for the only ones would each let a team have its whole cap.
 func (c *TeamCaps) Recall(now time.Time, gateways int) {
 	c.recalled = gateways
 	c.SetGateways(now, 0)
--- a/decide/teamwords.go
+++ b/decide/teamwords.go
@@ -11,8 +11,7 @@
 
 const (
 	// untoldPart is the use, in seconds of a cap's rate, that all gateways together
-	// may keep to themselves while the cap is nearly used up. With a team that sends
-	// 4.2 times its cap and words every 250 ms, 0.28 s of the rate goes over (model).
+	// may keep to themselves while the cap is nearly used up: about as much may go over.
 	untoldPart = 0.25
 	// freePart is the same as a part of what is left of the bucket: far from the cap
 	// fewer words do.
@@ -177,8 +176,7 @@
 // forgive returns what need not be charged of units that a late word tells of. Their use
 // lies back some time, and is set against what this bucket did not get or could not hold
 // since the team was last told of: nothing of that was used here. Charged whole, at one
-// moment, 9 of 26 gateways that had been cut off for 9 s cost a team at 0.7 of its cap
-// 3.2 s of its rate (model).
+// moment, a cut that heals would cost a team below its cap seconds of its rate.
 func (t *teamCap) forgive(units, spared float64) float64 {
 	forgiven := max(0, min(units, spared, t.unspent))
 	t.unspent -= forgiven
--- a/decide/trust.go
+++ b/decide/trust.go
@@ -7,8 +7,7 @@
 const (
 	// trustPause is how long a way that has failed is left alone at first, and
 	// trustMost at most, doubled in between: a host that is slow because it is
-	// overloaded must not be asked for everything again and again. After a loss of
-	// power seven gateways left 45 relays within 0.4 s (their logs).
+	// overloaded must not be asked for everything again and again.
 	trustPause = 3 * time.Second
 	trustMost  = time.Minute
 	// trustAfter is how long a way must hold to be trusted as at first.
--- a/decide/turn.go
+++ b/decide/turn.go
@@ -160,9 +160,8 @@
 }
 
 // Failed records that a reading of this process had no answer. It reads again after the
-// least time between two, unless another tells of a later reading. Pauses that double
-// to 1 s serve callers no better: worth 0.522 with them, 0.526 without, mean of twelve
-// days of 50 s (difference 0.005, sd of the mean 0.002), for 280 calls a day of 311.
+// least time between two, unless another tells of a later reading. Pauses that double serve
+// callers no better, and save few calls.
 func (t *ReadTurn) Failed(now time.Time) {
 	t.failing = true
 	t.notBefore = now.Add(t.cfg.Least)
--- a/decide/versions.go
+++ b/decide/versions.go
@@ -8,13 +8,12 @@
 
 const (
 	// versionSlack is how long before the bound on old versions their end is: for the
-	// way of the word that breaks off what has not begun. It is an estimate, far over
-	// a way between failure domains and a step of a slow host.
+	// way of the word that breaks off what has not begun, far over a way between failure
+	// domains and a step of a slow host.
 	versionSlack = 500 * time.Millisecond
 	// beginWithin is how long before its end an old version gets its last request,
-	// beside the time that prompts take. Requests to old versions began 0.12 s after
-	// they were sent at the median, 1.22 s at the 99th of 100 (gateways' logs of ten
-	// days with frozen hosts); the few that take longer are broken off.
+	// beside the time that prompts take. The few requests that take longer to begin, on
+	// hosts that freeze, are broken off.
 	beginWithin = time.Second
 	// versionRepeat is how often the replacement of old versions is looked at.
 	versionRepeat = 300 * time.Millisecond
@@ -49,9 +48,7 @@
 	n := f.named(v, now, end)
 	if end.After(now) {
 		// Else this gateway was away, and the version may have been named just now:
-		// what was sent before would be lost without need. All 78 requests that were
-		// broken off on nine days with frozen gateways and a store that was away were
-		// such ones (gateways' logs).
+		// what was sent before would be lost without need.
 		r.ends = append(r.ends, n)
 	}
 	f.advance(now, key, r, out)
--- a/decide/window.go
+++ b/decide/window.go
@@ -40,9 +40,8 @@
 	windowProbe   = 0.5             // growth for a load before the first slow one: half again with each load time
 	// windowStartPart is the part of engines that may each have a load under way at
 	// the start. A store is built for its engines: the known ones serve 0.33 to 2
-	// loads for each at full speed. From 8 the window took 1.5 s to what a store for
-	// 74 engines serves, and 617 of 2,063 requests in the first two seconds were
-	// late; from this 0.745 of the worth was served for 0.697 (one day, one run each).
+	// loads for each at full speed. From a few the window takes over a second to what a
+	// store for many engines serves, and the requests of that time are late.
 	windowStartPart = 0.5
 	// expectedLoad is the time of a load from a store that is not overloaded, with its
 	// order and report: 250 ms by the platform's description, and 20. Loads count
@@ -57,8 +56,7 @@
 	// memoryPart is the part of the usual time below which a load was not from the
 	// store: an engine brings back in a tenth of it what it held before, and a
 	// gateway that has just started does not know what that is. Counted as loads
-	// from the store they make all others look slow, and the window falls to 4: on
-	// a day on which gateways restart 0.717 of the worth was served for 0.776.
+	// from the store they make all others look slow, and the window falls to its least.
 	memoryPart = 0.35
 	// quickInRow is how many such loads in a row say that the store has become
 	// quicker. One in three was from memory where it mattered.
@@ -71,8 +69,7 @@
 // to their engines; so all learn the same window: it widens while loads take
 // their usual time and narrows when they slow down, as congestion control does.
 // Beyond what the store serves at once more loads only take longer, and come
-// when those that waited have left: with 26 gateways that ask for what they want
-// 0.470 of the worth was served for 0.524 (mean of two days).
+// when those that waited have left.
 type LoadWindow struct {
 	cfg       WindowConfig
 	size      float64
--- a/gateway/caps.go
+++ b/gateway/caps.go
@@ -26,8 +26,7 @@
 
 // capGroup is how many gateways have their words on caps carried by the same keepers:
 // what a keeper gets of several it passes on in one message. With one group for all, the
-// busiest keeper carried 112 kB/s with 107 gateways in three failure domains, so 49 (one
-// day each).
+// two that it chooses would carry everything.
 const capGroup = 16
 
 // relayKey chooses the keepers that carry this gateway's words.
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -143,8 +143,8 @@
 }
 
 // abort ends a connection whose request nobody waits for, by a reset: a request that a
-// frozen host has not taken yet is dropped with it. Closed in the usual way, 9 requests
-// of one frozen host reached its engine 3.3 s after their callers had left (one day).
+// frozen host has not taken yet is dropped with it. Closed in the usual way it reaches
+// the engine seconds after its caller has left.
 func (c *upstreamConn) abort() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // else it is closed in the usual way
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -17,9 +17,8 @@
 
 // crashes knows under which requests upstreams have ended: by what this gateway sees, by
 // the words of others, and by the store. There lie the contents under which two have
-// ended, so that all gateways may end or be cut off from each other. Before, a request
-// that crashes upstreams went on to one after another for as long as it came: 16 and 24
-// engines ended under two of them on one day.
+// ended, so that all gateways may end or be cut off from each other. Without it a request
+// that crashes upstreams goes on to one after another for as long as it comes.
 type crashes struct {
 	g      *Gateway
 	record wardturn.CrashRecord
@@ -193,10 +192,8 @@
 
 // noteContent tells what the end of a send says of what the request asks. An answer that
 // the upstream gave whole speaks for it, an error of the upstream's own says nothing: one
-// that fails by itself answers so whatever is asked. If that cleared a content, upstreams
-// that answer 0.3 and 0.5 of all requests so would end 140 and 929 times in place of 64 and
-// 59, and no more other requests would be served (a model of four gateways before twelve
-// engines, ten seeds of a minute).
+// that fails by itself answers so whatever is asked. If that cleared a content, a request
+// that crashes upstreams would be let through again by any that fails now and then.
 func (x *exchange) noteContent(a assignment, res result, limit error) {
 	switch res {
 	case passed:
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -170,9 +170,8 @@
 }
 
 // takePart takes the upstreams of plain services from a list that is still being
-// read, so that their requests need not wait for the rest: with 2,998 upstreams, all 136
-// gateways killed at once, none of 1,597 requests for plain services is refused, in
-// place of 162 (one day of 10 s each).
+// read, so that their requests need not wait for the rest, which takes most of a second
+// with thousands of upstreams.
 // Engines are taken all at once: requests for an adapter whose holder has not been
 // read yet would have it loaded elsewhere.
 func (g *Gateway) takePart(list []wardturn.Member) {
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -14,10 +14,9 @@
 )
 
 // recallFleet takes what gateways knew before all of them ended. After a loss of power the
-// engines are empty, and from its own start the window of loads takes 1.2 s to what the
-// store serves: with the record 0.42 and 0.48 of the worth was served in the two worst
-// windows of two such days, without 0.38 and 0.45 (one run each). By the number of gateways
-// a new one knows its part of usage caps before it hears the others.
+// engines are empty, and requests would wait while the window of loads widens anew to what
+// the store serves. By the number of gateways a new one knows its part of usage caps before
+// it hears the others.
 func (g *Gateway) recallFleet() {
 	for range recallTries {
 		facts, err := g.memory.RecallFleet()
--- a/gateway/newsways.go
+++ b/gateway/newsways.go
@@ -17,9 +17,8 @@
 // newsConns returns the connections on which a reading is told: to two keepers in
 // each failure domain, which pass it on inside. So it crosses to each other domain
 // twice, and not to each gateway there. Key chooses them; the readings of one kind of
-// one gateway go the same ways, and so stay in order, and those of others by others.
-// At 299 hosts in five domains the busiest keeper carries 16.3 kB/s, in place of 128
-// with two keepers for all, and the day is worth 0.535 in place of 0.441 (one day each).
+// one gateway go the same ways, and so stay in order, and those of others by others:
+// with two keepers for all, these two would carry everything.
 func (ls *links) newsConns(key string) []*peer.Conn {
 	byDomain := ls.waysByDomain()
 	conns := make([]*peer.Conn, 0, newsKeepers*len(byDomain))
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -13,14 +13,13 @@
 const (
 	// relayStart is how long a new link in the own failure domain counts as a relay
 	// before it is connected, so that gateways which start together choose alike and
-	// once; a choice among those that are there so far moves with each that comes. It
-	// is an estimate, four times what 156 connections may take a host of 0.144 cores.
+	// once; a choice among those that are there so far moves with each that comes.
 	relayStart = 2 * time.Second
 	// relaySync is how long a full holding may stay out until the keeper itself is
 	// asked: a dial to a host that is still dark takes 300 ms, and then another.
 	relaySync = time.Second
 	// relayLag is how long a relay may be behind a keeper's mark: far over the
-	// way by a relay, a step of some milliseconds by estimate, also on a slow host. A
+	// way by a relay, a step of some milliseconds, also on a slow host. A
 	// frozen relay is left after this and a tick of links.check, and sooner than its
 	// heartbeat shows it.
 	relayLag = 500 * time.Millisecond
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -98,9 +98,8 @@
 
 // answered records that the store answered this gateway or another; an absence shorter than
 // the least is none. A gateway that the store turned away once may hear of others' readings
-// for long before it reads by itself: counted from its own next reading, the store was away
-// for 24.6 s, and an upstream that left at the end of that got a request 3,188 ms later
-// (bound 3,000 ms; one day).
+// for long before it reads by itself: counted until its own next reading, an upstream that
+// left meanwhile would be kept as lapsed and get requests.
 func (r *roster) answered(at time.Time, least time.Duration) {
 	if !r.failing || !at.After(r.failedAt) {
 		return
@@ -172,8 +171,7 @@
 }
 
 // expire returns the upstreams without the kept entries whose time is over. Left to the
-// next reading, up to 2.1 s later, an upstream got a request 3,310 ms after it had left
-// (bound 3,000 ms; one day).
+// next reading, an upstream that has left would get requests for that much longer.
 func (r *roster) expire() roll {
 	return roll{
 		members: r.withLapsed(r.clock.Now()),
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -178,9 +178,8 @@
 	case http.CanonicalHeaderKey(n.LastEvent):
 		return x.events.last != ""
 	}
-	// What a caller asks of an upstream's memory would be taken from other callers:
-	// 0.131 of all requests were refused on days whose callers sent such headers,
-	// and 0.066 once they were dropped (mean of five days).
+	// What a caller asks of an upstream's memory would be taken from other callers,
+	// whose requests are refused for it.
 	return slices.Contains(n.Reserved, name)
 }
 
--- a/gateway/unbegun.go
+++ b/gateway/unbegun.go
@@ -22,8 +22,7 @@
 
 // unbegun are the requests that were sent and have not begun, as far as is seen here. A
 // request may be held up on its way, in the queue of a slow engine or on a frozen host,
-// and would begin on an old version up to 1.1 s after a bound of 5 s (gateways' logs of
-// 56 days with frozen hosts), or crash one more upstream.
+// and would begin on an old version after its end, or crash one more upstream.
 type unbegun struct {
 	mu    sync.Mutex
 	sends map[*waitingSend]bool
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -19,9 +19,8 @@
 	busyPoll = 10 * time.Millisecond  // of the engine's report while orders are due or under way
 	restPoll = 200 * time.Millisecond // otherwise
 	// fenceRetry is the pause after a failed start record. Without a fence nothing
-	// can be loaded: a pause that doubles up to 2 s leaves engines without orders for
-	// 2.1 s when all processes start at once and the store refuses their first three
-	// records (keepers' logs).
+	// can be loaded: a pause that doubles leaves engines without orders for seconds when
+	// all processes start at once and the store refuses their first records.
 	fenceRetry    = 400 * time.Millisecond
 	conflictPause = 20 * time.Millisecond  // after an order that met another
 	lostPause     = 5 * time.Millisecond   // after an order without answer
--- a/keeper/relay.go
+++ b/keeper/relay.go
@@ -24,9 +24,8 @@
 
 // relays pass on what keepers in other failure domains tell to the gateways of
 // the own one. So a change crosses between two failure domains once and not once
-// for each gateway: with 68 gateways and 74 engines in five of them 0.089 GB crossed
-// in 48 s in place of 0.191 (one run each), requests and answers included. Gateways choose who relays; a relay that is wrong, late
-// or gone costs them a direct connection's words, nothing else.
+// for each gateway. Gateways choose who relays; a relay that is wrong, late or gone costs
+// them a direct connection's words, nothing else.
 type relays struct {
 	clock  wardturn.Clock
 	logger hclog.Logger
