--- a/decide/limits.go
+++ b/decide/limits.go
@@ -229,9 +229,12 @@
 		n.at = now
 		n.probedAt = now
 	}
+	n.confirm(named)
+	if n.rate == rate {
+		return
+	}
 	n.fill(now)
 	n.rate = rate
-	n.confirm(named)
 	l.sharedAt = time.Time{}
 	l.share(now)
 }
--- a/decide/limitwords.go
+++ b/decide/limitwords.go
@@ -11,6 +11,9 @@
 const (
 	// limitBeat is the longest time between two words of a gateway that knows a limit.
 	limitBeat = time.Second
+	// limitPause is the least time between two words: an upstream may name another figure in
+	// each answer.
+	limitPause = 50 * time.Millisecond
 	// limitRefresh is how long after a word on a limit, of any gateway, it is told again.
 	limitRefresh = time.Second
 	// limitSlack is by how much the time of another gateway's answer may seem later than it
@@ -44,6 +47,9 @@
 // Word returns what the other gateways have to be told now, if anything; fresh says that
 // it is something new.
 func (l *Limits) Word(now time.Time) (w LimitWord, fresh, due bool) {
+	if now.Sub(l.toldAt) < limitPause {
+		return LimitWord{}, false, false
+	}
 	knows := false
 	for _, instance := range slices.Sorted(maps.Keys(l.named)) {
 		n := l.named[instance]
