Soak: upstreams name limits, and what they get is held against them

One upstream after another names a limit for 6 to 11 s, amid all other faults, with a garbled figure in between; what it gets in 4 s from processes that had passed the figure on half a second before is at most what is allowed. Windows in which its link is held up, or it starts under another id, do not count. TestLimitChecksCanFail shows that the check fails for one request too many.

--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -25,14 +25,14 @@
 	return int(1.5*rate*limitWindow.Seconds()) + 5
 }
 
-// mostWithin returns the most times that lie within a span, of those after a time.
-func mostWithin(times []time.Time, after time.Time, span time.Duration) int {
-	times = slices.DeleteFunc(times, func(t time.Time) bool {
-		return t.Before(after)
+// mostWithin returns the most arrivals that lie within a span, of those after a time.
+func mostWithin(list []standin.Arrival, after time.Time, span time.Duration) int {
+	list = slices.DeleteFunc(list, func(a standin.Arrival) bool {
+		return a.At.Before(after)
 	})
 	most, first := 0, 0
-	for i, t := range times {
-		for t.Sub(times[first]) >= span {
+	for i, a := range list {
+		for a.At.Sub(list[first].At) >= span {
 			first++
 		}
 		most = max(most, i-first+1)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -120,6 +120,8 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
 	began := time.Now()
+	process := g.process()
+	s.limits.sent(id, process)
 	s.ledger.note(keyedAttempt{
 		id:   id,
 		key:  key,
@@ -130,6 +132,7 @@
 		s.judgeCut(g, k, id, began, err)
 		return 0
 	}
+	s.limits.passedOn(process, res.Header.Get(names.Limit))
 	body, err := io.ReadAll(res.Body)
 	res.Body.Close()
 	if err != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -143,6 +143,7 @@
 	}
 	f := pick(r, list)
 	f.target = l.Addr()
+	f.begin = excusing(s.world.upstreamOf(l), f.begin)
 	return f
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"os/exec"
@@ -24,6 +25,7 @@
 	termed  time.Time // of the latest SIGTERM
 	ended   chan struct{}
 	crashes int // ends without a signal of ours
+	starts  int
 	hurt    bool
 }
 
@@ -49,6 +51,7 @@
 	d.cmd.Stdout = d.log
 	d.cmd.Stderr = d.log
 	d.hurt = false
+	d.starts++
 	return errors.Wrap(d.cmd.Start(), d.name)
 }
 
@@ -78,6 +81,13 @@
 	}
 }
 
+// process names the process that runs now.
+func (d *daemon) process() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return fmt.Sprintf("%s/%d", d.name, d.starts)
+}
+
 // signal sends a signal to the process that runs now.
 func (d *daemon) signal(s syscall.Signal) {
 	d.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,6 +53,7 @@
 	gateways []*gatewayProcess
 	keepers  []*keeperProcess
 	ledger   *ledger
+	limits   *limitLedger
 	stop     chan struct{}
 	wg       sync.WaitGroup
 
@@ -74,6 +75,7 @@
 		world:  w,
 		stop:   make(chan struct{}),
 		faults: make(map[string]int),
+		limits: newLimitLedger(),
 		ledger: &ledger{
 			w: w,
 		},
@@ -87,6 +89,7 @@
 	}
 	s.callers(cfg.Callers)
 	s.fatalCaller()
+	s.nameLimits()
 	s.hurt(ctx)
 	took, ok := s.served(recoverIn)
 	if !ok {
@@ -95,6 +98,7 @@
 	close(s.stop)
 	s.wg.Wait()
 	s.checkFatals()
+	s.checkLimits()
 	s.ledger.settle()
 	s.checkCrashes()
 	return Report{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"os/exec"
@@ -124,3 +125,56 @@
 		t.Fatalf("%d violations: %q", len(l.violations), l.violations)
 	}
 }
+
+func TestLimitChecksCanFail(t *testing.T) {
+	w, err := newWorld(0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.close()
+	u := w.upstreams[0]
+	s := &soak{
+		cfg: Config{
+			Log: io.Discard,
+		},
+		world: w,
+		ledger: &ledger{
+			w: w,
+		},
+		limits: newLimitLedger(),
+	}
+	const figure = "0.500001"
+	n := naming{
+		u:      u,
+		figure: figure,
+		rate:   0.5,
+		from:   time.Now(),
+	}
+	send := func(process string, count int) {
+		for i := range count {
+			id := fmt.Sprint(process, i)
+			s.limits.sent(id, process)
+			ranOnce(t, u, id)
+		}
+	}
+	s.limits.passedOn("told", figure)
+	send("untold", 20)
+	send("told", 20) // at once
+	time.Sleep(limitGrace)
+	send("told-later", 20)
+	send("told", 8) // as many as are allowed
+	n.to = time.Now()
+	s.limits.namings = []naming{n}
+	if s.checkLimits(); len(s.ledger.violations) != 0 {
+		t.Fatalf("what is allowed is broken: %q", s.ledger.violations)
+	}
+	send("told", 1)
+	s.limits.namings[0].to = time.Now()
+	if s.checkLimits(); len(s.ledger.violations) != 1 {
+		t.Fatalf("one more is not seen: %q", s.ledger.violations)
+	}
+	u.excuse(n.from, time.Now())
+	if s.checkLimits(); len(s.ledger.violations) != 1 {
+		t.Fatalf("an excused window counts: %q", s.ledger.violations)
+	}
+}
--- a/soak/world.go
+++ b/soak/world.go
@@ -33,6 +33,10 @@
 	id    string
 	lives int
 	state string
+	// faults and limit are how it misbehaves, and the requests a second that it names.
+	faults  standin.WorkerFaults
+	limit   string
+	excused []span
 }
 
 // world is the platform around the daemons.
@@ -232,13 +236,18 @@
 	u.id = fmt.Sprintf("%s-%d", old, u.lives)
 	u.worker.Restart(u.id)
 	u.mu.Unlock()
+	u.excuse(time.Now(), time.Now()) // under this id it has named nothing
 	w.enter(u)
 	w.store.DropServer(old)
 }
 
 // behave gives an upstream some troubles; a fatal request crashes it all the same.
 func (u *upstream) behave(f standin.WorkerFaults) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.faults = f
 	f.CrashOn = fatalBody
+	f.Limit = u.limit
 	u.worker.SetFaults(f)
 }
 
--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -61,7 +61,10 @@
 
 func (m *ModelWorker) serveRequest(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
-	m.arrivals = append(m.arrivals, time.Now())
+	m.arrivals = append(m.arrivals, Arrival{
+		At:      time.Now(),
+		Attempt: r.Header.Get("X-Wardturn-Attempt-Id"),
+	})
 	m.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -31,7 +31,7 @@
 	fell     bool
 	newest   map[string]int64
 	headers  map[string]http.Header // of the latest run, by attempt id
-	arrivals []time.Time            // of requests
+	arrivals []Arrival
 }
 
 // ModelWorkerConfig says what a worker is.
@@ -138,8 +138,14 @@
 	return m.headers[attempt]
 }
 
-// Arrivals returns when requests arrived, also those that were refused.
-func (m *ModelWorker) Arrivals() []time.Time {
+// Arrival is a request that reached a worker, also one that it refused.
+type Arrival struct {
+	At      time.Time
+	Attempt string
+}
+
+// Arrivals returns the requests that arrived, in order.
+func (m *ModelWorker) Arrivals() []Arrival {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return slices.Clone(m.arrivals)
