Retry budgets go by the gateways counted, also when no keeper is heard

The resends beyond the share of requests are divided by the number of gateways; without a keeper that number was one, so 26 gateways that lose all keepers had 1,248 extra resends in 10 s, where 96 are allowed to all (test). Change: the number is the most counted in the last minute, as for caps and limits, and a gateway that has heard no keeper yet has no extra resends. The number of gateways that counts is one exported type for the three.

--- a/decide/limits.go
+++ b/decide/limits.go
@@ -17,7 +17,7 @@
 	self     wardturn.Incarnation
 	hash     uint64
 	start    time.Time // stamps of words count from here
-	gateways gatewayCount
+	gateways GatewayCount
 	named    map[string]*namedLimit
 	others   map[wardturn.Incarnation]*limitTeller
 	lags     leastLags
@@ -83,7 +83,7 @@
 // SetGateways takes the number of gateways, as keepers count them; zero: no keeper is
 // heard.
 func (l *Limits) SetGateways(now time.Time, counted int) {
-	l.gateways.take(now, counted)
+	l.gateways.Take(now, counted)
 	l.share(now)
 }
 
--- a/decide/teamcaps.go
+++ b/decide/teamcaps.go
@@ -21,7 +21,7 @@
 	self        wardturn.Incarnation
 	start       time.Time
 	gateways    int // how many there are taken to be
-	counted     gatewayCount
+	counted     GatewayCount
 	recalled    int     // how many there were before this one started
 	part        float64 // of each cap that the gateways heard here may use
 	refreshedAt time.Time
@@ -118,7 +118,7 @@
 	if heard == len(c.others)+1 {
 		c.calm(now)
 	}
-	counted = c.counted.take(now, counted)
+	counted = c.counted.Take(now, counted)
 	if counted == 0 {
 		counted = c.gateways // a gateway that is cut off was one of so many
 	}
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -25,9 +25,15 @@
 }
 
 // extraResends returns this gateway's part of the resends that are allowed beyond
-// the share of requests: those a second, and those at once. The lock is held.
+// the share of requests: those a second, and those at once. Until a keeper has told how
+// many gateways there are it has none: gateways that take themselves for the only ones
+// would each have all of them. The lock is held.
 func (g *Gateway) extraResends() (floor, burst float64) {
-	own := g.cfg.RetryExtra / float64(g.fleet.Gateways())
+	n := g.counted.Take(g.clock.Now(), g.fleet.CountedGateways())
+	if n == 0 {
+		return 0, 1
+	}
+	own := g.cfg.RetryExtra / float64(n)
 	return floorPart * own / g.cfg.RetryWindow.Seconds(), max(1, burstPart*own)
 }
 
--- /dev/null
+++ b/gateway/budget_internal_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/process"
+)
+
+// All gateways together may add so many resends. A gateway that heard no keeper took itself
+// for the only one, and took as many as all together may at once: when every keeper was
+// lost, 26 gateways had 13 times what is allowed in the window.
+func TestExtraResendsWithoutKeepers(t *testing.T) {
+	const allowed, gateways = 96.0, 26
+	g := &Gateway{
+		cfg: Config{
+			RetryExtra:  allowed,
+			RetryWindow: 10 * time.Second,
+		},
+		clock: process.Clock{},
+		fleet: decide.NewFleet(decide.FleetConfig{}),
+	}
+	inWindow := func() float64 {
+		floor, burst := g.extraResends()
+		return floor*g.cfg.RetryWindow.Seconds() + burst
+	}
+	if got := gateways * inWindow(); got > allowed {
+		t.Errorf("before any keeper is heard: %.0f resends of all gateways, at most %.0f", got, allowed)
+	}
+	var out decide.Moves
+	id := wardturn.UpstreamID("e")
+	now := g.clock.Now()
+	g.fleet.SetMembers(now, []wardturn.Member{
+		{
+			ID:   id,
+			Addr: "e:1",
+		},
+	})
+	g.fleet.SetHolding(now, id, decide.Holding{
+		Connected: true,
+		Gateways:  gateways,
+	}, &out)
+	heard := inWindow()
+	if got := gateways * heard; got > allowed || got < allowed/4 {
+		t.Errorf("with keepers: %.0f resends of all gateways, at most %.0f", got, allowed)
+	}
+	g.fleet.KeeperLost(id)
+	g.fleet.Tick(now.Add(time.Second), &out)
+	if got := inWindow(); got > heard {
+		t.Errorf("after all keepers are lost: %.2f resends, %.2f before", got, heard)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 	fleet   *decide.Fleet
 	part    []wardturn.Member // of the list that is being read at the start; nil: there is none
 	budgets map[wardturn.ServiceName]*decide.RetryBudget
+	counted decide.GatewayCount // by which the budgets are shared
 }
 
 // New starts a gateway. It serves when it has a configuration, or after a
