--- /dev/null
+++ b/decide/limits_bench_test.go
@@ -0,0 +1,55 @@
+package decide_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+// BenchmarkLimits measures what a gateway does by the number of gateways, with limits of
+// 50 upstreams: a look before a send, at an upstream with a limit and at one without while
+// others have some, and a word of another gateway.
+func BenchmarkLimits(b *testing.B) {
+	for _, n := range []int{4, 26, 107, 470} {
+		l, words := knownLimits(n)
+		now := start.Add(time.Second)
+		b.Run(fmt.Sprintf("limited/gateways=%d", n), func(b *testing.B) {
+			for i := range b.N {
+				l.Allows(now.Add(time.Duration(i)*time.Millisecond), "u7")
+			}
+		})
+		b.Run(fmt.Sprintf("unlimited/gateways=%d", n), func(b *testing.B) {
+			for range b.N {
+				l.Allows(now, "other")
+			}
+		})
+		b.Run(fmt.Sprintf("word/gateways=%d", n), func(b *testing.B) {
+			for i := range b.N {
+				w := words[i%len(words)]
+				w.Seq = uint64(i + 2)
+				l.Heard(now.Add(time.Duration(i)*time.Millisecond), w)
+			}
+		})
+	}
+}
+
+// knownLimits returns limits of 50 upstreams that all of n gateways have told of, and the
+// latest words of the others.
+func knownLimits(n int) (l *decide.Limits, words []decide.LimitWord) {
+	l = decide.NewLimits(start, "p0")
+	l.SetGateways(start, n)
+	for i := range 50 {
+		l.Named(start, wardturn.UpstreamID(fmt.Sprint("u", i)), 5)
+	}
+	for i := 1; i < n; i++ {
+		other := decide.NewLimits(start, wardturn.Incarnation(fmt.Sprint("p", i)))
+		other.Named(start, wardturn.UpstreamID(fmt.Sprint("u", i%50)), 5)
+		w, _, _ := other.Word(start)
+		l.Heard(start, w)
+		words = append(words, w)
+	}
+	return l, words
+}
