--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -13,8 +13,6 @@
 
 const (
 	limitID     = wardturn.UpstreamID("u")
-	limitStep   = 10 * time.Millisecond
-	limitLook   = 200 * time.Millisecond // between looks whether a word is due
 	limitWindow = 4 * time.Second
 	limitLearn  = time.Second            // from the first answer that names a limit until all keep it
 	limitGrace  = 500 * time.Millisecond // until a gateway that had such an answer keeps it
@@ -101,7 +99,7 @@
 // step lets a step of time pass in which callers ask each gateway for the upstream at a
 // rate.
 func (s *limitSim) step(demand float64, delay func() time.Duration, lost func() bool) {
-	s.now = s.now.Add(limitStep)
+	s.now = s.now.Add(capStep)
 	s.deliver()
 	sent, told := 0, 0
 	for _, g := range s.gateways {
@@ -109,7 +107,7 @@
 			g.frozen--
 			continue
 		}
-		for g.owed += demand * limitStep.Seconds(); g.owed >= 1; g.owed-- {
+		for g.owed += demand * capStep.Seconds(); g.owed >= 1; g.owed-- {
 			if !g.limits.Allows(s.now, limitID) {
 				s.refused++
 				continue
@@ -127,7 +125,7 @@
 				rate: s.rate,
 			})
 		}
-		s.tell(g, s.now.Sub(start)%limitLook == 0, delay, lost)
+		s.tell(g, s.now.Sub(start)%capLook == 0, delay, lost)
 	}
 	s.sent = append(s.sent, sent)
 	s.told = append(s.told, told)
@@ -185,7 +183,7 @@
 }
 
 func (s *limitSim) run(demand float64, span time.Duration) {
-	for range int(span / limitStep) {
+	for range int(span / capStep) {
 		s.step(demand, quick, never)
 	}
 }
@@ -212,20 +210,8 @@
 	if s.firstAt < 0 {
 		return 0
 	}
-	from := s.firstAt + int(limitLearn/limitStep)
-	return mostIn(s.sent[min(from, len(s.sent)):], int(limitWindow/limitStep))
-}
-
-func mostIn(by []int, steps int) int {
-	sum, high := 0, 0
-	for i, n := range by {
-		sum += n
-		if i >= steps {
-			sum -= by[i-steps]
-		}
-		high = max(high, sum)
-	}
-	return high
+	from := s.firstAt + steps(limitLearn)
+	return most(s.sent[min(from, len(s.sent)):], steps(limitWindow))
 }
 
 // limitAllowed is the most that an upstream may get in any window.
@@ -300,7 +286,7 @@
 		lost := func() bool {
 			return draw.Draw(t, "loss") < share
 		}
-		s.run(100, time.Duration(rapid.IntRange(0, 100).Draw(t, "before"))*limitStep)
+		s.run(100, time.Duration(rapid.IntRange(0, 100).Draw(t, "before"))*capStep)
 		s.name(rate)
 		for range rapid.IntRange(1, 4).Draw(t, "phases") {
 			g := s.gateways[rapid.IntRange(0, n-1).Draw(t, "of")]
@@ -317,7 +303,7 @@
 				s.step(demand, delay, lost)
 			}
 		}
-		got := mostIn(s.told, int(limitWindow/limitStep))
+		got := most(s.told, steps(limitWindow))
 		if got > limitAllowed(rate) {
 			t.Fatalf("%d in 4 s from gateways that it had told, at most %d", got, limitAllowed(rate))
 		}
--- a/decide/teamcaps_test.go
+++ b/decide/teamcaps_test.go
@@ -174,10 +174,14 @@
 	s.words = kept
 }
 
-// most returns the most units taken in a span, and where it ends.
-func most(by []int64, span time.Duration) int64 {
-	steps := int(span / capStep)
-	sum, high := int64(0), int64(0)
+// steps returns how many steps a span has.
+func steps(span time.Duration) int {
+	return int(span / capStep)
+}
+
+// most returns the most that was taken in so many steps in a row.
+func most[T int | int64](by []T, steps int) T {
+	var sum, high T
 	for i, n := range by {
 		sum += n
 		if i >= steps {
@@ -191,7 +195,7 @@
 // over returns by how much the use of the worst span goes over what the cap allows,
 // in seconds of its rate.
 func (s *capSim) over() float64 {
-	return float64(most(s.taken, capSpan))/capRate - capSpan.Seconds() - 1
+	return float64(most(s.taken, steps(capSpan)))/capRate - capSpan.Seconds() - 1
 }
 
 func quick() time.Duration { return 60 * time.Millisecond }
@@ -235,7 +239,7 @@
 			}
 		}
 		unheard := 1900 * time.Millisecond // capLapse and the delay of a word
-		bound := float64(most(s.asked, unheard))/capRate + 0.25 + float64(n*capUnits)/capRate
+		bound := float64(most(s.asked, steps(unheard)))/capRate + 0.25 + float64(n*capUnits)/capRate
 		if over := s.over(); over > bound {
 			t.Fatalf("%.2f s of the rate over the cap, at most %.2f", over, bound)
 		}
@@ -251,7 +255,7 @@
 		Expect(s.refused).To(BeZero())
 		run(s, 4.2*capRate, 10*time.Second)
 		Expect(s.over()).To(BeNumerically("<", 0.3))
-		used := float64(most(s.taken[len(s.taken)-500:], 5*time.Second)) / capRate
+		used := float64(most(s.taken[len(s.taken)-500:], steps(5*time.Second))) / capRate
 		Expect(used).To(BeNumerically(">", 4.5), "the cap is used")
 	})
 
