--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -73,7 +73,8 @@
 	var fronts []string
 	BeforeEach(func() {
 		x = newRig()
-		_, second, _ := x.startGateway("second", platform.NewStore(x.storeAddr, x.metrics))
+		g, second, _ := x.startGateway("second", platform.NewStore(x.storeAddr, x.metrics))
+		Eventually(g.Ready, soon, often).Should(BeTrue())
 		fronts = []string{x.front, second}
 	})
 	// expectKept expects that a worker gets as much as it says, once it has told, and not
@@ -188,7 +189,8 @@
 		})
 		named := time.Now()
 		x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, time.Second)
-		_, third, _ := x.startGateway("third", platform.NewStore(x.storeAddr, x.metrics))
+		g, third, _ := x.startGateway("third", platform.NewStore(x.storeAddr, x.metrics))
+		Eventually(g.Ready, soon, often).Should(BeTrue())
 		x.callAll(append(fronts, third), "/look/a", "", 2, 20*time.Millisecond, 4*time.Second)
 		expectKept(x.apps[0], named, 4)
 	})
