Gateway test of crashes that become known under way lasts two readings of the store

Cause: seen red once (a whole run of ./gateway beside another suite): the stream of 2.1 s ended before the store was read. A gateway that hears another's reading 0.7 s before its own turn reads the store at the turn after that, so up to 2.4 s after the record. Change: three events of 0.9 s; all that was expected still is.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -350,7 +350,7 @@
 	It("goes on nowhere when it becomes known under way", func() {
 		for _, m := range x.engines {
 			m.SetFaults(standin.WorkerFaults{
-				Linger:   700 * time.Millisecond, // three events take longer than a reading of the store
+				Linger:   900 * time.Millisecond, // three events take longer than two readings of the store
 				CutFresh: 3,
 			})
 		}
