Connections between daemons keep 2 KiB to read into in place of 64

Cause: a gateway is connected to the keeper of each engine, a keeper to each gateway. Change: a buffer of 2 KiB, longer messages go around it, and buffers over 8 KiB are not kept for the next message.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -14,17 +14,20 @@
 
 // The limits of a connection.
 const (
-	maxBuffered   = 32 << 20
-	readBuffer    = 64 << 10
-	busyPing      = time.Second      // between heartbeats of a connection in use
-	idlePing      = 4 * time.Second  // of one that was used lately
-	restPing      = 10 * time.Second // and of one that was not
-	answerLimit   = 4 * time.Second  // for the answer to a heartbeat
-	strangeLimit  = 60 * time.Second // without a heartbeat of the side that sends them
-	recentUse     = 2 * time.Second
-	restAfter     = 30 * time.Second
-	helloLimit    = 3 * time.Second
-	keepWriteBuff = 1 << 20
+	maxBuffered  = 32 << 20
+	busyPing     = time.Second      // between heartbeats of a connection in use
+	idlePing     = 4 * time.Second  // of one that was used lately
+	restPing     = 10 * time.Second // and of one that was not
+	answerLimit  = 4 * time.Second  // for the answer to a heartbeat
+	strangeLimit = 60 * time.Second // without a heartbeat of the side that sends them
+	recentUse    = 2 * time.Second
+	restAfter    = 30 * time.Second
+	helloLimit   = 3 * time.Second
+	// readBuffer holds several of the usual messages, and longer ones go around it. A
+	// process may have thousands of connections, and each keeps its buffers.
+	readBuffer = 2 << 10
+	// keepBuffer is the largest buffer that is kept for the next message.
+	keepBuffer = 8 << 10
 )
 
 var (
@@ -260,7 +263,7 @@
 			c.failed(err)
 			return
 		}
-		scratch = buf
+		scratch = keep(buf)
 		c.lastRead.Store(c.clock.Now().UnixNano())
 		c.askedAt.Store(0)
 		c.noteUse(m)
@@ -300,11 +303,16 @@
 			c.failed(err)
 			return
 		}
-		spare = batch
-		if cap(spare) > keepWriteBuff {
-			spare = nil
-		}
+		spare = keep(batch)
+	}
+}
+
+// keep returns a buffer that is to be used again, or nil if it is too large for that.
+func keep(buf []byte) []byte {
+	if cap(buf) > keepBuffer {
+		return nil
 	}
+	return buf
 }
 
 func (c *Conn) schedulePing() {
