--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -19,26 +19,35 @@
 
 type gatewayCmd struct {
 	common
-	Listen       string        `required:"" help:"Address for callers, IP:port."`
-	Ready        string        `required:"" help:"Address for the balancer's question, IP:port."`
-	Drain        time.Duration `default:"2s" help:"Time after which a leaving upstream must get no new requests; the list is read each half of it."`
-	LapseGrace   time.Duration `default:"2200ms" help:"Time after the store's return in which a lapsed entry may come back; the platform promises 2 s."`
-	Grace        time.Duration `default:"8s" help:"Time between SIGTERM and SIGKILL."`
-	LeaveAfter   time.Duration `default:"2500ms" help:"Time after SIGTERM in which requests are still taken; the balancer notices within 2 s."`
-	RetryShare   float64       `default:"0.2" help:"Resends as a part of the requests of a service that the platform allows all gateways together; half is used."`
-	RetryExtra   float64       `default:"52" help:"Resends beyond that which it allows all of them in a window."`
-	RetryWindow  time.Duration `default:"10s" help:"That window."`
-	MaxBody      int           `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
-	VersionBound time.Duration `default:"5s" help:"Time after the store's word of a newer version of an adapter in which requests may begin on an older one."`
-	KeyBound     time.Duration `default:"5s" help:"Time after the store's word that a key was taken away in which requests may be sent that still run with it, on hosts out of touch too; 0: no bound."`
-	CrashLimit   int           `default:"3" help:"Upstreams that end without notice under a request before it is refused, by whatever attempt it comes; the platform bears three."`
-	CrashMemory  time.Duration `default:"24h" help:"Time after the latest of them in which it is refused; the platform bears three more sends of such a request in all."`
-	EqualCaps    bool          `help:"Give each gateway the same part of each team's usage cap, whatever the others take. Without it they tell each other, and a team may use its whole cap at any of them."`
-	CrossBytes   int           `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
-	LoadsAtStart float64       `default:"8" help:"Adapter loads under way from the weight store, for all gateways, at the start, at least: no more than the smallest known store serves at full speed. Half of the engines if that is more."`
-	LoadsAtMost  float64       `default:"1024" help:"Adapter loads under way from the weight store, for all gateways, at most; ten times what the largest known store serves at full speed."`
+	Listen       string                                     `required:"" help:"Address for callers, IP:port."`
+	Ready        string                                     `required:"" help:"Address for the balancer's question, IP:port."`
+	Drain        time.Duration                              `default:"2s" help:"Time after which a leaving upstream must get no new requests; the list is read each half of it."`
+	LapseGrace   time.Duration                              `default:"2200ms" help:"Time after the store's return in which a lapsed entry may come back; the platform promises 2 s."`
+	Grace        time.Duration                              `default:"8s" help:"Time between SIGTERM and SIGKILL."`
+	LeaveAfter   time.Duration                              `default:"2500ms" help:"Time after SIGTERM in which requests are still taken; the balancer notices within 2 s."`
+	RetryShare   float64                                    `default:"0.2" help:"Resends as a part of the requests of a service that the platform allows all gateways together; half is used."`
+	RetryExtra   float64                                    `default:"52" help:"Resends beyond that which it allows all of them in a window."`
+	RetryWindow  time.Duration                              `default:"10s" help:"That window."`
+	MaxBody      int                                        `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
+	MemoryMB     int64                                      `default:"256" help:"Memory of the process, in MB; an eighth of it is for callers' bodies."`
+	VersionBound time.Duration                              `default:"5s" help:"Time after the store's word of a newer version of an adapter in which requests may begin on an older one."`
+	KeyBound     time.Duration                              `default:"5s" help:"Time after the store's word that a key was taken away in which requests may be sent that still run with it, on hosts out of touch too; 0: no bound."`
+	ColdOverage  float64                                    `default:"1" help:"What a cold upstream bears in any second, from all gateways together: so many times its rate, and cold-slack requests."`
+	ColdSlack    float64                                    `default:"1" help:"Requests beyond that."`
+	Regions      map[wardturn.FailureDomain]wardturn.Region `mapsep:"," placeholder:"DOMAIN=REGION" help:"Regions of the failure domains. A request that may be served in some regions only goes to no domain that is not named here."`
+	CrashLimit   int                                        `default:"3" help:"Upstreams that end without notice under a request before it is refused, by whatever attempt it comes; the platform bears three."`
+	CrashMemory  time.Duration                              `default:"24h" help:"Time after the latest of them in which it is refused; the platform bears three more sends of such a request in all."`
+	EqualCaps    bool                                       `help:"Give each gateway the same part of each team's usage cap, whatever the others take. Without it they tell each other, and a team may use its whole cap at any of them."`
+	CrossBytes   int                                        `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
+	LoadsAtStart float64                                    `default:"8" help:"Adapter loads under way from the weight store, for all gateways, at the start, at least: no more than the smallest known store serves at full speed. Half of the engines if that is more."`
+	LoadsAtMost  float64                                    `default:"1024" help:"Adapter loads under way from the weight store, for all gateways, at most; ten times what the largest known store serves at full speed."`
 }
 
+// heldPart is the part of the memory, as one in so many, that callers' bodies may take. The
+// rest is for what the gateway knows, for answers, and for the collector, which lets the heap
+// double.
+const heldPart = 8
+
 // leastKeyBound leaves time for the readings of the configuration: gateways that rely
 // on another's word know it as of up to 1.7 s ago.
 const leastKeyBound = 3 * time.Second
@@ -56,6 +65,9 @@
 	b.Require(c.RetryWindow > 0, "retry-window", "must be over 0")
 	b.Require(c.VersionBound >= 0, "version-bound", "must not be negative")
 	b.Require(c.KeyBound == 0 || c.KeyBound >= leastKeyBound, "key-bound", "must be 0 or at least 3s")
+	b.Require(c.MemoryMB >= 64, "memory-mb", "must be at least 64")
+	b.Require(c.ColdOverage >= 1, "cold-overage", "must be at least 1")
+	b.Require(c.ColdSlack >= 0, "cold-slack", "must not be negative")
 	b.Require(c.CrashLimit >= 1, "crash-limit", "must be at least 1")
 	b.Require(c.CrashMemory > 0, "crash-memory", "must be over 0")
 	b.Require(c.LoadsAtStart >= 1, "loads-at-start", "must be at least 1")
@@ -72,6 +84,7 @@
 		Drain:       c.Drain,
 		LapseGrace:  c.LapseGrace,
 		MaxBody:     c.MaxBody,
+		MaxHeld:     c.MemoryMB << 20 / heldPart,
 		RetryShare:  c.RetryShare,
 		RetryExtra:  c.RetryExtra,
 		RetryWindow: c.RetryWindow,
@@ -85,8 +98,13 @@
 		},
 		Fleet: decide.FleetConfig{
 			Domain:       wardturn.FailureDomain(c.Domain),
+			Regions:      c.Regions,
 			CrossBytes:   c.CrossBytes,
 			VersionBound: c.VersionBound,
+			Cold: decide.ColdConfig{
+				Overage: c.ColdOverage,
+				Slack:   c.ColdSlack,
+			},
 			Window: decide.WindowConfig{
 				Start: c.LoadsAtStart,
 				Most:  c.LoadsAtMost,
--- /dev/null
+++ b/decide/cold_test.go
@@ -0,0 +1,173 @@
+package decide_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+const (
+	coldRate    = 7.9 // requests a second
+	coldOverage = 1.5
+	coldSlack   = 5
+)
+
+// coldSim plays gateways that each have more requests for a cold upstream than it bears.
+type coldSim struct {
+	now      time.Time
+	gateways []*decide.Limits
+	started  int
+	sent     []int // by step, of all gateways
+	apart    bool  // gateways do not hear each other
+}
+
+func newColdSim(n int) *coldSim {
+	s := &coldSim{
+		now: start,
+	}
+	for range n {
+		s.gateways = append(s.gateways, s.begin())
+	}
+	return s
+}
+
+// begin starts a gateway's process.
+func (s *coldSim) begin() *decide.Limits {
+	s.started++
+	l := decide.NewLimits(s.now, wardturn.Incarnation(fmt.Sprint("p", s.started)))
+	l.SetColdConfig(decide.ColdConfig{
+		Overage: coldOverage,
+		Slack:   coldSlack,
+	})
+	return l
+}
+
+// step lets a step of time pass in which each gateway sends what it may.
+func (s *coldSim) step() {
+	s.now = s.now.Add(capStep)
+	sent := 0
+	for _, g := range s.gateways {
+		for g.Allows(s.now, limitID) {
+			g.Sent(s.now, limitID)
+			sent++
+			if sent > 10000 {
+				break // nothing bounds it
+			}
+		}
+	}
+	s.sent = append(s.sent, sent)
+	if s.now.Sub(start)%capLook != 0 {
+		return
+	}
+	for _, g := range s.gateways {
+		g.SetGateways(s.now, len(s.gateways))
+		w, _, due := g.Word(s.now)
+		if !due || s.apart {
+			continue
+		}
+		for _, o := range s.gateways {
+			o.Heard(s.now, w)
+		}
+	}
+}
+
+func (s *coldSim) run(d time.Duration) {
+	for range int(d / capStep) {
+		s.step()
+	}
+}
+
+// cold has all gateways learn that the upstream is cold for a while.
+func (s *coldSim) cold(d time.Duration) {
+	for _, g := range s.gateways {
+		g.Cold(s.now, limitID, coldRate, s.now.Add(d))
+	}
+}
+
+// most returns the most requests in any second from a step on.
+func (s *coldSim) most(from int) int {
+	second := int(time.Second / capStep)
+	most := 0
+	for i := from; i+second <= len(s.sent); i++ {
+		n := 0
+		for _, k := range s.sent[i : i+second] {
+			n += k
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func (s *coldSim) expectBound(t *testing.T, name string, from int) {
+	t.Helper()
+	const bound = coldRate*coldOverage + coldSlack
+	if got := s.most(from); float64(got) > bound {
+		t.Errorf("%s: %d requests in a second, at most %.1f", name, got, bound)
+	}
+}
+
+// A failure domain that comes back has idle engines, which all gateways prefer at once.
+func TestColdUpstream(t *testing.T) {
+	for _, n := range []int{1, 2, 5, 9, 22, 107, 470} {
+		s := newColdSim(n)
+		for _, g := range s.gateways {
+			g.SetGateways(s.now, n)
+			g.ExpectCold(true)
+		}
+		s.cold(20 * time.Second)
+		s.run(5 * time.Second)
+		name := fmt.Sprintf("%d gateways", n)
+		s.expectBound(t, name, 0)
+		if got := s.most(len(s.sent) - int(3*time.Second/capStep)); float64(got) < coldRate-1 {
+			t.Errorf("%s: %d requests in a second where it takes %.1f", name, got, coldRate)
+		}
+	}
+}
+
+// Gateways that hear nobody, and processes that begin anew, go by their number alone.
+func TestColdUpstreamApart(t *testing.T) {
+	for _, n := range []int{2, 9, 22} {
+		s := newColdSim(n)
+		for _, g := range s.gateways {
+			g.SetGateways(s.now, n)
+			g.ExpectCold(true)
+		}
+		s.run(2 * time.Second) // warm
+		s.cold(20 * time.Second)
+		s.run(2 * time.Second)
+		from := len(s.sent)
+		s.apart = true
+		s.run(2 * time.Second)
+		for i := range s.gateways {
+			s.gateways[i] = s.begin()
+		}
+		s.cold(16 * time.Second)
+		s.run(2 * time.Second)
+		s.apart = false
+		s.run(4 * time.Second)
+		s.expectBound(t, fmt.Sprintf("%d gateways", n), from)
+	}
+}
+
+func TestColdUpstreamWarms(t *testing.T) {
+	l := newColdSim(1).gateways[0]
+	l.SetGateways(start, 1)
+	l.Cold(start, limitID, coldRate, start.Add(time.Second))
+	if !l.Bounded(start, limitID) {
+		t.Error("it is cold and not limited")
+	}
+	l.Cold(start, limitID, coldRate, start.Add(3*time.Second))
+	if at := start.Add(2 * time.Second); !l.Bounded(at, limitID) {
+		t.Error("the later time does not count")
+	}
+	if at := start.Add(3 * time.Second); l.Bounded(at, limitID) || !l.Allows(at, limitID) {
+		t.Error("it is warm and still limited")
+	}
+	l.Cold(start, "other", 0, start.Add(time.Second))
+	if l.Bounded(start, "other") {
+		t.Error("a service that bounds nothing is limited")
+	}
+}
--- a/decide/copies.go
+++ b/decide/copies.go
@@ -29,7 +29,7 @@
 	if !costly && !busy {
 		return
 	}
-	if f.wants[t.Key] != nil || !f.spare(now) {
+	if f.wants.anywhere(t.Key) != nil || !f.spare(now) {
 		return
 	}
 	home := f.copyHome(now, t, m, costly)
@@ -37,7 +37,7 @@
 		return
 	}
 	f.crossed[t.Key] = 0
-	w := f.wantOf(now, t.Key, t.Service)
+	w := f.wantOf(now, t.Key, t.Service, nil)
 	w.cause = LoadNear
 	if busy {
 		w.relief = m.uses[t.Key].Running
--- /dev/null
+++ b/decide/evacuation.go
@@ -0,0 +1,93 @@
+package decide
+
+import (
+	"time"
+
+	"wardturn"
+)
+
+// coldWatch is how long an upstream counts as cold that may have turned cold unseen,
+// whatever its entry says: by then it has written another one, and the list has been read.
+const coldWatch = 3500 * time.Millisecond
+
+// SetEvacuated takes the failure domains whose upstreams are to get no requests. When one
+// is taken back, its upstreams may just have turned cold.
+func (f *Fleet) SetEvacuated(now time.Time, domains wardturn.Evacuations) {
+	f.evacuated = domains
+	for _, m := range f.members {
+		if m.evacuated && !domains[m.Domain] {
+			m.watchUntil = now.Add(coldWatch)
+		}
+		m.evacuated = domains[m.Domain]
+	}
+	f.limitCold(now)
+}
+
+// SawCold takes an upstream's word in an answer that it stays cold for so long.
+func (f *Fleet) SawCold(now time.Time, id wardturn.UpstreamID, left time.Duration) {
+	m := f.members[id]
+	if m == nil || left <= 0 {
+		return
+	}
+	m.coldUntil = latest(m.coldUntil, now.Add(left))
+	f.limitCold(now)
+}
+
+// limitCold bounds what cold upstreams get.
+func (f *Fleet) limitCold(now time.Time) {
+	cold := false
+	for _, m := range f.members {
+		until := latest(m.coldUntil, m.watchUntil)
+		rate := 0.0
+		if f.table != nil {
+			rate = f.table.Services[m.Service].ColdRate
+		}
+		f.limits.Cold(now, m.ID, rate, until)
+		cold = cold || rate > 0 && now.Before(until)
+	}
+	f.limits.ExpectCold(cold || len(f.evacuated) > 0)
+}
+
+// noteCold takes what an entry says of its upstream. An entry that was seen before says
+// nothing new: how long it is cold counts from when it was first read.
+func (m *Member) noteCold(now time.Time, e wardturn.Member) {
+	if e.Seen <= m.coldSeen {
+		return
+	}
+	m.coldSeen = e.Seen
+	m.coldUntil = time.Time{}
+	if e.Cold > 0 {
+		m.coldUntil = now.Add(e.Cold)
+	}
+}
+
+// noneMay reports whether no upstream of a request's service may get it, whatever their
+// load, and why. To wait here would keep the caller from nothing better.
+func (f *Fleet) noneMay(t *Ticket) (wardturn.Reason, bool) {
+	if t.Regions == nil && len(f.evacuated) == 0 {
+		return "", false
+	}
+	evacuated, elsewhere := false, false
+	for _, m := range f.services[t.Service] {
+		switch {
+		case !f.inRegions(m, t.Regions):
+			elsewhere = true
+		case m.evacuated:
+			evacuated = true
+		default:
+			return "", false
+		}
+	}
+	switch {
+	case evacuated:
+		return wardturn.ReasonEvacuated, true
+	case elsewhere:
+		return wardturn.ReasonRegions, true
+	}
+	return "", false
+}
+
+// inRegions reports whether an upstream is where requests may be served.
+func (f *Fleet) inRegions(m *Member, allowed wardturn.Regions) bool {
+	return allowed == nil || allowed.Allow(f.cfg.Regions[m.Domain])
+}
--- /dev/null
+++ b/decide/evacuation_test.go
@@ -0,0 +1,226 @@
+package decide_test
+
+import (
+	"testing"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+const plainService = wardturn.ServiceName("app")
+
+// newEvacuationRig is newFleetRig with a plain service that has all its upstreams in one
+// failure domain, and a rate for cold engines.
+func newEvacuationRig() (x *fleetRig, members []wardturn.Member) {
+	limits := decide.NewLimits(start, "p")
+	x = newLimitedRig(limits)
+	table := fleetTable(&wardturn.EngineSpec{
+		Batch:        4,
+		AdapterSlots: 4,
+		Models: []wardturn.ModelSpec{
+			{
+				Name: "m",
+			},
+		},
+	})
+	spec := table.Services[fleetService]
+	spec.ColdRate = 2
+	table.Services[fleetService] = spec
+	table.Services[plainService] = wardturn.ServiceSpec{
+		Name: plainService,
+	}
+	x.f.SetTable(table)
+	members = append(fleetMembers(), wardturn.Member{
+		ID:      "p0",
+		Service: plainService,
+		Addr:    "p0:1",
+		Domain:  "near",
+		Slots:   4,
+	})
+	x.f.SetMembers(x.now, members)
+	limits.SetGateways(x.now, 1)
+	return x, members
+}
+
+// admitFor admits a request and returns what became of it at once.
+func (x *fleetRig) admitFor(service wardturn.ServiceName, key wardturn.ModelAdapter, regions wardturn.Regions) (a decide.Assignment, decided bool) {
+	x.f.Admit(x.now, &decide.Ticket{
+		Service:   service,
+		Key:       key,
+		Arrived:   x.now,
+		Objective: 600 * time.Millisecond,
+		Deadline:  x.now.Add(5 * time.Second),
+		Regions:   regions,
+		Assign: func(got decide.Assignment) {
+			a = got
+			decided = true
+		},
+	}, &x.out)
+	return a, decided
+}
+
+// holdEverywhere has all engines hold an adapter.
+func (x *fleetRig) holdEverywhere(name string) {
+	for _, id := range []wardturn.UpstreamID{"n0", "n1", "f0", "f1"} {
+		x.f.SetHolding(x.now, id, decide.Holding{
+			Connected: true,
+			Known:     true,
+			Models:    []wardturn.BaseModel{"m"},
+			Full:      true,
+			Adapters:  []decide.HeldVersion{readyAdapter(name, 1)},
+			Free:      2,
+			Gateways:  1,
+		}, &x.out)
+	}
+}
+
+// An evacuated failure domain got requests: nothing read the operator's word.
+func TestEvacuatedDomainGetsNothing(t *testing.T) {
+	x, members := newEvacuationRig()
+	x.holdEverywhere("a")
+	near := wardturn.Evacuations{
+		"near": true,
+	}
+	x.f.SetEvacuated(x.now, near)
+	for round := range 2 {
+		for range 6 {
+			a, ok := x.admitFor(fleetService, adapterKey("a"), nil)
+			if !ok || a.Member.Domain != "far" {
+				t.Fatalf("round %d: request went to %q in %q", round, a.Member.ID, a.Member.Domain)
+			}
+			x.f.Ended(x.now, a.Member.ID, adapterKey("a"), decide.EndedWell)
+		}
+		x.out.Asks = nil
+		x.admitFor(fleetService, adapterKey("b"), nil)
+		for _, ask := range x.out.Asks {
+			if id := ask.Upstream; id == "n0" || id == "n1" {
+				t.Errorf("an adapter is asked for at %s", id)
+			}
+		}
+		a, ok := x.admitFor(plainService, wardturn.ModelAdapter{}, nil)
+		if !ok || a.Reason != wardturn.ReasonEvacuated {
+			t.Errorf("plain service: %+v, want it refused at once as %s", a, wardturn.ReasonEvacuated)
+		}
+		x.f.SetMembers(x.now, members) // a new list changes nothing
+	}
+	x.f.SetEvacuated(x.now, wardturn.Evacuations{
+		"near": true,
+		"far":  true,
+	})
+	if a, _ := x.admitFor(fleetService, adapterKey("a"), nil); a.Reason != wardturn.ReasonEvacuated {
+		t.Errorf("all evacuated: %+v", a)
+	}
+	x.f.SetEvacuated(x.now, wardturn.Evacuations{})
+	if a, ok := x.admitFor(plainService, wardturn.ModelAdapter{}, nil); !ok || a.Member.ID != "p0" {
+		t.Errorf("taken back: %+v", a)
+	}
+}
+
+// Requests that wait for an adapter are refused as soon as no engine may serve them.
+func TestEvacuationEndsHopelessWaits(t *testing.T) {
+	x, _ := newEvacuationRig()
+	x.holdEverywhere("a")
+	refused := false
+	x.f.Admit(x.now, &decide.Ticket{
+		Service:   fleetService,
+		Key:       adapterKey("b"),
+		Arrived:   x.now,
+		Objective: time.Second,
+		Deadline:  x.now.Add(5 * time.Second),
+		Assign: func(a decide.Assignment) {
+			refused = a.Reason == wardturn.ReasonEvacuated
+		},
+	}, &x.out)
+	x.f.SetEvacuated(x.now, wardturn.Evacuations{
+		"near": true,
+		"far":  true,
+	})
+	x.f.Tick(x.now, &x.out)
+	if !refused {
+		t.Error("it waits on")
+	}
+}
+
+// Engines of a failure domain that is taken back may have turned cold since their entries
+// were written.
+func TestTakenBackCountsAsCold(t *testing.T) {
+	x, members := newEvacuationRig()
+	x.holdEverywhere("a")
+	count := func() (near int) {
+		for range 8 {
+			a, ok := x.admitFor(fleetService, adapterKey("a"), nil)
+			if ok && a.Member.Domain == "near" {
+				near++
+			}
+			x.f.Ended(x.now, a.Member.ID, adapterKey("a"), decide.EndedWell)
+		}
+		return near
+	}
+	if got := count(); got != 8 {
+		t.Fatalf("%d of 8 in the own failure domain before", got)
+	}
+	x.f.SetEvacuated(x.now, wardturn.Evacuations{
+		"near": true,
+	})
+	x.f.SetEvacuated(x.now, wardturn.Evacuations{})
+	if got := count(); got > 2 {
+		t.Errorf("%d requests at once to engines that may be cold", got)
+	}
+	for i := range members { // written before they turned cold
+		members[i].Seen = 7
+	}
+	x.f.SetMembers(x.now, members)
+	if got := count(); got > 2 {
+		t.Errorf("%d requests at once after an entry that may be older", got)
+	}
+	x.now = x.now.Add(4 * time.Second)
+	if got := count(); got != 8 {
+		t.Errorf("%d of 8 once they are warm", got)
+	}
+}
+
+// What an entry says of coldness counts from when it was first read: told once more, by
+// another gateway or in a list that was read again, it says nothing new.
+func TestColdByEntry(t *testing.T) {
+	x, members := newEvacuationRig()
+	x.holdEverywhere("a")
+	cold := func(seen int64, left time.Duration) {
+		for i := range members {
+			members[i].Seen = seen
+			members[i].Cold = left
+		}
+		x.f.SetMembers(x.now, members)
+	}
+	served := func() int {
+		n := 0
+		for range 16 {
+			if a, ok := x.admitFor(fleetService, adapterKey("a"), nil); ok && a.Member.ID != "" {
+				n++
+				x.f.Ended(x.now, a.Member.ID, adapterKey("a"), decide.EndedWell)
+			}
+		}
+		return n
+	}
+	cold(5, 2*time.Second)
+	if got := served(); got > 4 {
+		t.Errorf("%d requests at once to four cold engines", got)
+	}
+	x.now = x.now.Add(1500 * time.Millisecond)
+	cold(5, 2*time.Second) // the same entry
+	x.now = x.now.Add(600 * time.Millisecond)
+	if got := served(); got != 16 {
+		t.Errorf("%d of 16 served by warm engines", got)
+	}
+	cold(9, 2*time.Second)
+	cold(12, 0)
+	cold(9, 2*time.Second) // late
+	if got := served(); got != 16 {
+		t.Errorf("%d of 16 served after a late word", got)
+	}
+	x.f.SawCold(x.now, "n0", time.Second)
+	x.f.SawCold(x.now, "n1", time.Second)
+	if a, _ := x.admitFor(fleetService, adapterKey("a"), nil); a.Member.Domain == "near" {
+		t.Errorf("a request went to %s, which has just said that it is cold", a.Member.ID)
+	}
+}
--- a/decide/finish.go
+++ b/decide/finish.go
@@ -34,7 +34,7 @@
 	if inTime(now, t, m, 0) {
 		return false
 	}
-	w := f.wantOf(now, t.Key, t.Service)
+	w := f.wantOf(now, t.Key, t.Service, t.Regions)
 	home := f.members[w.home]
 	if w.askedAt.IsZero() {
 		// Any room will do: where many gateways each wait for a share of their own,
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -25,7 +25,7 @@
 	holders    engineIndex                        // engines that hold an adapter ready
 	loaders    engineIndex                        // engines to which it is on its way
 	heldBefore engineIndex                        // engines that held it in their lifetime
-	wants      map[wardturn.ModelAdapter]*want
+	wants      wants
 	gateways   int       // as keepers tell
 	gatewaysAt time.Time // of the latest look through all words
 	window     LoadWindow
@@ -35,11 +35,13 @@
 	drawnAt    time.Time                          // latest draw for a share of the window below one
 	crossed    map[wardturn.ModelAdapter]int      // bytes sent to other failure domains
 	limits     *Limits
+	evacuated  wardturn.Evacuations
 }
 
 // FleetConfig holds the limits of a Fleet.
 type FleetConfig struct {
-	Domain wardturn.FailureDomain
+	Domain  wardturn.FailureDomain
+	Regions map[wardturn.FailureDomain]wardturn.Region
 	// CrossBytes is how much may be sent to an adapter in another failure domain
 	// before it is loaded in the own one as well.
 	CrossBytes int
@@ -47,7 +49,8 @@
 	// VersionBound is how long after the store's word of a newer version of an adapter
 	// requests may begin on an older one.
 	VersionBound time.Duration
-	Limits       *Limits        // that upstreams name; nil: none
+	Limits       *Limits // that upstreams name; nil: none
+	Cold         ColdConfig
 	Draw         func() float64 // in [0, 1), by chance; nil: Draw
 }
 
@@ -59,6 +62,7 @@
 	if cfg.Limits == nil {
 		cfg.Limits = NewLimits(time.Time{}, "")
 	}
+	cfg.Limits.SetColdConfig(cfg.Cold)
 	return &Fleet{
 		cfg:        cfg,
 		namings:    make(map[wardturn.ModelAdapter][]naming),
@@ -69,7 +73,7 @@
 		holders:    make(engineIndex),
 		loaders:    make(engineIndex),
 		heldBefore: make(engineIndex),
-		wants:      make(map[wardturn.ModelAdapter]*want),
+		wants:      make(wants),
 		window:     NewLoadWindow(cfg.Window),
 		refilled:   make(map[wardturn.ServiceName]time.Time),
 		crossed:    make(map[wardturn.ModelAdapter]int),
@@ -81,6 +85,8 @@
 func (f *Fleet) Retune(cfg FleetConfig) {
 	f.cfg.CrossBytes = cfg.CrossBytes
 	f.window.Retune(cfg.Window)
+	f.cfg.Cold = cfg.Cold
+	f.limits.SetColdConfig(cfg.Cold)
 }
 
 // SetTable puts a configuration in force.
@@ -122,6 +128,7 @@
 		m := f.members[e.ID]
 		if m == nil {
 			m = &Member{
+				coldSeen: -1,
 				hash:     hashString(string(e.ID)),
 				held:     make(map[wardturn.ModelAdapter]heldAdapter),
 				everHeld: make(map[wardturn.ModelAdapter]bool),
@@ -130,7 +137,9 @@
 				uses:     make(map[wardturn.ModelAdapter]*AdapterCount),
 			}
 		}
+		m.noteCold(now, e)
 		m.Member = e
+		m.evacuated = f.evacuated[e.Domain]
 		members[e.ID] = m
 		services[e.Service] = append(services[e.Service], m)
 	}
@@ -150,6 +159,7 @@
 	}
 	f.members = members
 	f.limits.Keep(now, listed(list))
+	f.limitCold(now)
 	f.services = services
 	f.near = nearby(services, f.cfg.Domain)
 	f.expectLoads()
--- a/decide/homes.go
+++ b/decide/homes.go
@@ -110,7 +110,7 @@
 	}
 	return func(yield func(*Member) bool) {
 		for m := range inOrder(key, list) {
-			if m.loads(now, key.Model) && !f.limits.Limited(m.ID) && !yield(m) {
+			if m.loads(now, key.Model) && !f.limits.Bounded(now, m.ID) && !yield(m) {
 				return
 			}
 		}
--- a/decide/limited.go
+++ b/decide/limited.go
@@ -8,7 +8,7 @@
 func (f *Fleet) limitsFull(now time.Time, t *Ticket) (back time.Duration, full bool) {
 	var soonest *Member
 	for _, m := range f.services[t.Service] {
-		if !m.usable(now, t.Tried) {
+		if !m.usable(now, t.Tried) || !f.inRegions(m, t.Regions) {
 			continue
 		}
 		if f.limits.Allows(now, m.ID) {
@@ -26,6 +26,6 @@
 	if soonest == nil {
 		return maxComeBack, true
 	}
-	f.limits.Owe(soonest.ID)
+	f.limits.Owe(now, soonest.ID)
 	return max(back, leastComeBack), true
 }
--- a/decide/limits.go
+++ b/decide/limits.go
@@ -18,7 +18,10 @@
 	hash     uint64
 	start    time.Time // stamps of words count from here
 	gateways GatewayCount
+	coldCfg  ColdConfig
 	named    map[string]*namedLimit
+	cold     map[string]*coldLimit
+	expects  bool // upstreams may turn out to be cold: the other gateways have to be known by then
 	others   map[wardturn.Incarnation]*limitTeller
 	lags     leastLags
 	seq      uint64
@@ -51,18 +54,14 @@
 
 // namedLimit is the limit of one upstream, or the memory of one that is over.
 type namedLimit struct {
-	rate     float64   // requests a second, of all gateways; zero: it is over
+	sharedRate
 	namedAt  time.Time // the latest answer that names it was given about then
 	clearAt  time.Time // first of the answers since then that name none; zero: there is none
 	clear    int       // such answers
 	liftedAt time.Time // such an answer ended the limit before
 	probedAt time.Time
-	part     float64 // of the rate, for this gateway
-	// probeAfter is how old the latest answer may be while the part is zero.
+	// probeAfter is how old the latest answer may be while the share is zero.
 	probeAfter time.Duration
-	level      float64 // requests that may be sent now
-	owed       float64 // callers that were told to come back and are not due yet
-	at         time.Time
 	fresh      bool      // to be told at once
 	toldAt     time.Time // by any gateway
 	toldOf     time.Time // the latest answer that was told of
@@ -71,6 +70,7 @@
 // NewLimits returns limits of no upstream, for a gateway's process.
 func NewLimits(now time.Time, self wardturn.Incarnation) *Limits {
 	return &Limits{
+		cold:   make(map[string]*coldLimit),
 		self:   self,
 		hash:   hashString(string(self)),
 		start:  now,
@@ -141,48 +141,60 @@
 	return l.of(id) != nil
 }
 
+// Bounded reports whether an upstream names a limit or is cold.
+func (l *Limits) Bounded(now time.Time, id wardturn.UpstreamID) bool {
+	return l.Limited(id) || l.coldOf(now, id) != nil
+}
+
 // Allows reports whether an upstream may be sent a request now.
 func (l *Limits) Allows(now time.Time, id wardturn.UpstreamID) bool {
-	n := l.of(id)
-	if n == nil {
-		return true
-	}
 	l.share(now)
-	n.fill(now)
-	return n.level >= 1 || n.probes(now)
+	if c := l.coldOf(now, id); c != nil && !c.allows(now) {
+		return false
+	}
+	n := l.of(id)
+	return n == nil || n.allows(now) || n.probes(now)
 }
 
 // Sent records that a request goes to an upstream. Whatever becomes of it, the upstream
 // may get it.
 func (l *Limits) Sent(now time.Time, id wardturn.UpstreamID) {
+	if c := l.coldOf(now, id); c != nil {
+		c.spend(now)
+	}
 	n := l.of(id)
 	if n == nil {
 		return
 	}
-	n.fill(now)
-	if n.level < 1 {
+	if !n.allows(now) {
 		n.probedAt = now
 	}
-	n.level = max(0, n.level-1)
+	n.spend(now)
 }
 
 // RoomIn returns when an upstream may be sent the request of a caller that comes back
 // then, after those that were told before; false: not as far as is known.
 func (l *Limits) RoomIn(now time.Time, id wardturn.UpstreamID) (time.Duration, bool) {
+	wait, known := time.Duration(0), true
+	if c := l.coldOf(now, id); c != nil {
+		wait, known = c.roomIn(now)
+		if !known {
+			wait, known = c.until.Sub(now), true
+		}
+	}
 	n := l.of(id)
 	if n == nil {
-		return 0, true
-	}
-	n.fill(now)
-	if n.part == 0 {
-		return 0, false
+		return wait, known
 	}
-	wait := max(0, n.owed+1-n.level) / (n.rate * n.part)
-	return time.Duration(wait * float64(time.Second)), true
+	named, known := n.roomIn(now)
+	return max(wait, named), known
 }
 
 // Owe records that a caller was told to come back for an upstream.
-func (l *Limits) Owe(id wardturn.UpstreamID) {
+func (l *Limits) Owe(now time.Time, id wardturn.UpstreamID) {
+	if c := l.coldOf(now, id); c != nil {
+		c.owed++
+	}
 	if n := l.of(id); n != nil {
 		n.owed++
 	}
@@ -196,6 +208,11 @@
 			delete(l.named, instance)
 		}
 	}
+	for instance, c := range l.cold {
+		if !now.Before(c.until) {
+			delete(l.cold, instance)
+		}
+	}
 }
 
 // of returns the limit of an upstream, or nil if it names none. A worker that starts
@@ -214,18 +231,26 @@
 func (l *Limits) limit(id wardturn.UpstreamID) *namedLimit {
 	n := l.named[id.Instance()]
 	if n == nil {
-		n = &namedLimit{}
+		n = newNamedLimit()
 		l.named[id.Instance()] = n
 	}
 	return n
 }
 
+func newNamedLimit() *namedLimit {
+	return &namedLimit{
+		sharedRate: sharedRate{
+			burst: limitBurst,
+		},
+	}
+}
+
 // set takes a limit that an upstream named at a time. It begins with nothing to spend.
 func (l *Limits) set(now time.Time, n *namedLimit, named time.Time, rate float64) {
 	if n.rate == 0 {
 		n.level = 0
 		n.owed = 0
-		n.part = 0
+		n.share = 0
 		n.at = now
 		n.probedAt = now
 	}
@@ -256,20 +281,12 @@
 
 // probes reports whether a gateway without a part of a limit may look if it still holds.
 func (n *namedLimit) probes(now time.Time) bool {
-	return n.part == 0 && now.Sub(latest(n.namedAt, n.probedAt)) > n.probeAfter
+	return n.share == 0 && now.Sub(latest(n.namedAt, n.probedAt)) > n.probeAfter
 }
 
-// fill lets time pass.
-func (n *namedLimit) fill(now time.Time) {
-	more := n.rate * n.part * max(0, now.Sub(n.at).Seconds())
-	n.at = now
-	n.level = min(n.level+more, max(1, limitBurst*n.rate*n.part))
-	n.owed = max(0, n.owed-more)
-}
-
-// share works out this gateway's parts of all limits, if that was not done just now.
+// share works out this gateway's shares of all limits, if that was not done just now.
 func (l *Limits) share(now time.Time) {
-	if len(l.named) == 0 || now.Sub(l.sharedAt) < limitShares {
+	if len(l.named)+len(l.cold) == 0 || now.Sub(l.sharedAt) < limitShares {
 		return
 	}
 	l.sharedAt = now
@@ -278,22 +295,23 @@
 		if n.rate == 0 {
 			continue
 		}
-		n.fill(now)
-		n.part = l.part(instance, n.rate)
-		if n.part == 0 {
-			n.level = 0
+		n.setShare(now, l.shareOf(instance, limitSpare+int(limitSenders*n.rate)))
+		if n.share == 0 {
 			n.probeAfter = l.probeAfter(instance)
 		}
 	}
+	for instance, c := range l.cold {
+		c.setShare(now, l.shareOf(instance, l.coldCfg.senders(c.rate)))
+	}
 }
 
-// part returns this gateway's part of the limit of an upstream. Of gateways that are
-// counted and not heard as many may have a part as of those that are.
-func (l *Limits) part(instance string, rate float64) float64 {
+// shareOf returns this gateway's share of the limit of an upstream to which so many
+// gateways may send. Of gateways that are counted and not heard as many may have a share
+// as of those that are.
+func (l *Limits) shareOf(instance string, senders int) float64 {
 	if l.gateways.most == 0 {
 		return 0
 	}
-	senders := limitSpare + int(limitSenders*rate)
 	if senders >= l.gateways.most {
 		return 1 / float64(l.gateways.most)
 	}
--- a/decide/limitwords.go
+++ b/decide/limitwords.go
@@ -50,7 +50,7 @@
 	if now.Sub(l.toldAt) < limitPause {
 		return LimitWord{}, false, false
 	}
-	knows := false
+	knows := l.expects || len(l.cold) > 0
 	for _, instance := range slices.Sorted(maps.Keys(l.named)) {
 		n := l.named[instance]
 		knows = knows || n.rate > 0
@@ -140,7 +140,7 @@
 	case n == nil && t.Rate == 0:
 		return false
 	case n == nil:
-		n = &namedLimit{}
+		n = newNamedLimit()
 		l.named[t.Instance] = n
 	case t.Rate == 0:
 		ends := n.rate > 0 && measured && at.After(n.namedAt)
--- a/decide/member.go
+++ b/decide/member.go
@@ -30,6 +30,10 @@
 	doubts       map[wardturn.ModelAdapter]time.Time // adapters that it refused, until when that counts
 	ended        bool                                // its address answers as another lifetime
 	refusedUntil time.Time                           // after it refused a connection
+	coldUntil    time.Time                           // as its entry and its answers say
+	coldSeen     int64                               // position of that entry; negative: there is none
+	watchUntil   time.Time                           // it may have turned cold unseen
+	evacuated    bool                                // its failure domain is
 }
 
 // The costs of a choice, in milliseconds that a request is expected to lose.
@@ -135,7 +139,7 @@
 
 // usable reports whether a member may be given a request.
 func (m *Member) usable(now time.Time, tried []wardturn.UpstreamID) bool {
-	if m.Draining || m.ended || now.Before(m.refusedUntil) || !m.breaker.Allows(now) {
+	if m.Draining || m.evacuated || m.ended || now.Before(m.refusedUntil) || !m.breaker.Allows(now) {
 		return false
 	}
 	return !slices.Contains(tried, m.ID)
@@ -164,12 +168,14 @@
 }
 
 // refusedFor is how long an upstream that refused a connection gets no requests.
-// It may be starting again, or a link in trouble may have answered for it.
+// It may be starting again, and is cold then, or a link in trouble may have answered for it.
 const refusedFor = 400 * time.Millisecond
 
 // Refused records that nothing listens at an upstream's address.
 func (f *Fleet) Refused(now time.Time, id wardturn.UpstreamID) {
 	if m := f.members[id]; m != nil {
 		m.refusedUntil = now.Add(refusedFor)
+		m.watchUntil = now.Add(coldWatch)
+		f.limitCold(now)
 	}
 }
--- /dev/null
+++ b/decide/regions_test.go
@@ -0,0 +1,69 @@
+package decide_test
+
+import (
+	"testing"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+// newRegionRig is newEvacuationRig with a region for each failure domain.
+func newRegionRig() *fleetRig {
+	x := newFleetRig()
+	x.f = decide.NewFleet(decide.FleetConfig{
+		Domain: "near",
+		Regions: map[wardturn.FailureDomain]wardturn.Region{
+			"near": "north",
+			"far":  "south",
+		},
+		Draw: func() float64 { return 0 },
+		Window: decide.WindowConfig{
+			Start: 4,
+			Most:  4,
+		},
+	})
+	x.f.SetTable(fleetTable(&wardturn.EngineSpec{
+		Batch:        4,
+		AdapterSlots: 4,
+		Models: []wardturn.ModelSpec{
+			{
+				Name: "m",
+			},
+		},
+	}))
+	x.f.SetMembers(x.now, fleetMembers())
+	return x
+}
+
+// A request that may be served in one region only went to the upstream of the least cost.
+func TestRegionsOfRequests(t *testing.T) {
+	x := newRegionRig()
+	x.holdEverywhere("a")
+	for range 4 {
+		a, ok := x.admitFor(fleetService, adapterKey("a"), wardturn.Regions{"south"})
+		if !ok || a.Member.Domain != "far" {
+			t.Fatalf("request went to %q in %q", a.Member.ID, a.Member.Domain)
+		}
+	}
+	for _, none := range []wardturn.Regions{{"east"}, {}} {
+		if a, ok := x.admitFor(fleetService, adapterKey("a"), none); !ok || a.Reason != wardturn.ReasonRegions {
+			t.Errorf("%v: %+v, want it refused at once as %s", none, a, wardturn.ReasonRegions)
+		}
+	}
+}
+
+// An adapter that two requests want in different regions is loaded in both.
+func TestRegionsOfLoads(t *testing.T) {
+	x := newRegionRig()
+	x.holdEverywhere("a")
+	x.out.Asks = nil
+	x.admitFor(fleetService, adapterKey("b"), wardturn.Regions{"south"})
+	x.admitFor(fleetService, adapterKey("b"), wardturn.Regions{"north"})
+	asked := make(map[byte]int)
+	for _, ask := range x.out.Asks {
+		asked[ask.Upstream[0]]++
+	}
+	if asked['f'] != 1 || asked['n'] != 1 {
+		t.Errorf("asked for: %v", x.out.Asks)
+	}
+}
--- a/decide/versions.go
+++ b/decide/versions.go
@@ -103,14 +103,14 @@
 // loadBeside asks an engine that does not hold an adapter for its newest
 // version, and reports whether there is one.
 func (f *Fleet) loadBeside(now time.Time, key wardturn.ModelAdapter, s wardturn.ServiceName, out *Moves) bool {
-	if w := f.wants[key]; w != nil && !w.askedAt.IsZero() {
+	if w := f.wants.anywhere(key); w != nil && !w.askedAt.IsZero() {
 		return true
 	}
 	for m := range f.homes(now, s, key, false) {
 		if _, holds := m.held[key]; holds || m.loading() >= MaxComing {
 			continue
 		}
-		w := f.wantOf(now, key, s)
+		w := f.wantOf(now, key, s, nil)
 		w.cause = LoadVersion
 		f.ask(now, w, m, out)
 		return true
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -29,6 +29,7 @@
 	Deadline  time.Time
 	Prompt    wardturn.Tokens
 	Bytes     int // of the request and, by estimate, of its answer
+	Regions   wardturn.Regions
 	Tried     []wardturn.UpstreamID
 	Assign    func(Assignment) // called once, under the fleet's lock
 
@@ -78,6 +79,10 @@
 
 // Admit finds an upstream for a request, lets it wait, or refuses it.
 func (f *Fleet) Admit(now time.Time, t *Ticket, out *Moves) {
+	if reason, none := f.noneMay(t); none {
+		t.refuse(reason, maxComeBack)
+		return
+	}
 	spec := f.Engine(t.Service)
 	if spec == nil {
 		f.admitPlain(now, t)
@@ -112,7 +117,7 @@
 // plainMember returns the member of the least cost that is filled less than a limit, or nil.
 func (f *Fleet) plainMember(now time.Time, t *Ticket, limit float64) *Member {
 	return f.best(now, f.services[t.Service], func(m *Member) bool {
-		return m.usable(now, t.Tried) && m.fill() < limit && f.limits.Allows(now, m.ID)
+		return m.usable(now, t.Tried) && f.inRegions(m, t.Regions) && m.fill() < limit && f.limits.Allows(now, m.ID)
 	})
 }
 
@@ -172,7 +177,7 @@
 		list = f.holders[t.Key]
 	}
 	return f.best(now, list, func(m *Member) bool {
-		if m.Service != t.Service || !m.usable(now, t.Tried) || m.fill() >= engineOverfill {
+		if m.Service != t.Service || !m.usable(now, t.Tried) || !f.inRegions(m, t.Regions) || m.fill() >= engineOverfill {
 			return false
 		}
 		return m.serves(now, t.Key, least) && match(m) && f.limits.Allows(now, m.ID)
@@ -197,7 +202,7 @@
 // wait lets a request wait for its adapter if that can be there in time, and
 // tells it when to come back if not.
 func (f *Fleet) wait(now time.Time, t *Ticket, out *Moves) {
-	w := f.wantOf(now, t.Key, t.Service)
+	w := f.wantOf(now, t.Key, t.Service, t.Regions)
 	t.want = w
 	w.waiting = append(w.waiting, t)
 	w.latest = now
@@ -265,12 +270,17 @@
 func (f *Fleet) expire(now time.Time, w *want, out *Moves) {
 	kept := w.waiting[:0]
 	for _, t := range w.waiting {
-		if !f.hopeless(now, w, t) {
+		reason, none := f.noneMay(t)
+		if !none && !f.hopeless(now, w, t) {
 			kept = append(kept, t)
 			continue
 		}
 		t.want = nil
 		f.book(t, nil)
+		if none {
+			t.refuse(reason, maxComeBack)
+			continue
+		}
 		t.settled = true
 		if f.place(now, t, out) {
 			continue
--- a/decide/want.go
+++ b/decide/want.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"time"
 
 	"wardturn"
@@ -15,6 +16,7 @@
 type want struct {
 	key     wardturn.ModelAdapter
 	service wardturn.ServiceName
+	regions wardturn.Regions // in which the requests may be served
 	waiting []*Ticket
 	owed    int       // requests that were told to come back
 	owedTo  time.Time // by which they have come back, if they do
@@ -29,16 +31,55 @@
 	warm    bool                // the home held it before: no load from the weight store
 }
 
+// wants are the wants by adapter and by the regions in which their requests may be served.
+type wants map[wantKey]*want
+
+type wantKey struct {
+	adapter wardturn.ModelAdapter
+	regions string
+}
+
+func keyOf(adapter wardturn.ModelAdapter, r wardturn.Regions) wantKey {
+	k := wantKey{
+		adapter: adapter,
+	}
+	if r != nil {
+		k.regions = fmt.Sprintf("%q", r)
+	}
+	return k
+}
+
+// anywhere returns the want of an adapter whose requests may be served anywhere, or nil.
+func (ws wants) anywhere(adapter wardturn.ModelAdapter) *want {
+	return ws[keyOf(adapter, nil)]
+}
+
+// of returns the wants of an adapter.
+func (ws wants) of(adapter wardturn.ModelAdapter) []*want {
+	var list []*want
+	if w := ws.anywhere(adapter); w != nil {
+		list = append(list, w)
+	}
+	for k, w := range ws {
+		if k.adapter == adapter && k.regions != "" {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // wantOf returns the want of an adapter.
-func (f *Fleet) wantOf(now time.Time, key wardturn.ModelAdapter, s wardturn.ServiceName) *want {
-	w := f.wants[key]
+func (f *Fleet) wantOf(now time.Time, key wardturn.ModelAdapter, s wardturn.ServiceName, r wardturn.Regions) *want {
+	k := keyOf(key, r)
+	w := f.wants[k]
 	if w == nil {
 		w = &want{
 			key:     key,
 			service: s,
+			regions: r,
 			first:   now,
 		}
-		f.wants[key] = w
+		f.wants[k] = w
 	}
 	return w
 }
@@ -60,7 +101,7 @@
 // the adapter is there.
 func (f *Fleet) home(now time.Time, w *want) *Member {
 	unlimited := func(m *Member) bool {
-		return !f.limits.Limited(m.ID)
+		return !f.limits.Bounded(now, m.ID)
 	}
 	if m := f.homeAmong(now, w, unlimited); m != nil || !f.limits.Any() {
 		return m
@@ -74,7 +115,7 @@
 func (f *Fleet) homeAmong(now time.Time, w *want, match func(*Member) bool) *Member {
 	newest := f.newest(w.key)
 	fits := func(m *Member) bool {
-		return m.Service == w.service && m.ID != w.failed && m.loads(now, w.key.Model) && !m.serves(now, w.key, newest) && m.fill() < engineOverfill && match(m)
+		return m.Service == w.service && f.inRegions(m, w.regions) && m.ID != w.failed && m.loads(now, w.key.Model) && !m.serves(now, w.key, newest) && m.fill() < engineOverfill && match(m)
 	}
 	for m := range inOrder(w.key, f.loaders[w.key]) {
 		if fits(m) {
@@ -196,10 +237,16 @@
 // arrived hands the requests that wait for an adapter to an engine that holds
 // it now.
 func (f *Fleet) arrived(now time.Time, m *Member, a wardturn.AdapterVersion, out *Moves) {
-	w := f.wants[a.Key()]
-	if w == nil || a.Version < f.newest(a.Key()) {
+	if a.Version < f.newest(a.Key()) {
 		return
 	}
+	for _, w := range f.wants.of(a.Key()) {
+		f.arrivedFor(now, w, m, a, out)
+	}
+}
+
+// arrivedFor is arrived for one want.
+func (f *Fleet) arrivedFor(now time.Time, w *want, m *Member, a wardturn.AdapterVersion, out *Moves) {
 	if w.home != m.ID {
 		f.placeWaiting(now, w, out)
 		return
@@ -231,7 +278,7 @@
 // drop ends a want.
 func (f *Fleet) drop(w *want) {
 	f.unask(w)
-	delete(f.wants, w.key)
+	delete(f.wants, keyOf(w.key, w.regions))
 }
 
 // renew repeats the wish of a load under way, and gives up one that takes far
@@ -298,6 +345,8 @@
 	Waiting int // requests that wait for an adapter
 	Under   int // loads under way from the weight store, for all gateways
 	Window  int // loads that may be under way
+	// Evacuated are this gateway's requests at upstreams of evacuated failure domains.
+	Evacuated int
 }
 
 // Levels returns the present sizes.
@@ -309,5 +358,10 @@
 	for _, w := range f.wants {
 		l.Waiting += len(w.waiting)
 	}
+	for _, m := range f.members {
+		if m.evacuated {
+			l.Evacuated += m.running
+		}
+	}
 	return l
 }
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -20,6 +20,7 @@
 		Prompt:    x.prompt,
 		Bytes:     len(x.body) + answerGuess,
 		Tried:     x.tried,
+		Regions:   x.regions,
 		Assign: func(a assignment) {
 			got <- a
 		},
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -199,7 +199,7 @@
 	case passed:
 		x.g.crashes.answered(x.content)
 	case unknown, cut, left:
-		if !x.send.brokenOff {
+		if !x.send.brokenOff && !x.slowCaller() {
 			x.g.crashes.broke(a.Member, x.content, res != left && limit == nil)
 		}
 	}
--- /dev/null
+++ b/gateway/evacuation_test.go
@@ -0,0 +1,151 @@
+package gateway_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/platform"
+	"wardturn/standin"
+)
+
+// evacuateBound is by when the upstreams of an evacuated failure domain get nothing more.
+const evacuateBound = 2500 * time.Millisecond
+
+// evacuate writes the operator's word that a failure domain is to get nothing, and returns
+// when its upstreams must get no more.
+func (x *rig) evacuate(domain string) time.Time {
+	x.store.Put("keyed.op", "evacuate/"+domain, []byte("{}"))
+	return time.Now().Add(evacuateBound)
+}
+
+func (x *rig) takeBack(domain string) {
+	x.store.Put("keyed.op", "evacuate/"+domain, nil)
+}
+
+// arrivedAfter counts the requests that reached workers of a failure domain after a time.
+func (x *rig) arrivedAfter(domain string, after time.Time) int {
+	n := 0
+	for _, m := range append(x.engines, x.apps...) {
+		for _, a := range m.Arrivals() {
+			if x.domains[m] == domain && a.At.After(after) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// The operator's word that a failure domain is to be evacuated was not read: its upstreams
+// got requests as before.
+var _ = Describe("An evacuated failure domain", func() {
+	var x *rig
+	var fronts []string
+	BeforeEach(func() {
+		x = newRigIn("d", "e")
+		g, second, _ := x.startGateway("second", platform.NewStore(x.storeAddr, x.metrics))
+		Eventually(g.Ready, soon, often).Should(BeTrue())
+		fronts = []string{x.front, second}
+	})
+	// expectEmpty sends requests to all gateways and expects none at the upstreams of a
+	// failure domain after a time.
+	expectEmpty := func(domain string, after time.Time, span time.Duration) {
+		GinkgoHelper()
+		statuses := x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, span)
+		Expect(statuses[http.StatusOK]).To(BeNumerically(">", 20))
+		x.callAll(fronts, "/ask/a", "m0", 1, 20*time.Millisecond, span/2)
+		Expect(x.arrivedAfter(domain, after)).To(BeZero())
+	}
+
+	It("gets no requests after the bound, through a restart and a store that drops its history", func() {
+		after := x.evacuate("d")
+		expectEmpty("d", after, 3*time.Second)
+		x.store.CompactConfig()
+		g, third, _ := x.startGateway("third", platform.NewStore(x.storeAddr, x.metrics))
+		Eventually(g.Ready, soon, often).Should(BeTrue())
+		fronts = append(fronts, third)
+		expectEmpty("d", after, time.Second)
+	})
+
+	It("gets none if it is taken back and evacuated again at once", func() {
+		x.evacuate("d")
+		x.takeBack("d")
+		after := x.evacuate("d")
+		expectEmpty("d", after, 3*time.Second)
+	})
+
+	It("gets requests again once it is taken back", func() {
+		x.evacuate("d")
+		Eventually(x.log.String, soon, often).Should(ContainSubstring("evacuations in force: domains=[\"d\"]"))
+		x.takeBack("d")
+		back := time.Now()
+		Eventually(func() int {
+			x.callAll(fronts, "/look/a", "", 2, 10*time.Millisecond, 50*time.Millisecond)
+			return x.arrivedAfter("d", back)
+		}, soon, often).Should(BeNumerically(">", 5))
+	})
+
+	It("has its requests refused at once where no other has upstreams", func() {
+		x.evacuate("d")
+		x.evacuate("e")
+		var refused reply
+		Eventually(func() int {
+			_, refused = x.with(x.front, "/charge/a", "", nil)
+			return refused.status
+		}, soon, often).Should(Equal(http.StatusServiceUnavailable))
+		Expect(refused.body).To(Equal("domains_evacuated"))
+		began := time.Now()
+		id, again := x.with(x.front, "/ask/a", "m0/a1", nil)
+		Expect(again.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		Expect(x.runs(id)).To(BeZero())
+	})
+
+	It("does not get a stream that goes on elsewhere", func() {
+		x.get("hold", "/resume/x", "m0/a1")
+		var began atomic.Int64
+		for _, e := range x.engines {
+			e.SetFaults(standin.WorkerFaults{
+				CutFresh: 2,
+				Linger:   300 * time.Millisecond,
+			})
+		}
+		after := x.evacuate("d")
+		time.Sleep(time.Until(after))
+		for range 4 {
+			r := x.get("resume", "/resume/x", "m0/a1")
+			if r.err == nil && r.status == http.StatusOK {
+				began.Add(1)
+			}
+		}
+		Expect(x.arrivedAfter("d", after)).To(BeZero())
+	})
+})
+
+// Where requests may be served is read from their routes and teams.
+var _ = Describe("A route with homes", func() {
+	It("is served in their regions only, and refused in plain words where none can", func() {
+		x := newRigIn("d", "e")
+		x.regions = map[wardturn.FailureDomain]wardturn.Region{
+			"d": "north",
+			"e": "south",
+		}
+		const homes = `,{"name":"home","host":"h.example","path_prefix":"/home/","type":"idempotent","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":2,"regions_allowed":["south"]},
+{"name":"none","host":"h.example","path_prefix":"/none/","type":"idempotent","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":2,"regions_allowed":["west"]}`
+		x.store.PutConfig(config(2, homes))
+		g, front, _ := x.startGateway("second", platform.NewStore(x.storeAddr, x.metrics))
+		Eventually(g.Ready, soon, often).Should(BeTrue())
+		began := time.Now()
+		statuses := x.callAll([]string{front}, "/home/a", "", 2, 10*time.Millisecond, 500*time.Millisecond)
+		Expect(statuses[http.StatusOK]).To(BeNumerically(">", 20))
+		Expect(x.arrivedAfter("d", began)).To(BeZero())
+		id, r := x.with(front, "/none/a", "", nil)
+		Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.body).To(Equal("no_upstream_in_regions"))
+		Expect(x.runs(id)).To(BeZero())
+	})
+})
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -42,16 +42,18 @@
 	r           *http.Request
 	route       *wardturn.Route
 	service     wardturn.ServiceName
-	engine      bool           // the service's upstreams are model engines
-	keyed       bool           // the configuration has teams: keys stay here
-	team        *wardturn.Team // nil: the route is public, or there are no teams
-	units       int64          // taken from the team's cap
-	routeLevels int            // of the routes' priorities
-	mayHaveRun  bool           // at an upstream; then its units are not given back
+	engine      bool             // the service's upstreams are model engines
+	keyed       bool             // the configuration has teams: keys stay here
+	team        *wardturn.Team   // nil: the route is public, or there are no teams
+	regions     wardturn.Regions // where it may be served
+	units       int64            // taken from the team's cap
+	routeLevels int              // of the routes' priorities
+	mayHaveRun  bool             // at an upstream; then its units are not given back
 	key         wardturn.ModelAdapter
 	prompt      wardturn.Tokens // zero if the caller does not say
 	attempt     string
 	body        []byte
+	heldBody    int64 // bytes counted for it
 	content     wardturn.ContentID
 	arrived     time.Time
 	end         time.Time // when the caller or the route stops waiting
@@ -72,6 +74,7 @@
 	first  time.Duration // from the arrival to the first bytes of the answer
 	last   time.Time     // of the latest bytes
 	pause  time.Duration // the longest between bytes
+	write  time.Duration // the longest that the caller took for some bytes of the latest send
 }
 
 // sendTimes is when the latest send went to its upstream, and when that began to
@@ -96,7 +99,8 @@
 	passed result = iota
 	// notRun: the upstream did not run the request.
 	notRun
-	// outdated: nothing was sent, since the adapter version serves no more.
+	// outdated: nothing was sent, since the adapter version serves no more, or the
+	// upstream's failure domain has been evacuated since it was chosen.
 	outdated
 	// unknown: it may have run, and the caller has no byte of an answer.
 	unknown
@@ -114,7 +118,7 @@
 // ending returns what the result of the latest send tells of its upstream: nothing if
 // the gateway broke it off.
 func (x *exchange) ending(r result) decide.Ending {
-	if x.send.brokenOff {
+	if x.send.brokenOff || r == cut && x.slowCaller() {
 		return decide.EndedUnseen
 	}
 	switch r {
@@ -143,6 +147,9 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() {
+		g.held.give(x.heldBody)
+	}()
 	if !x.resolve() || !x.readBody() {
 		return
 	}
@@ -305,6 +312,7 @@
 func (x *exchange) try(ctx context.Context, a assignment) result {
 	now := x.g.clock.Now()
 	x.send = sendTimes{}
+	x.timing.write = 0
 	x.timing.placed = now.Sub(x.arrived)
 	leftTime := x.end.Sub(now)
 	if leftTime <= 0 {
@@ -312,7 +320,7 @@
 	}
 	ctx, stop, ok := x.watchBegin(ctx, a)
 	defer stop()
-	if !ok {
+	if !ok || x.g.isEvacuated(a.Member.Domain) {
 		return outdated
 	}
 	x.g.metrics.sends.Inc(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 	Drain       time.Duration // after which a leaving upstream must get no new requests
 	LapseGrace  time.Duration // for entries that lapsed while the store was away
 	MaxBody     int           // bytes, while no configuration bounds it
+	MaxHeld     int64         // bytes of callers' bodies that are held at once; zero: no bound
 	RetryShare  float64       // resends that all gateways may add, as a part of the requests of a service
 	RetryExtra  float64       // resends beyond that in a RetryWindow
 	RetryWindow time.Duration
@@ -97,6 +98,7 @@
 	limits     *limits
 	crashes    *crashes
 	routes     atomic.Pointer[routes]
+	evacuated  atomic.Pointer[wardturn.Evacuations]
 	pool       *pool
 	links      *links
 	unbegun    *unbegun
@@ -104,6 +106,7 @@
 	ready      *http.Server
 	front      net.Listener
 	open       atomic.Int64
+	held       heldBytes
 	leaving    atomic.Bool
 	listed     atomic.Bool // the list of upstreams was read
 	served     sync.Once
@@ -134,6 +137,7 @@
 		tasks:   process.NewTasks(d.Clock),
 		budgets: make(map[wardturn.ServiceName]*decide.RetryBudget),
 	}
+	g.held.most = d.Config.MaxHeld
 	g.list = newRoster(d.Members, d.Clock, d.Logger, d.Config.LapseGrace)
 	g.news = newNews(g)
 	g.caps = newCaps(g)
--- /dev/null
+++ b/gateway/held_test.go
@@ -0,0 +1,61 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// slowBodies opens connections whose callers announce a body of a size and send a part of
+// it, and returns a function that ends them.
+func (x *rig) slowBodies(n, size int, chunked bool) (end func()) {
+	front, err := url.Parse(x.front)
+	Expect(err).NotTo(HaveOccurred())
+	var conns []net.Conn
+	for i := range n {
+		c, err := net.Dial("tcp", front.Host)
+		Expect(err).NotTo(HaveOccurred())
+		conns = append(conns, c)
+		length := fmt.Sprintf("Content-Length: %d\r\n\r\n", size)
+		part := strings.Repeat("x", size/2)
+		if chunked {
+			length = "Transfer-Encoding: chunked\r\n\r\n"
+			part = fmt.Sprintf("%x\r\n%s", size, part)
+		}
+		_, err = fmt.Fprintf(c, "POST /look/a HTTP/1.1\r\nHost: h.example\r\nX-Wardturn-Attempt-Id: slow-%d\r\nX-Wardturn-Deadline-Ms: 3000\r\n%s%s", i, length, part)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	return func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
+
+// Callers that send long bodies slowly took the process beyond its memory.
+var _ = Describe("The bodies that a gateway holds", func() {
+	for _, chunked := range []bool{false, true} {
+		It(fmt.Sprintf("are bounded, chunked %v; what does not fit is refused as not run, and small requests go on once they are gone", chunked), func() {
+			x := newRig()
+			end := x.slowBodies(8, 60<<10, chunked)
+			body := strings.Repeat("y", 60<<10)
+			Eventually(func() string {
+				return x.send("POST", fmt.Sprintf("big-%d", attempts.Add(1)), "/look/a", "", body).body
+			}, soon, often).Should(Equal("queue_full"))
+			id := fmt.Sprintf("big-%d", attempts.Add(1))
+			r := x.send("POST", id, "/look/a", "", body)
+			Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+			Expect(x.runs(id)).To(BeZero())
+			end()
+			Eventually(func() int {
+				return x.send("POST", fmt.Sprintf("big-%d", attempts.Add(1)), "/look/a", "", body).status
+			}, soon, often).Should(Equal(http.StatusOK))
+		})
+	}
+})
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -44,6 +44,9 @@
 	if from := res.Header.Get(x.g.names.Instance); from != "" && from != m.ID.Instance() {
 		return
 	}
+	if text := res.Header.Get(x.g.names.ColdMS); own && text != "" {
+		x.g.sawCold(m.ID, text)
+	}
 	texts, named := res.Header[http.CanonicalHeaderKey(x.g.names.Limit)]
 	switch {
 	case named:
@@ -174,7 +177,7 @@
 		}
 		l.unread[name] = true
 		switch name {
-		case http.CanonicalHeaderKey(n.Attempt), http.CanonicalHeaderKey(n.Receipt), http.CanonicalHeaderKey(n.NotExecuted), http.CanonicalHeaderKey(n.Instance), http.CanonicalHeaderKey(n.Limit):
+		case http.CanonicalHeaderKey(n.Attempt), http.CanonicalHeaderKey(n.Receipt), http.CanonicalHeaderKey(n.NotExecuted), http.CanonicalHeaderKey(n.Instance), http.CanonicalHeaderKey(n.Limit), http.CanonicalHeaderKey(n.ColdMS):
 			continue
 		}
 		l.g.logger.Info("header of upstreams is not read", "header", name, "values", values, "upstream", m.ID)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	warm       tally.Histogram
 	waiting    tally.Gauge
 	under      tally.Gauge
+	evacuated  tally.Gauge
 	window     tally.Gauge
 	sends      tally.Counter
 	direct     tally.Counter   // words of keepers, from themselves
@@ -100,6 +101,7 @@
 		warm:       kind("memory"),
 		waiting:    scope.Gauge("requests_waiting"),
 		under:      scope.Gauge("loads_under_way"),
+		evacuated:  scope.Gauge("requests_in_evacuated"),
 		window:     scope.Gauge("load_window"),
 		sends:      scope.Counter("sends"),
 		direct:     words(scope, "direct"),
@@ -197,5 +199,6 @@
 func (m *Metrics) levels(l decide.Levels) {
 	m.waiting.Update(float64(l.Waiting))
 	m.under.Update(float64(l.Under))
+	m.evacuated.Update(float64(l.Evacuated))
 	m.window.Update(float64(l.Window))
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -32,6 +32,10 @@
 	if !x.identify(rs, known) {
 		return false
 	}
+	x.regions = x.route.Regions
+	if x.team != nil {
+		x.regions = x.regions.Both(x.team.Regions)
+	}
 	x.service = target(x.route, x.attempt)
 	spec := rs.table.Services[x.service]
 	x.engine = spec.Engine != nil
@@ -75,7 +79,12 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
+	body, full, err := x.readHeld(limit)
+	if full {
+		x.w.Header().Set("Connection", "close") // the rest of the body is not read
+		x.refuse(wardturn.ReasonQueueFull, unreadyPause, "held", x.g.held.held.Load())
+		return false
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler) // the caller broke off in its own request
 	}
@@ -87,6 +96,26 @@
 	return true
 }
 
+// readHeld reads the body up to a limit and counts it as held; full says that no more fits.
+func (x *exchange) readHeld(limit int64) (body []byte, full bool, err error) {
+	if n := x.r.ContentLength; n > 0 {
+		if !x.g.held.take(n) {
+			return nil, true, nil
+		}
+		x.heldBody = n
+		body = make([]byte, n)
+		_, err = io.ReadFull(x.r.Body, body)
+		return body, false, err
+	}
+	r := &heldReader{
+		r:    io.LimitReader(x.r.Body, limit+1),
+		held: &x.g.held,
+	}
+	body, err = io.ReadAll(r)
+	x.heldBody = r.taken
+	return body, r.full, err
+}
+
 // name finds out what the request asks, so that logs and decisions know it when it comes
 // again as another attempt.
 func (x *exchange) name() {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -49,6 +49,9 @@
 	})
 }
 
+// rigHeld is how many bytes of bodies a gateway of a rig holds at once.
+const rigHeld = 256 << 10
+
 // rig is a gateway with a store, two engines with keepers and two application
 // workers, all in this process on loopback addresses.
 type rig struct {
@@ -73,6 +76,7 @@
 	leaveAfter time.Duration
 	keyBound   time.Duration // of gateways that are started; zero: none
 	drain      time.Duration // of gateways that are started
+	regions    map[wardturn.FailureDomain]wardturn.Region
 }
 
 const rigConfig = `{"version":%d,"routes":[
@@ -257,6 +261,7 @@
 			Drain:       x.drain,
 			LapseGrace:  lapseGrace,
 			MaxBody:     1 << 20,
+			MaxHeld:     rigHeld,
 			RetryShare:  0.2,
 			RetryExtra:  52,
 			RetryWindow: 10 * time.Second,
@@ -268,6 +273,7 @@
 			},
 			Fleet: decide.FleetConfig{
 				Domain:       x.domain,
+				Regions:      x.regions,
 				CrossBytes:   28000,
 				VersionBound: oldVersionLimit,
 			},
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -35,6 +36,7 @@
 func (x *exchange) stream(a assignment, ans *answer) result {
 	x.startStream(ans.res)
 	defer x.noteRepeated(a)
+	defer x.boundWrites()()
 	flusher, _ := x.w.(http.Flusher)
 	buf := make([]byte, bodyChunk)
 	for {
@@ -44,6 +46,7 @@
 			x.arrivedBytes()
 			werr := x.pass(a, buf[:n])
 			flusher.Flush()
+			x.timing.write = max(x.timing.write, x.g.clock.Now().Sub(x.timing.last))
 			if werr != nil {
 				ans.discard()
 				return stopped(werr)
@@ -76,6 +79,33 @@
 	x.begun = true
 }
 
+// unreadTime is how long an upstream's answer may be left unread before its end tells nothing
+// of the upstream: it cuts off what nobody takes.
+const unreadTime = time.Second
+
+// slowCaller reports whether the caller left the answer unread for so long that the
+// upstream may have cut it off.
+func (x *exchange) slowCaller() bool {
+	return x.timing.write >= unreadTime
+}
+
+// callerPatience is how long after the end of a request its caller may still take the rest
+// of the answer.
+const callerPatience = 5 * time.Second
+
+// boundWrites has the connection of a caller that takes no bytes of a stream end some time
+// after the request's own end; undo ends that.
+func (x *exchange) boundWrites() (undo func()) {
+	rc := http.NewResponseController(x.w)
+	if err := rc.SetWriteDeadline(x.end.Add(callerPatience)); err != nil {
+		x.g.logger.Warn("time of a caller's connection not bounded", "id", x.attempt, "error", err)
+		return func() {}
+	}
+	return func() {
+		_ = rc.SetWriteDeadline(time.Time{}) // the connection may have ended
+	}
+}
+
 // stopped returns what became of a stream whose bytes were not passed on.
 func stopped(err error) result {
 	if errors.Is(err, errMisplaced) {
--- a/outcome.go
+++ b/outcome.go
@@ -61,6 +61,10 @@
 	ReasonLoading Reason = "adapter_loading"
 	// ReasonLimited: the upstreams take so many requests a second, and that is used up.
 	ReasonLimited Reason = "upstream_limit"
+	// ReasonEvacuated: the operator has the failure domains of all upstreams evacuated.
+	ReasonEvacuated Reason = "domains_evacuated"
+	// ReasonRegions: no upstream is in a region in which the request may be served.
+	ReasonRegions Reason = "no_upstream_in_regions"
 	// ReasonCrashes: upstreams ended under requests that asked the same.
 	ReasonCrashes Reason = "crashes_upstreams"
 )
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,7 +9,7 @@
 
 // Protocol is the version of the protocol. Processes of different versions
 // refuse each other at Hello.
-const Protocol = 7
+const Protocol = 8
 
 // Kind names the type of a message in its frame.
 type Kind uint8
--- a/routes.go
+++ b/routes.go
@@ -40,6 +40,7 @@
 	MaxPause     time.Duration // between events of a stream that is on time
 	Priority     int           // 0 is the most urgent
 	Public       bool          // requests need no key
+	Regions      Regions       // where requests may be served
 	MaxUpstreams int           // upstreams that may run one attempt
 }
 
@@ -54,6 +55,9 @@
 	Name     ServiceName
 	MaxConns int         // connections that one upstream takes from all callers
 	Engine   *EngineSpec // nil for a plain service
+	// ColdRate is the requests a second that a cold upstream takes from all gateways
+	// together; zero: as many as a warm one.
+	ColdRate float64
 }
 
 // EngineSpec describes the model engines of a service.
@@ -93,7 +97,9 @@
 	Slots    int // requests that it works on at once
 	Draining bool
 	GoneAt   time.Time // when it is taken away at short notice; zero: not known
-	Seen     int64     // position of its latest entry among all entries
+	// Cold is how much longer its entry says that it takes few requests; zero: it is warm.
+	Cold time.Duration
+	Seen int64 // position of its latest entry among all entries
 }
 
 // MemberList is one reading of the platform's list of upstreams.
@@ -218,7 +224,8 @@
 	Team           string // team of the request, set by the system alone
 	// Limit is the requests a second that an upstream in need takes from all gateways
 	// together, for as long as its answers say so.
-	Limit string
+	Limit  string
+	ColdMS string // how much longer the upstream is cold, in milliseconds
 	// Reserved are headers by which an upstream sets memory aside, moves what it
 	// keeps or waits. Only the system may send them.
 	Reserved []string
@@ -229,8 +236,13 @@
 	To       int64            // position in the record up to which the source has read
 	Table    *RouteTable      // nil: unchanged
 	Versions []AdapterVersion // newest versions of weights that were named
+	// Evacuated has all failure domains that are evacuated; nil: unchanged.
+	Evacuated Evacuations
 }
 
+// Evacuations are the failure domains whose upstreams are to get no requests.
+type Evacuations map[FailureDomain]bool
+
 // ConfigSource gives the operator's configuration, in order. Calls come from
 // one goroutine.
 type ConfigSource interface {
--- a/teams.go
+++ b/teams.go
@@ -62,6 +62,7 @@
 	Cap  UsageCap
 	// Priority goes before that of a route; nil: the route's holds.
 	Priority *int
+	Regions  Regions // where requests may be served
 }
 
 // Units returns what a request counts, whose header of token counts, those of the
