Gateways take the records of the operator that one of them has read; fewer calls before upstreams are listed

Change: records of the operator are told with the reading, up to 512 KiB, and taken where they follow; while no upstream is listed the configuration is read with a longer wait and crashes are not; only the gateway that reads for all tells of a whole reading.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,15 +14,21 @@
 	away := false
 	first := true
 	for {
-		if !g.news.await(g.news.config) {
+		told, ok := g.news.awaitConfig()
+		if !ok {
 			return
 		}
+		if told != nil {
+			g.takeConfig(told)
+			continue
+		}
 		sent := g.clock.Now()
 		g.news.beganConfig(sent)
-		change, err := g.source.Next(configWait)
+		wait := g.configWait()
+		change, err := g.source.Next(wait)
 		if err == nil {
 			g.metrics.config.read.Inc(1)
-			asOf := configAsOf(sent, g.clock.Now(), change, first)
+			asOf := configAsOf(sent, wait, g.clock.Now(), change, first)
 			first = false
 			if away {
 				g.logger.Info("store answers again", "for", "configuration")
@@ -32,8 +38,10 @@
 			g.apply(change, g.news.configKnown())
 			// Recorded last: whoever finds the configuration known as of a time has
 			// it in force up to then.
-			g.news.readConfig(asOf, change.To)
-			g.crashes.readIfOld() // in turn with the configuration: one gateway for all
+			g.news.readConfig(asOf, change)
+			if g.upstreams.Load() {
+				g.crashes.readIfOld() // in turn with the configuration: one gateway for all
+			}
 			continue
 		}
 		g.metrics.config.failed.Inc(1)
@@ -49,11 +57,32 @@
 	}
 }
 
+// configWait returns the time of a waiting read of the configuration. While no upstream is
+// listed, no keeper is known by whom another gateway could tell of its readings, and all
+// read: the fewer the better.
+func (g *Gateway) configWait() time.Duration {
+	if g.listed.Load() && !g.upstreams.Load() {
+		return configIdleWait
+	}
+	return configWait
+}
+
+// takeConfig takes records of the operator that another gateway has read.
+func (g *Gateway) takeConfig(told *toldConfig) {
+	change, ok := g.source.Take(told.records)
+	if !ok {
+		g.news.doubtConfig()
+		return
+	}
+	g.apply(change, g.news.configKnown())
+	g.news.tookConfig(told, change.To)
+}
+
 // configAsOf returns a time at which the answer to a read of the configuration
 // was true: a waiting read that found nothing ended with its wait. One that ended
 // sooner met a record, also if that changes nothing here.
-func configAsOf(sent, answered time.Time, c wardturn.ConfigChange, first bool) time.Time {
-	waited := sent.Add(configWait)
+func configAsOf(sent time.Time, wait time.Duration, answered time.Time, c wardturn.ConfigChange, first bool) time.Time {
+	waited := sent.Add(wait)
 	if first || c.Table != nil || len(c.Versions) > 0 || answered.Before(waited) {
 		return sent
 	}
@@ -168,6 +197,9 @@
 	g.mu.Unlock()
 	g.crashes.ended(lost...)
 	g.links.update()
+	if len(now.members) > 0 && !g.upstreams.Swap(true) {
+		g.crashes.readIfOld()
+	}
 }
 
 // takePart takes the upstreams of plain services from a list that is still being
--- a/gateway/follow_internal_test.go
+++ b/gateway/follow_internal_test.go
@@ -42,7 +42,7 @@
 			want:     sent,
 		},
 	} {
-		if got := configAsOf(sent, c.answered, c.change, c.first); !got.Equal(c.want) {
+		if got := configAsOf(sent, configWait, c.answered, c.change, c.first); !got.Equal(c.want) {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,8 @@
 	// be repeated, within the 2 s in which a change must be in force; with the
 	// slack and spread of a turn, the last gateway reads after 1.7 s.
 	configWait = 1200 * time.Millisecond
+	// configIdleWait is the same while no upstream is listed, when nothing can be served.
+	configIdleWait = 5 * time.Second
 	// configRetry is the pause after a failed read, doubled up to configMaxRetry. With
 	// the wait and its margin the first repeat comes 1.9 s after a read whose answer
 	// was lost.
@@ -109,6 +111,7 @@
 	held       heldBytes
 	leaving    atomic.Bool
 	listed     atomic.Bool // the list of upstreams was read
+	upstreams  atomic.Bool // and has had some
 	served     sync.Once
 	tasks      *process.Tasks
 
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -17,11 +17,13 @@
 type news struct {
 	g       *Gateway
 	changes chan toldMembers // for the goroutine that follows the list
+	records chan toldConfig  // for the goroutine that follows the configuration
 
 	mu       sync.Mutex
 	woken    chan struct{} // closed and replaced when a turn may have changed
 	config   *decide.ReadTurn
-	configTo int64 // position up to which the configuration was read
+	configTo int64 // position up to which the configuration is known
+	queuedTo int64 // and will be with the records that wait to be taken
 	members  *decide.ReadTurn
 }
 
@@ -31,6 +33,33 @@
 	asOf   time.Time // of that reading; zero: not known
 }
 
+// toldConfig are records of the operator that another gateway has read.
+type toldConfig struct {
+	records wardturn.ConfigRecords
+	reader  wardturn.Incarnation
+	stamp   time.Duration
+	at      time.Time // when they came
+}
+
+// mostRecords is how many bytes of records are told to others: each gateway gets them by two
+// keepers, and a reading of the store each costs less beyond that.
+const mostRecords = 512 << 10
+
+// tellable returns the records as they are told, or nil if they are too long for that.
+func tellable(r *wardturn.ConfigRecords) *wardturn.ConfigRecords {
+	if r == nil {
+		return nil
+	}
+	size := 0
+	for _, e := range r.Entries {
+		size += len(e.Key) + len(e.Value)
+	}
+	if size > mostRecords {
+		return nil
+	}
+	return r
+}
+
 // changesKept is how many changes heard may wait; one more is dropped, and the
 // gap makes the gateway read.
 const changesKept = 32
@@ -59,6 +88,7 @@
 	return &news{
 		g:       g,
 		changes: make(chan toldMembers, changesKept),
+		records: make(chan toldConfig, changesKept),
 		woken:   make(chan struct{}),
 		config: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
 			Every: configWait,
@@ -77,20 +107,29 @@
 	n.woken = make(chan struct{})
 }
 
-// await waits until a turn is due. It reports false when the gateway ends.
-func (n *news) await(t *decide.ReadTurn) bool {
+// awaitConfig waits for records of the operator that another gateway has read, or, with
+// nil, until they have to be read here. It reports false when the gateway ends.
+func (n *news) awaitConfig() (told *toldConfig, ok bool) {
 	for n.g.tasks.Context().Err() == nil {
-		limit, cancel, woken, due := n.look(t, time.Time{})
+		select {
+		case told := <-n.records:
+			return &told, true
+		default:
+		}
+		limit, cancel, woken, due := n.look(n.config, time.Time{})
 		if due {
-			return true
+			return nil, true
 		}
 		select {
+		case told := <-n.records:
+			cancel()
+			return &told, true
 		case <-woken:
 		case <-limit.Done():
 		}
 		cancel()
 	}
-	return false
+	return nil, false
 }
 
 // look returns whether a turn is due; if not, a context that ends when it is, or at a
@@ -152,19 +191,39 @@
 }
 
 // readConfig records and tells that the configuration was read up to a position.
-func (n *news) readConfig(asOf time.Time, to int64) {
+func (n *news) readConfig(asOf time.Time, c wardturn.ConfigChange) {
 	n.mu.Lock()
-	n.configTo = to
+	n.configTo = c.To
 	stamp := n.config.Read(asOf)
 	n.mu.Unlock()
 	n.tell(&peer.StoreNews{
 		Reader:  n.g.cfg.Process,
 		Stamp:   stamp,
-		Config:  to,
+		Config:  c.To,
 		Crashes: n.g.crashes.position(),
+		Records: tellable(c.Records),
 	})
 }
 
+// tookConfig records that records which another gateway has read are in force up to a
+// position.
+func (n *news) tookConfig(told *toldConfig, to int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.configTo = max(n.configTo, to)
+	n.g.metrics.config.heard.Inc(1)
+	n.config.Heard(told.at, told.reader, told.stamp)
+	n.wake()
+}
+
+func (n *news) doubtConfig() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.queuedTo = 0
+	n.config.Doubt(n.g.clock.Now())
+	n.wake()
+}
+
 // beganConfig records that a reading of the configuration begins. It waits for a
 // change, so there is no least time between two.
 func (n *news) beganConfig(now time.Time) {
@@ -185,9 +244,10 @@
 func (n *news) readMembers(asOf time.Time, c *wardturn.MemberChange) {
 	n.mu.Lock()
 	stamp := n.members.Read(asOf)
+	forAll := n.members.Reads(n.g.clock.Now())
 	n.mu.Unlock()
-	if c == nil {
-		return
+	if c == nil || c.From < 0 && !forAll {
+		return // nobody could take it, and it would have all others read at once
 	}
 	n.tell(&peer.StoreNews{
 		Reader:  n.g.cfg.Process,
@@ -244,8 +304,7 @@
 		return
 	}
 	if m.Config > n.configTo {
-		n.config.Doubt(now) // a change that is not in force here
-		n.wake()
+		n.heardRecords(now, m)
 		return
 	}
 	n.g.metrics.config.heard.Inc(1)
@@ -253,6 +312,26 @@
 	n.wake()
 }
 
+// heardRecords hands records that are not in force here to the goroutine that takes them;
+// the lock is held. If there are none, they have to be read.
+func (n *news) heardRecords(now time.Time, m *peer.StoreNews) {
+	if m.Config <= n.queuedTo {
+		return // they wait to be taken
+	}
+	defer n.wake()
+	if m.Records == nil || len(n.records) == cap(n.records) { // nobody else adds to them while the lock is held
+		n.config.Doubt(now)
+		return
+	}
+	n.queuedTo = m.Config
+	n.records <- toldConfig{
+		records: *m.Records,
+		reader:  m.Reader,
+		stamp:   m.Stamp,
+		at:      now,
+	}
+}
+
 // heardMembers hands a change of the list on; the lock is held. If that cannot be
 // taken, the list counts as out of date.
 func (n *news) heardMembers(now time.Time, m *peer.StoreNews) {
--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -77,6 +77,14 @@
 	return s.reads["keyed.op"], s.reads["keyed.servers"]
 }
 
+// ReadsOf returns how often a topic was read.
+func (s *MetaStore) ReadsOf(topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[topic]
+}
+
+// topic returns a topic, a new one if there is none; the lock is held.
 func (s *MetaStore) topic(name string) *metaTopic {
 	t := s.topics[name]
 	if t == nil {
