--- a/gateway/news.go
+++ b/gateway/news.go
@@ -244,10 +244,9 @@
 func (n *news) readMembers(asOf time.Time, c *wardturn.MemberChange) {
 	n.mu.Lock()
 	stamp := n.members.Read(asOf)
-	forAll := n.members.Reads(n.g.clock.Now())
 	n.mu.Unlock()
-	if c == nil || c.From < 0 && !forAll {
-		return // nobody could take it, and it would have all others read at once
+	if c == nil {
+		return
 	}
 	n.tell(&peer.StoreNews{
 		Reader:  n.g.cfg.Process,
