A keeper is told of its engine when that changes, not with each configuration

Change: a notice goes out when the engine's specification or lifetime changed. Test: TestLinkTellsWhatChanged, red before.

--- a/gateway/link.go
+++ b/gateway/link.go
@@ -34,7 +34,9 @@
 	behindAt   time.Time
 }
 
-// tell sends the notice to the keeper if it has not got it.
+// tell sends the notice to the keeper if it has not got one that says the same of the
+// engine. Most configurations change nothing there, and a notice for each would be as many
+// messages as there are gateways times engines.
 func (l *link) tell(m wardturn.Member, n peer.EngineNotice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -42,12 +44,10 @@
 		l.unsync()
 	}
 	l.member = m
-	if l.notice.Config != n.Config || l.notice.Upstream != n.Upstream {
-		n.Relayed = l.notice.Relayed
-		n.News = l.notice.News
-		l.notice = n
-		l.told = false
-	}
+	n.Relayed = l.notice.Relayed
+	n.News = l.notice.News
+	l.told = l.told && l.notice.Upstream == n.Upstream && l.notice.Spec.Equal(n.Spec)
+	l.notice = n
 	l.sendNotice()
 }
 
--- a/gateway/link_internal_test.go
+++ b/gateway/link_internal_test.go
@@ -128,3 +128,47 @@
 		t.Fatalf("mark %+v, want 9", l.behind)
 	}
 }
+
+// Each configuration had each gateway tell each keeper of its engine, and the keeper answer
+// with all that it holds.
+func TestLinkTellsWhatChanged(t *testing.T) {
+	spec := wardturn.EngineSpec{
+		Batch:        8,
+		AdapterSlots: 2,
+		Models: []wardturn.ModelSpec{
+			{
+				Name: "m0",
+			},
+		},
+	}
+	larger := spec
+	larger.AdapterSlots = 3
+	l := newTestLink(t)
+	sent := func(n peer.EngineNotice) bool {
+		conn := l.conn
+		l.conn = nil // nothing can be sent now: what has to be stays to be told
+		l.told = true
+		l.tell(wardturn.Member{
+			ID: n.Upstream,
+		}, n)
+		l.conn = conn
+		return !l.told
+	}
+	for _, c := range []struct {
+		name   string
+		notice peer.EngineNotice
+		want   bool
+	}{
+		{"the first", peer.EngineNotice{Config: 1, Upstream: "i-1", Spec: spec}, true},
+		{"a version that changes nothing", peer.EngineNotice{Config: 2, Upstream: "i-1", Spec: spec}, false},
+		{"another specification", peer.EngineNotice{Config: 3, Upstream: "i-1", Spec: larger}, true},
+		{"another lifetime", peer.EngineNotice{Config: 3, Upstream: "i-2", Spec: larger}, true},
+	} {
+		if got := sent(c.notice); got != c.want {
+			t.Errorf("%s: told %v, want %v", c.name, got, c.want)
+		}
+	}
+	if l.notice.Config != 3 {
+		t.Errorf("a new connection would carry version %d", l.notice.Config)
+	}
+}
--- a/routes.go
+++ b/routes.go
@@ -1,6 +1,9 @@
 package wardturn
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Repeatability says how often one request may run.
 type Repeatability uint8
@@ -67,6 +70,11 @@
 	Models       []ModelSpec
 }
 
+// Equal reports whether two specifications say the same.
+func (s EngineSpec) Equal(o EngineSpec) bool {
+	return s.Batch == o.Batch && s.AdapterSlots == o.AdapterSlots && slices.Equal(s.Models, o.Models)
+}
+
 // ModelSpec describes a base model.
 type ModelSpec struct {
 	Name     BaseModel
