--- a/decide/limits.go
+++ b/decide/limits.go
@@ -8,25 +8,25 @@
 
 // Limits keeps the requests a second that upstreams in need say they take, over all
 // gateways together. Each gateway spends a fixed part of a limit and never more, whatever
-// the others use: the bound holds without a word between them, through cuts and restarts.
+// the others use: the bound holds without a message between them, through cuts and restarts.
 //
 // A request can't be divided: where many gateways share a small limit, one request of
 // each at the same moment is more than the upstream takes. So only some of them, who
 // differ from upstream to upstream, send it anything; the others go elsewhere.
 type Limits struct {
-	self     wardturn.Incarnation
-	hash     uint64
-	start    time.Time // stamps of words count from here
-	gateways GatewayCount
-	coldCfg  ColdConfig
-	named    map[string]*namedLimit
-	cold     map[string]*coldLimit
-	expects  bool // upstreams may turn out to be cold: the other gateways have to be known by then
-	others   map[wardturn.Incarnation]*limitTeller
-	lags     leastLags
-	seq      uint64
-	toldAt   time.Time // the latest word
-	sharedAt time.Time // parts were worked out
+	self        wardturn.Incarnation
+	hash        uint64
+	start       time.Time // stamps of messages count from here
+	gateways    GatewayCount
+	coldCfg     ColdConfig
+	named       map[string]*namedLimit
+	cold        map[string]*coldLimit
+	expects     bool // upstreams may turn out to be cold: the other gateways have to be known by then
+	others      map[wardturn.Incarnation]*limitPeer
+	lags        leastLags
+	seq         uint64
+	announcedAt time.Time // of the latest message
+	sharedAt    time.Time // parts were worked out
 }
 
 const (
@@ -61,10 +61,10 @@
 	liftedAt time.Time // such an answer ended the limit before
 	probedAt time.Time
 	// probeAfter is how old the latest answer may be while the share is zero.
-	probeAfter time.Duration
-	fresh      bool      // to be told at once
-	toldAt     time.Time // by any gateway
-	toldOf     time.Time // the latest answer that was told of
+	probeAfter   time.Duration
+	dirty        bool      // to be announced at once
+	announcedAt  time.Time // by any gateway
+	announcedFor time.Time // the latest answer that was announced
 }
 
 // NewLimits returns limits of no upstream, for a gateway's process.
@@ -75,7 +75,7 @@
 		hash:   hashString(string(self)),
 		start:  now,
 		named:  make(map[string]*namedLimit),
-		others: make(map[wardturn.Incarnation]*limitTeller),
+		others: make(map[wardturn.Incarnation]*limitPeer),
 		lags:   make(leastLags),
 	}
 }
@@ -93,7 +93,7 @@
 	r := max(float64(rate), leastLimit)
 	n := l.limit(id)
 	changed = n.rate != r
-	n.fresh = n.fresh || changed
+	n.dirty = n.dirty || changed
 	l.set(now, n, now, r)
 	return changed
 }
@@ -122,7 +122,7 @@
 		return false
 	}
 	n.lift(n.clearAt)
-	n.fresh = true
+	n.dirty = true
 	return true
 }
 
--- a/decide/limits_bench_test.go
+++ b/decide/limits_bench_test.go
@@ -38,7 +38,7 @@
 
 // knownLimits returns limits of 50 upstreams that all of n gateways have told of, and the
 // latest words of the others.
-func knownLimits(n int) (l *decide.Limits, words []decide.LimitWord) {
+func knownLimits(n int) (l *decide.Limits, words []decide.LimitGossip) {
 	l = decide.NewLimits(start, "p0")
 	l.SetGateways(start, n)
 	for i := range 50 {
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -48,7 +48,7 @@
 type limitWord struct {
 	to   *limitGateway
 	at   time.Time
-	word decide.LimitWord
+	word decide.LimitGossip
 }
 
 type limitAnswer struct {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -129,7 +129,7 @@
 		conns = l.g.links.newsConns(key)
 	}
 	m := &peer.LimitNews{
-		Words: []decide.LimitWord{w},
+		Words: []decide.LimitGossip{w},
 	}
 	for _, conn := range conns {
 		// A word that is lost is told again by another gateway.
@@ -140,7 +140,7 @@
 // heard takes the words of other gateways.
 func (l *limits) heard(m *peer.LimitNews) {
 	l.any.Store(true)
-	var changes []decide.ToldLimit
+	var changes []decide.LimitUpdate
 	l.g.mu.Lock()
 	now := l.g.clock.Now()
 	for _, w := range m.Words {
--- a/keeper/words.go
+++ b/keeper/words.go
@@ -15,7 +15,7 @@
 // on.
 type words struct {
 	teams  []decide.TeamWord
-	limits []decide.LimitWord
+	limits []decide.LimitGossip
 }
 
 // gather keeps words to be passed on together; the lock is held.
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -152,7 +152,7 @@
 // LimitNews tells gateways what others know of limits that upstreams name. It takes the
 // same way as TeamUse.
 type LimitNews struct {
-	Words []decide.LimitWord
+	Words []decide.LimitGossip
 }
 
 // Kind implements Message.
