Records of the operator over 24 KiB are not told

With 1,560 routes more the configuration has some 400 kB, which the gateway that reads sent to six keepers over its 10 Mbit/s: 2 s in which nothing else passes, for each change. Change: the bound is 24 KiB, so that this takes an eighth of a second; beyond it each gateway reads, as before. Test: TestRecordsThatAreTold.

--- a/gateway/news.go
+++ b/gateway/news.go
@@ -41,9 +41,10 @@
 	at      time.Time // when they came
 }
 
-// mostRecords is how many bytes of records are told to others: each gateway gets them by two
-// keepers, and a reading of the store each costs less beyond that.
-const mostRecords = 512 << 10
+// mostRecords is how many bytes of records are told to others. The gateway that reads sends
+// them to two keepers in each failure domain: with more, a host on 10 Mbit/s has no room for
+// its callers meanwhile, and what it tells of upstreams that leave comes late.
+const mostRecords = 24 << 10
 
 // tellable returns the records as they are told, or nil if they are too long for that.
 func tellable(r *wardturn.ConfigRecords) *wardturn.ConfigRecords {
