A list that changed too much to be told is read in turn, not at once

Cause: while upstreams enter the list each reading has more of them than are told; whoever heard of it read at once and told the same, up to four times a second. Change: such a word only says that its sender is there; the list is read when its turn comes, which the drain bound allows for. Test: 100 upstreams each 100 ms before six gateways: 24 readings in 3 s before, 12 at most.

--- a/decide/turn.go
+++ b/decide/turn.go
@@ -194,10 +194,15 @@
 		asOf = t.start.Add(stamp + least)
 		t.sure = latest(t.sure, asOf)
 	}
+	t.Present(now, from)
+	return asOf
+}
+
+// Present records that another process is there, without what it has read.
+func (t *ReadTurn) Present(now time.Time, from wardturn.Incarnation) {
 	if from < t.self {
 		t.leaderAt = now
 	}
-	return asOf
 }
 
 func (t *ReadTurn) renew(asOf time.Time, own bool) {
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -335,6 +335,13 @@
 // heardMembers hands a change of the list on; the lock is held. If that cannot be
 // taken, the list counts as out of date.
 func (n *news) heardMembers(now time.Time, m *peer.StoreNews) {
+	if m.Members.From < 0 {
+		// The change is too long to be told. The list is read when its turn comes: read at
+		// once by all that hear of it, while hundreds of upstreams enter, it would have all
+		// tell the same and read again.
+		n.members.Present(now, m.Reader)
+		return
+	}
 	defer n.wake()
 	if len(n.changes) == cap(n.changes) { // nobody else adds to them while the lock is held
 		n.members.Doubt(now)
--- a/gateway/storecalls_test.go
+++ b/gateway/storecalls_test.go
@@ -14,6 +14,7 @@
 
 const (
 	topicOperator = "keyed.op"
+	topicServers  = "keyed.servers"
 	topicCrashes  = "keyed.wardturn.crashes"
 )
 
@@ -88,3 +89,31 @@
 		Expect(x.store.ReadsOf(topicOperator) - before).To(BeNumerically("<=", 8))
 	})
 })
+
+// A change of more upstreams than are told had all that heard of it read at once, and tell
+// the same: up to four readings a second of each gateway, while upstreams enter the list.
+var _ = Describe("Gateways before which many upstreams enter the list", func() {
+	It("read it in turn", func() {
+		const (
+			drain = 4 * time.Second // it is read each half of that
+			span  = 3 * time.Second
+			more  = 5
+		)
+		x := newRigDraining(drain, "d", "d")
+		for i := range more {
+			g, _, _ := x.startGateway(wardturn.Incarnation(fmt.Sprint("more", i)), platform.NewStore(x.storeAddr, x.metrics))
+			Eventually(g.Ready, soon, often).Should(BeTrue())
+		}
+		time.Sleep(drain) // all have heard the one that reads
+		before := x.store.ReadsOf(topicServers)
+		n := 0
+		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for range 100 {
+				x.store.PutServer(fmt.Sprint("u", n), fmt.Sprintf(`{"service":"other","address":"127.0.0.1:%d","zone":"d","slots":8,"state":"ready","seq":1}`, 10000+n))
+				n++
+			}
+		}
+		each := int(span/(drain/2)) + 1
+		Expect(x.store.ReadsOf(topicServers) - before).To(BeNumerically("<=", each*(1+more)))
+	})
+})
