--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,12 +14,12 @@
 	away := false
 	first := true
 	for {
-		told, ok := g.news.awaitConfig()
+		update, ok := g.news.awaitConfig()
 		if !ok {
 			return
 		}
-		if told != nil {
-			g.takeConfig(told)
+		if update != nil {
+			g.takeConfig(update)
 			continue
 		}
 		sent := g.clock.Now()
@@ -58,7 +58,7 @@
 }
 
 // configWait returns the time of a waiting read of the configuration. While no upstream is
-// listed, no keeper is known by whom another gateway could tell of its readings, and all
+// listed, no keeper is known by whom another gateway could pass its readings on, and all
 // read: the fewer the better.
 func (g *Gateway) configWait() time.Duration {
 	if g.listed.Load() && !g.upstreams.Load() {
@@ -68,14 +68,14 @@
 }
 
 // takeConfig takes records of the operator that another gateway has read.
-func (g *Gateway) takeConfig(told *toldConfig) {
-	change, ok := g.source.Take(told.records)
+func (g *Gateway) takeConfig(u *configUpdate) {
+	change, ok := g.source.Take(u.records)
 	if !ok {
 		g.news.doubtConfig()
 		return
 	}
 	g.apply(change, g.news.configKnown())
-	g.news.tookConfig(told, change.To)
+	g.news.configTaken(u, change.To)
 }
 
 // configAsOf returns a time at which the answer to a read of the configuration
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -16,15 +16,15 @@
 // nothing reads as if it were alone.
 type news struct {
 	g       *Gateway
-	changes chan toldMembers // for the goroutine that follows the list
-	records chan toldConfig  // for the goroutine that follows the configuration
+	changes chan toldMembers  // for the goroutine that follows the list
+	records chan configUpdate // for the goroutine that follows the configuration
 
-	mu       sync.Mutex
-	woken    chan struct{} // closed and replaced when a turn may have changed
-	config   *decide.ReadTurn
-	configTo int64 // position up to which the configuration is known
-	queuedTo int64 // and will be with the records that wait to be taken
-	members  *decide.ReadTurn
+	mu        sync.Mutex
+	woken     chan struct{} // closed and replaced when a turn may have changed
+	config    *decide.ReadTurn
+	configTo  int64 // position up to which the configuration is known
+	pendingTo int64 // and will be with the records that wait to be taken
+	members   *decide.ReadTurn
 }
 
 // toldMembers is a change of the list that another gateway has read.
@@ -33,21 +33,21 @@
 	asOf   time.Time // of that reading; zero: not known
 }
 
-// toldConfig are records of the operator that another gateway has read.
-type toldConfig struct {
+// configUpdate are records of the operator that another gateway has read.
+type configUpdate struct {
 	records wardturn.ConfigRecords
 	reader  wardturn.Incarnation
 	stamp   time.Duration
 	at      time.Time // when they came
 }
 
-// mostRecords is how many bytes of records are told to others. The gateway that reads sends
-// them to two keepers in each failure domain: with more, a host on 10 Mbit/s has no room for
-// its callers meanwhile, and what it tells of upstreams that leave comes late.
-const mostRecords = 24 << 10
+// maxRecordBytes bounds the records that are sent to other gateways. The gateway that reads
+// sends them to two keepers in each failure domain: with more, a host on 10 Mbit/s has no
+// room for its callers meanwhile, and what it sends of upstreams that leave comes late.
+const maxRecordBytes = 24 << 10
 
-// tellable returns the records as they are told, or nil if they are too long for that.
-func tellable(r *wardturn.ConfigRecords) *wardturn.ConfigRecords {
+// shareable returns the records as they are sent to others, or nil if they are too long.
+func shareable(r *wardturn.ConfigRecords) *wardturn.ConfigRecords {
 	if r == nil {
 		return nil
 	}
@@ -55,7 +55,7 @@
 	for _, e := range r.Entries {
 		size += len(e.Key) + len(e.Value)
 	}
-	if size > mostRecords {
+	if size > maxRecordBytes {
 		return nil
 	}
 	return r
@@ -89,7 +89,7 @@
 	return &news{
 		g:       g,
 		changes: make(chan toldMembers, changesKept),
-		records: make(chan toldConfig, changesKept),
+		records: make(chan configUpdate, changesKept),
 		woken:   make(chan struct{}),
 		config: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
 			Every: configWait,
@@ -110,11 +110,11 @@
 
 // awaitConfig waits for records of the operator that another gateway has read, or, with
 // nil, until they have to be read here. It reports false when the gateway ends.
-func (n *news) awaitConfig() (told *toldConfig, ok bool) {
+func (n *news) awaitConfig() (u *configUpdate, ok bool) {
 	for n.g.tasks.Context().Err() == nil {
 		select {
-		case told := <-n.records:
-			return &told, true
+		case u := <-n.records:
+			return &u, true
 		default:
 		}
 		limit, cancel, woken, due := n.look(n.config, time.Time{})
@@ -122,9 +122,9 @@
 			return nil, true
 		}
 		select {
-		case told := <-n.records:
+		case u := <-n.records:
 			cancel()
-			return &told, true
+			return &u, true
 		case <-woken:
 		case <-limit.Done():
 		}
@@ -202,25 +202,25 @@
 		Stamp:   stamp,
 		Config:  c.To,
 		Crashes: n.g.crashes.position(),
-		Records: tellable(c.Records),
+		Records: shareable(c.Records),
 	})
 }
 
-// tookConfig records that records which another gateway has read are in force up to a
+// configTaken records that records which another gateway has read are in force up to a
 // position.
-func (n *news) tookConfig(told *toldConfig, to int64) {
+func (n *news) configTaken(u *configUpdate, to int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.configTo = max(n.configTo, to)
 	n.g.metrics.config.heard.Inc(1)
-	n.config.Heard(told.at, told.reader, told.stamp)
+	n.config.Heard(u.at, u.reader, u.stamp)
 	n.wake()
 }
 
 func (n *news) doubtConfig() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.queuedTo = 0
+	n.pendingTo = 0
 	n.config.Doubt(n.g.clock.Now())
 	n.wake()
 }
@@ -304,7 +304,7 @@
 		return
 	}
 	if m.Config > n.configTo {
-		n.heardRecords(now, m)
+		n.queueRecords(now, m)
 		return
 	}
 	n.g.metrics.config.heard.Inc(1)
@@ -312,10 +312,10 @@
 	n.wake()
 }
 
-// heardRecords hands records that are not in force here to the goroutine that takes them;
+// queueRecords hands records that are not in force here to the goroutine that takes them;
 // the lock is held. If there are none, they have to be read.
-func (n *news) heardRecords(now time.Time, m *peer.StoreNews) {
-	if m.Config <= n.queuedTo {
+func (n *news) queueRecords(now time.Time, m *peer.StoreNews) {
+	if m.Config <= n.pendingTo {
 		return // they wait to be taken
 	}
 	defer n.wake()
@@ -323,8 +323,8 @@
 		n.config.Doubt(now)
 		return
 	}
-	n.queuedTo = m.Config
-	n.records <- toldConfig{
+	n.pendingTo = m.Config
+	n.records <- configUpdate{
 		records: *m.Records,
 		reader:  m.Reader,
 		stamp:   m.Stamp,
--- a/gateway/news_internal_test.go
+++ b/gateway/news_internal_test.go
@@ -29,7 +29,7 @@
 
 // A configuration of 400 kB, told by a gateway on 10 Mbit/s, held up its requests and what it
 // tells for 2 s.
-func TestRecordsThatAreTold(t *testing.T) {
+func TestShareableRecords(t *testing.T) {
 	const link = 10_000_000 / 8 // bytes a second
 	for size, want := range map[int]bool{
 		10_000:  true,
@@ -43,14 +43,14 @@
 				},
 			},
 		}
-		if got := tellable(r) != nil; got != want {
+		if got := shareable(r) != nil; got != want {
 			t.Errorf("%d bytes: told %v, want %v", size, got, want)
 		}
 	}
-	if ways := 2 * 3; ways*mostRecords > link/8 {
-		t.Errorf("%d bytes to %d keepers take more than an eighth of a second", mostRecords, ways)
+	if ways := 2 * 3; ways*maxRecordBytes > link/8 {
+		t.Errorf("%d bytes to %d keepers take more than an eighth of a second", maxRecordBytes, ways)
 	}
-	if tellable(nil) != nil {
+	if shareable(nil) != nil {
 		t.Error("no records are told")
 	}
 }
