--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,14 +14,9 @@
 	away := false
 	first := true
 	for {
-		update, ok := g.news.awaitConfig()
-		if !ok {
+		if !g.news.await(g.news.config) {
 			return
 		}
-		if update != nil {
-			g.takeConfig(update)
-			continue
-		}
 		sent := g.clock.Now()
 		g.news.beganConfig(sent)
 		wait := g.configWait()
@@ -38,7 +33,7 @@
 			g.apply(change, g.news.configKnown())
 			// Recorded last: whoever finds the configuration known as of a time has
 			// it in force up to then.
-			g.news.readConfig(asOf, change)
+			g.news.readConfig(asOf, change.To)
 			if g.upstreams.Load() {
 				g.crashes.readIfOld() // in turn with the configuration: one gateway for all
 			}
@@ -67,17 +62,6 @@
 	return configWait
 }
 
-// takeConfig takes records of the operator that another gateway has read.
-func (g *Gateway) takeConfig(u *configUpdate) {
-	change, ok := g.source.Take(u.records)
-	if !ok {
-		g.news.doubtConfig()
-		return
-	}
-	g.apply(change, g.news.configKnown())
-	g.news.configTaken(u, change.To)
-}
-
 // configAsOf returns a time at which the answer to a read of the configuration
 // was true: a waiting read that found nothing ended with its wait. One that ended
 // sooner met a record, also if that changes nothing here.
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -16,15 +16,13 @@
 // nothing reads as if it were alone.
 type news struct {
 	g       *Gateway
-	changes chan toldMembers  // for the goroutine that follows the list
-	records chan configUpdate // for the goroutine that follows the configuration
+	changes chan toldMembers // for the goroutine that follows the list
 
-	mu        sync.Mutex
-	woken     chan struct{} // closed and replaced when a turn may have changed
-	config    *decide.ReadTurn
-	configTo  int64 // position up to which the configuration is known
-	pendingTo int64 // and will be with the records that wait to be taken
-	members   *decide.ReadTurn
+	mu       sync.Mutex
+	woken    chan struct{} // closed and replaced when a turn may have changed
+	config   *decide.ReadTurn
+	configTo int64 // position up to which the configuration was read
+	members  *decide.ReadTurn
 }
 
 // toldMembers is a change of the list that another gateway has read.
@@ -33,34 +31,6 @@
 	asOf   time.Time // of that reading; zero: not known
 }
 
-// configUpdate are records of the operator that another gateway has read.
-type configUpdate struct {
-	records wardturn.ConfigRecords
-	reader  wardturn.Incarnation
-	stamp   time.Duration
-	at      time.Time // when they came
-}
-
-// maxRecordBytes bounds the records that are sent to other gateways. The gateway that reads
-// sends them to two keepers in each failure domain: with more, a host on 10 Mbit/s has no
-// room for its callers meanwhile, and what it sends of upstreams that leave comes late.
-const maxRecordBytes = 24 << 10
-
-// shareable returns the records as they are sent to others, or nil if they are too long.
-func shareable(r *wardturn.ConfigRecords) *wardturn.ConfigRecords {
-	if r == nil {
-		return nil
-	}
-	size := 0
-	for _, e := range r.Entries {
-		size += len(e.Key) + len(e.Value)
-	}
-	if size > maxRecordBytes {
-		return nil
-	}
-	return r
-}
-
 // changesKept is how many changes heard may wait; one more is dropped, and the
 // gap makes the gateway read.
 const changesKept = 32
@@ -89,7 +59,6 @@
 	return &news{
 		g:       g,
 		changes: make(chan toldMembers, changesKept),
-		records: make(chan configUpdate, changesKept),
 		woken:   make(chan struct{}),
 		config: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
 			Every: configWait,
@@ -108,29 +77,20 @@
 	n.woken = make(chan struct{})
 }
 
-// awaitConfig waits for records of the operator that another gateway has read, or, with
-// nil, until they have to be read here. It reports false when the gateway ends.
-func (n *news) awaitConfig() (u *configUpdate, ok bool) {
+// await waits until a turn is due. It reports false when the gateway ends.
+func (n *news) await(t *decide.ReadTurn) bool {
 	for n.g.tasks.Context().Err() == nil {
-		select {
-		case u := <-n.records:
-			return &u, true
-		default:
-		}
-		limit, cancel, woken, due := n.look(n.config, time.Time{})
+		limit, cancel, woken, due := n.look(t, time.Time{})
 		if due {
-			return nil, true
+			return true
 		}
 		select {
-		case u := <-n.records:
-			cancel()
-			return &u, true
 		case <-woken:
 		case <-limit.Done():
 		}
 		cancel()
 	}
-	return nil, false
+	return false
 }
 
 // look returns whether a turn is due; if not, a context that ends when it is, or at a
@@ -192,39 +152,19 @@
 }
 
 // readConfig records and tells that the configuration was read up to a position.
-func (n *news) readConfig(asOf time.Time, c wardturn.ConfigChange) {
+func (n *news) readConfig(asOf time.Time, to int64) {
 	n.mu.Lock()
-	n.configTo = c.To
+	n.configTo = to
 	stamp := n.config.Read(asOf)
 	n.mu.Unlock()
 	n.tell(&peer.StoreNews{
 		Reader:  n.g.cfg.Process,
 		Stamp:   stamp,
-		Config:  c.To,
+		Config:  to,
 		Crashes: n.g.crashes.position(),
-		Records: shareable(c.Records),
 	})
 }
 
-// configTaken records that records which another gateway has read are in force up to a
-// position.
-func (n *news) configTaken(u *configUpdate, to int64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.configTo = max(n.configTo, to)
-	n.g.metrics.config.heard.Inc(1)
-	n.config.Heard(u.at, u.reader, u.stamp)
-	n.wake()
-}
-
-func (n *news) doubtConfig() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.pendingTo = 0
-	n.config.Doubt(n.g.clock.Now())
-	n.wake()
-}
-
 // beganConfig records that a reading of the configuration begins. It waits for a
 // change, so there is no least time between two.
 func (n *news) beganConfig(now time.Time) {
@@ -304,7 +244,8 @@
 		return
 	}
 	if m.Config > n.configTo {
-		n.queueRecords(now, m)
+		n.config.Doubt(now) // a change that is not in force here
+		n.wake()
 		return
 	}
 	n.g.metrics.config.heard.Inc(1)
@@ -312,26 +253,6 @@
 	n.wake()
 }
 
-// queueRecords hands records that are not in force here to the goroutine that takes them;
-// the lock is held. If there are none, they have to be read.
-func (n *news) queueRecords(now time.Time, m *peer.StoreNews) {
-	if m.Config <= n.pendingTo {
-		return // they wait to be taken
-	}
-	defer n.wake()
-	if m.Records == nil || len(n.records) == cap(n.records) { // nobody else adds to them while the lock is held
-		n.config.Doubt(now)
-		return
-	}
-	n.pendingTo = m.Config
-	n.records <- configUpdate{
-		records: *m.Records,
-		reader:  m.Reader,
-		stamp:   m.Stamp,
-		at:      now,
-	}
-}
-
 // heardMembers hands a change of the list on; the lock is held. If that cannot be
 // taken, the list counts as out of date.
 func (n *news) heardMembers(now time.Time, m *peer.StoreNews) {
--- a/gateway/news_internal_test.go
+++ b/gateway/news_internal_test.go
@@ -26,31 +26,3 @@
 		t.Errorf("a long change is told as %+v", got)
 	}
 }
-
-// A configuration of 400 kB, told by a gateway on 10 Mbit/s, held up its requests and what it
-// tells for 2 s.
-func TestShareableRecords(t *testing.T) {
-	const link = 10_000_000 / 8 // bytes a second
-	for size, want := range map[int]bool{
-		10_000:  true,
-		400_000: false,
-	} {
-		r := &wardturn.ConfigRecords{
-			Entries: []wardturn.ConfigEntry{
-				{
-					Key:   "config",
-					Value: make([]byte, size),
-				},
-			},
-		}
-		if got := shareable(r) != nil; got != want {
-			t.Errorf("%d bytes: told %v, want %v", size, got, want)
-		}
-	}
-	if ways := 2 * 3; ways*maxRecordBytes > link/8 {
-		t.Errorf("%d bytes to %d keepers take more than an eighth of a second", maxRecordBytes, ways)
-	}
-	if shareable(nil) != nil {
-		t.Error("no records are told")
-	}
-}
--- a/gateway/storecalls_test.go
+++ b/gateway/storecalls_test.go
@@ -42,54 +42,6 @@
 	})
 })
 
-// Each gateway was told that the configuration had changed, and read it: as many calls as
-// there are gateways for each change.
-var _ = Describe("Gateways that hear each other", func() {
-	var x *rig
-	var fronts []string
-	BeforeEach(func() {
-		x = newRig()
-		fronts = []string{x.front}
-		for i := range 5 {
-			g, front, _ := x.startGateway(wardturn.Incarnation(fmt.Sprint("more", i)), platform.NewStore(x.storeAddr, x.metrics))
-			Eventually(g.Ready, soon, often).Should(BeTrue())
-			fronts = append(fronts, front)
-		}
-		time.Sleep(3 * time.Second) // all have heard the one that reads
-	})
-	inForce := func(path string) func() int {
-		return func() int {
-			n := 0
-			for _, front := range fronts {
-				if _, r := x.with(front, path, "", nil); r.status == 200 {
-					n++
-				}
-			}
-			return n
-		}
-	}
-
-	It("have a change of the configuration in force that one of them has read", func() {
-		const changes = 5
-		began, before := time.Now(), x.store.ReadsOf(topicOperator)
-		for i := range changes {
-			x.store.PutConfig(config(10+i, fmt.Sprintf(`,{"name":"n%d","host":"h.example","path_prefix":"/n%d/","type":"mutating","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":1}`, i, i)))
-			Eventually(inForce(fmt.Sprintf("/n%d/x", i)), soon, often).Should(Equal(len(fronts)))
-		}
-		usual := int(time.Since(began)/time.Second) + 1 // of the one that reads for all
-		Expect(x.store.ReadsOf(topicOperator) - before).To(BeNumerically("<=", 2*changes+2*usual))
-	})
-
-	It("have an evacuation in force that one of them has read, and its end", func() {
-		before := x.store.ReadsOf(topicOperator)
-		x.evacuate("d")
-		Eventually(inForce("/look/a"), soon, often).Should(BeZero())
-		x.takeBack("d")
-		Eventually(inForce("/look/a"), soon, often).Should(Equal(len(fronts)))
-		Expect(x.store.ReadsOf(topicOperator) - before).To(BeNumerically("<=", 8))
-	})
-})
-
 // A change of more upstreams than are told had all that heard of it read at once, and tell
 // the same: up to four readings a second of each gateway, while upstreams enter the list.
 var _ = Describe("Gateways before which many upstreams enter the list", func() {
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -96,11 +96,10 @@
 // in each failure domain, which pass it on to the gateways that hear news there.
 type StoreNews struct {
 	Reader  wardturn.Incarnation
-	Stamp   time.Duration           // the reader's own time of the reading
-	Config  int64                   // position up to which the configuration was read; zero: it was not
-	Members *wardturn.MemberChange  // nil: the list of upstreams was not read
-	Crashes int64                   // position up to which crashes were read, with the configuration
-	Records *wardturn.ConfigRecords // of the configuration, up to that position; nil: there are none
+	Stamp   time.Duration          // the reader's own time of the reading
+	Config  int64                  // position up to which the configuration was read; zero: it was not
+	Members *wardturn.MemberChange // nil: the list of upstreams was not read
+	Crashes int64                  // position up to which crashes were read, with the configuration
 }
 
 // CrashNews tells the gateways under which contents upstreams have ended, which were
--- a/routes.go
+++ b/routes.go
@@ -246,22 +246,6 @@
 	Versions []AdapterVersion // newest versions of weights that were named
 	// Evacuated has all failure domains that are evacuated; nil: unchanged.
 	Evacuated Evacuations
-	// Records is what was read, for other readers; nil: they have to read it themselves.
-	Records *ConfigRecords
-}
-
-// ConfigRecords are a part of the operator's record, as one reader tells it to others.
-// Whoever has read up to From knows all up to To with them.
-type ConfigRecords struct {
-	From    int64
-	To      int64
-	Entries []ConfigEntry
-}
-
-// ConfigEntry is one record of the operator.
-type ConfigEntry struct {
-	Key   string
-	Value []byte // nil: the key was dropped
 }
 
 // Evacuations are the failure domains whose upstreams are to get no requests.
@@ -273,9 +257,6 @@
 	// Next waits up to wait for a change and returns what changed since the
 	// last call; the first call returns everything.
 	Next(wait time.Duration) (ConfigChange, error)
-	// Take returns what changed with records that another reader has read. It reports
-	// false if there is a gap between the two: the record has to be read.
-	Take(r ConfigRecords) (ConfigChange, bool)
 }
 
 // MemberSource gives the platform's list of upstreams. Calls come from one
