Shares of what cold upstreams bear go by the gateways before a loss of all

Keepers that start as well count gateways from one on, and each gateway took itself for the only one: 26 requests in a second with 9 gateways, 52 with 22 (TestColdUpstreamAfterALossOfAll, red before). Change: the number of gateways that the store remembers counts for these shares as for caps, and is remembered where a service names what its cold upstreams bear.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -20,8 +20,9 @@
 	now      time.Time
 	gateways []*decide.Limits
 	started  int
-	sent     []int // by step, of all gateways
-	apart    bool  // gateways do not hear each other
+	sent     []int      // by step, of all gateways
+	apart    bool       // gateways do not hear each other
+	counted  func() int // gateways that keepers count; nil: all
 }
 
 func newColdSim(n int) *coldSim {
@@ -63,7 +64,11 @@
 		return
 	}
 	for _, g := range s.gateways {
-		g.SetGateways(s.now, len(s.gateways))
+		counted := len(s.gateways)
+		if s.counted != nil {
+			counted = min(counted, s.counted())
+		}
+		g.SetGateways(s.now, counted)
 		w, _, due := g.Word(s.now)
 		if !due || s.apart {
 			continue
@@ -127,6 +132,24 @@
 	}
 }
 
+// After a loss of all processes keepers count the gateways that are back so far: each gateway
+// took itself for the only one.
+func TestColdUpstreamAfterALossOfAll(t *testing.T) {
+	for _, n := range []int{2, 9, 22} {
+		s := newColdSim(n)
+		s.counted = func() int {
+			return 1 + int(s.now.Sub(start)/(100*time.Millisecond))
+		}
+		for _, g := range s.gateways {
+			g.SetGateways(s.now, 1)
+			g.Recall(s.now, n)
+		}
+		s.cold(10 * time.Second)
+		s.run(5 * time.Second)
+		s.expectBound(t, fmt.Sprintf("%d gateways", n), 0)
+	}
+}
+
 // Gateways that hear nobody, and processes that begin anew, go by their number alone.
 func TestColdUpstreamApart(t *testing.T) {
 	for _, n := range []int{2, 9, 22} {
--- a/decide/limits.go
+++ b/decide/limits.go
@@ -87,6 +87,12 @@
 	l.share(now)
 }
 
+// Recall takes how many gateways there were before this one started. Keepers that start as
+// well count from one on, and each gateway would take itself for the only one.
+func (l *Limits) Recall(now time.Time, gateways int) {
+	l.SetGateways(now, gateways)
+}
+
 // Named takes an answer that names a limit. It reports whether that is another than
 // was known.
 func (l *Limits) Named(now time.Time, id wardturn.UpstreamID, rate wardturn.RequestRate) (changed bool) {
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -23,6 +23,7 @@
 		if err == nil {
 			g.mu.Lock()
 			g.fleet.RecallWindow(facts.Window)
+			g.limits.book.Recall(g.clock.Now(), facts.Gateways)
 			g.mu.Unlock()
 			g.caps.recall(facts.Gateways)
 			g.remembered = facts
@@ -47,7 +48,7 @@
 	if window, learned := g.fleet.LearnedWindow(); learned {
 		facts.Window = window
 	}
-	if n := g.fleet.CountedGateways(); n > 0 && g.keyed() {
+	if n := g.fleet.CountedGateways(); n > 0 && g.sharesByNumber() {
 		facts.Gateways = n
 	}
 	g.mu.Unlock()
@@ -62,6 +63,21 @@
 	g.logger.Info("window of loads remembered", "window", facts.Window, "gateways", facts.Gateways)
 }
 
+// sharesByNumber reports whether gateways share something by their number from their start
+// on: caps of teams, or what cold upstreams bear.
+func (g *Gateway) sharesByNumber() bool {
+	rs := g.routes.Load()
+	if rs == nil {
+		return false
+	}
+	for _, s := range rs.table.Services {
+		if s.ColdRate > 0 {
+			return true
+		}
+	}
+	return rs.table.Keyed
+}
+
 // keyed reports whether the configuration has teams: without any, the number of gateways
 // is not worth a call of the store.
 func (g *Gateway) keyed() bool {
