--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -134,13 +134,13 @@
 			"d": "north",
 			"e": "south",
 		}
-		const homes = `,{"name":"home","host":"h.example","path_prefix":"/home/","type":"idempotent","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":2,"regions_allowed":["south"]},
+		const homes = `,{"name":"local","host":"h.example","path_prefix":"/local/","type":"idempotent","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":2,"regions_allowed":["south"]},
 {"name":"none","host":"h.example","path_prefix":"/none/","type":"idempotent","timeout_ms":1000,"slo_ms":150,"service":"app","max_attempts":2,"regions_allowed":["west"]}`
 		x.store.PutConfig(config(2, homes))
 		g, front, _ := x.startGateway("second", platform.NewStore(x.storeAddr, x.metrics))
 		Eventually(g.Ready, soon, often).Should(BeTrue())
 		began := time.Now()
-		statuses := x.callAll([]string{front}, "/home/a", "", 2, 10*time.Millisecond, 500*time.Millisecond)
+		statuses := x.callAll([]string{front}, "/local/a", "", 2, 10*time.Millisecond, 500*time.Millisecond)
 		Expect(statuses[http.StatusOK]).To(BeNumerically(">", 20))
 		Expect(x.arrivedAfter("d", began)).To(BeZero())
 		id, r := x.with(front, "/none/a", "", nil)
