Words on the configuration tell when crashes were read, not only how far

Change: StoreNews carries position and age of the reader's latest reading of crashes, none with the list of upstreams; a gateway that does not read for all reads crashes only once what it heard is 3 s old, or all would after each change of the configuration. Before: two gateways that take turns read no crashes in 3 s (red); after: within 2.4 s. The stale bound of each gateway's knowledge now is a reading's own time.

--- a/gateway/crashrecord.go
+++ b/gateway/crashrecord.go
@@ -15,39 +15,54 @@
 	// call has a price.
 	crashRetry    = 500 * time.Millisecond
 	crashMaxRetry = 4 * time.Second
-	// crashReadEvery is how old what is known of the store may be when the configuration
-	// is read: the gateway that does so for all then reads crashes each 1.2 s, one that
-	// hears nobody each 1.7 s, and no other. All gateways read the configuration after a
-	// change.
+	// crashReadEvery is how old what is known of the store may be at the gateway that reads
+	// the configuration for all when it has done so.
 	crashReadEvery = time.Second
+	// crashReadOthers is the same at gateways that hear of such readings. All gateways
+	// read the configuration after a change, and would all read the crashes.
+	crashReadOthers = 3 * time.Second
 )
 
-// position returns how far the store was read.
-func (c *crashes) position() int64 {
+// reading returns what is told of the latest reading of the store; nil: there was none.
+func (c *crashes) reading() *peer.CrashReading {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.readTo
+	if c.readAt.IsZero() {
+		return nil
+	}
+	return &peer.CrashReading{
+		To:  c.readTo,
+		Age: c.g.clock.Now().Sub(c.readAt),
+	}
 }
 
-// heardPosition takes the word of another gateway on how far it has read the store.
-func (c *crashes) heardPosition(to int64) {
+// heardReading takes the word of another gateway on its latest reading of the store.
+func (c *crashes) heardReading(r *peer.CrashReading) {
+	if r == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if to > c.readTo {
+	if r.To > c.readTo {
 		wake(c.reads)
 		return
 	}
-	if to == c.readTo && !c.readAt.IsZero() {
-		c.readAt = c.g.clock.Now()
+	at := c.g.clock.Now().Add(-r.Age)
+	if r.To == c.readTo && !c.readAt.IsZero() && at.After(c.readAt) {
+		c.readAt = at
 	}
 }
 
-// readIfOld has the store read if what is known of it is old. It is called when the store
-// has just answered.
-func (c *crashes) readIfOld() {
+// readIfOld has the store read if what is known of it is old, for this gateway or for all.
+// It is called when the store has just answered.
+func (c *crashes) readIfOld(forAll bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readAt.IsZero() || c.g.clock.Now().Sub(c.readAt) >= crashReadEvery {
+	bound := crashReadOthers
+	if forAll {
+		bound = crashReadEvery
+	}
+	if c.readAt.IsZero() || c.g.clock.Now().Sub(c.readAt) >= bound {
 		wake(c.reads)
 	}
 }
--- a/gateway/crashrecord_internal_test.go
+++ b/gateway/crashrecord_internal_test.go
@@ -40,8 +40,8 @@
 	for i := range 40 {
 		clock.now = clock.now.Add(configWait / 2)
 		c, other := gateways[i%2], gateways[(i+1)%2]
-		other.heardPosition(c.position())
-		c.readIfOld()
+		other.heardReading(c.reading())
+		c.readIfOld(true)
 		select {
 		case <-c.reads:
 			c.read(wardturn.CrashChange{})
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -35,7 +35,7 @@
 			// it in force up to then.
 			g.news.readConfig(asOf, change.To)
 			if g.upstreams.Load() {
-				g.crashes.readIfOld() // in turn with the configuration: one gateway for all
+				g.crashes.readIfOld(g.news.readsForAll())
 			}
 			continue
 		}
@@ -182,7 +182,7 @@
 	g.crashes.ended(lost...)
 	g.links.update()
 	if len(now.members) > 0 && !g.upstreams.Swap(true) {
-		g.crashes.readIfOld()
+		g.crashes.readIfOld(g.news.readsForAll())
 	}
 }
 
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -161,7 +161,7 @@
 		Reader:  n.g.cfg.Process,
 		Stamp:   stamp,
 		Config:  to,
-		Crashes: n.g.crashes.position(),
+		Crashes: n.g.crashes.reading(),
 	})
 }
 
@@ -235,7 +235,7 @@
 	if m.Reader == n.g.cfg.Process {
 		return
 	}
-	n.g.crashes.heardPosition(m.Crashes)
+	n.g.crashes.heardReading(m.Crashes)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.g.clock.Now()
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -99,7 +99,14 @@
 	Stamp   time.Duration          // the reader's own time of the reading
 	Config  int64                  // position up to which the configuration was read; zero: it was not
 	Members *wardturn.MemberChange // nil: the list of upstreams was not read
-	Crashes int64                  // position up to which crashes were read, with the configuration
+	Crashes *CrashReading          // the reader's latest reading of crashes; nil: none, or not told
+}
+
+// CrashReading tells how far and when a gateway last read the store's record of crashes, or
+// heard that another had.
+type CrashReading struct {
+	To  int64         // position
+	Age time.Duration // of the reading
 }
 
 // CrashNews tells the gateways under which contents upstreams have ended, which were
