--- a/decide/evacuation.go
+++ b/decide/evacuation.go
@@ -12,7 +12,7 @@
 
 // SetEvacuated takes the failure domains whose upstreams are to get no requests. When one
 // is taken back, its upstreams may just have turned cold.
-func (f *Fleet) SetEvacuated(now time.Time, domains wardturn.Evacuations) {
+func (f *Fleet) SetEvacuated(now time.Time, domains wardturn.Evacuations, out *Moves) {
 	f.evacuated = domains
 	for _, m := range f.members {
 		if m.evacuated && !domains[m.Domain] {
--- a/decide/evacuation_test.go
+++ b/decide/evacuation_test.go
@@ -82,7 +82,7 @@
 	near := wardturn.Evacuations{
 		"near": true,
 	}
-	x.f.SetEvacuated(x.now, near)
+	x.f.SetEvacuated(x.now, near, &x.out)
 	for round := range 2 {
 		for range 6 {
 			a, ok := x.admitFor(fleetService, adapterKey("a"), nil)
@@ -111,7 +111,7 @@
 	if a, _ := x.admitFor(fleetService, adapterKey("a"), nil); a.Reason != wardturn.ReasonEvacuated {
 		t.Errorf("all evacuated: %+v", a)
 	}
-	x.f.SetEvacuated(x.now, wardturn.Evacuations{})
+	x.f.SetEvacuated(x.now, wardturn.Evacuations{}, &x.out)
 	if a, ok := x.admitFor(plainService, wardturn.ModelAdapter{}, nil); !ok || a.Member.ID != "p0" {
 		t.Errorf("taken back: %+v", a)
 	}
@@ -162,8 +162,8 @@
 	}
 	x.f.SetEvacuated(x.now, wardturn.Evacuations{
 		"near": true,
-	})
-	x.f.SetEvacuated(x.now, wardturn.Evacuations{})
+	}, &x.out)
+	x.f.SetEvacuated(x.now, wardturn.Evacuations{}, &x.out)
 	if got := count(); got > 2 {
 		t.Errorf("%d requests at once to engines that may be cold", got)
 	}
@@ -224,3 +224,35 @@
 		t.Errorf("a request went to %s, which has just said that it is cold", a.Member.ID)
 	}
 }
+
+// When a failure domain with a third of the engines was evacuated, all that asked for its
+// adapters next waited for a load, and each adapter's load began with its first request.
+func TestAdaptersInUseAreLoadedElsewhere(t *testing.T) {
+	x, _ := newEvacuationRig()
+	x.hold("n0", readyAdapter("used", 1), readyAdapter("idle", 1), readyAdapter("spread", 1))
+	x.hold("f0", readyAdapter("spread", 1))
+	for _, name := range []string{"used", "spread"} {
+		if a, _ := x.admitFor(fleetService, adapterKey(name), nil); a.Member.ID != "n0" {
+			t.Fatalf("%s: %+v", name, a)
+		}
+	}
+	x.out.Asks = nil
+	x.f.SetEvacuated(x.now, wardturn.Evacuations{
+		"near": true,
+	}, &x.out)
+	if len(x.out.Asks) != 1 || x.out.Asks[0].Adapter.Adapter != "used" {
+		t.Fatalf("asked for %+v, want only what is in use and held nowhere else", x.out.Asks)
+	}
+	home := x.out.Asks[0].Upstream
+	if home != "f0" && home != "f1" {
+		t.Errorf("it is asked for at %s", home)
+	}
+	x.hold(string(home), readyAdapter("used", 1))
+	if a, ok := x.admitFor(fleetService, adapterKey("used"), nil); !ok || a.Member.ID != home {
+		t.Errorf("the next request: %+v", a)
+	}
+	x.tick(10 * time.Second)
+	if len(x.out.Asks) != 1 {
+		t.Errorf("asked again: %+v", x.out.Asks)
+	}
+}
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wardturn"
+	"wardturn/decide"
 )
 
 // mostCold bounds how long one answer may name its upstream as cold.
@@ -14,11 +15,11 @@
 
 // evacuate puts the operator's evacuations of failure domains in force; nil: unchanged. The
 // lock is held.
-func (g *Gateway) evacuate(now time.Time, domains wardturn.Evacuations) {
+func (g *Gateway) evacuate(now time.Time, domains wardturn.Evacuations, out *decide.Moves) {
 	if domains == nil {
 		return
 	}
-	g.fleet.SetEvacuated(now, domains)
+	g.fleet.SetEvacuated(now, domains, out)
 	g.evacuated.Store(&domains)
 	g.logger.Info("evacuations in force", "domains", slices.Sorted(maps.Keys(domains)))
 }
