--- a/decide/evacuation_test.go
+++ b/decide/evacuation_test.go
@@ -107,7 +107,7 @@
 	x.f.SetEvacuated(x.now, wardturn.Evacuations{
 		"near": true,
 		"far":  true,
-	})
+	}, &x.out)
 	if a, _ := x.admitFor(fleetService, adapterKey("a"), nil); a.Reason != wardturn.ReasonEvacuated {
 		t.Errorf("all evacuated: %+v", a)
 	}
@@ -135,7 +135,7 @@
 	x.f.SetEvacuated(x.now, wardturn.Evacuations{
 		"near": true,
 		"far":  true,
-	})
+	}, &x.out)
 	x.f.Tick(x.now, &x.out)
 	if !refused {
 		t.Error("it waits on")
