Adapters in use in an evacuated failure domain are loaded elsewhere at once

Cause: an adapter held there alone was asked for with its first request after the evacuation, all of them together. Change: each gateway wants those that it has requests running with there and that no other engine may serve, in the same region first, at the window's rate, most used first.

--- a/decide/evacuation.go
+++ b/decide/evacuation.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"time"
 
 	"wardturn"
@@ -10,9 +11,14 @@
 // whatever its entry says: by then it has written another one, and the list has been read.
 const coldWatch = 3500 * time.Millisecond
 
+// inUseFor is how long an adapter that was in use in an evacuated failure domain is worth a
+// load elsewhere though none of its requests waits.
+const inUseFor = 3 * time.Second
+
 // SetEvacuated takes the failure domains whose upstreams are to get no requests. When one
 // is taken back, its upstreams may just have turned cold.
 func (f *Fleet) SetEvacuated(now time.Time, domains wardturn.Evacuations, out *Moves) {
+	before := f.evacuated
 	f.evacuated = domains
 	for _, m := range f.members {
 		if m.evacuated && !domains[m.Domain] {
@@ -21,6 +27,44 @@
 		m.evacuated = domains[m.Domain]
 	}
 	f.limitCold(now)
+	for _, m := range f.members {
+		if m.evacuated && !before[m.Domain] {
+			f.wantElsewhere(now, m)
+		}
+	}
+	f.pump(now, out)
+}
+
+// wantElsewhere wants the adapters that this gateway uses at an evacuated engine and that
+// no other may serve, before the next requests come: else all of them wait for loads that
+// begin together. The engines of the same region are asked, if there are some.
+func (f *Fleet) wantElsewhere(now time.Time, m *Member) {
+	region := wardturn.Regions{f.cfg.Regions[m.Domain]}
+	if !f.servedIn(now, m.Service, region) {
+		region = nil
+	}
+	for key, u := range m.uses {
+		if u.Running == 0 || f.heldUsable(now, key) {
+			continue
+		}
+		w := f.wantOf(now, key, m.Service, region)
+		w.owed += u.Running
+		w.owedTo = now.Add(inUseFor)
+	}
+}
+
+// servedIn reports whether some upstream of a service may serve requests in regions.
+func (f *Fleet) servedIn(now time.Time, s wardturn.ServiceName, r wardturn.Regions) bool {
+	return slices.ContainsFunc(f.services[s], func(m *Member) bool {
+		return m.usable(now, nil) && f.inRegions(m, r)
+	})
+}
+
+// heldUsable reports whether an engine holds an adapter that may be given requests.
+func (f *Fleet) heldUsable(now time.Time, key wardturn.ModelAdapter) bool {
+	return slices.ContainsFunc(f.holders[key], func(m *Member) bool {
+		return m.usable(now, nil)
+	})
 }
 
 // SawCold takes an upstream's word in an answer that it stays cold for so long.
