--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -38,6 +38,7 @@
 	CrashLimit   int                                        `default:"3" help:"Upstreams that end without notice under a request before it is refused, by whatever attempt it comes; the platform bears three."`
 	CrashMemory  time.Duration                              `default:"24h" help:"Time after the latest of them in which it is refused; the platform bears three more sends of such a request in all."`
 	EqualCaps    bool                                       `help:"Give each gateway the same part of each team's usage cap, whatever the others take. Without it they tell each other, and a team may use its whole cap at any of them."`
+	UpstreamMB   int                                        `default:"64" help:"Bytes of requests' bodies, in MB, that one upstream is given at once by all gateways together."`
 	CrossBytes   int                                        `default:"28000" help:"Bytes sent to an adapter in another failure domain before it is loaded in the own one; that traffic costs the users as much as a load."`
 	LoadsAtStart float64                                    `default:"8" help:"Adapter loads under way from the weight store, for all gateways, at the start, at least: no more than the smallest known store serves at full speed. Half of the engines if that is more."`
 	LoadsAtMost  float64                                    `default:"1024" help:"Adapter loads under way from the weight store, for all gateways, at most; ten times what the largest known store serves at full speed."`
@@ -66,6 +67,7 @@
 	b.Require(c.VersionBound >= 0, "version-bound", "must not be negative")
 	b.Require(c.KeyBound == 0 || c.KeyBound >= leastKeyBound, "key-bound", "must be 0 or at least 3s")
 	b.Require(c.MemoryMB >= 64, "memory-mb", "must be at least 64")
+	b.Require(c.UpstreamMB >= 1, "upstream-mb", "must be at least 1")
 	b.Require(c.ColdOverage >= 1, "cold-overage", "must be at least 1")
 	b.Require(c.ColdSlack >= 0, "cold-slack", "must not be negative")
 	b.Require(c.CrashLimit >= 1, "crash-limit", "must be at least 1")
@@ -100,6 +102,7 @@
 			Domain:       wardturn.FailureDomain(c.Domain),
 			Regions:      c.Regions,
 			CrossBytes:   c.CrossBytes,
+			MostBodies:   c.UpstreamMB << 20,
 			VersionBound: c.VersionBound,
 			Cold: decide.ColdConfig{
 				Overage: c.ColdOverage,
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -45,6 +45,9 @@
 	// CrossBytes is how much may be sent to an adapter in another failure domain
 	// before it is loaded in the own one as well.
 	CrossBytes int
+	// MostBodies is how many bytes of requests an upstream is given by all gateways
+	// together: it falls over when they outgrow its memory. Zero: there is no bound.
+	MostBodies int
 	Window     WindowConfig
 	// VersionBound is how long after the store's word of a newer version of an adapter
 	// requests may begin on an older one.
@@ -84,6 +87,7 @@
 // Retune changes the limits. The failure domain stays.
 func (f *Fleet) Retune(cfg FleetConfig) {
 	f.cfg.CrossBytes = cfg.CrossBytes
+	f.cfg.MostBodies = cfg.MostBodies
 	f.window.Retune(cfg.Window)
 	f.cfg.Cold = cfg.Cold
 	f.limits.SetColdConfig(cfg.Cold)
--- a/decide/member.go
+++ b/decide/member.go
@@ -17,6 +17,7 @@
 	latency      float64   // of its answers, in milliseconds; of plain services only
 	timedAt      time.Time // of the latest of them
 	running      int       // requests of this gateway under way
+	bodies       int       // bytes of their bodies
 	prefill      int       // tokens of prompts of those that have no byte of an answer yet
 	reading      reading   // of long prompts, of all gateways
 	holding      Holding
--- a/decide/usage.go
+++ b/decide/usage.go
@@ -77,6 +77,19 @@
 	m.failing += failWeight * (bad - m.failing)
 }
 
+// holds reports whether an upstream may be given the body of a request beside those that
+// this gateway has there: its part of what all may give. One alone is always given.
+func (f *Fleet) holds(m *Member, t *Ticket) bool {
+	return f.cfg.MostBodies == 0 || m.bodies == 0 || m.bodies+t.Body <= f.cfg.MostBodies/f.Gateways()
+}
+
+// Freed records that an upstream no longer holds the body of a request.
+func (f *Fleet) Freed(id wardturn.UpstreamID, body int) {
+	if m := f.members[id]; m != nil {
+		m.bodies = max(0, m.bodies-body)
+	}
+}
+
 // AdapterCount counts this gateway's requests to an adapter of one engine.
 type AdapterCount struct {
 	Key     wardturn.ModelAdapter
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -28,6 +28,7 @@
 	Objective time.Duration
 	Deadline  time.Time
 	Prompt    wardturn.Tokens
+	Body      int // bytes of the request's body
 	Bytes     int // of the request and, by estimate, of its answer
 	Regions   wardturn.Regions
 	Tried     []wardturn.UpstreamID
@@ -117,7 +118,7 @@
 // plainMember returns the member of the least cost that is filled less than a limit, or nil.
 func (f *Fleet) plainMember(now time.Time, t *Ticket, limit float64) *Member {
 	return f.best(now, f.services[t.Service], func(m *Member) bool {
-		return m.usable(now, t.Tried) && f.inRegions(m, t.Regions) && m.fill() < limit && f.limits.Allows(now, m.ID)
+		return m.usable(now, t.Tried) && f.inRegions(m, t.Regions) && m.fill() < limit && f.holds(m, t) && f.limits.Allows(now, m.ID)
 	})
 }
 
@@ -145,6 +146,7 @@
 		Load:    m.load(),
 		Prefill: m.toRead(now),
 	}
+	m.bodies += t.Body
 	f.sent(now, m, t.Key, t.Prompt)
 	t.Assign(a)
 }
@@ -177,7 +179,7 @@
 		list = f.holders[t.Key]
 	}
 	return f.best(now, list, func(m *Member) bool {
-		if m.Service != t.Service || !m.usable(now, t.Tried) || !f.inRegions(m, t.Regions) || m.fill() >= engineOverfill {
+		if m.Service != t.Service || !m.usable(now, t.Tried) || !f.inRegions(m, t.Regions) || m.fill() >= engineOverfill || !f.holds(m, t) {
 			return false
 		}
 		return m.serves(now, t.Key, least) && match(m) && f.limits.Allows(now, m.ID)
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -18,6 +18,7 @@
 		Objective: cmp.Or(x.route.Objective, defaultObjective),
 		Deadline:  x.end,
 		Prompt:    x.prompt,
+		Body:      len(x.body),
 		Bytes:     len(x.body) + answerGuess,
 		Tried:     x.tried,
 		Regions:   x.regions,
@@ -46,7 +47,7 @@
 // putBack gives up an assignment to which nothing was sent.
 func (x *exchange) putBack(a assignment) {
 	x.began(a)
-	x.g.ended(a.Member.ID, x.key, decide.EndedUnseen)
+	x.g.ended(a.Member.ID, x.key, len(x.body), decide.EndedUnseen)
 }
 
 func (x *exchange) assigned(a assignment) (assignment, bool) {
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -57,10 +57,11 @@
 }
 
 // ended records the end of a send.
-func (g *Gateway) ended(id wardturn.UpstreamID, key wardturn.ModelAdapter, how decide.Ending) {
+func (g *Gateway) ended(id wardturn.UpstreamID, key wardturn.ModelAdapter, body int, how decide.Ending) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.fleet.Ended(g.clock.Now(), id, key, how)
+	g.fleet.Freed(id, body)
 }
 
 func (g *Gateway) misplaced(id wardturn.UpstreamID) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -186,7 +186,7 @@
 		x.began(a)
 		x.noteOldVersion(a)
 		x.noteContent(a, res, ctx.Err())
-		x.g.ended(a.Member.ID, x.key, x.ending(res))
+		x.g.ended(a.Member.ID, x.key, len(x.body), x.ending(res))
 		if res == outdated {
 			continue
 		}
