Gateways learn how fast engines read prompts

Cause: an engine was taken to read 40 tokens a millisecond; those of three deployments read 19.2 to 22.1, so that prompts weighed half of what they cost and were sent to engines that were reading. Change: the rate of a service's engines is learned from the time until the first tokens of answers; what one hanging engine tells is bounded. Test: the choice by load pattern fails at the old constant.

--- a/decide/finish.go
+++ b/decide/finish.go
@@ -2,25 +2,18 @@
 
 import (
 	"time"
-
-	"wardturn"
 )
 
 // queueTime estimates how long an engine reads prompts before another.
 func queueTime(now time.Time, m *Member) time.Duration {
-	return readTime(wardturn.Tokens(m.toRead(now)))
-}
-
-// readTime estimates how long an engine reads a prompt.
-func readTime(prompt wardturn.Tokens) time.Duration {
-	return time.Duration(float64(prompt) / prefillRate * float64(time.Millisecond))
+	return m.rate.time(m.toRead(now))
 }
 
 // inTime reports whether a request has its first token within its objective at an
 // engine that can begin with it after a while.
 func inTime(now time.Time, t *Ticket, m *Member, after time.Duration) bool {
 	begin := max(after, queueTime(now, m))
-	return !now.Add(begin + readTime(t.Prompt)).After(t.Arrived.Add(t.Objective))
+	return !now.Add(begin + m.rate.time(int(t.Prompt))).After(t.Arrived.Add(t.Objective))
 }
 
 // waitsForQuicker reports whether a request with a long prompt should wait for its
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -35,6 +35,7 @@
 	drawnAt    time.Time                          // latest draw for a share of the window below one
 	crossed    map[wardturn.ModelAdapter]int      // bytes sent to other failure domains
 	limits     *Limits
+	rates      map[wardturn.ServiceName]*readRate // at which engines read prompts
 	evacuated  wardturn.Evacuations
 }
 
@@ -81,6 +82,7 @@
 		refilled:   make(map[wardturn.ServiceName]time.Time),
 		crossed:    make(map[wardturn.ModelAdapter]int),
 		limits:     cfg.Limits,
+		rates:      make(map[wardturn.ServiceName]*readRate),
 	}
 }
 
@@ -143,6 +145,7 @@
 		}
 		m.noteCold(now, e)
 		m.Member = e
+		m.rate = f.rateOf(e.Service)
 		m.evacuated = f.evacuated[e.Domain]
 		members[e.ID] = m
 		services[e.Service] = append(services[e.Service], m)
--- a/decide/fleet_prompts_test.go
+++ b/decide/fleet_prompts_test.go
@@ -65,6 +65,43 @@
 		Expect(x.f.Readings()).To(BeEmpty())
 	})
 
+	// Engines that read half as fast as was assumed got prompt after prompt, and the streams
+	// beside them paused, while others had many streams and read nothing.
+	It("weighs prompts by the time in which engines were seen to read them", func() {
+		list := fleetMembers()
+		for i := range list {
+			list[i].Slots = 64
+		}
+		x.f.SetMembers(x.now, list)
+		choose := func(id string) wardturn.UpstreamID {
+			for at, h := range map[wardturn.UpstreamID]decide.Holding{
+				"n0": {
+					Running: 25,
+				},
+				"n1": {
+					Running: 1,
+					Reading: 2400,
+				},
+			} {
+				h.Connected = true
+				h.Known = true
+				h.Full = true
+				h.Models = []wardturn.BaseModel{"m"}
+				h.Adapters = []decide.HeldVersion{readyAdapter("a", 1)}
+				x.f.SetHolding(x.now, at, h, &x.out)
+			}
+			x.admit(id, "a")
+			at := x.got[id].Member.ID
+			x.f.Ended(x.now, at, adapterKey("a"), decide.EndedWell)
+			return at
+		}
+		Expect(choose("before")).To(BeEquivalentTo("n1"))
+		for range 50 {
+			x.f.Read("llm", 2400, 125*time.Millisecond)
+		}
+		Expect(choose("after")).To(BeEquivalentTo("n0"))
+	})
+
 	It("has a copy that relieves a busy engine evict an adapter of less use", func() {
 		list := fleetMembers()
 		for i := range list {
--- a/decide/member.go
+++ b/decide/member.go
@@ -20,6 +20,7 @@
 	bodies       int       // bytes of their bodies
 	prefill      int       // tokens of prompts of those that have no byte of an answer yet
 	reading      reading   // of long prompts, of all gateways
+	rate         *readRate // of the engines of its service
 	holding      Holding
 	heldAt       time.Time // of the holding
 	atHold       int       // running when the holding arrived
@@ -50,9 +51,6 @@
 	// failWeight is the weight of one request in the share that fails: some ten
 	// requests show a fault.
 	failWeight = 0.1
-	// prefillRate is how many tokens of prompts an engine of today reads in a
-	// millisecond. While it does, those that run there get their tokens later.
-	prefillRate = 40.0
 )
 
 // best returns the member of the least cost among those that match.
@@ -89,7 +87,7 @@
 
 // busyCost is cost to a gateway of any failure domain.
 func (m *Member) busyCost(now time.Time) float64 {
-	c := float64(m.toRead(now))/prefillRate + runCost*float64(m.load())
+	c := m.rate.cost(m.toRead(now)) + runCost*float64(m.load())
 	return c + failCost*m.failing + m.slowness(now)
 }
 
--- a/decide/naming.go
+++ b/decide/naming.go
@@ -79,6 +79,6 @@
 // beginsInTime reports whether a request that is sent to a member now should begin on
 // the version there before that serves no more.
 func (f *Fleet) beginsInTime(now time.Time, m *Member, t *Ticket) bool {
-	read := time.Duration(float64(m.toRead(now)+int(t.Prompt)) / prefillRate * float64(time.Millisecond))
+	read := m.rate.time(m.toRead(now) + int(t.Prompt))
 	return f.VersionServes(now.Add(beginWithin+read), t.Key, m.held[t.Key].version)
 }
--- a/decide/patience.go
+++ b/decide/patience.go
@@ -57,7 +57,7 @@
 // to come, unless an engine that holds it is merely full, and its prompt has to be
 // read.
 func (f *Fleet) needs(w *want, t *Ticket) time.Duration {
-	read := time.Duration(float64(t.Prompt) / prefillRate * float64(time.Millisecond))
+	read := f.rateOf(t.Service).time(int(t.Prompt))
 	switch {
 	case w.key.Adapter == "" || len(f.holders[w.key]) > 0:
 		return read
--- /dev/null
+++ b/decide/readrate_internal_test.go
@@ -0,0 +1,42 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+func TestReadRateLearns(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		perMilli float64
+		hangs    int // one prompt in so many takes 4 s
+	}{
+		{
+			name:     "half as fast as usual",
+			perMilli: 20,
+		},
+		{
+			name:     "twice as fast",
+			perMilli: 80,
+		},
+		{
+			name:     "engines hang now and then",
+			perMilli: 20,
+			hangs:    32,
+		},
+	} {
+		r := newReadRate()
+		for i := range 100 {
+			took := time.Duration(2400 / c.perMilli * float64(time.Millisecond))
+			if c.hangs > 0 && i%c.hangs == 0 {
+				took = 4 * time.Second
+			}
+			r.add(2400, took)
+			r.add(30, time.Second) // tells nothing
+		}
+		want := 10000 / c.perMilli
+		if got := r.cost(10000); got < 0.8*want || got > 1.25*want {
+			t.Errorf("%s: 10,000 tokens are taken to be read in %.0f ms, want %.0f", c.name, got, want)
+		}
+	}
+}
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -56,6 +56,13 @@
 	g.links.tellReadings(readings)
 }
 
+// readPrompt records how long an upstream took to read prompts.
+func (g *Gateway) readPrompt(s wardturn.ServiceName, tokens int, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.Read(s, tokens, took)
+}
+
 // ended records the end of a send.
 func (g *Gateway) ended(id wardturn.UpstreamID, key wardturn.ModelAdapter, body int, how decide.Ending) {
 	g.mu.Lock()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -247,6 +247,13 @@
 	}
 }
 
+// noteRead tells, before it is known that an upstream began, how long that took.
+func (x *exchange) noteRead(a assignment) {
+	if x.reading == a.Member.ID && x.prompt > 0 {
+		x.g.readPrompt(x.service, a.Prefill+int(x.prompt), x.g.clock.Now().Sub(x.send.sent))
+	}
+}
+
 // arrivedBytes notes the time of bytes of the answer.
 func (x *exchange) arrivedBytes() {
 	now := x.g.clock.Now()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -42,6 +42,7 @@
 	for {
 		n, err := ans.res.Body.Read(buf)
 		if n > 0 {
+			x.noteRead(a)
 			x.began(a)
 			x.arrivedBytes()
 			werr := x.pass(a, buf[:n])
