Gateways tell keepers of prompts from 1,024 tokens on

Cause: prompts under 4,096 tokens were not told, so the engines that read several of them looked idle to other gateways. Change: told from 1,024; keepers pass on changes of 2,048 as before, so that short prompts alone cost gateways nothing more.

--- a/decide/reading.go
+++ b/decide/reading.go
@@ -11,13 +11,18 @@
 // a keeper which hangs does not keep requests from its engine.
 const readingLife = 1500 * time.Millisecond
 
-// longPrompt is the least prompt, in tokens, that gateways tell of: an engine reads
-// it for 100 ms.
-const longPrompt wardturn.Tokens = 4096
+const (
+	// longPrompt is the least prompt, in tokens, for which a request waits for an engine
+	// that has it begin in time.
+	longPrompt wardturn.Tokens = 4096
+	// toldPrompt is the least prompt that gateways tell keepers of: shorter ones are read
+	// within some steps of the engine.
+	toldPrompt wardturn.Tokens = 1024
+)
 
 // reading is what is known of the long prompts that an engine reads. Requests
 // sent there meanwhile wait for their end, so gateways tell each other of them
-// through the keeper; short prompts take a few milliseconds and are not told.
+// through the keeper.
 type reading struct {
 	own      int       // tokens of this gateway's
 	told     int       // of them, as its keeper was last told
@@ -37,7 +42,7 @@
 // number ends, to read.
 func (f *Fleet) reads(m *Member, tokens wardturn.Tokens) {
 	m.prefill = max(0, m.prefill+int(tokens))
-	if tokens < longPrompt && tokens > -longPrompt {
+	if tokens < toldPrompt && tokens > -toldPrompt {
 		return
 	}
 	m.reading.own = max(0, m.reading.own+int(tokens))
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -128,8 +128,8 @@
 // gateway to each gateway when all start together: 22,000 with 156 and 143.
 const countEvery = time.Second
 
-// readingStep is the change in tokens being read that is worth telling: half of
-// the least prompt that gateways tell of.
+// readingStep is the change in tokens being read that is worth telling: less is read
+// before the word has arrived everywhere.
 const readingStep = 2048
 
 // stepped reports whether the load changed by a step.
