Copies of adapters find room among many gateways

Cause: a copy for relief or nearness needs a whole load of a gateway's share of the window; with more gateways than the window has loads there is none, ever. Change: by chance, while half of the window is free.

--- a/decide/room.go
+++ b/decide/room.go
@@ -32,9 +32,11 @@
 	return 0
 }
 
-// spare reports whether the store has room for a load that nobody waits for.
+// spare reports whether the store has room for a load that nobody waits for: this gateway's
+// share is a whole load, or, by chance, while half of the window is free. Among more gateways
+// than the window has loads none has a whole one, and no adapter would get a second engine.
 func (f *Fleet) spare(now time.Time) bool {
-	return f.share(now) >= 1
+	return f.share(now) >= 1 || 2*f.coming < f.window.Size() && f.room(now) > 0
 }
 
 func (f *Fleet) share(now time.Time) float64 {
