--- a/decide/copies.go
+++ b/decide/copies.go
@@ -17,15 +17,15 @@
 )
 
 // spread asks for an adapter at one more engine: if the one that serves it is
-// busier than others, or if it is far and as much has been sent there as a load
-// costs.
+// busier than others, if its streams would pause for the request's prompt, or if it is far
+// and as much has been sent there as a load costs.
 func (f *Fleet) spread(now time.Time, t *Ticket, m *Member, out *Moves) {
 	near := m.Domain == f.cfg.Domain
 	if !near {
 		f.crossed[t.Key] += t.Bytes
 	}
 	costly := !near && f.crossed[t.Key] >= f.cfg.CrossBytes
-	busy := f.overbusy(t, m)
+	busy := f.overbusy(t, m) || m.pauseCost(now, t) >= spreadPause
 	if !costly && !busy {
 		return
 	}
@@ -40,7 +40,7 @@
 	w := f.wantOf(now, t.Key, t.Service, nil)
 	w.cause = LoadNear
 	if busy {
-		w.relief = m.uses[t.Key].Running
+		w.relief = 1 + m.runningOf(t.Key)
 		w.cause = LoadRelief
 	}
 	f.ask(now, w, home, out)
@@ -49,8 +49,7 @@
 // overbusy reports whether an engine has far more to do than others, and not
 // because of others' requests alone.
 func (f *Fleet) overbusy(t *Ticket, m *Member) bool {
-	u := m.uses[t.Key]
-	if m.load() < spreadLoad || u == nil || u.Running < spreadUse {
+	if m.load() < spreadLoad || m.runningOf(t.Key) < spreadUse {
 		return false
 	}
 	total := 0
@@ -65,12 +64,12 @@
 // nil. It is the first in the order of homes that costs enough less, so that
 // gateways which want a copy at the same time ask the same engine.
 func (f *Fleet) copyHome(now time.Time, t *Ticket, m *Member, near bool) *Member {
-	most := f.cost(now, m) - copyCost
+	most := f.costOf(now, t, m) - copyCost
 	for o := range f.homes(now, t.Service, t.Key, near) {
 		if _, holds := o.held[t.Key]; holds || o.loading() >= MaxComing {
 			continue
 		}
-		if near || f.cost(now, o) <= most {
+		if near || f.costOf(now, t, o) <= most {
 			return o
 		}
 	}
--- /dev/null
+++ b/decide/pauses_test.go
@@ -0,0 +1,227 @@
+package decide_test
+
+import (
+	"testing"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+)
+
+// hotAdapter replays requests for one adapter that come faster than one engine can read their
+// prompts without stopping its streams, through gateways of which each sends a few of them.
+type hotAdapter struct {
+	now      time.Time
+	gateways []*decide.Fleet
+	engines  map[wardturn.UpstreamID]*readingEngine
+	pause    time.Duration // as the requests' route has it
+	long     int           // requests sent to an engine that then reads for longer than the pause
+	sent     int
+}
+
+// readingEngine reads prompts one after another and gives each request two seconds of tokens.
+type readingEngine struct {
+	adapter  bool
+	loadedAt time.Time
+	running  int
+	reading  map[*decide.Fleet]int
+	readTo   time.Time
+}
+
+const (
+	readRate  = 20 // tokens in a millisecond
+	hotPrompt = 2400
+	hotLoad   = 300 * time.Millisecond
+	hotPause  = 400 * time.Millisecond
+)
+
+func newHotAdapter(gateways, engines int, pause time.Duration) *hotAdapter {
+	h := &hotAdapter{
+		now:     start,
+		engines: make(map[wardturn.UpstreamID]*readingEngine),
+		pause:   pause,
+	}
+	var members []wardturn.Member
+	for i := range engines {
+		id := wardturn.UpstreamID(string(rune('a' + i)))
+		h.engines[id] = &readingEngine{
+			adapter: i == 0,
+			reading: make(map[*decide.Fleet]int),
+		}
+		members = append(members, wardturn.Member{
+			ID:      id,
+			Service: fleetService,
+			Addr:    string(id) + ":1",
+			Domain:  "near",
+			Slots:   64,
+		})
+	}
+	for range gateways {
+		f := decide.NewFleet(decide.FleetConfig{
+			Domain: "near",
+			Draw:   func() float64 { return 0 },
+			Window: decide.WindowConfig{
+				Start: 4,
+				Most:  4,
+			},
+		})
+		f.SetTable(fleetTable(&wardturn.EngineSpec{
+			Batch:        64,
+			AdapterSlots: 4,
+		}))
+		f.SetMembers(h.now, members)
+		for range 100 {
+			f.Read(fleetService, hotPrompt, hotPrompt/readRate*time.Millisecond)
+		}
+		h.gateways = append(h.gateways, f)
+	}
+	return h
+}
+
+// hear has all gateways hear from all keepers.
+func (h *hotAdapter) hear() {
+	for _, f := range h.gateways {
+		for id, e := range h.engines {
+			holding := decide.Holding{
+				Connected: true,
+				Known:     true,
+				Models:    []wardturn.BaseModel{"m"},
+				Full:      true,
+				Running:   e.running,
+				Free:      decide.MaxFree,
+				Gateways:  len(h.gateways),
+			}
+			for _, tokens := range e.reading {
+				holding.Reading += tokens
+			}
+			if e.adapter {
+				holding.Adapters = []decide.HeldVersion{
+					{
+						Adapter: adapterVersion("hot", 1),
+						Ready:   !h.now.Before(e.loadedAt),
+						Loading: h.now.Before(e.loadedAt),
+					},
+				}
+			}
+			var out decide.Moves
+			f.SetHolding(h.now, id, holding, &out)
+			h.load(out)
+		}
+	}
+}
+
+func (h *hotAdapter) load(out decide.Moves) {
+	for _, ask := range out.Asks {
+		if e := h.engines[ask.Upstream]; !e.adapter {
+			e.adapter = true
+			e.loadedAt = h.now.Add(hotLoad)
+		}
+	}
+}
+
+// ask sends a request through a gateway, and returns what ends its reading and its answer.
+func (h *hotAdapter) ask(f *decide.Fleet) (began, ended event) {
+	var out decide.Moves
+	f.Admit(h.now, &decide.Ticket{
+		Service:   fleetService,
+		Key:       adapterKey("hot"),
+		Arrived:   h.now,
+		Objective: time.Second,
+		Pause:     h.pause,
+		Deadline:  h.now.Add(5 * time.Second),
+		Prompt:    hotPrompt,
+		Assign: func(a decide.Assignment) {
+			e := h.engines[a.Member.ID]
+			e.running++
+			e.readTo = latestOf(e.readTo, h.now).Add(hotPrompt / readRate * time.Millisecond)
+			h.sent++
+			if e.running > 1 && e.readTo.Sub(h.now) > hotPause {
+				h.long++
+			}
+			began = event{
+				at: e.readTo,
+				do: func() {
+					f.Began(a.Member.ID, hotPrompt)
+				},
+			}
+			ended = event{
+				at: e.readTo.Add(2 * time.Second),
+				do: func() {
+					f.Ended(h.now, a.Member.ID, adapterKey("hot"), decide.EndedWell)
+					e.running--
+				},
+			}
+		},
+	}, &out)
+	h.load(out)
+	h.note()
+	return began, ended
+}
+
+// note has the keepers hear what gateways tell them of prompts.
+func (h *hotAdapter) note() {
+	for _, f := range h.gateways {
+		for _, n := range f.Readings() {
+			h.engines[n.Upstream].reading[f] = n.Tokens
+		}
+	}
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+func latestOf(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+// play sends requests at equal distances.
+func (h *hotAdapter) play(span, every time.Duration) {
+	var events []event
+	for at := time.Duration(0); at < span; at += 10 * time.Millisecond {
+		h.now = start.Add(at)
+		var later []event
+		for _, e := range events {
+			if h.now.Before(e.at) {
+				later = append(later, e)
+				continue
+			}
+			e.do()
+		}
+		events = later
+		h.note()
+		h.hear()
+		if at%every == 0 {
+			began, ended := h.ask(h.gateways[int(at/every)%len(h.gateways)])
+			if began.do != nil {
+				events = append(events, began, ended)
+			}
+		}
+	}
+}
+
+// One adapter had a fifth of all requests, at four engines: the prompts of 28 gateways stopped
+// all streams there, while each gateway had too few of its own there to want another engine.
+func TestHotAdapterIsSpreadBeforeStreamsPause(t *testing.T) {
+	play := func(pause time.Duration) *hotAdapter {
+		h := newHotAdapter(8, 8, pause)
+		h.play(10*time.Second, 50*time.Millisecond)
+		return h
+	}
+	with := play(hotPause)
+	without := play(0)
+	t.Logf("sent to an engine whose streams then pause: %d of %d, %d of %d without a bound on pauses", with.long, with.sent, without.long, without.sent)
+	if with.sent < 190 {
+		t.Errorf("%d requests sent, want all", with.sent)
+	}
+	if 5*with.long > with.sent {
+		t.Errorf("%d of %d requests stop streams", with.long, with.sent)
+	}
+	if without.long < 2*with.long {
+		t.Errorf("%d of %d stop streams without the bound: the test shows nothing", without.long, without.sent)
+	}
+}
--- a/decide/usage.go
+++ b/decide/usage.go
@@ -98,6 +98,14 @@
 	changed bool
 }
 
+// runningOf returns how many requests for an adapter this gateway has under way at a member.
+func (m *Member) runningOf(key wardturn.ModelAdapter) int {
+	if u := m.uses[key]; u != nil {
+		return u.Running
+	}
+	return 0
+}
+
 // Usage returns what changed in the use of a member's adapters since the last
 // call.
 func (f *Fleet) Usage(id wardturn.UpstreamID) []AdapterCount {
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -26,6 +26,7 @@
 	Key       wardturn.ModelAdapter // zero for a plain service
 	Arrived   time.Time
 	Objective time.Duration
+	Pause     time.Duration // longest between two events of an answer in time; zero: any
 	Deadline  time.Time
 	Prompt    wardturn.Tokens
 	Body      int // bytes of the request's body
@@ -178,11 +179,13 @@
 	if t.Key.Adapter != "" {
 		list = f.holders[t.Key]
 	}
-	return f.best(now, list, func(m *Member) bool {
+	return cheapest(list, func(m *Member) bool {
 		if m.Service != t.Service || !m.usable(now, t.Tried) || !f.inRegions(m, t.Regions) || m.fill() >= engineOverfill || !f.holds(m, t) {
 			return false
 		}
 		return m.serves(now, t.Key, least) && match(m) && f.limits.Allows(now, m.ID)
+	}, func(m *Member) float64 {
+		return f.costOf(now, t, m)
 	})
 }
 
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -16,6 +16,7 @@
 		Key:       x.key,
 		Arrived:   x.arrived,
 		Objective: cmp.Or(x.route.Objective, defaultObjective),
+		Pause:     x.route.MaxPause,
 		Deadline:  x.end,
 		Prompt:    x.prompt,
 		Body:      len(x.body),
