--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -35,6 +35,7 @@
 	drawnAt    time.Time                          // latest draw for a share of the window below one
 	crossed    map[wardturn.ModelAdapter]int      // bytes sent to other failure domains
 	limits     *Limits
+	rates      map[wardturn.ServiceName]*readRate // at which engines read prompts
 	evacuated  wardturn.Evacuations
 }
 
@@ -45,6 +46,9 @@
 	// CrossBytes is how much may be sent to an adapter in another failure domain
 	// before it is loaded in the own one as well.
 	CrossBytes int
+	// MostBodies is how many bytes of requests an upstream is given by all gateways
+	// together: it falls over when they outgrow its memory. Zero: there is no bound.
+	MostBodies int
 	Window     WindowConfig
 	// VersionBound is how long after the store's word of a newer version of an adapter
 	// requests may begin on an older one.
@@ -78,12 +82,14 @@
 		refilled:   make(map[wardturn.ServiceName]time.Time),
 		crossed:    make(map[wardturn.ModelAdapter]int),
 		limits:     cfg.Limits,
+		rates:      make(map[wardturn.ServiceName]*readRate),
 	}
 }
 
 // Retune changes the limits. The failure domain stays.
 func (f *Fleet) Retune(cfg FleetConfig) {
 	f.cfg.CrossBytes = cfg.CrossBytes
+	f.cfg.MostBodies = cfg.MostBodies
 	f.window.Retune(cfg.Window)
 	f.cfg.Cold = cfg.Cold
 	f.limits.SetColdConfig(cfg.Cold)
@@ -139,6 +145,7 @@
 		}
 		m.noteCold(now, e)
 		m.Member = e
+		m.rate = f.rateOf(e.Service)
 		m.evacuated = f.evacuated[e.Domain]
 		members[e.ID] = m
 		services[e.Service] = append(services[e.Service], m)
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -26,8 +26,10 @@
 	Key       wardturn.ModelAdapter // zero for a plain service
 	Arrived   time.Time
 	Objective time.Duration
+	Pause     time.Duration // longest between two events of an answer in time; zero: any
 	Deadline  time.Time
 	Prompt    wardturn.Tokens
+	Body      int // bytes of the request's body
 	Bytes     int // of the request and, by estimate, of its answer
 	Regions   wardturn.Regions
 	Tried     []wardturn.UpstreamID
@@ -117,7 +119,7 @@
 // plainMember returns the member of the least cost that is filled less than a limit, or nil.
 func (f *Fleet) plainMember(now time.Time, t *Ticket, limit float64) *Member {
 	return f.best(now, f.services[t.Service], func(m *Member) bool {
-		return m.usable(now, t.Tried) && f.inRegions(m, t.Regions) && m.fill() < limit && f.limits.Allows(now, m.ID)
+		return m.usable(now, t.Tried) && f.inRegions(m, t.Regions) && m.fill() < limit && f.holds(m, t) && f.limits.Allows(now, m.ID)
 	})
 }
 
@@ -145,6 +147,7 @@
 		Load:    m.load(),
 		Prefill: m.toRead(now),
 	}
+	m.bodies += t.Body
 	f.sent(now, m, t.Key, t.Prompt)
 	t.Assign(a)
 }
@@ -176,11 +179,13 @@
 	if t.Key.Adapter != "" {
 		list = f.holders[t.Key]
 	}
-	return f.best(now, list, func(m *Member) bool {
-		if m.Service != t.Service || !m.usable(now, t.Tried) || !f.inRegions(m, t.Regions) || m.fill() >= engineOverfill {
+	return cheapest(list, func(m *Member) bool {
+		if m.Service != t.Service || !m.usable(now, t.Tried) || !f.inRegions(m, t.Regions) || m.fill() >= engineOverfill || !f.holds(m, t) {
 			return false
 		}
 		return m.serves(now, t.Key, least) && match(m) && f.limits.Allows(now, m.ID)
+	}, func(m *Member) float64 {
+		return f.costOf(now, t, m)
 	})
 }
 
