Soak: evacuations, cold upstreams and callers that read slowly

Change: upstreams in two domains, the operator's word taken back after 4.5 s, upstreams that start anew are cold for 6 s, one caller in eighteen reads 64 bytes each 150 ms. Checks only while nothing else happens; a test shows that both can fail.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wardturn/platform"
 )
 
@@ -133,7 +135,7 @@
 		return 0
 	}
 	s.limits.passedOn(process, res.Header.Get(names.Limit))
-	body, err := io.ReadAll(res.Body)
+	body, err := readBody(res.Body, draw)
 	res.Body.Close()
 	if err != nil {
 		s.judgeCut(g, k, id, began, err)
@@ -146,6 +148,33 @@
 	return res.StatusCode
 }
 
+const (
+	// slowDraw is the draw from which a caller reads slowly: one in eighteen.
+	slowDraw  = 2.9
+	slowPause = 150 * time.Millisecond
+	slowBytes = 64
+)
+
+// readBody reads an answer, for some draws a few bytes at a time.
+func readBody(r io.Reader, draw float64) ([]byte, error) {
+	if draw < slowDraw {
+		return io.ReadAll(r)
+	}
+	var body []byte
+	buf := make([]byte, slowBytes)
+	for {
+		n, err := r.Read(buf)
+		body = append(body, buf[:n]...)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+		time.Sleep(slowPause)
+	}
+}
+
 func (s *soak) judge(k kind, id string, res *http.Response, body string) {
 	l := s.ledger
 	l.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,7 +39,9 @@
 	default:
 		f = s.plannedWork(r)
 	}
-	f.last = time.Duration(100+r.IntN(1900)) * time.Millisecond
+	if f.last == 0 {
+		f.last = time.Duration(100+r.IntN(1900)) * time.Millisecond
+	}
 	return f
 }
 
@@ -207,6 +209,12 @@
 			begin: func() func() {
 				s.world.restart(u)
 				u.link.Reset()
+				started := time.Now()
+				s.wg.Go(func() {
+					if s.pause(coldFor) {
+						s.checkCold(u, started)
+					}
+				})
 				return nil
 			},
 		}
@@ -222,12 +230,12 @@
 }
 
 // plannedWork is a stop of a daemon, a new configuration, a new version of an
-// adapter, or an upstream that leaves and comes back.
+// adapter, the evacuation of a failure domain, or an upstream that leaves and comes back.
 func (s *soak) plannedWork(r *rand.Rand) fault {
 	f := fault{
 		planned: true,
 	}
-	switch r.IntN(4) {
+	switch r.IntN(5) {
 	case 0:
 		d := pick(r, s.daemons())
 		f.name, f.target = "stop", d.name
@@ -255,6 +263,8 @@
 			s.world.store.PutVersion("m0", adapter, version)
 			return nil
 		}
+	case 3:
+		return s.evacuation(r)
 	default:
 		u := pick(r, s.world.upstreams)
 		f.name, f.target = "upstream leaves", u.addr
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -57,6 +57,8 @@
 	stop     chan struct{}
 	wg       sync.WaitGroup
 
+	evacuations evacuations
+
 	mu      sync.Mutex
 	faults  map[string]int
 	hurting int       // unplanned faults under way
@@ -76,6 +78,9 @@
 		stop:   make(chan struct{}),
 		faults: make(map[string]int),
 		limits: newLimitLedger(),
+		evacuations: evacuations{
+			now: make(map[string]bool),
+		},
 		ledger: &ledger{
 			w: w,
 		},
@@ -169,7 +174,7 @@
 	name := fmt.Sprintf("keeper-%d", i)
 	host, _, _ := net.SplitHostPort(u.backAddr())
 	d, err := start(name, s.cfg.Binary, []string{
-		"keeper", "--node=" + name, "--domain=d", "--store=" + link.Addr(), "--port=" + s.world.port,
+		"keeper", "--node=" + name, "--domain=" + u.domain, "--store=" + link.Addr(), "--port=" + s.world.port,
 		"--ip=" + host, "--engine=" + u.backAddr(),
 	}, s.cfg.Log)
 	return &keeperProcess{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -89,6 +89,37 @@
 	}
 }
 
+func TestEvacuationAndColdChecksCanFail(t *testing.T) {
+	w, err := newWorld(0, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.close()
+	s := &soak{
+		world: w,
+		ledger: &ledger{
+			w: w,
+		},
+	}
+	cold := w.upstreams[0]
+	began := time.Now().Add(-evacuatedBy)
+	for i := range int(coldOverage*coldRate) + coldSlack {
+		ranOnce(t, cold, fmt.Sprint("r", i))
+	}
+	started := time.Now().Add(time.Second - coldFor)
+	s.checkCold(cold, started)
+	s.checkEmpty(w.upstreams[1].domain, began)
+	if len(s.ledger.violations) != 0 {
+		t.Fatalf("as many as it bears, and none in the other domain: %q", s.ledger.violations)
+	}
+	ranOnce(t, cold, "one more")
+	s.checkCold(cold, started)
+	s.checkEmpty(cold.domain, began)
+	if len(s.ledger.violations) != 2 {
+		t.Fatalf("one request too many, and those after an evacuation: %q", s.ledger.violations)
+	}
+}
+
 func TestKeyChecksCanFail(t *testing.T) {
 	w, err := newWorld(0, 1)
 	if err != nil {
--- a/soak/world.go
+++ b/soak/world.go
@@ -24,6 +24,7 @@
 type upstream struct {
 	worker  *standin.ModelWorker
 	service string
+	domain  string
 	addr    string // that gateways use: the relay's
 	link    *standin.Relay
 	keeper  *standin.Relay // between gateways and the keeper; nil for a plain service
@@ -58,7 +59,7 @@
 {"name":"resume","host":"h","path_prefix":"/resume/","type":"streaming","timeout_ms":3000,"slo_ms":600,"priority":1,"service":"llm","max_attempts":2,"resumable":true},
 {"name":"charge","host":"h","path_prefix":"/charge/","type":"mutating","timeout_ms":1500,"slo_ms":150,"service":"app","max_attempts":1},
 {"name":"look","host":"h","path_prefix":"/look/","type":"idempotent","timeout_ms":1500,"slo_ms":150,"service":"app","max_attempts":2}],
-"services":[{"name":"llm","max_conns":100,"engine":{"slots":8,"adapter_slots":%d,"models":[{"name":"m0","load_s":0.1}]}},{"name":"app","max_conns":100}],
+"services":[{"name":"llm","max_conns":100,"cold_per_s":%d,"engine":{"slots":8,"adapter_slots":%d,"models":[{"name":"m0","load_s":0.1}]}},{"name":"app","max_conns":100,"cold_per_s":%d}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":%q,"api_keys":[%q,%q],"unit":"token_count","raw_tokens":200,"rate_per_s":1000000,"burst":1000000}]}`
 
@@ -123,7 +124,7 @@
 // configure publishes the next configuration.
 func (w *world) configure() {
 	w.version++
-	w.store.PutConfig(fmt.Sprintf(soakConfig, w.version, slots, soakTeam, stayKey, turnKey(w.version)))
+	w.store.PutConfig(fmt.Sprintf(soakConfig, w.version, coldRate, slots, coldRate, soakTeam, stayKey, turnKey(w.version)))
 	w.keys.configured(w.version)
 }
 
@@ -134,6 +135,7 @@
 func (w *world) add(service string, i int, cfg standin.ModelWorkerConfig) error {
 	u := &upstream{
 		service: service,
+		domain:  domains[i%len(domains)],
 		id:      cfg.ID,
 		state:   "ready",
 	}
@@ -204,7 +206,7 @@
 func (w *world) enter(u *upstream) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	w.store.PutServer(u.id, u.worker.Entry(u.service, u.addr, "d", u.state))
+	w.store.PutServer(u.id, u.worker.Entry(u.service, u.addr, u.domain, u.state))
 }
 
 // beat renews the entries of the upstreams.
@@ -227,6 +229,7 @@
 	u.mu.Lock()
 	old := u.id
 	u.lives++
+	u.worker.TurnCold(coldFor)
 	if u.lives%2 == 0 {
 		u.worker.StartAgain(time.Now().UnixMilli())
 		u.mu.Unlock()
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -32,6 +32,7 @@
 	newest   map[string]int64
 	headers  map[string]http.Header // of the latest run, by attempt id
 	arrivals []Arrival
+	coldTo   time.Time
 }
 
 // ModelWorkerConfig says what a worker is.
@@ -208,7 +209,19 @@
 	if m.born > 0 {
 		born = fmt.Sprintf(`,"born":%d`, m.born)
 	}
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"seq":1%s}`, service, addr, zone, state, born)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"cold_left_ms":%d,"seq":1%s}`, service, addr, zone, state, m.coldMS(), born)
+}
+
+// TurnCold has the worker say for a while that it is cold.
+func (m *ModelWorker) TurnCold(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.coldTo = time.Now().Add(d)
+}
+
+// coldMS returns how much longer the worker is cold; the lock is held.
+func (m *ModelWorker) coldMS() int64 {
+	return max(0, time.Until(m.coldTo).Milliseconds())
 }
 
 // settle completes the loads that are due; the lock is held.
@@ -227,6 +240,9 @@
 	if m.faults.Limit != "" {
 		w.Header().Set("Server-Limit", m.faults.Limit)
 	}
+	if left := m.coldMS(); left > 0 {
+		w.Header().Set("X-Wardturn-Cold-Ms", strconv.FormatInt(left, 10))
+	}
 	m.mu.Unlock()
 	switch r.Method + " " + r.URL.Path {
 	case "GET /wardturn/report":
