--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -19,12 +19,12 @@
 // evacuate writes the operator's word that a failure domain is to get nothing, and returns
 // when its upstreams must get no more.
 func (x *rig) evacuate(domain string) time.Time {
-	x.store.Put("keyed.op", "evacuate/"+domain, []byte("{}"))
+	x.store.Evacuate(domain, true)
 	return time.Now().Add(evacuateBound)
 }
 
 func (x *rig) takeBack(domain string) {
-	x.store.Put("keyed.op", "evacuate/"+domain, nil)
+	x.store.Evacuate(domain, false)
 }
 
 // arrivedAfter counts the requests that reached workers of a failure domain after a time.
--- a/soak/evacuations.go
+++ b/soak/evacuations.go
@@ -65,10 +65,10 @@
 				return nil
 			}
 			began := time.Now()
-			s.world.store.Put("keyed.op", "evacuate/"+domain, []byte("{}"))
+			s.world.store.Evacuate(domain, true)
 			return func() {
 				s.checkEmpty(domain, began)
-				s.world.store.Put("keyed.op", "evacuate/"+domain, nil)
+				s.world.store.Evacuate(domain, false)
 				s.evacuations.end(domain)
 			}
 		},
--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -118,6 +118,16 @@
 	s.Put("keyed.op", "config", []byte(config))
 }
 
+// Evacuate writes the operator's word that a failure domain is to get no requests, or takes
+// it back.
+func (m *MetaStore) Evacuate(domain string, on bool) {
+	if !on {
+		m.Put("keyed.op", "evacuate/"+domain, nil)
+		return
+	}
+	m.Put("keyed.op", "evacuate/"+domain, []byte("{}"))
+}
+
 // PutVersion names the newest version of an adapter.
 func (s *MetaStore) PutVersion(model, adapter string, version int64) {
 	value := fmt.Appendf(nil, `{"model":%q,"adapter":%q,"version":%d}`, model, adapter, version)
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -209,7 +209,11 @@
 	if m.born > 0 {
 		born = fmt.Sprintf(`,"born":%d`, m.born)
 	}
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"cold_left_ms":%d,"seq":1%s}`, service, addr, zone, state, m.coldMS(), born)
+	cold := ""
+	if left := m.coldMS(); left > 0 {
+		cold = fmt.Sprintf(`,"cold_left_ms":%d`, left)
+	}
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q%s,"seq":1%s}`, service, addr, zone, state, cold, born)
 }
 
 // TurnCold has the worker say for a while that it is cold.
