--- a/decide/crashes.go
+++ b/decide/crashes.go
@@ -17,10 +17,6 @@
 // Upstreams end for other reasons too, and whatever was there then is suspected with the
 // content that did it. What tells them apart is an answer: a content that was answered
 // well crashes nobody, so that clears it, and for a while it is not suspected again.
-// Without that, 1,997 of 115,000 requests beside two fatal ones and a loss of power were
-// refused as well, and none with it (a model of four gateways before twelve engines, ten
-// seeds of a minute); a limit of two in place of three refuses 647 of them and saves 18 of
-// 68 engines.
 type Crashes struct {
 	cfg      CrashConfig
 	contents map[wardturn.ContentID]*suspect
@@ -55,21 +51,19 @@
 	// requests that an end has cut never meet a second one.
 	recordFrom = 2
 	// adoptAfter is how long a crash that another gateway saw may lack a record before this
-	// one records it: the other does so within 50 ms while the store answers, and all hear
-	// of it within 1.2 s. Gateways that were killed while the store was silent took what
-	// they had seen with them, and the request went to two more upstreams.
+	// one records it: gateways that are killed while the store is silent take what they
+	// have seen with them.
 	adoptAfter = 3 * time.Second
 	// provenFor is how long a good answer keeps a content from being suspected: over the
 	// time between two answers of what many send alike, and short against the 3 s in
 	// which a content has to be refused once it has begun to crash upstreams.
 	provenFor = 2 * time.Second
 	// endLife is how long the end of an upstream is put together with the sends that
-	// broke off there: its entry lapses 3.6 s after its latest renewal, and a gateway
-	// reads that up to 2 s later, after a freeze of its own of some seconds.
+	// broke off there: until its entry has lapsed and been read, also by a gateway that
+	// was frozen meanwhile.
 	endLife = 12 * time.Second
 	// mostContents bounds the contents that are remembered; those with the fewest and
-	// oldest crashes are dropped first. With some 200 bytes each (estimate) they take 6 MB
-	// of a gateway's 128 MB.
+	// oldest crashes are dropped first, so that many contents do not fill the process.
 	mostContents = 1 << 15
 )
 
--- a/decide/places.go
+++ b/decide/places.go
@@ -360,8 +360,7 @@
 	}
 	if _, ok := p.resident(key); ok {
 		// Given while the old version runs, the order would keep the engine from all
-		// others until that ends: 17.7 and 14.5 s of all engines together in 50 s
-		// (keepers' reports, two days with new versions).
+		// others until that ends.
 		return load, p.noticed(now, key) && !p.runs(key)
 	}
 	if len(p.state.Loading) >= MaxComing {
--- a/decide/reading.go
+++ b/decide/reading.go
@@ -6,9 +6,9 @@
 	"wardturn"
 )
 
-// readingLife is how long the word on prompts that an engine reads for other
-// gateways is believed: one of 32,000 tokens took 1.4 s, and short enough that
-// a keeper which hangs does not keep requests from its engine.
+// readingLife is how long the word on prompts that an engine reads for other gateways is
+// believed: over the time of the longest, and short enough that a keeper which hangs does
+// not keep requests from its engine.
 const readingLife = 1500 * time.Millisecond
 
 const (
--- a/decide/room.go
+++ b/decide/room.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// askSettle is how long an ask counts as a load under way before its keeper tells
-// of it: an order and its report are estimated at 20 ms. An engine without a free place
-// starts the load later, and until then it takes nothing of the store.
+// askSettle is how long an ask counts as a load under way before its keeper tells of it: far
+// over an order and its report. An engine without a free place starts the load later, and
+// until then it takes nothing of the store.
 const askSettle = 100 * time.Millisecond
 
 // drawEvery is the least time between two draws: about what it takes until other
--- a/gateway/begun.go
+++ b/gateway/begun.go
@@ -22,8 +22,8 @@
 // version that a newer one has replaced, and breaks those off whose time has passed.
 //
 // Without the keepers' word all of them have to be treated alike: if they go on, those
-// that are held up begin on an old version (6.0 s after the newer one was named, bound
-// 5 s), and if they are broken off, so are those that run (a caller got 502 after 4.4 s).
+// that are held up begin on an old version, and if they are broken off, so are those that
+// run.
 func (g *Gateway) checkBegun() {
 	if n := g.unbegun.breakOffDue(g.clock.Now()); n > 0 {
 		g.metrics.oldEnded.Inc(int64(n))
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -35,10 +35,9 @@
 // gap makes the gateway read.
 const changesKept = 32
 
-// mostTold is how many upstreams a change may have that is told to others. Each of
-// 136 gateways gets it by two keepers: with some 3,000 upstreams that came within a
-// second, changes that waited to be passed on took keepers beyond 216 MB. One reading
-// of the store each costs less.
+// mostTold is how many upstreams a change may have that is told to others: long ones
+// that wait to be passed on to all gateways take keepers beyond their memory, and one
+// reading of the store each costs less.
 const mostTold = 64
 
 // shortened returns a change as it is told: of a long one only how far it goes, so
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -123,9 +123,9 @@
 	return m
 }
 
-// countEvery is how soon a change of the number of gateways alone is told again.
-// Told with each gateway that comes, it is a word for each pair of a keeper and a
-// gateway to each gateway when all start together: 22,000 with 156 and 143.
+// countEvery is how soon a change of the number of gateways alone is told again. Told with
+// each gateway that comes, it is a word for each pair of a keeper and a gateway to each
+// gateway when all start together.
 const countEvery = time.Second
 
 // readingStep is the change in tokens being read that is worth telling: less is read
--- a/keeper/relay.go
+++ b/keeper/relay.go
@@ -13,9 +13,8 @@
 	"wardturn/process"
 )
 
-// maxRelays bounds the keepers that one keeper relays, within the 4,096 descriptors
-// of a host. Of 2,100 engines in 20 failure domains each of 105 keepers in one relays
-// 19 on average, and 500 when four of them are left.
+// maxRelays bounds the keepers that one keeper relays, within the descriptors of a host. A
+// few that are left in a failure domain still relay those of all others.
 const maxRelays = 512
 
 // relayLinger is how long a keeper that nobody follows any more is listened to:
--- a/process/clock.go
+++ b/process/clock.go
@@ -75,8 +75,8 @@
 
 // hostClock is a clock made of a host's readings: the steady clock, and what it did not
 // count since the host was suspended. Where that is left out, a gateway that wakes takes
-// all that it knows for as much younger than it is: 8 s suspended, and a key that was taken
-// away is good for 8 s longer than the platform's bound.
+// all that it knows for as much younger than it is, and a key that was taken away stays good
+// beyond the platform's bound.
 type hostClock struct {
 	read  readings
 	start time.Time     // time of day at which the steady clock read zero
