Changes of the configuration that follow each other closely are read together

Cause: each of 412 gateways reads each change, in a storm of changes one each third of a second. Change: a reading that another's word asks for comes at least 0.8 s after the one before it; a single change is read as soon as before. Beside it: an adapter that is wanted anyhow is not wanted once more when its failure domain is evacuated.

--- a/decide/evacuation.go
+++ b/decide/evacuation.go
@@ -44,7 +44,7 @@
 		region = nil
 	}
 	for key, u := range m.uses {
-		if u.Running == 0 || f.heldUsable(now, key) {
+		if u.Running == 0 || f.heldUsable(now, key) || f.wants.anywhere(key) != nil {
 			continue
 		}
 		w := f.wantOf(now, key, m.Service, region)
--- a/decide/pauses.go
+++ b/decide/pauses.go
@@ -8,9 +8,8 @@
 	// pauseLoss is what a stream loses that pauses for longer than its route allows, in
 	// milliseconds.
 	pauseLoss = 250.0
-	// pauseFrom is the part of the longest pause from which the reading of prompts may
-	// last as long: engines make their tokens between pieces of prompts, and others' prompts
-	// come meanwhile.
+	// pauseFrom is the part of the longest pause that reading may take before streams are
+	// likely to pause for longer: other prompts come meanwhile.
 	pauseFrom = 0.5
 	// spreadPause is the loss by one prompt, in milliseconds, for which an adapter gets
 	// another engine.
@@ -18,8 +17,8 @@
 )
 
 // pauseCost returns what streams at an engine lose by pauses while it reads the prompt of
-// a request and those before it. The engine makes a piece of each stream and of the prompts
-// in each step: many prompts together stop all streams that run there.
+// a request and those before it, in milliseconds. Each step of an engine reads a piece of
+// its prompts and makes a token of each stream, so many prompts together stop all streams.
 func (m *Member) pauseCost(now time.Time, t *Ticket) float64 {
 	if t.Pause == 0 {
 		return 0
--- a/decide/turn.go
+++ b/decide/turn.go
@@ -22,6 +22,7 @@
 	doubtAt   time.Time // something contradicted it then
 	leaderAt  time.Time // when a process with a lower id was last heard
 	notBefore time.Time // no reading of its own before
+	askedAt   time.Time // when the latest reading began that something asked for
 	failing   bool      // the latest reading had no answer
 	lags      leastLags
 }
@@ -34,6 +35,9 @@
 	Pause time.Duration
 	// Least is the time between two readings of one process.
 	Least time.Duration
+	// Gather is the least time between two readings that others' words ask for: changes
+	// that follow each other closely are read together.
+	Gather time.Duration
 }
 
 const (
@@ -98,7 +102,7 @@
 func (t *ReadTurn) DueAt(now time.Time) time.Time {
 	due := t.usualAt(now)
 	if t.doubtAt.After(t.asOf) {
-		doubted := t.doubtAt.Add(time.Duration(t.part * float64(doubtSpread)))
+		doubted := latest(t.doubtAt.Add(time.Duration(t.part*float64(doubtSpread))), t.askedAt.Add(t.cfg.Gather))
 		if doubted.Before(due) {
 			due = doubted
 		}
@@ -156,6 +160,9 @@
 
 // Began records that a reading of this process begins.
 func (t *ReadTurn) Began(now time.Time) {
+	if t.Cause(now) == ReadDoubted {
+		t.askedAt = now
+	}
 	t.notBefore = now.Add(t.cfg.Least)
 }
 
--- a/decide/turn_test.go
+++ b/decide/turn_test.go
@@ -57,6 +57,48 @@
 		Expect(due(t)).To(Equal(least))
 	})
 
+	// Each of 400 gateways read each of nine changes that came within three seconds.
+	It("reads changes together that follow each other closely, and a single one soon", func() {
+		const gather = 800 * time.Millisecond
+		t := decide.NewReadTurn(now, "b", decide.ReadTurnConfig{
+			Every:  every,
+			Gather: gather,
+		})
+		began := now
+		reads := 0
+		seen := began // changes up to then are known
+		longest := time.Duration(0)
+		changed := func(at time.Duration) bool {
+			return at >= time.Second && at <= 4*time.Second && at%(300*time.Millisecond) == 0
+		}
+		var waits []time.Time
+		for at := time.Duration(0); at < 8*time.Second; at += 10 * time.Millisecond {
+			now = began.Add(at)
+			switch {
+			case changed(at):
+				t.Doubt(now)
+				waits = append(waits, now)
+			case at%time.Second == 0:
+				t.Heard(now, "a", at)
+			}
+			if len(waits) > 0 && due(t) <= 0 {
+				t.Began(now)
+				t.Read(now)
+				reads++
+				longest = max(longest, now.Sub(waits[0]))
+				waits = nil
+				seen = now
+			}
+		}
+		Expect(seen).To(BeTemporally(">", began.Add(4*time.Second-gather)))
+		Expect(waits).To(BeEmpty())
+		Expect(reads).To(BeNumerically("<=", 5))
+		Expect(longest).To(BeNumerically("<=", gather+100*time.Millisecond))
+		now = began.Add(10 * time.Second)
+		t.Doubt(now)
+		Expect(due(t)).To(BeNumerically("<=", 100*time.Millisecond))
+	})
+
 	It("tells why it reads", func() {
 		t := turn("b")
 		Expect(t.Cause(now)).To(Equal(decide.ReadFirst))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,9 @@
 	configWait = 1200 * time.Millisecond
 	// configIdleWait is the same while no upstream is listed, when nothing can be served.
 	configIdleWait = 5 * time.Second
+	// configGather is the least time between two readings of the configuration that others'
+	// words ask for. All gateways read each change themselves.
+	configGather = 800 * time.Millisecond
 	// configRetry is the pause after a failed read, doubled up to configMaxRetry. With
 	// the wait and its margin the first repeat comes 1.9 s after a read whose answer
 	// was lost.
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -60,7 +60,8 @@
 		changes: make(chan toldMembers, changesKept),
 		woken:   make(chan struct{}),
 		config: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
-			Every: configWait,
+			Every:  configWait,
+			Gather: configGather,
 		}),
 		members: decide.NewReadTurn(now, g.cfg.Process, decide.ReadTurnConfig{
 			Every: every,
@@ -164,12 +165,12 @@
 	})
 }
 
-// beganConfig records that a reading of the configuration begins. It waits for a
-// change, so there is no least time between two.
+// beganConfig records that a reading of the configuration begins.
 func (n *news) beganConfig(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.g.metrics.config.causes[n.config.Cause(now)].Inc(1)
+	n.config.Began(now)
 }
 
 func (n *news) beganMembers(now time.Time) {
