Soak: requests that crash upstreams are sent last once the list has been read

The stand-in starts again at once, so its end shows in the list of upstreams alone (no refused connection); gateways read that each second, and refused the request 0.65 s after the first of the three sends. The check waited 0.6 s from that one. Change: it waits 1.2 s after sends that went on; the number of sends that it allows is as before, and none after that.

--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -18,6 +18,9 @@
 	fatalTurn = 20
 	// fatalTold is how long gateways take to tell each other of an end, with some slack.
 	fatalTold = 200 * time.Millisecond
+	// fatalListed is by when all gateways have read the list of upstreams: an end is told
+	// by that alone if the upstream is back before it is looked whether it still listens.
+	fatalListed = 1200 * time.Millisecond
 	// fatalLimit is how many upstreams may end under one before it is refused.
 	fatalLimit = 3
 	// fatalLate is how many times more such a request may reach upstreams.
@@ -109,6 +112,9 @@
 			time.Sleep(fatalTold)
 		}
 		late := f.count(path) - n
+		if late > 0 {
+			time.Sleep(fatalListed)
+		}
 		for i, g := range s.gateways {
 			status := s.sendFatal(client, g, path, fmt.Sprintf("%s-last-%d", path, i))
 			if status != http.StatusServiceUnavailable || late > fatalLate {
