--- a/soak/soak.go
+++ b/soak/soak.go
@@ -152,6 +152,7 @@
 	d, err := start(name, s.cfg.Binary, []string{
 		"gateway", "--node=" + name, "--domain=d", "--store=" + link.Addr(), "--port=" + s.world.port,
 		"--listen=" + front, "--ready=" + ready, "--grace=" + grace.String(), "--leave-after=" + leaveAfter.String(),
+		fmt.Sprintf("--cold-overage=%g", coldOverage), fmt.Sprintf("--cold-slack=%d", coldSlack),
 	}, s.cfg.Log)
 	return &gatewayProcess{
 		daemon: d,
