Gateways tell at once of a team that begins to use far more than before

Change: a word between two looks once 1.5 times what may be untold is taken, at 1.5 times the share of the rate since the latest word, 50 ms after it at the earliest. Ways: without the condition on speed TestTeamCapsLostWords and TestTeamCapsAfterACut refuse below the cap (0.12 and 0.30 s of the rate); with 1.1 times TestTeamCapsOverACut fails; with 2 times 0.74 s over.

--- a/decide/teamcaps_test.go
+++ b/decide/teamcaps_test.go
@@ -33,6 +33,7 @@
 	refused  int64
 	started  int
 	shares   bool
+	patient  bool // words wait for the next look
 	ownSide  bool // keepers count the gateways of their own side only
 }
 
@@ -110,7 +111,7 @@
 				s.refused += capUnits
 			}
 		}
-		if s.now.Sub(start)%capLook == 0 {
+		if s.now.Sub(start)%capLook == 0 || !s.patient && g.caps.Pressing(s.now, capTeam) {
 			s.tell(g, delay, lost)
 		}
 	}
@@ -259,6 +260,27 @@
 		Expect(used).To(BeNumerically(">", 4.5), "the cap is used")
 	})
 
+	// Where the slack of a cap was small, a team that jumped to 7 times its cap went beyond
+	// what the platform allows, since gateways told others at their next look.
+	It("keeps a team that jumps to 7.5 times its cap within a tenth, at any moment between two looks", func() {
+		worst := make(map[bool]float64)
+		words := make(map[bool]uint64)
+		for _, patient := range []bool{false, true} {
+			for at := time.Duration(0); at < capLook; at += 20 * time.Millisecond {
+				s := newCapSim(29, false)
+				s.patient = patient
+				run(s, 0.55*capRate, 6*time.Second+at)
+				before := s.gateways[0].caps.Words()
+				run(s, 7.5*capRate, 10*time.Second)
+				worst[patient] = max(worst[patient], s.over())
+				words[patient] = s.gateways[0].caps.Words() - before
+			}
+		}
+		Expect(worst[false]).To(BeNumerically("<", 0.5), "%v", worst)
+		Expect(worst[true]).To(BeNumerically(">", 0.9), "%v", worst)
+		Expect(words[false]).To(BeNumerically("<", words[true]+15), "%v", words)
+	})
+
 	It("refuses nothing below the cap when a team's callers are spread unevenly, as equal shares would", func() {
 		refused := make(map[bool]int64)
 		for _, shares := range []bool{false, true} {
--- a/decide/teamwords.go
+++ b/decide/teamwords.go
@@ -16,6 +16,14 @@
 	// freePart is the same as a part of what is left of the bucket: far from the cap
 	// fewer words do.
 	freePart = 0.5
+	// pressPart is how many times what may be kept has to be taken for a word between two
+	// looks: a team that uses its cap steadily hardly ever does.
+	pressPart = 1.5
+	// pressSpeed is how many times its share of the rate a gateway must have taken since its
+	// latest word.
+	pressSpeed = 1.5
+	// pressPause is the least time between a word and one between two looks.
+	pressPause = 50 * time.Millisecond
 	// capBeat is the longest time between two words of a gateway.
 	capBeat = 500 * time.Millisecond
 	// capLapse is how long a gateway is heard after a word: two that come through a
@@ -97,6 +105,25 @@
 	return w, true
 }
 
+// Pressing reports whether so much was taken of a team's cap since the latest word that the
+// others have to be told before the next look: a team has begun to use far more than before.
+func (c *TeamCaps) Pressing(now time.Time, id wardturn.TeamID) bool {
+	t := c.caps[id]
+	if t == nil || c.cfg.EqualShares || now.Sub(c.toldAt) < pressPause {
+		return false
+	}
+	untold := float64(max(t.used-t.told, t.told-t.used)) * float64(c.gateways)
+	if untold < pressSpeed*t.limit.Rate*now.Sub(c.toldAt).Seconds() {
+		return false
+	}
+	return untold >= pressPart*t.mayKeep(now, c.part)
+}
+
+// Words returns how many words this process has told.
+func (c *TeamCaps) Words() uint64 {
+	return c.seq
+}
+
 // mayKeep returns the units that all gateways together may take untold.
 func (t *teamCap) mayKeep(now time.Time, part float64) float64 {
 	t.fill(now, part)
--- a/gateway/caps.go
+++ b/gateway/caps.go
@@ -19,6 +19,8 @@
 	mu    sync.Mutex
 	teams *decide.TeamCaps
 	words int // told so far
+
+	pressing chan struct{} // asks for a word before the next look
 }
 
 // capEvery is how often it is looked whether the other gateways have to be told.
@@ -37,7 +39,8 @@
 
 func newCaps(g *Gateway) *caps {
 	return &caps{
-		g: g,
+		g:        g,
+		pressing: make(chan struct{}, 1),
 		teams: decide.NewTeamCaps(g.clock.Now(), g.cfg.Process, decide.TeamCapConfig{
 			EqualShares: g.cfg.EqualCapShares,
 		}),
@@ -57,6 +60,19 @@
 	c.teams.Recall(c.g.clock.Now(), gateways)
 }
 
+// tellPressing tells the other gateways whenever that cannot wait for the next look, until
+// the gateway ends.
+func (c *caps) tellPressing() {
+	for {
+		select {
+		case <-c.pressing:
+			c.tell()
+		case <-c.g.tasks.Context().Done():
+			return
+		}
+	}
+}
+
 // tell tells the other gateways what this one has taken, if that is due. Each word
 // goes to one of two keepers in each failure domain, by turns: what one loses, the
 // next word makes up for.
@@ -110,7 +126,11 @@
 	if !ok {
 		left = c.teams.Left(x.g.clock.Now(), x.team.ID)
 	}
+	pressing := c.teams.Pressing(x.g.clock.Now(), x.team.ID)
 	c.mu.Unlock()
+	if pressing {
+		wake(c.pressing)
+	}
 	if !ok {
 		x.refuseBeyondCap(retryAfter, left)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,6 +166,7 @@
 	g.tasks.Go(g.followMembers)
 	g.tasks.Go(g.crashes.follow)
 	g.tasks.Go(g.crashes.write)
+	g.tasks.Go(g.caps.tellPressing)
 	g.tasks.Go(func() {
 		g.recallFleet()
 		for g.tasks.Pause(rememberEvery) {
