--- a/decide/copies.go
+++ b/decide/copies.go
@@ -12,6 +12,9 @@
 	spreadFactor = 1.4
 	// spreadUse is how many of them must be this gateway's for that adapter.
 	spreadUse = 2
+	// spreadRequests is how many requests all gateways must have, by estimate, for an
+	// adapter that gets another engine since streams would pause.
+	spreadRequests = 16
 	// copyCost is what a copy must save each request, in milliseconds.
 	copyCost = 10.0
 )
@@ -25,7 +28,7 @@
 		f.crossed[t.Key] += t.Bytes
 	}
 	costly := !near && f.crossed[t.Key] >= f.cfg.CrossBytes
-	busy := f.overbusy(t, m) || m.pauseCost(now, t) >= spreadPause
+	busy := f.overbusy(t, m) || f.stopsStreams(now, t, m)
 	if !costly && !busy {
 		return
 	}
@@ -46,6 +49,16 @@
 	f.ask(now, w, home, out)
 }
 
+// stopsStreams reports whether a request's prompt would have so many streams pause that its
+// adapter needs another engine. Each gateway is taken to have as many requests of the adapter
+// there as this one: an engine for a few of them costs more than it spares.
+func (f *Fleet) stopsStreams(now time.Time, t *Ticket, m *Member) bool {
+	if (m.runningOf(t.Key)+1)*f.Gateways() < spreadRequests {
+		return false
+	}
+	return m.pauseCost(now, t) >= spreadPause
+}
+
 // overbusy reports whether an engine has far more to do than others, and not
 // because of others' requests alone.
 func (f *Fleet) overbusy(t *Ticket, m *Member) bool {
