--- a/decide/bodies_test.go
+++ b/decide/bodies_test.go
@@ -7,8 +7,7 @@
 	"wardturn/decide"
 )
 
-// Requests of some megabytes went to one upstream until it fell over, since only their
-// number was bounded.
+// A few long requests take an upstream beyond its memory, however small their number is.
 func TestBodiesAtAnUpstreamAreBounded(t *testing.T) {
 	const (
 		most = 4 << 20
--- a/decide/evacuation_test.go
+++ b/decide/evacuation_test.go
@@ -225,8 +225,8 @@
 	}
 }
 
-// When a failure domain with a third of the engines was evacuated, all that asked for its
-// adapters next waited for a load, and each adapter's load began with its first request.
+// Else the next requests for all adapters of the failure domain wait for loads that begin
+// together.
 func TestAdaptersInUseAreLoadedElsewhere(t *testing.T) {
 	x, _ := newEvacuationRig()
 	x.hold("n0", readyAdapter("used", 1), readyAdapter("idle", 1), readyAdapter("spread", 1))
--- a/decide/fleet_prompts_test.go
+++ b/decide/fleet_prompts_test.go
@@ -65,8 +65,8 @@
 		Expect(x.f.Readings()).To(BeEmpty())
 	})
 
-	// Engines that read half as fast as was assumed got prompt after prompt, and the streams
-	// beside them paused, while others had many streams and read nothing.
+	// Engines that read more slowly than assumed would get prompt after prompt, and the
+	// streams beside them pause, while others have many streams and read nothing.
 	It("weighs prompts by the time in which engines were seen to read them", func() {
 		list := fleetMembers()
 		for i := range list {
--- a/decide/pauses_test.go
+++ b/decide/pauses_test.go
@@ -204,8 +204,8 @@
 	}
 }
 
-// One adapter had a fifth of all requests, at four engines: the prompts of 28 gateways stopped
-// all streams there, while each gateway had too few of its own there to want another engine.
+// Prompts of many gateways for one adapter stop all streams of its engines, while each gateway
+// has too few requests there to want another one by its own load.
 func TestHotAdapterIsSpreadBeforeStreamsPause(t *testing.T) {
 	play := func(pause time.Duration) *hotAdapter {
 		h := newHotAdapter(8, 8, pause)
--- a/decide/teamcaps_test.go
+++ b/decide/teamcaps_test.go
@@ -260,8 +260,8 @@
 		Expect(used).To(BeNumerically(">", 4.5), "the cap is used")
 	})
 
-	// Where the slack of a cap was small, a team that jumped to 7 times its cap went beyond
-	// what the platform allows, since gateways told others at their next look.
+	// Until the next look of each gateway the others know nothing of a jump, and a cap with
+	// little slack is broken.
 	It("keeps a team that jumps to 7.5 times its cap within a tenth, at any moment between two looks", func() {
 		worst := make(map[bool]float64)
 		words := make(map[bool]uint64)
--- a/decide/turn_test.go
+++ b/decide/turn_test.go
@@ -57,7 +57,8 @@
 		Expect(due(t)).To(Equal(least))
 	})
 
-	// Each of 400 gateways read each of nine changes that came within three seconds.
+	// Every gateway reads each change itself, so a storm of changes would cost one reading of
+	// each gateway for each of them.
 	It("reads changes together that follow each other closely, and a single one soon", func() {
 		const gather = 800 * time.Millisecond
 		t := decide.NewReadTurn(now, "b", decide.ReadTurnConfig{
--- a/gateway/crashrecord_internal_test.go
+++ b/gateway/crashrecord_internal_test.go
@@ -21,8 +21,8 @@
 	panic("not used")
 }
 
-// Two gateways that read the configuration one after the other told each other so, and each
-// took the word for a reading of crashes: neither read them.
+// News of the configuration is no reading of crashes: two gateways that take turns at the
+// configuration would read none.
 func TestCrashesAreReadByOneOfTwo(t *testing.T) {
 	clock := &setClock{
 		now: time.Unix(1000, 0),
