--- a/decide/turn.go
+++ b/decide/turn.go
@@ -132,7 +132,7 @@
 
 // AsOf returns a time at which all that is known was true; zero before the first
 // reading. A word that was long on its way would make an old version of an adapter serve
-// as much longer, so only those count that can be measured by an earlier one.
+// as much longer, so only those count that can be compared with an earlier one.
 func (t *ReadTurn) AsOf() time.Time {
 	return t.sure
 }
