--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -40,7 +40,7 @@
 // that is not the request's own may be old: it ends no limit.
 func (x *exchange) sawLimit(m wardturn.Member, res *http.Response, own bool) {
 	l := x.g.limits
-	l.logUnread(m, res.Header)
+	l.logUnread(m, res)
 	if from := res.Header.Get(x.g.names.Instance); from != "" && from != m.ID.Instance() {
 		return
 	}
@@ -161,25 +161,27 @@
 	"Content-Length",
 	"Content-Type",
 	"Date",
-	"Retry-After",
 	"Server",
 }
 
 // logUnread logs each header of upstreams that the gateway passes on unread, once: what an
 // upstream says and nobody reads otherwise shows only by the harm.
-func (l *limits) logUnread(m wardturn.Member, h http.Header) {
+func (l *limits) logUnread(m wardturn.Member, res *http.Response) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.g.names
-	for name, values := range h {
+	for name, values := range res.Header {
 		if l.unread[name] || len(l.unread) >= mostUnread || slices.Contains(plainHeaders, name) || slices.Contains(hopHeaders, name) {
 			continue
 		}
+		if name == "Retry-After" && res.StatusCode != http.StatusServiceUnavailable {
+			continue
+		}
 		l.unread[name] = true
 		switch name {
 		case http.CanonicalHeaderKey(n.Attempt), http.CanonicalHeaderKey(n.Receipt), http.CanonicalHeaderKey(n.NotExecuted), http.CanonicalHeaderKey(n.Instance), http.CanonicalHeaderKey(n.Limit), http.CanonicalHeaderKey(n.ColdMS):
 			continue
 		}
-		l.g.logger.Info("header of upstreams is not read", "header", name, "values", values, "upstream", m.ID)
+		l.g.logger.Info("header of upstreams is not read", "header", name, "values", values, "status", res.StatusCode, "upstream", m.ID)
 	}
 }
