--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -67,6 +67,7 @@
 	Fresh       StreamShape   // of streams that are not resumed
 	Resumed     StreamShape   // of those that are
 	Limit       string        // requests a second that answers name; empty: none
+	Leaving     bool          // all answers say that it leaves
 }
 
 // NewModelWorker returns a worker that holds its base model and no adapters.
@@ -247,6 +248,9 @@
 	if left := m.coldMS(); left > 0 {
 		w.Header().Set("X-Wardturn-Cold-Ms", strconv.FormatInt(left, 10))
 	}
+	if m.faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	m.mu.Unlock()
 	switch r.Method + " " + r.URL.Path {
 	case "GET /wardturn/report":
