--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -79,6 +79,9 @@
 	if status := m.admit(r); status != 0 {
 		m.mu.Lock()
 		h.Set("X-Wardturn-Instance-Id", m.id)
+		if status == http.StatusServiceUnavailable {
+			h["Retry-After"] = m.faults.RetryAfter
+		}
 		m.mu.Unlock()
 		h.Set("X-Wardturn-Not-Executed", "1")
 		w.WriteHeader(status)
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -68,6 +68,7 @@
 	Resumed     StreamShape   // of those that are
 	Limit       string        // requests a second that answers name; empty: none
 	Leaving     bool          // all answers say that it leaves
+	RetryAfter  []string      // headers of that name in refusals
 }
 
 // NewModelWorker returns a worker that holds its base model and no adapters.
