Heads of upstreams' answers are decoded in one place into typed facts

What answers say was read by name in five places of the gateway and one of the keeper; a header without a reader went unnoticed until a rule broke, for the third time. platform.Answers decodes each head once into wardturn.AnswerHead, whose fields are all that is learned; every other header is listed as unused there or comes out as unread and is logged. HeaderNames keeps names of requests only.

No change of what is done with the facts.

--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -179,6 +179,7 @@
 			Logger:    logger,
 			Metrics:   m,
 			Names:     platform.Headers(),
+			Heads:     platform.Answers{},
 			Source:    platform.NewConfiguration(s, logger),
 			Members:   platform.NewMembers(s, clock, logger),
 			Memory:    s,
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -5,21 +5,22 @@
 	"net/http"
 	"slices"
 	"strconv"
+
+	"wardturn"
 )
 
 // take looks at the head of an answer and passes it on, or says what it means.
 func (x *exchange) take(a assignment, ans *answer) result {
 	res := ans.res
-	n := x.g.names
 	switch {
 	case res.StatusCode == http.StatusMisdirectedRequest:
-		x.misdirected(a, res)
+		x.misdirected(a, ans.head)
 		x.drain(ans)
 		return notRun
-	case res.Header.Get(n.NotExecuted) != "" && res.StatusCode != http.StatusBadRequest:
+	case ans.head.NotExecuted && res.StatusCode != http.StatusBadRequest:
 		x.drain(ans)
 		return notRun
-	case res.StatusCode < http.StatusMultipleChoices && res.Header.Get(n.Receipt) == "":
+	case res.StatusCode < http.StatusMultipleChoices && !ans.head.Receipt:
 		x.g.logger.Warn("success without proof of the upstream", "id", x.attempt, "upstream", a.Member.ID)
 		ans.discard()
 		return unknown
@@ -46,8 +47,8 @@
 	return x.repeatable() && x.ran+1 < x.route.MaxUpstreams && x.g.clock.Now().Before(x.end) && x.g.mayResend(x.service)
 }
 
-func (x *exchange) misdirected(a assignment, res *http.Response) {
-	if got := res.Header.Get(x.g.names.Instance); got != "" && got != a.Member.ID.Instance() {
+func (x *exchange) misdirected(a assignment, head wardturn.AnswerHead) {
+	if got := head.Instance; got != "" && got != a.Member.ID.Instance() {
 		x.g.logger.Info("another upstream at the address", "upstream", a.Member.ID, "found", got, "addr", a.Member.Addr)
 		x.g.misplaced(a.Member.ID)
 		x.g.crashes.ended(a.Member.ID)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -340,8 +340,7 @@
 		return x.sendFailed(a, err)
 	}
 	if !x.engine {
-		full := ans.res.Header.Get(x.g.names.NotExecuted) != ""
-		x.g.timed(a.Member.ID, x.g.clock.Now().Sub(now), full)
+		x.g.timed(a.Member.ID, x.g.clock.Now().Sub(now), ans.head.NotExecuted)
 	}
 	return x.take(a, ans)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	Logger  hclog.Logger
 	Metrics *Metrics
 	Names   wardturn.HeaderNames
+	Heads   wardturn.AnswerReader
 	Source  wardturn.ConfigSource
 	Members wardturn.MemberSource
 	Memory  wardturn.FleetMemory
@@ -93,6 +94,7 @@
 	metrics *Metrics
 	prompts *prompts
 	names   wardturn.HeaderNames
+	heads   wardturn.AnswerReader
 	source  wardturn.ConfigSource
 	memory  wardturn.FleetMemory
 	// remembered is what was recorded last; used by one goroutine.
@@ -101,6 +103,7 @@
 	news       *news
 	caps       *caps
 	limits     *limits
+	unread     unreadHeaders
 	crashes    *crashes
 	routes     atomic.Pointer[routes]
 	evacuated  atomic.Pointer[wardturn.Evacuations]
@@ -135,6 +138,7 @@
 		metrics: d.Metrics,
 		prompts: newPrompts(),
 		names:   d.Names,
+		heads:   d.Heads,
 		source:  d.Source,
 		memory:  d.Memory,
 		pool:    newPool(d.Clock),
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -282,6 +282,7 @@
 		Logger:    logger,
 		Metrics:   gateway.NewMetrics(x.metrics),
 		Names:     platform.Headers(),
+		Heads:     platform.Answers{},
 		Source:    platform.NewConfiguration(store, logger),
 		Members:   platform.NewMembers(store, process.Clock{}, logger),
 		Memory:    store,
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -41,6 +41,7 @@
 type answer struct {
 	conn *upstreamConn
 	res  *http.Response
+	head wardturn.AnswerHead
 	stop func() bool
 	pool *pool
 }
@@ -57,24 +58,20 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	res, err := x.converse(c, a, head)
+	ans, err := x.converse(c, a, head)
 	if err != nil {
 		stop()
 		c.abort()
 		return nil, err
 	}
-	return &answer{
-		conn: c,
-		res:  res,
-		stop: stop,
-		pool: g.pool,
-	}, nil
+	ans.stop = stop
+	return ans, nil
 }
 
 // converse writes the request and reads the head of its answer. Answers to other
 // requests, which an upstream in trouble may send late, are passed over.
-func (x *exchange) converse(c *upstreamConn, m wardturn.Member, head []byte) (*http.Response, error) {
-	n, err := c.Write(head)
+func (x *exchange) converse(c *upstreamConn, m wardturn.Member, request []byte) (*answer, error) {
+	n, err := c.Write(request)
 	if err != nil && n == 0 {
 		return nil, errors.Mark(errors.Wrap(err, "send"), errNotSent)
 	}
@@ -89,15 +86,21 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "answer")
 		}
-		own := res.StatusCode >= http.StatusOK && res.Header.Get(x.g.names.Attempt) == x.attempt
-		x.sawLimit(m, res, own)
+		head := x.g.heads.ReadAnswer(res.StatusCode, res.Header)
+		own := res.StatusCode >= http.StatusOK && head.Attempt == x.attempt
+		x.observe(m, head, res.StatusCode, own)
 		if own {
-			return res, nil
+			return &answer{
+				conn: c,
+				res:  res,
+				head: head,
+				pool: x.g.pool,
+			}, nil
 		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		x.g.logger.Warn("answer to another request passed over", "id", x.attempt, "answers", res.Header.Get(x.g.names.Attempt), "addr", c.addr)
+		x.g.logger.Warn("answer to another request passed over", "id", x.attempt, "answers", head.Attempt, "addr", c.addr)
 		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			return nil, errors.Wrap(err, "answer to another request")
 		}
--- a/routes.go
+++ b/routes.go
@@ -215,7 +215,7 @@
 	return "lost"
 }
 
-// HeaderNames are the names of the headers that callers and upstreams use.
+// HeaderNames are the names of the headers of requests.
 type HeaderNames struct {
 	Attempt        string // id of the caller's attempt
 	DeadlineMS     string // how long the sender waits, in milliseconds
@@ -223,17 +223,10 @@
 	TokenCount     string // tokens of the prompt and the most tokens out
 	Prompt         string // parts of the prompt that others may share
 	LastEvent      string // last event that the caller has of a stream
-	Receipt        string // proof of an upstream that the answer is its own
-	NotExecuted    string // the upstream did not run the request
 	ExpectInstance string // instance of the upstream that may run the request
 	ExpectVersion  string // version of the weights that may run it
-	Instance       string // instance of the upstream that answered
 	Priority       string // urgency at the upstream, 0 first
 	Team           string // team of the request, set by the system alone
-	// Limit is the requests a second that an upstream in need takes from all gateways
-	// together, for as long as its answers say so.
-	Limit  string
-	ColdMS string // how much longer the upstream is cold, in milliseconds
 	// Reserved are headers by which an upstream sets memory aside, moves what it
 	// keeps or waits. Only the system may send them.
 	Reserved []string
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wardturn/platform"
+	"wardturn/standin"
 )
 
 // kind is a kind of request.
@@ -134,7 +135,7 @@
 		s.judgeCut(g, k, id, began, err)
 		return 0
 	}
-	s.limits.passedOn(process, res.Header.Get(names.Limit))
+	s.limits.passedOn(process, res.Header.Get(standin.HeaderLimit))
 	body, err := readBody(res.Body, draw)
 	res.Body.Close()
 	if err != nil {
@@ -194,7 +195,7 @@
 	if res.StatusCode != http.StatusOK {
 		return
 	}
-	if got := res.Header.Get(names.Receipt); got != "seal-"+id {
+	if got := res.Header.Get(standin.HeaderReceipt); got != "seal-"+id {
 		l.broken("%s: the answer has the receipt %q", id, got)
 	}
 	want := "echo:" + id
--- /dev/null
+++ b/standin/heads.go
@@ -0,0 +1,8 @@
+package standin
+
+// Headers of a worker's answers.
+const (
+	HeaderLimit   = "Server-Limit"
+	HeaderLeaving = "Server-Leaving"
+	HeaderReceipt = "X-Wardturn-Server-Seal"
+)
--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -100,7 +100,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	h.Set("X-Wardturn-Server-Seal", "seal-"+attempt)
+	h.Set(HeaderReceipt, "seal-"+attempt)
 	if f.CrashOn != "" && string(body) == f.CrashOn {
 		if m.cfg.Crash != nil {
 			m.cfg.Crash(r.URL.Path)
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -244,13 +244,13 @@
 func (m *ModelWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
 	if m.faults.Limit != "" {
-		w.Header().Set("Server-Limit", m.faults.Limit)
+		w.Header().Set(HeaderLimit, m.faults.Limit)
 	}
 	if left := m.coldMS(); left > 0 {
 		w.Header().Set("X-Wardturn-Cold-Ms", strconv.FormatInt(left, 10))
 	}
 	if m.faults.Leaving {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(HeaderLeaving, "1")
 	}
 	m.mu.Unlock()
 	switch r.Method + " " + r.URL.Path {
