An upstream whose answers say that it leaves gets no more requests

Callers were sent to an upstream that was about to end; their requests reached it 2.3 s after its answers had said so. Cause: leaving was known from the store's list alone, which could not be read for 13 s; the header Server-Leaving was passed on and logged as not read.

Now any answer of an upstream counts, also one that no caller gets, and also the reports that its keeper reads, so that gateways know without an answer of their own. It holds for the lifetime, whatever lists tell. One look just before a request is written covers leaving and evacuated upstreams; before, a connection that took long to open passed it.

--- a/answer.go
+++ b/answer.go
@@ -11,6 +11,7 @@
 	Instance    string // of the upstream that answers; empty: it does not say
 	Receipt     bool   // proof that the answer is the upstream's own
 	NotExecuted bool   // the request did not run and will not
+	Leaving     bool   // the upstream is about to end and is to get no new requests
 	// Limit is the requests a second that an upstream in need takes from all gateways
 	// together, for as long as its answers say so.
 	Limit Figure[RequestRate]
--- a/decide/holding.go
+++ b/decide/holding.go
@@ -22,7 +22,8 @@
 	Gateways  int // connected to the keeper
 	// Limit is the requests a second that the engine names; zero: none, which does not say
 	// that its other answers name none.
-	Limit wardturn.RequestRate
+	Limit   wardturn.RequestRate
+	Leaving bool // the engine says that it is about to end
 }
 
 // HeldVersion is an adapter version that an engine holds or loads.
@@ -51,6 +52,9 @@
 	if h.Limit > 0 {
 		f.limits.Named(now, id, h.Limit)
 	}
+	if h.Leaving {
+		f.Leaves(now, id, out)
+	}
 	f.gateways = max(f.gateways, h.Gateways)
 	m.atHold = m.running
 	f.setReading(now, m, h)
--- a/decide/leaving.go
+++ b/decide/leaving.go
@@ -10,6 +10,37 @@
 // the list last had it: far longer than a list can be behind.
 const leavingMemory = time.Minute
 
+// Leaves records that an upstream says of itself that it leaves. The store's list may say
+// so much later: it is silent at times.
+func (f *Fleet) Leaves(now time.Time, id wardturn.UpstreamID, out *Moves) {
+	if _, known := f.leaving[id]; !known {
+		out.Leaving = append(out.Leaving, id)
+	}
+	f.leaving[id] = now
+	if m := f.members[id]; m != nil {
+		m.Draining = true
+	}
+}
+
+// Takes reports whether a request that was given to an upstream may still be sent there.
+func (f *Fleet) Takes(id wardturn.UpstreamID) bool {
+	if m := f.members[id]; m != nil {
+		return !m.Draining && !m.evacuated
+	}
+	_, left := f.leaving[id]
+	return !left
+}
+
+// Lifetime returns the listed lifetime of an instance; empty: none is listed.
+func (f *Fleet) Lifetime(instance string) wardturn.UpstreamID {
+	for id := range f.members {
+		if id.Instance() == instance {
+			return id
+		}
+	}
+	return ""
+}
+
 // keepLeaving has an upstream that was once seen leaving count as leaving for the
 // rest of its lifetime. A store that has dropped its history, or answers with what
 // it had some seconds ago, may list it as ready again or after it was gone, and
--- a/decide/leaving_test.go
+++ b/decide/leaving_test.go
@@ -1,10 +1,13 @@
 package decide_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"wardturn"
+	"wardturn/decide"
 )
 
 var _ = Describe("An upstream that was seen leaving", func() {
@@ -29,3 +32,53 @@
 		}
 	})
 })
+
+var _ = Describe("An upstream that says of itself that it leaves", func() {
+	It("gets no requests and no loads, whatever lists tell, for its lifetime", func() {
+		x := newFleetRig()
+		x.hold("n0", readyAdapter("a", 1))
+		x.admit("r0", "a")
+		Expect(x.got["r0"].Member.ID).To(BeEquivalentTo("n0"))
+		Expect(x.f.Takes("n0")).To(BeTrue())
+		x.f.Leaves(x.now, "n0", &x.out)
+		Expect(x.out.Leaving).To(ConsistOf(wardturn.UpstreamID("n0")))
+		Expect(x.f.Takes("n0")).To(BeFalse(), "one that was chosen just before")
+		for _, list := range [][]wardturn.Member{fleetMembers(), fleetMembers()[1:], fleetMembers()} {
+			x.f.SetMembers(x.now, list)
+			Expect(x.f.Takes("n0")).To(BeFalse())
+			x.out.Asks = nil
+			x.admit("r1", "a")
+			x.tick(wishRepeatOver)
+			for _, ask := range x.out.Asks {
+				Expect(ask.Upstream).NotTo(BeEquivalentTo("n0"))
+			}
+			Expect(x.got["r1"].Member.ID).NotTo(BeEquivalentTo("n0"))
+		}
+	})
+
+	It("is used in its next lifetime", func() {
+		x := newFleetRig()
+		x.f.Leaves(x.now, "n0", &x.out)
+		list := fleetMembers()
+		list[0].ID = wardturn.Lifetime("n0", 1)
+		list[0].Seen = 1
+		x.f.SetMembers(x.now, list)
+		Expect(x.f.Takes(list[0].ID)).To(BeTrue())
+		x.hold(string(list[0].ID), readyAdapter("a", 1))
+		x.admit("r", "a")
+		Expect(x.got["r"].Member.ID).To(Equal(list[0].ID))
+	})
+
+	It("is known as such from its keeper alone", func() {
+		x := newFleetRig()
+		x.f.SetHolding(x.now, "n0", decide.Holding{
+			Connected: true,
+			Known:     true,
+			Leaving:   true,
+		}, &x.out)
+		Expect(x.f.Takes("n0")).To(BeFalse())
+	})
+})
+
+// wishRepeatOver is longer than the pause between two wishes for one adapter.
+const wishRepeatOver = 400 * time.Millisecond
--- a/decide/wait.go
+++ b/decide/wait.go
@@ -65,6 +65,8 @@
 	// Ended are versions whose older ones serve no more: a request to such a one that
 	// has not begun has to be broken off.
 	Ended []wardturn.AdapterVersion
+	// Leaving are upstreams that have just said that they leave.
+	Leaving []wardturn.UpstreamID
 }
 
 // LoadNote says that an adapter that was asked for arrived.
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -76,11 +76,7 @@
 	if err != nil {
 		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
-	keep := keepUnknown
-	if c.reused {
-		keep = c.idleUntil.Sub(p.clock.Now())
-	}
-	p.put(c, keep)
+	c.keep(p)
 	return true
 }
 
@@ -152,6 +148,15 @@
 	c.Close()
 }
 
+// keep puts a connection back on which nothing was sent.
+func (c *upstreamConn) keep(p *pool) {
+	d := keepUnknown
+	if c.reused {
+		d = c.idleUntil.Sub(p.clock.Now())
+	}
+	p.put(c, d)
+}
+
 // put keeps a connection for later.
 func (p *pool) put(c *upstreamConn, keep time.Duration) {
 	c.idleUntil = p.clock.Now().Add(keep)
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -33,6 +33,9 @@
 	for _, v := range out.Ended {
 		g.endOlder(v)
 	}
+	for _, id := range out.Leaving {
+		g.logger.Info("upstream says that it leaves", "upstream", id)
+	}
 	g.links.ask(out)
 }
 
@@ -89,6 +92,13 @@
 	g.fleet.Timed(g.clock.Now(), id, took)
 }
 
+// takes reports whether a request that was given to an upstream may still be sent there.
+func (g *Gateway) takes(id wardturn.UpstreamID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Takes(id)
+}
+
 func (g *Gateway) refused(id wardturn.UpstreamID) {
 	g.mu.Lock()
 	g.fleet.Refused(g.clock.Now(), id)
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -16,12 +16,5 @@
 		return
 	}
 	g.fleet.SetEvacuated(now, domains, out)
-	g.evacuated.Store(&domains)
 	g.logger.Info("evacuations in force", "domains", slices.Sorted(maps.Keys(domains)))
 }
-
-// isEvacuated reports whether the upstreams of a failure domain are to get no requests.
-func (g *Gateway) isEvacuated(d wardturn.FailureDomain) bool {
-	domains := g.evacuated.Load()
-	return domains != nil && (*domains)[d]
-}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -100,7 +100,7 @@
 	// notRun: the upstream did not run the request.
 	notRun
 	// outdated: nothing was sent, since the adapter version serves no more, or the
-	// upstream's failure domain has been evacuated since it was chosen.
+	// upstream takes no more requests since it was chosen.
 	outdated
 	// unknown: it may have run, and the caller has no byte of an answer.
 	unknown
@@ -327,7 +327,7 @@
 	}
 	ctx, stop, ok := x.watchBegin(ctx, a)
 	defer stop()
-	if !ok || x.g.isEvacuated(a.Member.Domain) {
+	if !ok {
 		return outdated
 	}
 	x.g.metrics.sends.Inc(1)
@@ -336,6 +336,9 @@
 	if why := context.Cause(ctx); err != nil && (errors.Is(why, errVersionEnded) || errors.Is(why, errContentCrashes)) {
 		err = errors.Wrap(err, why.Error())
 	}
+	if errors.Is(err, errWithdrawn) {
+		return outdated
+	}
 	if err != nil {
 		return x.sendFailed(a, err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,6 @@
 	unread     unreadHeaders
 	crashes    *crashes
 	routes     atomic.Pointer[routes]
-	evacuated  atomic.Pointer[wardturn.Evacuations]
 	pool       *pool
 	links      *links
 	unbegun    *unbegun
--- a/gateway/leavinganswers_test.go
+++ b/gateway/leavinganswers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -38,7 +39,7 @@
 	})
 	leaves := func(m *standin.ModelWorker) time.Time {
 		m.SetFaults(standin.WorkerFaults{
-			Leaving: true,
+			Leaving: "1",
 		})
 		return time.Now().Add(settled)
 	}
@@ -50,4 +51,66 @@
 		Expect(statuses[http.StatusOK]).To(BeNumerically(">", 200))
 		Expect(statuses[http.StatusServiceUnavailable]).To(BeZero(), "%v", statuses)
 	})
+
+	It("gets no more streams", func() {
+		after := leaves(x.engines[0])
+		x.callAll(fronts, "/ask/a", "m0", 3, 20*time.Millisecond, 1500*time.Millisecond)
+		x.callAll(fronts, "/ask/a", "m0/a1", 3, 20*time.Millisecond, time.Second)
+		Expect(arrivalsAfter(x.engines[0], after)).To(BeZero())
+	})
+
+	It("gets no more requests if it says so in refusals alone, which no caller gets", func() {
+		x.apps[0].SetFaults(standin.WorkerFaults{
+			Leaving: "1",
+			Full:    true,
+		})
+		after := time.Now().Add(settled)
+		x.callAll(fronts, "/look/a", "", 4, 20*time.Millisecond, 2*time.Second)
+		Expect(arrivalsAfter(x.apps[0], after)).To(BeZero())
+	})
+
+	It("gets none from a gateway that had no such answer, once its keeper has", func() {
+		x.engines[0].SetFaults(standin.WorkerFaults{
+			Leaving: "1",
+		})
+		Eventually(func() int {
+			return strings.Count(x.log.String(), "upstream says that it leaves")
+		}, soon, often).Should(BeNumerically(">=", len(fronts)))
+		before := len(x.engines[0].Arrivals())
+		x.callAll(fronts, "/ask/a", "m0", 3, 20*time.Millisecond, 500*time.Millisecond)
+		Expect(x.engines[0].Arrivals()).To(HaveLen(before))
+	})
+
+	It("gets none through readings of the list, also one that lacks it for a while", func() {
+		after := leaves(x.apps[0])
+		x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, 500*time.Millisecond)
+		x.store.DropServer("a0")
+		x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, time.Second)
+		x.list(x.apps[0], "app", "a0", "ready")
+		x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, time.Second)
+		Expect(arrivalsAfter(x.apps[0], after)).To(BeZero())
+	})
+
+	It("is used again in its next lifetime, under the same id and address", func() {
+		leaves(x.apps[0])
+		x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, 500*time.Millisecond)
+		x.apps[0].SetFaults(standin.WorkerFaults{})
+		x.apps[0].StartAgain(time.Now().UnixMilli())
+		x.list(x.apps[0], "app", "a0", "ready")
+		before := len(x.apps[0].Arrivals())
+		Eventually(func() int {
+			x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, 100*time.Millisecond)
+			return len(x.apps[0].Arrivals())
+		}, soon, often).Should(BeNumerically(">", before))
+	})
+
+	It("stays in use where what it says is garbled", func() {
+		x.apps[0].SetFaults(standin.WorkerFaults{
+			Leaving: "0",
+		})
+		x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, 500*time.Millisecond)
+		before := len(x.apps[0].Arrivals())
+		x.callAll(fronts, "/look/a", "", 2, 20*time.Millisecond, 500*time.Millisecond)
+		Expect(len(x.apps[0].Arrivals())).To(BeNumerically(">", before))
+	})
 })
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -174,6 +174,7 @@
 		Free:      h.Free,
 		Gateways:  h.Gateways,
 		Limit:     h.Limit,
+		Leaving:   h.Leaving,
 	}
 	for _, a := range h.Adapters {
 		out.Adapters = append(out.Adapters, decide.HeldVersion{
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wardturn"
+	"wardturn/decide"
 )
 
 // observe takes what the head of any answer of an upstream says of the upstream, also of
@@ -17,20 +18,36 @@
 			g.logger.Info("header of upstreams is not read", "header", name, "status", status, "upstream", m.ID)
 		}
 	}
-	if head.Instance != "" && head.Instance != m.ID.Instance() {
-		return
+	id := m.ID
+	if head.Instance != "" && head.Instance != id.Instance() {
+		// Another upstream is at the address.
+		if id, own = g.lifetime(head.Instance), false; id == "" {
+			return
+		}
+	}
+	if head.Leaving {
+		g.decide(func(now time.Time, out *decide.Moves) {
+			g.fleet.Leaves(now, id, out)
+		})
 	}
 	if head.Cold.Named && own {
-		g.observeCold(m.ID, head.Cold)
+		g.observeCold(id, head.Cold)
 	}
 	switch {
 	case head.Limit.Named:
-		g.limits.named(m.ID, head.Limit, status)
+		g.limits.named(id, head.Limit, status)
 	case own && g.limits.any.Load():
-		g.limits.unnamed(m.ID, x.send.sent, status)
+		g.limits.unnamed(id, x.send.sent, status)
 	}
 }
 
+// lifetime returns the listed lifetime of an instance; empty: none is listed.
+func (g *Gateway) lifetime(instance string) wardturn.UpstreamID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Lifetime(instance)
+}
+
 func (g *Gateway) observeCold(id wardturn.UpstreamID, cold wardturn.Figure[time.Duration]) {
 	if cold.Err != nil {
 		g.logger.Warn("time of a cold upstream not understood", "upstream", id, "error", cold.Err)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -19,6 +19,8 @@
 	errNotSent = errors.New("gateway: request not sent")
 	// errRefused marks a refused connection: nothing listens at the address.
 	errRefused = errors.New("gateway: connection refused")
+	// errWithdrawn is returned when the upstream takes no more requests since it was chosen.
+	errWithdrawn = errors.New("gateway: upstream takes no more requests")
 	// errStrangers is returned when an upstream answers only other requests.
 	errStrangers = errors.New("gateway: answers to other requests")
 )
@@ -57,6 +59,12 @@
 		}
 		return nil, err
 	}
+	// Looked at only now: to open the connection may take as long as an upstream has to
+	// end in.
+	if !g.takes(a.ID) {
+		c.keep(g.pool)
+		return nil, errWithdrawn
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	ans, err := x.converse(c, a, head)
 	if err != nil {
--- a/keeper/holding.go
+++ b/keeper/holding.go
@@ -26,6 +26,7 @@
 	free     int
 	gateways int
 	limit    wardturn.RequestRate // that the engine names; zero: none
+	leaving  bool                 // as the engine says
 }
 
 // holding returns what the engine holds; the lock is held.
@@ -48,6 +49,8 @@
 	h.running = st.Running
 	h.queued = st.Queued
 	h.limit = st.Limit
+	// The report may still be of the lifetime before.
+	h.leaving = st.Leaving && st.Upstream == k.upstream
 	for _, a := range st.Loading {
 		h.add(a, peer.HeldLoading)
 	}
@@ -84,6 +87,7 @@
 		Free:     h.free,
 		Gateways: h.gateways,
 		Limit:    h.limit,
+		Leaving:  h.leaving,
 	}
 }
 
@@ -112,7 +116,7 @@
 			m.Gone = append(m.Gone, key)
 		}
 	}
-	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.free == old.free && h.limit == old.limit &&
+	if len(m.Adapters)+len(m.Gone) == 0 && h.known == old.known && h.upstream == old.upstream && h.free == old.free && h.limit == old.limit && h.leaving == old.leaving &&
 		slices.Equal(h.models, old.models) && !h.stepped(old) {
 		return nil
 	}
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -46,7 +46,8 @@
 	Free     int // places that an adapter could have at once, counted up to MaxFree
 	Gateways int // connected to the keeper
 	// Limit is the requests a second that the engine names; zero: none.
-	Limit wardturn.RequestRate
+	Limit   wardturn.RequestRate
+	Leaving bool // the engine says that it is about to end
 }
 
 // EngineNotice tells a keeper what the operator says of its engine.
--- a/routes.go
+++ b/routes.go
@@ -133,6 +133,7 @@
 	Born     int64      // its start in Unix ms; zero if the engine does not say
 	Seq      uint64     // orders taken since its start
 	Busy     bool       // an order on a base model is under way
+	Leaving  bool       // it is about to end and is to get no new requests
 	Running  int
 	Queued   int
 	KVUsed   int // tokens that cannot give way
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -67,7 +67,7 @@
 	Fresh       StreamShape   // of streams that are not resumed
 	Resumed     StreamShape   // of those that are
 	Limit       string        // requests a second that answers name; empty: none
-	Leaving     bool          // all answers say that it leaves
+	Leaving     string        // header of all answers that says, as 1, that it leaves; empty: none
 	RetryAfter  []string      // headers of that name in refusals
 }
 
@@ -249,8 +249,8 @@
 	if left := m.coldMS(); left > 0 {
 		w.Header().Set("X-Wardturn-Cold-Ms", strconv.FormatInt(left, 10))
 	}
-	if m.faults.Leaving {
-		w.Header().Set(HeaderLeaving, "1")
+	if m.faults.Leaving != "" {
+		w.Header().Set(HeaderLeaving, m.faults.Leaving)
 	}
 	m.mu.Unlock()
 	switch r.Method + " " + r.URL.Path {
