--- a/soak/callers.go
+++ b/soak/callers.go
@@ -125,6 +125,7 @@
 	began := time.Now()
 	process := g.process()
 	s.limits.sent(id, process)
+	s.answers.note(id, process)
 	s.ledger.note(keyedAttempt{
 		id:   id,
 		key:  key,
@@ -136,6 +137,7 @@
 		return 0
 	}
 	s.limits.passedOn(process, res.Header.Get(standin.HeaderLimit))
+	s.answers.passedOn(id, res.Header)
 	body, err := readBody(res.Body, draw)
 	res.Body.Close()
 	if err != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -76,9 +76,11 @@
 		name:   "pause",
 		target: d.name,
 		begin: func() func() {
+			from := time.Now()
 			d.signal(syscall.SIGSTOP)
 			return func() {
 				d.signal(syscall.SIGCONT)
+				s.answers.excuse(from, time.Now())
 			}
 		},
 	}
@@ -201,8 +203,13 @@
 			Error: true,
 		},
 	}
-	i := r.IntN(len(list) + 1)
-	if i == len(list) {
+	i := r.IntN(len(list) + 3)
+	switch {
+	case i == len(list)+2:
+		return askingRest(u)
+	case i == len(list)+1:
+		return s.sayingLeaves(u)
+	case i == len(list):
 		return fault{
 			name:   "upstream restarts empty",
 			target: u.addr,
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,6 +54,7 @@
 	keepers  []*keeperProcess
 	ledger   *ledger
 	limits   *limitLedger
+	answers  *answerLedger
 	stop     chan struct{}
 	wg       sync.WaitGroup
 
@@ -73,11 +74,12 @@
 	}
 	defer w.close()
 	s := &soak{
-		cfg:    cfg,
-		world:  w,
-		stop:   make(chan struct{}),
-		faults: make(map[string]int),
-		limits: newLimitLedger(),
+		cfg:     cfg,
+		world:   w,
+		stop:    make(chan struct{}),
+		faults:  make(map[string]int),
+		limits:  newLimitLedger(),
+		answers: newAnswerLedger(),
 		evacuations: evacuations{
 			now: make(map[string]bool),
 		},
@@ -104,6 +106,7 @@
 	s.wg.Wait()
 	s.checkFatals()
 	s.checkLimits()
+	s.checkAnswers()
 	s.ledger.settle()
 	s.checkCrashes()
 	return Report{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -209,3 +209,58 @@
 		t.Fatalf("an excused window counts: %q", s.ledger.violations)
 	}
 }
+
+func TestAnswerChecksCanFail(t *testing.T) {
+	w, err := newWorld(0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.close()
+	u := w.upstreams[0]
+	s := &soak{
+		cfg: Config{
+			Log: io.Discard,
+		},
+		world: w,
+		ledger: &ledger{
+			w: w,
+		},
+		answers: newAnswerLedger(),
+	}
+	send := func(process, id string) {
+		s.answers.note(id, process)
+		ranOnce(t, u, id)
+	}
+	send("told", "leaves")
+	s.answers.leaving["leaves"] = time.Now().Add(-leavingBound)
+	send("untold", "other")
+	if s.checkAnswers(); len(s.ledger.violations) != 0 {
+		t.Fatalf("what is allowed is broken: %q", s.ledger.violations)
+	}
+	send("told", "late")
+	if s.checkAnswers(); len(s.ledger.violations) != 1 {
+		t.Fatalf("a late request is not seen: %q", s.ledger.violations)
+	}
+	s.ledger.violations = nil
+	s.answers.leaving = nil
+	u.behave(askingRestFaults())
+	send("resting", "refused")
+	time.Sleep(restGrace)
+	for i := range restAllowed + 1 {
+		send("other", fmt.Sprint("allowed", i)) // each is told as well
+		if i < restAllowed {
+			send("resting", fmt.Sprint("in", i))
+		}
+	}
+	if s.checkAnswers(); len(s.ledger.violations) != 0 {
+		t.Fatalf("what is allowed is broken: %q", s.ledger.violations)
+	}
+	send("resting", "over")
+	if s.checkAnswers(); len(s.ledger.violations) != 1 {
+		t.Fatalf("one more is not seen: %q", s.ledger.violations)
+	}
+	s.answers.excuse(time.Now().Add(-time.Second), time.Now())
+	if s.checkAnswers(); len(s.ledger.violations) != 1 {
+		t.Fatalf("an excused rest counts: %q", s.ledger.violations)
+	}
+}
