--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -25,6 +25,7 @@
 	faults  MetaFaults
 	reads   map[string]int // calls that read, by topic
 	page    int            // most records of an answer with the newest ones
+	era     int            // rises when it comes back from a copy
 }
 
 // sizeBytes is the length of a record's length.
@@ -59,6 +60,7 @@
 		changed: make(chan struct{}),
 		reads:   make(map[string]int),
 		page:    newestPage,
+		era:     1,
 	}
 }
 
@@ -174,10 +176,45 @@
 	t.records = nil
 }
 
+// MetaCopy is a copy of a store's records.
+type MetaCopy map[string]*metaTopic
+
+// Copy returns a copy of all records.
+func (s *MetaStore) Copy() MetaCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return MetaCopy(s.topics).deep()
+}
+
+// deep returns a copy that shares nothing that changes.
+func (c MetaCopy) deep() MetaCopy {
+	out := make(MetaCopy, len(c))
+	for name, t := range c {
+		out[name] = &metaTopic{
+			first:   t.first,
+			records: slices.Clone(t.records),
+			newest:  maps.Clone(t.newest),
+		}
+	}
+	return out
+}
+
+// ComeBack has the store go on from a copy: what came after it is gone, and its offsets are
+// given out again.
+func (s *MetaStore) ComeBack(c MetaCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = c.deep()
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // ServeHTTP implements http.Handler.
 func (s *MetaStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	f := s.faults
+	s.stamp(w)
 	s.mu.Unlock()
 	if f.Away {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -206,6 +243,11 @@
 	}
 }
 
+// stamp names the era in an answer; the lock is held.
+func (s *MetaStore) stamp(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+}
+
 // SetPage sets the most records of one answer with the newest ones.
 func (s *MetaStore) SetPage(n int) {
 	s.mu.Lock()
@@ -221,6 +263,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stamp(w)
 	t := s.topic(topic)
 	items := []item{}
 	more := false
@@ -257,9 +300,10 @@
 	late := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		s.stamp(w)
 		t := s.topic(topic)
 		changed := s.changed
-		if from < t.first {
+		if from < t.first || from > t.end() {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -303,6 +347,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.stamp(w)
 	t := s.topic(topic)
 	offset := t.end()
 	for len(records) >= sizeBytes {
