Positions in the store's records rise across its return from an older copy

Gateways served an old configuration for up to 8 s after the store had come back. Cause: its offsets go back then and are given out again, and positions were bare offsets. A gateway that hears another's reading at a lower position takes what it has for the newest; one that reads on from an offset that was given out again misses what lies before it.

A position now holds the era that the store's answers name and the offset, as one number: all that compares positions (readings told to others, changes of the list, entries, notices to keepers, coldness, crashes) is right by that. A read in another era is answered by a whole reading; a list during whose pages the store came back is read anew; answers from before the return count as lost. Upstreams that had ended are not back until they write again, earlier lifetimes don't replace later ones, and entries that the copy lacks are kept like lapsed ones.

--- a/crash.go
+++ b/crash.go
@@ -10,8 +10,8 @@
 
 // CrashChange is what was read of the crashes that gateways have recorded.
 type CrashChange struct {
-	From    int64 // position from which they were read; zero: all that there is
-	To      int64 // position up to which they were read
+	From    Position // from which they were read; zero: all that there is
+	To      Position // up to which they were read
 	Crashes []RecordedCrash
 	Cleared []Crash // records that were taken back
 }
--- a/decide/evacuation_test.go
+++ b/decide/evacuation_test.go
@@ -185,7 +185,7 @@
 func TestColdByEntry(t *testing.T) {
 	x, members := newEvacuationRig()
 	x.holdEverywhere("a")
-	cold := func(seen int64, left time.Duration) {
+	cold := func(seen wardturn.Position, left time.Duration) {
 		for i := range members {
 			members[i].Seen = seen
 			members[i].Cold = left
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -116,7 +116,7 @@
 // stands in the list twice until its old entry lapses. The entry written last is
 // the one that lives.
 func present(list []wardturn.Member) []wardturn.Member {
-	latest := make(map[string]int64, len(list))
+	latest := make(map[string]wardturn.Position, len(list))
 	for _, e := range list {
 		latest[e.Addr] = max(latest[e.Addr], e.Seen)
 	}
--- a/decide/member.go
+++ b/decide/member.go
@@ -34,7 +34,7 @@
 	refusedUntil time.Time                           // after it refused a connection
 	rest         *rest                               // that it asked for; nil: none
 	coldUntil    time.Time                           // as its entry and its answers say
-	coldSeen     int64                               // position of that entry; negative: there is none
+	coldSeen     wardturn.Position                   // position of that entry; negative: there is none
 	watchUntil   time.Time                           // it may have turned cold unseen
 	evacuated    bool                                // its failure domain is
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -28,9 +28,9 @@
 	mu       sync.Mutex
 	book     *decide.Crashes
 	checking map[wardturn.UpstreamID]bool
-	unheard  bool      // a crash could be told to nobody
-	readTo   int64     // position of the store
-	readAt   time.Time // when that was known to be the latest; zero: nothing was read
+	unheard  bool              // a crash could be told to nobody
+	readTo   wardturn.Position // of the store
+	readAt   time.Time         // when that was known to be the latest; zero: nothing was read
 }
 
 func newCrashes(g *Gateway, record wardturn.CrashRecord) *crashes {
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -21,7 +21,7 @@
 	mu       sync.Mutex
 	woken    chan struct{} // closed and replaced when a turn may have changed
 	config   *decide.ReadTurn
-	configTo int64 // position up to which the configuration was read
+	configTo wardturn.Position // up to which the configuration was read
 	members  *decide.ReadTurn
 }
 
@@ -152,7 +152,7 @@
 }
 
 // readConfig records and tells that the configuration was read up to a position.
-func (n *news) readConfig(asOf time.Time, to int64) {
+func (n *news) readConfig(asOf time.Time, to wardturn.Position) {
 	n.mu.Lock()
 	n.configTo = to
 	stamp := n.config.Read(asOf)
--- a/gateway/roster.go
+++ b/gateway/roster.go
@@ -10,7 +10,8 @@
 )
 
 // roster reads the platform's list of upstreams and keeps entries that lapsed
-// only because the store was away: their upstreams could not renew them.
+// only because the store was away, or came back from an older copy: their upstreams could
+// not renew them.
 type roster struct {
 	source wardturn.MemberSource
 	clock  wardturn.Clock
@@ -118,6 +119,9 @@
 }
 
 func (r *roster) merge(now time.Time, list wardturn.MemberList) roll {
+	if list.Returned {
+		r.backAt = now
+	}
 	if list.Same && len(r.lapsed) == 0 {
 		return roll{
 			same: true,
--- a/gateway/storereturn_test.go
+++ b/gateway/storereturn_test.go
@@ -67,4 +67,51 @@
 		change(newRoute)
 		expectInForce("/new/a")
 	})
+
+	It("has a change in force that took the place of a lost one", func() {
+		old := x.store.Copy()
+		change("")
+		time.Sleep(applyBound)
+		x.store.ComeBack(old)
+		change(newRoute)
+		for i := range 4 {
+			x.store.PutVersion("m0", "a9", int64(2+i))
+		}
+		expectInForce("/new/a")
+	})
+
+	It("goes on serving by what was in force, and with upstreams that have not entered again", func() {
+		old := x.store.Copy()
+		change(newRoute)
+		expectInForce("/new/a")
+		x.list(x.apps[0], "app", "a0", "draining")
+		time.Sleep(applyBound)
+		x.store.DropServer("a0")
+		x.list(x.apps[1], "app", "a1", "ready")
+		time.Sleep(applyBound)
+		x.store.ComeBack(old)
+		began := time.Now()
+		after := began.Add(leftIn)
+		for time.Since(began) < applyBound {
+			for _, front := range fronts {
+				Expect(serves(front, "/new/a")).To(BeTrue())
+			}
+		}
+		Expect(arrivalsAfter(x.apps[0], after)).To(BeZero(), "it had left")
+	})
+
+	It("is followed through two returns, one shortly after the other", func() {
+		old := x.store.Copy()
+		change("")
+		x.store.ComeBack(old)
+		change("")
+		time.Sleep(50 * time.Millisecond)
+		x.store.ComeBack(old)
+		time.Sleep(50 * time.Millisecond)
+		change(newRoute)
+		expectInForce("/new/a")
+	})
 })
+
+// leftIn is by when requests that were sent to an upstream before it left have arrived.
+const leftIn = 100 * time.Millisecond
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -62,7 +62,7 @@
 	places    *decide.Places
 	config    int64               // version of the latest notice
 	upstream  wardturn.UpstreamID // the engine's present lifetime, as gateways and the engine say
-	seen      int64               // position of the entry that named it
+	seen      wardturn.Position   // of the entry that named it
 	fence     wardturn.Fence
 	fencing   bool                // a start record is being written
 	greeted   map[*peer.Conn]bool // connections that said which engine they mean
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -159,7 +159,7 @@
 		DeferCleanup(c.Close)
 		Eventually(g.conn, soon).Should(Receive(&conn))
 	}
-	name := func(upstream wardturn.UpstreamID, seen int64) {
+	name := func(upstream wardturn.UpstreamID, seen wardturn.Position) {
 		Expect(conn.Send(&peer.EngineNotice{
 			Config:   1,
 			Upstream: upstream,
--- a/keeper/news_test.go
+++ b/keeper/news_test.go
@@ -4,6 +4,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"wardturn"
 	"wardturn/peer"
 )
 
@@ -28,7 +29,7 @@
 		Expect(c.Send(&peer.Listen{})).To(Succeed())
 		next[*peer.Holding](w)
 	}
-	tell := func(position int64) {
+	tell := func(position wardturn.Position) {
 		Expect(reader.Send(&peer.StoreNews{
 			Reader: "reader",
 			Config: position,
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -54,7 +54,7 @@
 type EngineNotice struct {
 	Config   int64 // version of the configuration
 	Upstream wardturn.UpstreamID
-	Seen     int64 // position of the upstream's entry in the platform's list; a later lifetime has a higher one
+	Seen     wardturn.Position // of the upstream's entry in the platform's list; a later lifetime has a higher one
 	Spec     wardturn.EngineSpec
 	Relayed  bool // a relay tells the gateway of the holding; here it is only told what it asks for
 	News     bool // the gateway hears here of what others read from the platform's store
@@ -98,7 +98,7 @@
 type StoreNews struct {
 	Reader  wardturn.Incarnation
 	Stamp   time.Duration          // the reader's own time of the reading
-	Config  int64                  // position up to which the configuration was read; zero: it was not
+	Config  wardturn.Position      // up to which the configuration was read; zero: it was not
 	Members *wardturn.MemberChange // nil: the list of upstreams was not read
 	Crashes *CrashReading          // the reader's latest reading of crashes; nil: none, or not told
 }
@@ -106,7 +106,7 @@
 // CrashReading tells how far and when a gateway last read the store's record of crashes, or
 // heard that another had.
 type CrashReading struct {
-	To  int64         // position
+	To  wardturn.Position
 	Age time.Duration // of the reading
 }
 
--- a/routes.go
+++ b/routes.go
@@ -107,7 +107,7 @@
 	GoneAt   time.Time // when it is taken away at short notice; zero: not known
 	// Cold is how much longer its entry says that it takes few requests; zero: it is warm.
 	Cold time.Duration
-	Seen int64 // position of its latest entry among all entries
+	Seen Position // of its latest entry among all entries
 }
 
 // MemberList is one reading of the platform's list of upstreams.
@@ -116,13 +116,16 @@
 	Lapsed  []UpstreamID // entries that ended since the previous reading
 	Change  MemberChange // since the previous reading, for other readers of the list
 	Same    bool         // as at the previous reading; Members is nil
+	// Returned says that the store has come back from an older copy of itself since: some
+	// upstreams have to enter themselves again.
+	Returned bool
 }
 
 // MemberChange is a part of the record of upstreams, as one reader tells it to
 // others. Whoever has read up to From knows all up to To with it.
 type MemberChange struct {
-	From    int64 // negative: the whole list was read; only To is told
-	To      int64
+	From    Position // negative: the whole list was read; only To is told
+	To      Position
 	Changed []Member // without GoneAt, which is in the reader's time
 	Ended   []UpstreamID
 }
@@ -235,11 +238,14 @@
 
 // ConfigChange is what changed in the operator's configuration.
 type ConfigChange struct {
-	To       int64            // position in the record up to which the source has read
+	To       Position         // up to which the source has read the record
 	Table    *RouteTable      // nil: unchanged
 	Versions []AdapterVersion // newest versions of weights that were named
 	// Evacuated has all failure domains that are evacuated; nil: unchanged.
 	Evacuated Evacuations
+	// Returned says that the store has come back from an older copy of itself since the last
+	// call: the operator has to write some records again.
+	Returned bool
 }
 
 // Evacuations are the failure domains whose upstreams are to get no requests.
