Evacuations outlast the store's return from an older copy

What was in force at the return stays so for the time in which lapsed entries may come back. The spec fails on the code before.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -88,7 +88,7 @@
 		}
 		g.logger.Info("version named", line...)
 	}
-	g.evacuate(now, c.Evacuated, &out)
+	g.evacuate(now, c, &out)
 	present := g.routes.Load()
 	if c.Table != nil && (present == nil || c.Table.Version > present.table.Version) {
 		g.fleet.SetTable(c.Table)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,11 +121,12 @@
 	served     sync.Once
 	tasks      *process.Tasks
 
-	mu      sync.Mutex
-	fleet   *decide.Fleet
-	part    []wardturn.Member // of the list that is being read at the start; nil: there is none
-	budgets map[wardturn.ServiceName]*decide.RetryBudget
-	counted decide.GatewayCount // by which the budgets are shared
+	mu        sync.Mutex
+	fleet     *decide.Fleet
+	evacuated evacuations
+	part      []wardturn.Member // of the list that is being read at the start; nil: there is none
+	budgets   map[wardturn.ServiceName]*decide.RetryBudget
+	counted   decide.GatewayCount // by which the budgets are shared
 }
 
 // New starts a gateway. It serves when it has a configuration, or after a
@@ -185,6 +186,7 @@
 	g.tasks.Every(tickEvery, g.tick)
 	g.tasks.Every(usageEvery, g.links.report)
 	g.tasks.Every(checkEvery, g.links.check)
+	g.tasks.Every(checkEvery, g.endKept)
 	g.tasks.Every(capEvery, g.caps.tell)
 	g.tasks.Every(limitEvery, g.limits.tell)
 	g.tasks.Every(begunEvery, g.checkBegun)
--- a/gateway/storereturn_test.go
+++ b/gateway/storereturn_test.go
@@ -100,6 +100,26 @@
 		Expect(arrivalsAfter(x.apps[0], after)).To(BeZero(), "it had left")
 	})
 
+	It("has failure domains stay evacuated until the operator has evacuated them again", func() {
+		old := x.store.Copy()
+		after := x.evacuate("d")
+		time.Sleep(time.Until(after))
+		x.store.ComeBack(old)
+		x.callAll(fronts, "/look/a", "", 1, 20*time.Millisecond, lapseGrace/2)
+		x.evacuate("d")
+		x.callAll(fronts, "/look/a", "", 1, 20*time.Millisecond, 2*lapseGrace+applyBound)
+		Expect(x.arrivedAfter("d", after)).To(BeZero())
+	})
+
+	It("has them serve again if he does not", func() {
+		old := x.store.Copy()
+		after := x.evacuate("d")
+		time.Sleep(time.Until(after))
+		x.store.ComeBack(old)
+		x.callAll(fronts, "/look/a", "", 1, 20*time.Millisecond, applyBound+lapseGrace+time.Second)
+		Expect(x.arrivedAfter("d", after)).To(BeNumerically(">", 0))
+	})
+
 	It("is followed through two returns, one shortly after the other", func() {
 		old := x.store.Copy()
 		change("")
