Records that the store lost in its return are written again

After a return from an older copy a gateway that starts would have sent requests that crash upstreams to three more. The gateways that saw a crash record it again at once, the others after 3 s if nobody has; the facts go with the next round. The spec of the gateway fails on the code before.

--- a/crash.go
+++ b/crash.go
@@ -14,6 +14,9 @@
 	To      Position // up to which they were read
 	Crashes []RecordedCrash
 	Cleared []Crash // records that were taken back
+	// Returned says that the store has come back from an older copy of itself since: records
+	// that are not among these are gone.
+	Returned bool
 }
 
 // RecordedCrash is a crash with the time at which it was recorded.
--- a/decide/crashes.go
+++ b/decide/crashes.go
@@ -170,6 +170,18 @@
 	return fresh
 }
 
+// RecordsLost records that the store may have lost records: it has come back from an older
+// copy. Call Recorded with those that it still has after this. The gateways that saw a
+// crash record it again; the others only if they do not.
+func (c *Crashes) RecordsLost(now time.Time) {
+	for _, s := range c.contents {
+		for _, known := range s.upstreams {
+			known.recorded = false
+			known.since = now
+		}
+	}
+}
+
 // known returns what is known of a crash, or nil.
 func (c *Crashes) known(crash wardturn.Crash) *suspicion {
 	s := c.contents[crash.Content]
--- a/decide/crashes_test.go
+++ b/decide/crashes_test.go
@@ -157,6 +157,30 @@
 		Expect(due).To(Equal([]wardturn.Crash{crash(bad, "u1")}))
 	})
 
+	It("record again what the store has lost, first by who saw it", func() {
+		ends("u0", bad)
+		ends("u1", bad)
+		c.Heard(now, []wardturn.Crash{crash(bad, "u2")})
+		due, _ := c.Due(now, false)
+		c.Written(due, nil)
+		c.Recorded(now, []wardturn.RecordedCrash{{
+			Crash: crash(bad, "u2"),
+			At:    now,
+		}})
+		now = now.Add(time.Hour)
+		c.RecordsLost(now)
+		c.Recorded(now, []wardturn.RecordedCrash{{
+			Crash: crash(bad, "u0"),
+			At:    now,
+		}})
+		due, _ = c.Due(now, false)
+		Expect(due).To(Equal([]wardturn.Crash{crash(bad, "u1")}))
+		now = now.Add(3 * time.Second)
+		due, _ = c.Due(now, false)
+		Expect(due).To(Equal([]wardturn.Crash{crash(bad, "u1"), crash(bad, "u2")}))
+		Expect(refuses(bad)).To(BeTrue())
+	})
+
 	It("take records back that no longer hold", func() {
 		ends("u0", bad)
 		ends("u1", bad)
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -243,6 +244,25 @@
 		Expect(x.crashes()).To(Equal(crashesAllowed))
 	})
 
+	It("is refused by such a gateway also if the store came back without the records", func() {
+		crash(0)
+		recorded := func() int {
+			return strings.Count(x.log.String(), "crashes recorded")
+		}
+		Eventually(recorded, soon, often).Should(Equal(2))
+		x.second.Close() // which would record what it has not read
+		old := x.store.Copy()
+		delete(old, "keyed.wardturn.crashes")
+		x.store.ComeBack(old)
+		Eventually(recorded, soon, often).Should(BeNumerically(">", 2))
+		x.gateway.Close()
+		_, front, _ := x.startGateway("third", platform.NewStore(x.storeAddr, x.metrics))
+		x.fronts = []string{front}
+		x.serves(0)
+		Expect(x.at(0, "/charge/", fatal).body).To(Equal(string(wardturn.ReasonCrashes)))
+		Expect(x.crashes()).To(Equal(crashesAllowed))
+	})
+
 	It("is refused by a gateway that hears of the others through the store alone", func() {
 		x.keeper = "1" // where no keeper is
 		_, front, _ := x.startGateway("alone", platform.NewStore(x.storeAddr, x.metrics))
--- a/gateway/crashrecord.go
+++ b/gateway/crashrecord.go
@@ -106,10 +106,16 @@
 	c.mu.Lock()
 	c.readTo = max(c.readTo, change.To)
 	c.readAt = c.g.clock.Now()
+	if change.Returned {
+		c.book.RecordsLost(c.g.clock.Now())
+	}
 	fresh := c.book.Recorded(c.g.clock.Now(), change.Crashes)
 	c.book.TakenBack(change.Cleared)
 	c.mu.Unlock()
 	c.counted(fresh)
+	if change.Returned {
+		wake(c.writes)
+	}
 }
 
 // write writes what is due to the store, until the gateway ends.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -30,6 +30,9 @@
 			}
 			away = false
 			pause = configRetry
+			if change.Returned {
+				g.storeReturned()
+			}
 			g.apply(change, g.news.configKnown())
 			// Recorded last: whoever finds the configuration known as of a time has
 			// it in force up to then.
@@ -52,6 +55,12 @@
 	}
 }
 
+// storeReturned has records of this gateway that the store may have lost written again.
+func (g *Gateway) storeReturned() {
+	g.returned.Store(true)
+	wake(g.crashes.reads)
+}
+
 // configWait returns the time of a waiting read of the configuration. While no upstream is
 // listed, no keeper is known by whom another gateway could pass its readings on, and all
 // read: the fewer the better.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,7 @@
 	memory  wardturn.FleetMemory
 	// remembered is what was recorded last; used by one goroutine.
 	remembered wardturn.FleetFacts
+	returned   atomic.Bool // the store has come back from an older copy: what was recorded may be gone
 	list       *roster
 	news       *news
 	caps       *caps
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"wardturn"
+)
 
 const (
 	// rememberEvery is the least time between two records of what gateways know.
@@ -43,6 +47,9 @@
 	if !g.news.readsForAll() {
 		return
 	}
+	if g.returned.Swap(false) {
+		g.remembered = wardturn.FleetFacts{}
+	}
 	facts := g.remembered
 	g.mu.Lock()
 	if window, learned := g.fleet.LearnedWindow(); learned {
