--- a/soak/faults.go
+++ b/soak/faults.go
@@ -166,8 +166,11 @@
 			Delay: 300 * time.Millisecond,
 		},
 	}
-	names := []string{"store away", "store silent", "store loses answers", "store slow"}
+	names := []string{"store away", "store silent", "store loses answers", "store slow", "store comes back"}
 	name := pick(r, names)
+	if name == "store comes back" {
+		return s.storeReturn()
+	}
 	return fault{
 		name:   name,
 		target: "store",
@@ -264,10 +267,7 @@
 		version := time.Now().UnixNano()
 		f.name, f.target = "version", adapter
 		f.begin = func() func() {
-			for _, u := range s.world.upstreams {
-				u.worker.Name(adapter, version)
-			}
-			s.world.store.PutVersion("m0", adapter, version)
+			s.nameVersion(adapter, version)
 			return nil
 		}
 	case 3:
--- a/soak/world.go
+++ b/soak/world.go
@@ -50,6 +50,7 @@
 	version   int
 	keys      teamKeys
 	fatals    fatals
+	written   writings
 	stop      chan struct{}
 	wg        sync.WaitGroup
 }
@@ -84,6 +85,9 @@
 		fatals: fatals{
 			crashes: make(map[string]int),
 		},
+		written: writings{
+			versions: make(map[string]int64),
+		},
 	}
 	var err error
 	w.server, w.storeAddr, err = serve("127.0.0.1:0", w.store)
@@ -241,7 +245,7 @@
 	u.mu.Unlock()
 	u.excuse(time.Now(), time.Now()) // under this id it has named nothing
 	w.enter(u)
-	w.store.DropServer(old)
+	w.drop(old)
 }
 
 // behave gives an upstream some troubles; a fatal request crashes it all the same.
