--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -342,8 +342,9 @@
 	if err != nil {
 		return x.sendFailed(a, err)
 	}
-	if !x.engine {
-		x.g.timed(a.Member.ID, x.g.clock.Now().Sub(now), ans.head.NotExecuted)
+	turnedAway := ans.head.NotExecuted && ans.res.StatusCode == http.StatusServiceUnavailable
+	if !x.engine || turnedAway {
+		x.g.timed(a.Member.ID, x.g.clock.Now().Sub(now), turnedAway)
 	}
 	return x.take(a, ans)
 }
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -116,3 +116,17 @@
 		Expect(len(x.apps[0].Arrivals())).To(BeNumerically(">", before))
 	})
 })
+
+// An engine that turns requests away has nothing to do, and got the next ones first: six in
+// ten of all requests where one of two engines did.
+var _ = Describe("An engine that turns requests away without a time", func() {
+	It("gets few of the next ones", func() {
+		x := newRig()
+		x.engines[0].SetFaults(standin.WorkerFaults{
+			Full: true,
+		})
+		statuses := x.callAll([]string{x.front}, "/ask/a", "m0", 4, 5*time.Millisecond, 2*time.Second)
+		Expect(statuses[http.StatusOK]).To(BeNumerically(">", 100))
+		Expect(len(x.engines[0].Arrivals())).To(BeNumerically("<", statuses[http.StatusOK]/3), "%v", statuses)
+	})
+})
