--- a/soak/process.go
+++ b/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os/exec"
 	"sync"
@@ -112,10 +113,22 @@
 
 // freeAddr returns a loopback address that is free now.
 func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "soak")
+	var err error
+	for range portTries {
+		addr := fmt.Sprintf("127.0.0.1:%d", leastPort+rand.IntN(ports))
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.Wrap(err, "soak")
 }
+
+// leastPort and ports are the ports that daemons listen on. They lie below those that the
+// kernel gives to connections, which would take one before its daemon has started.
+const (
+	leastPort = 12000
+	ports     = 18000
+	portTries = 20
+)
