--- /dev/null
+++ b/gateway/caps_internal_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"wardturn"
+)
+
+// stillClock is a clock that a test sets.
+type stillClock struct {
+	now time.Time
+}
+
+func (c *stillClock) Now() time.Time {
+	return c.now
+}
+
+func (c *stillClock) AfterFunc(time.Duration, func()) wardturn.Timer {
+	return nil
+}
+
+// Told at the next look only, a team that jumps to many times its cap goes over it by what
+// all gateways let through until then.
+func TestChargeAsksForMessageWhenTeamJumps(t *testing.T) {
+	clock := &stillClock{
+		now: time.Unix(1000, 0),
+	}
+	g := &Gateway{
+		clock:   clock,
+		metrics: NewMetrics(tally.NoopScope),
+		names: wardturn.HeaderNames{
+			TokenCount: "Tokens",
+		},
+	}
+	g.caps = newCaps(g)
+	team := wardturn.Team{
+		ID: "clerks",
+		Cap: wardturn.UsageCap{
+			Unit:  wardturn.CapTokens,
+			Rate:  1000,
+			Burst: 4000,
+		},
+	}
+	g.caps.setTeams([]wardturn.Team{team})
+	charge := func(tokens string) (asked bool) {
+		t.Helper()
+		x := &exchange{
+			g:    g,
+			r:    httptest.NewRequest("POST", "/", nil),
+			team: &team,
+		}
+		x.r.Header.Set("Tokens", tokens)
+		if !x.charge() {
+			t.Fatalf("%s tokens are beyond the cap", tokens)
+		}
+		select {
+		case <-g.caps.pressing:
+			return true
+		default:
+			return false
+		}
+	}
+	clock.now = clock.now.Add(5 * time.Second)
+	g.caps.teams.Word(clock.now)
+	clock.now = clock.now.Add(capEvery / 2)
+	if charge("1,0") {
+		t.Error("a single token asks for a message")
+	}
+	if !charge("3000,0") {
+		t.Error("most of the cap at once asks for none")
+	}
+}
