Requests that have not started: the field's term in place of unbegun

Renames only: notStarted, StartedQuery, StartedReport, queryStarted, their files and comments. On the wire kinds are numbers and stay; log lines stay.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -151,7 +151,7 @@
 		if _, refused := c.refuses(crash.Content); !refused {
 			continue
 		}
-		n := c.g.unbegun.breakOffContent(crash.Content)
+		n := c.g.notStarted.breakOffContent(crash.Content)
 		c.g.logger.Warn("request is refused, upstreams ended under it", "content", crash.Content, "latest", crash.Upstream, "broken_off", n)
 	}
 	if len(fresh) > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,7 +110,7 @@
 	routes     atomic.Pointer[routes]
 	pool       *pool
 	links      *links
-	unbegun    *unbegun
+	notStarted *notStarted
 	server     *http.Server
 	ready      *http.Server
 	front      net.Listener
@@ -134,20 +134,20 @@
 // second.
 func New(d Deps) *Gateway {
 	g := &Gateway{
-		cfg:     d.Config,
-		clock:   d.Clock,
-		logger:  d.Logger,
-		metrics: d.Metrics,
-		prompts: newPrompts(),
-		names:   d.Names,
-		heads:   d.Heads,
-		source:  d.Source,
-		memory:  d.Memory,
-		pool:    newPool(d.Clock),
-		front:   d.Front,
-		unbegun: newUnbegun(),
-		tasks:   process.NewTasks(d.Clock),
-		budgets: make(map[wardturn.ServiceName]*decide.RetryBudget),
+		cfg:        d.Config,
+		clock:      d.Clock,
+		logger:     d.Logger,
+		metrics:    d.Metrics,
+		prompts:    newPrompts(),
+		names:      d.Names,
+		heads:      d.Heads,
+		source:     d.Source,
+		memory:     d.Memory,
+		pool:       newPool(d.Clock),
+		front:      d.Front,
+		notStarted: newNotStarted(),
+		tasks:      process.NewTasks(d.Clock),
+		budgets:    make(map[wardturn.ServiceName]*decide.RetryBudget),
 	}
 	g.held.most = d.Config.MaxHeld
 	g.list = newRoster(d.Members, d.Clock, d.Logger, d.Config.LapseGrace)
@@ -190,7 +190,7 @@
 	g.tasks.Every(checkEvery, g.endKept)
 	g.tasks.Every(capEvery, g.caps.tell)
 	g.tasks.Every(limitEvery, g.limits.tell)
-	g.tasks.Every(begunEvery, g.checkBegun)
+	g.tasks.Every(startedQueryInterval, g.queryStarted)
 	g.tasks.Every(sweepEvery, g.sweep)
 	g.tasks.Every(promptsEvery, g.logPrompts)
 	g.logger.Info("gateway started", "front", d.Front.Addr(), "process", d.Config.Process, "domain", d.Config.Domain)
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -104,8 +104,8 @@
 		l.links.g.caps.heard(m)
 	case *peer.LimitNews:
 		l.links.g.limits.heard(m)
-	case *peer.Begun:
-		l.links.g.unbegun.begun(m.Upstream, m.IDs)
+	case *peer.StartedReport:
+		l.links.g.notStarted.markStarted(m.Upstream, m.IDs)
 	case *peer.Holding:
 		l.take(c.Peer().Process, m, false)
 	case *peer.Relayed:
--- a/gateway/unbegun_internal_test.go
+++ b/gateway/notstarted_internal_test.go
@@ -28,7 +28,7 @@
 	Version: 2,
 }
 
-func TestUnbegunEndOfAVersion(t *testing.T) {
+func TestNotStartedEndOfAVersion(t *testing.T) {
 	now := time.Unix(1000, 0)
 	tests := []struct {
 		name  string
@@ -45,21 +45,21 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			u := newUnbegun()
+			u := newNotStarted()
 			s := oldSend("r", tt.whole)
 			ctx := u.add(context.Background(), s)
 			if !tt.late {
-				u.begun(tt.told, []string{"r"})
+				u.markStarted(tt.told, []string{"r"})
 			}
 			u.breakOffOlder(newerVersion, now)
 			if tt.late {
-				u.begun(tt.told, []string{"r"})
+				u.markStarted(tt.told, []string{"r"})
 			}
-			u.breakOffDue(now.Add(begunGrace - time.Millisecond))
+			u.breakOffDue(now.Add(startedGrace - time.Millisecond))
 			if tt.whole && ctx.Err() != nil {
 				t.Error("broken off before the keeper could tell")
 			}
-			u.breakOffDue(now.Add(begunGrace))
+			u.breakOffDue(now.Add(startedGrace))
 			if got := ctx.Err() != nil; got != tt.want {
 				t.Errorf("broken off: %v, want %v", got, tt.want)
 			}
@@ -71,12 +71,12 @@
 }
 
 // Only requests whose begin neither showed nor was told are asked for.
-func TestUnbegunUnknown(t *testing.T) {
-	u := newUnbegun()
+func TestNotStartedUnknown(t *testing.T) {
+	u := newNotStarted()
 	for _, s := range []*waitingSend{oldSend("stream", false), oldSend("told", true), oldSend("asked for", true)} {
 		u.add(context.Background(), s)
 	}
-	u.begun("u", []string{"told"})
+	u.markStarted("u", []string{"told"})
 	list := u.unknown()
 	if len(list) != 1 || list[0].attempt != "asked for" {
 		t.Errorf("%d requests are asked for", len(list))
--- a/gateway/oldversion.go
+++ b/gateway/oldversion.go
@@ -17,7 +17,7 @@
 		content:  x.content,
 		whole:    !x.route.Streaming,
 	}
-	ctx = x.g.unbegun.add(ctx, x.waiting)
+	ctx = x.g.notStarted.add(ctx, x.waiting)
 	// Added first: a version that ends after this look finds the request.
 	return ctx, x.unwatch, a.Version == 0 || x.g.versionServes(x.key, a.Version)
 }
@@ -25,7 +25,7 @@
 // unwatch records that the latest send has begun or ended.
 func (x *exchange) unwatch() {
 	if x.waiting != nil {
-		x.send.brokenOff = x.g.unbegun.remove(x.waiting)
+		x.send.brokenOff = x.g.notStarted.remove(x.waiting)
 		x.waiting = nil
 	}
 }
--- a/gateway/oldversion_internal_test.go
+++ b/gateway/oldversion_internal_test.go
@@ -14,8 +14,8 @@
 // then its version may have ended, with nothing under way to be broken off.
 func TestWatchBeginRefusesAnEndedVersion(t *testing.T) {
 	g := &Gateway{
-		clock:   process.Clock{},
-		unbegun: newUnbegun(),
+		clock:      process.Clock{},
+		notStarted: newNotStarted(),
 		fleet: decide.NewFleet(decide.FleetConfig{
 			VersionBound: 5 * time.Second,
 		}),
@@ -56,7 +56,7 @@
 	x.key.Adapter, key.Adapter = "b", "b"
 	name(2, g.clock.Now().Add(-time.Minute))
 	check("newer version there for a minute", false)
-	if len(g.unbegun.sends) != 0 {
-		t.Errorf("%d requests count as not begun, want none", len(g.unbegun.sends))
+	if len(g.notStarted.sends) != 0 {
+		t.Errorf("%d requests count as not begun, want none", len(g.notStarted.sends))
 	}
 }
--- a/gateway/begun_test.go
+++ b/gateway/startedquery_test.go
@@ -10,8 +10,8 @@
 	"wardturn/standin"
 )
 
-// newBegunRig is newOldVersionRig with a route of requests that may run once.
-func newBegunRig() *rig {
+// newStartedRig is newOldVersionRig with a route of requests that may run once.
+func newStartedRig() *rig {
 	x := newOldVersionRig()
 	x.store.PutConfig(config(3, longRoute+longWholeRoute+longOnceRoute))
 	Eventually(func() int {
@@ -37,17 +37,17 @@
 
 var _ = Describe("A request for a whole answer that began on an old version in time", func() {
 	It("has its answer after the version's time, if it may run once", func() {
-		newBegunRig().expectWhole("begun-once", "/once/x", standin.WorkerFaults{})
+		newStartedRig().expectWhole("begun-once", "/once/x", standin.WorkerFaults{})
 	})
 
 	It("has its answer after the version's time, if its engine does not name its runs", func() {
-		newBegunRig().expectWhole("begun-unnamed", "/once/x", standin.WorkerFaults{
+		newStartedRig().expectWhole("begun-unnamed", "/once/x", standin.WorkerFaults{
 			HideRuns: true,
 		})
 	})
 
 	It("has its answer after the version's time, if its head has come and no keeper tells", func() {
-		x := newBegunRig()
+		x := newStartedRig()
 		x.fault(standin.WorkerFaults{
 			Linger:     oldVersionLimit / 2, // between the parts of the body
 			LoseOrders: true,                // the newer version does not come
@@ -72,7 +72,7 @@
 	//	send failed: id=begun-again upstream=e1 sent_ago=4.422238863s error="gateway: the adapter version serves no more: ..."
 	//	failed: id=begun-again status=502 why="the answer was lost"
 	It("is not run again", func() {
-		newBegunRig().expectWhole("begun-again", "/whole/x", standin.WorkerFaults{})
+		newStartedRig().expectWhole("begun-again", "/whole/x", standin.WorkerFaults{})
 	})
 })
 
@@ -84,7 +84,7 @@
 //	old version served: id=held-up-silent version=1 newer=2 sent=-5.407806ms began=6.018439339s
 var _ = Describe("A request for a whole answer that may run once and is held up where no keeper tells what runs", func() {
 	It("does not begin after its version's time", func() {
-		x := newBegunRig()
+		x := newStartedRig()
 		x.fault(standin.WorkerFaults{
 			HoldUp:     oldVersionLimit + time.Second,
 			LoseOrders: true, // the newer version does not come
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -73,7 +73,7 @@
 	listeners listeners
 	countAt   time.Time // when a change of the number of gateways alone may be told
 	words     words
-	begun     begunAsks
+	started   startedQueries
 }
 
 // New starts a keeper.
@@ -94,7 +94,7 @@
 		places:    decide.NewPlaces(d.Clock.Now(), d.Policy),
 		told:      &holding{},
 		listeners: newListeners(),
-		begun:     newBegunAsks(),
+		started:   newStartedQueries(),
 	}
 	k.takeFence()
 	id := peer.Identity{
@@ -107,7 +107,7 @@
 	k.relays = newRelays(k, id)
 	k.server = peer.NewServer(d.Listener, nil, d.Clock, id, k)
 	k.tasks.Go(k.run)
-	k.tasks.Go(k.answerBegun)
+	k.tasks.Go(k.answerStarted)
 	k.logger.Info("keeper started", "addr", d.Listener.Addr(), "process", d.Config.Process)
 	return k
 }
@@ -303,8 +303,8 @@
 		k.gather(words{
 			limits: m.Words,
 		})
-	case *peer.BegunAsk:
-		k.begun.add(c, m.IDs)
+	case *peer.StartedQuery:
+		k.started.add(c, m.IDs)
 	case *peer.Usage:
 		for _, u := range m.Uses {
 			k.places.Use(now, c.Peer().Process, u.Adapter, u.Started, u.Running)
--- a/keeper/begun.go
+++ b/keeper/startedquery.go
@@ -7,22 +7,22 @@
 	"wardturn/peer"
 )
 
-// begunAsks are the questions of gateways which of their requests the engine has begun.
+// startedQueries are the questions of gateways which of their requests the engine has started.
 // Those that come while a report is under way are answered together by the next one.
-type begunAsks struct {
+type startedQueries struct {
 	mu    sync.Mutex
 	ids   map[*peer.Conn][]string
 	woken chan struct{}
 }
 
-func newBegunAsks() begunAsks {
-	return begunAsks{
+func newStartedQueries() startedQueries {
+	return startedQueries{
 		ids:   make(map[*peer.Conn][]string),
 		woken: make(chan struct{}, 1),
 	}
 }
 
-func (b *begunAsks) add(c *peer.Conn, ids []string) {
+func (b *startedQueries) add(c *peer.Conn, ids []string) {
 	b.mu.Lock()
 	b.ids[c] = append(b.ids[c], ids...)
 	b.mu.Unlock()
@@ -33,7 +33,7 @@
 }
 
 // take returns the questions that have no answer yet, once.
-func (b *begunAsks) take() map[*peer.Conn][]string {
+func (b *startedQueries) take() map[*peer.Conn][]string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ids := b.ids
@@ -41,45 +41,45 @@
 	return ids
 }
 
-// answerBegun answers the questions by reports that are taken after them.
-func (k *Keeper) answerBegun() {
+// answerStarted answers the questions by reports that are taken after them.
+func (k *Keeper) answerStarted() {
 	logged := false // that the engine does not name its runs; gateways ask again and again
 	for {
 		select {
-		case <-k.begun.woken:
+		case <-k.started.woken:
 		case <-k.tasks.Context().Done():
 			return
 		}
-		asked := k.begun.take()
+		asked := k.started.take()
 		runs, named, err := k.engine.Runs()
 		if err != nil {
 			k.logger.Debug("engine does not tell its runs, gateways have to ask again", "error", err)
 			continue
 		}
 		if !named && !logged {
-			// Most requests that are asked for have begun: a gateway asks while it
+			// Most requests that are asked for have started: a gateway asks while it
 			// waits for their answers.
 			k.logger.Warn("engine does not name its runs, requests count as begun")
 			logged = true
 		}
-		k.tellBegun(asked, func(id string) bool {
+		k.sendStarted(asked, func(id string) bool {
 			return !named || slices.Contains(runs, id)
 		})
 	}
 }
 
-func (k *Keeper) tellBegun(asked map[*peer.Conn][]string, begun func(id string) bool) {
+func (k *Keeper) sendStarted(asked map[*peer.Conn][]string, started func(id string) bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c, ids := range asked {
 		ids = slices.DeleteFunc(ids, func(id string) bool {
-			return !begun(id)
+			return !started(id)
 		})
 		if len(ids) == 0 {
 			continue
 		}
 		// A gateway that does not get it asks again.
-		_ = c.Send(&peer.Begun{
+		_ = c.Send(&peer.StartedReport{
 			Upstream: k.upstream,
 			IDs:      ids,
 		})
--- a/keeper/begun_test.go
+++ b/keeper/startedquery_test.go
@@ -14,7 +14,7 @@
 		_, addr := startKeeper("k", e)
 		w, conn := connect(addr)
 		Expect(conn.Send(engineNotice(true))).To(Succeed())
-		Expect(conn.Send(&peer.BegunAsk{
+		Expect(conn.Send(&peer.StartedQuery{
 			IDs: ids,
 		})).To(Succeed())
 		return w
@@ -23,13 +23,13 @@
 	It("is told those that the engine runs", func() {
 		e := emptyEngine()
 		e.runs = []string{"r1", "r2"}
-		m := next[*peer.Begun](ask(e, "held-up", "r2"))
+		m := next[*peer.StartedReport](ask(e, "held-up", "r2"))
 		Expect(m.IDs).To(Equal([]string{"r2"}))
 		Expect(m.Upstream).To(Equal(wardturn.UpstreamID("i-1")))
 	})
 
 	It("is told all if the engine does not name its runs", func() {
-		m := next[*peer.Begun](ask(emptyEngine(), "r1", "r2"))
+		m := next[*peer.StartedReport](ask(emptyEngine(), "r1", "r2"))
 		Expect(m.IDs).To(Equal([]string{"r1", "r2"}))
 	})
 
@@ -37,6 +37,6 @@
 		e := emptyEngine()
 		e.runs = []string{}
 		w := ask(e, "held-up")
-		Consistently(w.all, "100ms").ShouldNot(Receive(BeAssignableToTypeOf(&peer.Begun{})))
+		Consistently(w.all, "100ms").ShouldNot(Receive(BeAssignableToTypeOf(&peer.StartedReport{})))
 	})
 })
--- a/peer/frame_test.go
+++ b/peer/frame_test.go
@@ -40,8 +40,8 @@
 		&peer.Follow{Keeper: "127.0.0.1:1", End: true},
 		&peer.Relayed{Keeper: "127.0.0.1:1", Process: "k", Holding: peer.Holding{Seq: 3, Full: true, Known: true, Upstream: "i", Models: []wardturn.BaseModel{"m"}, Adapters: []peer.HeldAdapter{{Adapter: wardturn.AdapterVersion{Model: "m", Adapter: "a", Version: 2}, State: peer.HeldLoading}}, Gone: []wardturn.ModelAdapter{{Model: "m", Adapter: "b"}}, Running: 1, Free: 2}},
 		&peer.Mark{Seq: 9},
-		&peer.BegunAsk{IDs: []string{"r1", "r2"}},
-		&peer.Begun{Upstream: "u", IDs: []string{"r2"}},
+		&peer.StartedQuery{IDs: []string{"r1", "r2"}},
+		&peer.StartedReport{Upstream: "u", IDs: []string{"r2"}},
 	}
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -43,8 +43,8 @@
 	KindMark
 	KindTeamUse
 	KindCrashNews
-	KindBegunAsk
-	KindBegun
+	KindStartedQuery
+	KindStartedReport
 	KindLimitNews
 )
 
@@ -296,10 +296,10 @@
 		return &TeamUse{}
 	case KindCrashNews:
 		return &CrashNews{}
-	case KindBegunAsk:
-		return &BegunAsk{}
-	case KindBegun:
-		return &Begun{}
+	case KindStartedQuery:
+		return &StartedQuery{}
+	case KindStartedReport:
+		return &StartedReport{}
 	case KindLimitNews:
 		return &LimitNews{}
 	}
--- a/peer/placement.go
+++ b/peer/placement.go
@@ -125,14 +125,14 @@
 	Tokens int
 }
 
-// BegunAsk asks a keeper which of some requests its engine has begun.
-type BegunAsk struct {
+// StartedQuery asks a keeper which of some requests its engine has begun.
+type StartedQuery struct {
 	IDs []string // as callers gave them
 }
 
-// Begun answers BegunAsk: these requests have begun. Nothing is said of the others; their
+// StartedReport answers StartedQuery: these requests have begun. Nothing is said of the others; their
 // begin may have been missed, or their run may have ended.
-type Begun struct {
+type StartedReport struct {
 	Upstream wardturn.UpstreamID
 	IDs      []string
 }
@@ -169,10 +169,10 @@
 func (*TeamUse) Kind() Kind { return KindTeamUse }
 
 // Kind implements Message.
-func (*BegunAsk) Kind() Kind { return KindBegunAsk }
+func (*StartedQuery) Kind() Kind { return KindStartedQuery }
 
 // Kind implements Message.
-func (*Begun) Kind() Kind { return KindBegun }
+func (*StartedReport) Kind() Kind { return KindStartedReport }
 
 // Kind implements Message.
 func (*Holding) Kind() Kind { return KindHolding }
