--- a/gateway/budget_internal_test.go
+++ b/gateway/budget_internal_test.go
@@ -9,9 +9,8 @@
 	"wardturn/process"
 )
 
-// All gateways together may add so many resends. A gateway that heard no keeper took itself
-// for the only one, and took as many as all together may at once: when every keeper was
-// lost, 26 gateways had 13 times what is allowed in the window.
+// All gateways together may add so many resends. A gateway that hears no keeper and takes
+// itself for the only one adds as many alone.
 func TestExtraResendsWithoutKeepers(t *testing.T) {
 	const allowed, gateways = 96.0, 26
 	g := &Gateway{
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -165,16 +165,8 @@
 	return n
 }
 
-// Two requests went on to model engines for as long as they came: 11 and 15 times after
-// each had ended three of them, and 16 and 24 engines ended in all. Each came as a new
-// attempt, at any gateway, and a gateway knew attempts only: to it the request was a new
-// one, and an engine that had just started was as good as any. What settled it were the
-// lines of lost answers once they named what a request asks; it is one content at each
-// upstream:
-//
-//	send failed: upstream=b0 content=ee38e63d... sent_ago="229.832µs" error="answer: unexpected EOF"
-//	send failed: upstream=b2 content=ee38e63d... sent_ago="627.179µs" error="answer: unexpected EOF"
-//	send failed: upstream=b1 content=ee38e63d... sent_ago="174.336µs" error="answer: unexpected EOF"
+// Known by its attempt alone, a request that crashes its upstream is a new one each time that
+// its caller repeats it, at any gateway, and ends one upstream after another.
 var _ = Describe("A request that crashes its upstreams", func() {
 	const (
 		// crashesAllowed is how many upstreams may end under one request before it is
@@ -204,9 +196,8 @@
 	})
 
 	// An upstream that fails by itself answers some requests with an error of its own,
-	// whatever they ask. That counted as an answer that clears the content: with each third
-	// answer an error the content was never refused, and 40 upstreams ended in 60 tries (a
-	// model of decide.Crashes).
+	// whatever they ask. Taken for an answer that clears the content, it keeps the content
+	// from ever being refused.
 	It("is refused after three also if upstreams that fail by themselves answer it between", func() {
 		for n := range tries {
 			x.serves(n % 2)
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -40,8 +40,7 @@
 	return n
 }
 
-// The operator's word that a failure domain is to be evacuated was not read: its upstreams
-// got requests as before.
+// Unread, the operator's evacuation leaves upstreams there with their usual requests.
 var _ = Describe("An evacuated failure domain", func() {
 	var x *rig
 	var fronts []string
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Callers that send long bodies slowly took the process beyond its memory.
+// Unbounded, callers that send long bodies slowly take the process beyond its memory.
 var _ = Describe("The bodies that a gateway holds", func() {
 	for _, chunked := range []bool{false, true} {
 		It(fmt.Sprintf("are bounded, chunked %v; what does not fit is refused as not run, and small requests go on once they are gone", chunked), func() {
--- a/gateway/lapse_test.go
+++ b/gateway/lapse_test.go
@@ -10,13 +10,8 @@
 	"wardturn/standin"
 )
 
-// Entries that lapsed were looked at only when the list was read or told, up to 2.1 s
-// after their time where leaving upstreams must get no requests after 3 s. A request
-// reached an engine 3,310 ms after its entry had gone, 1.08 s after the time of the
-// lapse; the gateway logged
-//
-//	13.3351 upstream left the list: upstream=i-a5fa1fe0d7 store_was_away=true
-//	16.615  (the request came; the next word on the list came at 16.986)
+// Looked at only with the next reading of the list, an entry that lapsed keeps its upstream
+// in use beyond the time in which leaving ones must get no more requests.
 var _ = Describe("Entries that lapsed while the store was away", func() {
 	It("count as gone when their time is over, also if the list is not read just then", func() {
 		x := newRigDraining(6*time.Second, "d", "d") // the list is read each 3 s
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -65,9 +65,8 @@
 	return statuses
 }
 
-// An upstream in need named the requests a second that it takes from all gateways
-// together, and got as many as before: no process read what its answers said. At two
-// engines that named 5.1 and 4.2 a second, 50 and 43 requests came in 4 s.
+// Unread, the limit that an upstream in need names leaves it with its usual load from all
+// gateways together.
 var _ = Describe("An upstream that names a limit", func() {
 	var x *rig
 	var fronts []string
--- a/gateway/old_version_test.go
+++ b/gateway/old_version_test.go
@@ -112,14 +112,8 @@
 	}, ContainSubstring(part))
 }
 
-// Requests that were sent in time began on an old version out of time. The bound was
-// looked at when an engine was chosen; after that nothing stood between the request
-// and its begin. Two reached their engines 2.4 and 3.0 s after they were sent, when a
-// frozen host woke, and one waited in its engine's queue for 2.4 s. The gateways logged
-//
-//	old version served: version=2 newer=3 sent=2.848123707s began=5.520683515s
-//	old version served: version=3 newer=4 sent=2.829875051s began=6.092301676s
-//	old version served: version=3 newer=4 sent=2.702295683s began=5.075652123s
+// A request that is sent in time may be held up by a frozen host or an engine's queue, and
+// start on an old version after its end.
 var _ = Describe("A request that is held up on its way to an old version", func() {
 	It("does not begin after the version's time", func() {
 		x := newOldVersionRig()
@@ -134,11 +128,9 @@
 	})
 })
 
-// While the store is away nothing tells how long a newer version has been there, so the
-// bound is taken to have passed when the first word after that names one. Requests that
-// waited at an engine at that moment were broken off and lost, though the version may
-// have been named only then: 78 of 78 that were broken off on nine days with frozen
-// gateways and a store that was away.
+// While the store is away nothing tells how long a newer version has been there, so its
+// bound counts as passed when it is heard of. Broken off then, requests that wait at an
+// engine would be lost though the version may have been named only just now.
 var _ = Describe("A request that waits at an engine when a store that was away names a newer version", func() {
 	It("is not lost", func() {
 		x := newOldVersionRig()
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -117,8 +117,8 @@
 	})
 })
 
-// An engine that turns requests away has nothing to do, and got the next ones first: six in
-// ten of all requests where one of two engines did.
+// An engine that turns requests away has nothing to do. Chosen by load alone it is given
+// the next ones first, and callers are refused while other engines have room.
 var _ = Describe("An engine that turns requests away without a time", func() {
 	It("gets few of the next ones", func() {
 		x := newRig()
--- a/gateway/roster_internal_test.go
+++ b/gateway/roster_internal_test.go
@@ -83,15 +83,9 @@
 	})
 }
 
-// A request reached an engine 3,188 ms after its entry had gone (bound 3,000 ms). The
-// store had turned one reading of that gateway away at 2.5 s of the day. From then on the
-// gateway heard of others' readings and had no need to read by itself, until it doubted
-// its list at 27.1 s. That reading counted as the first after the store's absence, so
-// entries that had ended in the last seconds were taken to have lapsed with it, and were
-// kept for 2.2 s. The gateway logged
-//
-//	 2.5176 store away, the present list of upstreams stays: error="store: status 503"
-//	27.1082 upstream left the list: upstream=i-7ec2a9ec6a store_was_away=true
+// A gateway that the store turned away once may hear of others' readings for long. If its
+// next own reading counts as the store's return, upstreams that left just before are kept as
+// lapsed and get requests.
 func TestRosterStoreThatAnswersOthers(t *testing.T) {
 	x := newRosterRig()
 	x.fail()
--- a/gateway/startedquery_test.go
+++ b/gateway/startedquery_test.go
@@ -63,14 +63,8 @@
 		Eventually(got, 4*soon).Should(Receive(haveBody("piece 4")))
 	})
 
-	// The begin of a whole answer does not show, so all requests that might run again
-	// were broken off when their version ended, those that ran as well: what their
-	// engines had made was lost, and with no newer version at hand the caller got 502.
-	// The gateway logged
-	//
-	//	older versions serve no more: adapter=a1 newer=2 broken_off=1
-	//	send failed: id=begun-again upstream=e1 sent_ago=4.422238863s error="gateway: the adapter version serves no more: ..."
-	//	failed: id=begun-again status=502 why="the answer was lost"
+	// The start of a whole answer does not show. Broken off with the version, requests that
+	// run lose what their engines have made, and have nowhere to run again.
 	It("is not run again", func() {
 		newStartedRig().expectWhole("begun-again", "/whole/x", standin.WorkerFaults{})
 	})
@@ -78,10 +72,7 @@
 
 // Only the keeper beside an engine can say what runs there. A host that is frozen or
 // cut off has a keeper that says nothing, and requests that are held up on their way
-// there begin when it wakes. So a request of which nothing was heard counts as not begun.
-// Before, the gateway logged
-//
-//	old version served: id=held-up-silent version=1 newer=2 sent=-5.407806ms began=6.018439339s
+// there start when it wakes. So a request of which nothing is heard counts as not started.
 var _ = Describe("A request for a whole answer that may run once and is held up where no keeper tells what runs", func() {
 	It("does not begin after its version's time", func() {
 		x := newStartedRig()
