A request to an upstream that the list lacks by now keeps to evacuations

The look before a request is written asked the listed upstream; one that had just left the list passed it, also in an evacuated failure domain.

--- a/decide/fleet_rig_test.go
+++ b/decide/fleet_rig_test.go
@@ -153,3 +153,11 @@
 	x.now = x.now.Add(d)
 	x.f.Tick(x.now, &x.out)
 }
+
+// takes reports whether a request that was given to an engine may be sent there at a time.
+func (x *fleetRig) takes(now time.Time, id wardturn.UpstreamID) bool {
+	return x.f.Takes(now, wardturn.Member{
+		ID:     id,
+		Domain: "near",
+	})
+}
--- a/decide/leaving.go
+++ b/decide/leaving.go
@@ -22,15 +22,16 @@
 	}
 }
 
-// Takes reports whether a request that was given to an upstream may still be sent there.
-func (f *Fleet) Takes(now time.Time, id wardturn.UpstreamID) bool {
-	if f.rests[id.Instance()].inForce(now) {
+// Takes reports whether a request that was given to an upstream may still be sent there,
+// also if the list lacks it by now.
+func (f *Fleet) Takes(now time.Time, u wardturn.Member) bool {
+	if f.evacuated[u.Domain] || f.rests[u.ID.Instance()].inForce(now) {
 		return false
 	}
-	if m := f.members[id]; m != nil {
-		return !m.Draining && !m.evacuated
+	if m := f.members[u.ID]; m != nil {
+		return !m.Draining
 	}
-	_, left := f.leaving[id]
+	_, left := f.leaving[u.ID]
 	return !left
 }
 
--- a/decide/leaving_test.go
+++ b/decide/leaving_test.go
@@ -39,13 +39,13 @@
 		x.hold("n0", readyAdapter("a", 1))
 		x.admit("r0", "a")
 		Expect(x.got["r0"].Member.ID).To(BeEquivalentTo("n0"))
-		Expect(x.f.Takes(x.now, "n0")).To(BeTrue())
+		Expect(x.takes(x.now, "n0")).To(BeTrue())
 		x.f.Leaves(x.now, "n0", &x.out)
 		Expect(x.out.Leaving).To(ConsistOf(wardturn.UpstreamID("n0")))
-		Expect(x.f.Takes(x.now, "n0")).To(BeFalse(), "one that was chosen just before")
+		Expect(x.takes(x.now, "n0")).To(BeFalse(), "one that was chosen just before")
 		for _, list := range [][]wardturn.Member{fleetMembers(), fleetMembers()[1:], fleetMembers()} {
 			x.f.SetMembers(x.now, list)
-			Expect(x.f.Takes(x.now, "n0")).To(BeFalse())
+			Expect(x.takes(x.now, "n0")).To(BeFalse())
 			x.out.Asks = nil
 			x.admit("r1", "a")
 			x.tick(wishRepeatOver)
@@ -56,6 +56,19 @@
 		}
 	})
 
+	It("gets no request that was given to it before its failure domain was evacuated", func() {
+		x := newFleetRig()
+		for _, list := range [][]wardturn.Member{fleetMembers(), fleetMembers()[1:]} {
+			x.f.SetEvacuated(x.now, nil, &x.out)
+			x.f.SetMembers(x.now, list)
+			Expect(x.takes(x.now, "n0")).To(BeTrue())
+			x.f.SetEvacuated(x.now, wardturn.Evacuations{
+				"near": true,
+			}, &x.out)
+			Expect(x.takes(x.now, "n0")).To(BeFalse())
+		}
+	})
+
 	It("is used in its next lifetime", func() {
 		x := newFleetRig()
 		x.f.Leaves(x.now, "n0", &x.out)
@@ -63,7 +76,7 @@
 		list[0].ID = wardturn.Lifetime("n0", 1)
 		list[0].Seen = 1
 		x.f.SetMembers(x.now, list)
-		Expect(x.f.Takes(x.now, list[0].ID)).To(BeTrue())
+		Expect(x.takes(x.now, list[0].ID)).To(BeTrue())
 		x.hold(string(list[0].ID), readyAdapter("a", 1))
 		x.admit("r", "a")
 		Expect(x.got["r"].Member.ID).To(Equal(list[0].ID))
@@ -76,7 +89,7 @@
 			Known:     true,
 			Leaving:   true,
 		}, &x.out)
-		Expect(x.f.Takes(x.now, "n0")).To(BeFalse())
+		Expect(x.takes(x.now, "n0")).To(BeFalse())
 	})
 })
 
--- a/decide/rest_test.go
+++ b/decide/rest_test.go
@@ -45,7 +45,7 @@
 		x.f.SetMembers(x.now, again)
 		x.hold(string(again[0].ID), readyAdapter("a", 1))
 		x.now = x.now.Add(2900 * time.Millisecond)
-		Expect(x.f.Takes(x.now, again[0].ID)).To(BeFalse())
+		Expect(x.takes(x.now, again[0].ID)).To(BeFalse())
 		x.admit("during", "a")
 		Expect(x.got).NotTo(HaveKey("during"))
 		x.now = x.now.Add(101 * time.Millisecond)
@@ -109,9 +109,9 @@
 
 	It("asks for no longer than an hour, and for none with zero", func() {
 		x.f.Rests(x.now, "n0", 0)
-		Expect(x.f.Takes(x.now, "n0")).To(BeTrue())
+		Expect(x.takes(x.now, "n0")).To(BeTrue())
 		x.f.Rests(x.now, "n0", 1e8*time.Second)
-		Expect(x.f.Takes(x.now.Add(59*time.Minute), "n0")).To(BeFalse())
-		Expect(x.f.Takes(x.now.Add(61*time.Minute), "n0")).To(BeTrue())
+		Expect(x.takes(x.now.Add(59*time.Minute), "n0")).To(BeFalse())
+		Expect(x.takes(x.now.Add(61*time.Minute), "n0")).To(BeTrue())
 	})
 })
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -93,10 +93,10 @@
 }
 
 // takes reports whether a request that was given to an upstream may still be sent there.
-func (g *Gateway) takes(id wardturn.UpstreamID) bool {
+func (g *Gateway) takes(u wardturn.Member) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.fleet.Takes(g.clock.Now(), id)
+	return g.fleet.Takes(g.clock.Now(), u)
 }
 
 func (g *Gateway) refused(id wardturn.UpstreamID) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -342,7 +342,7 @@
 	if err != nil {
 		return x.sendFailed(a, err)
 	}
-	turnedAway := ans.head.NotExecuted && ans.res.StatusCode == http.StatusServiceUnavailable
+	turnedAway := ans.head.NotExecuted && ans.res.StatusCode != http.StatusMisdirectedRequest
 	if !x.engine || turnedAway {
 		x.g.timed(a.Member.ID, x.g.clock.Now().Sub(now), turnedAway)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -61,7 +61,7 @@
 	}
 	// Looked at only now: to open the connection may take as long as an upstream has to
 	// end in.
-	if !g.takes(a.ID) {
+	if !g.takes(a) {
 		c.keep(g.pool)
 		return nil, errWithdrawn
 	}
