--- a/gateway/caps.go
+++ b/gateway/caps.go
@@ -104,7 +104,7 @@
 	}
 }
 
-func (c *caps) heard(m *peer.TeamUse) {
+func (c *caps) receive(m *peer.TeamUse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.g.clock.Now()
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -28,7 +28,7 @@
 	mu       sync.Mutex
 	book     *decide.Crashes
 	checking map[wardturn.UpstreamID]bool
-	unheard  bool              // a crash could be told to nobody
+	unsent  bool              // a crash could be told to nobody
 	readTo   wardturn.Position // of the store
 	readAt   time.Time         // when that was known to be the latest; zero: nothing was read
 }
@@ -129,7 +129,7 @@
 		Crashes: fresh,
 	})
 	c.mu.Lock()
-	c.unheard = c.unheard || !told
+	c.unsent = c.unsent || !told
 	c.mu.Unlock()
 	c.counted(fresh)
 }
@@ -159,8 +159,8 @@
 	}
 }
 
-// heard takes the word of another gateway.
-func (c *crashes) heard(m *peer.CrashNews) {
+// receive takes a message of another gateway.
+func (c *crashes) receive(m *peer.CrashNews) {
 	c.mu.Lock()
 	fresh := c.book.Heard(c.g.clock.Now(), m.Crashes)
 	c.book.Cleared(m.Cleared)
--- a/gateway/crashrecord.go
+++ b/gateway/crashrecord.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// heardReading takes the word of another gateway on its latest reading of the store.
-func (c *crashes) heardReading(r *peer.CrashReading) {
+// mergeReading takes what another gateway says of its latest reading of the store.
+func (c *crashes) mergeReading(r *peer.CrashReading) {
 	if r == nil {
 		return
 	}
@@ -134,9 +134,9 @@
 // writeDue reports whether nothing is left to be written.
 func (c *crashes) writeDue() bool {
 	c.mu.Lock()
-	list, takeBack := c.book.Due(c.g.clock.Now(), c.unheard)
-	all := c.unheard
-	c.unheard = false
+	list, takeBack := c.book.Due(c.g.clock.Now(), c.unsent)
+	all := c.unsent
+	c.unsent = false
 	c.mu.Unlock()
 	if len(list)+len(takeBack) == 0 {
 		return true
@@ -145,7 +145,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		c.unheard = c.unheard || all
+		c.unsent = c.unsent || all
 		c.g.logger.Warn("crashes not recorded", "crashes", len(list), "taken_back", len(takeBack), "error", err)
 		return false
 	}
--- a/gateway/crashrecord_internal_test.go
+++ b/gateway/crashrecord_internal_test.go
@@ -40,7 +40,7 @@
 	for i := range 40 {
 		clock.now = clock.now.Add(configWait / 2)
 		c, other := gateways[i%2], gateways[(i+1)%2]
-		other.heardReading(c.reading())
+		other.mergeReading(c.reading())
 		c.readIfOld(true)
 		select {
 		case <-c.reads:
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// heard takes the words of other gateways.
-func (l *limits) heard(m *peer.LimitNews) {
+// receive takes a message of another gateway.
+func (l *limits) receive(m *peer.LimitNews) {
 	l.any.Store(true)
 	var changes []decide.LimitUpdate
 	l.g.mu.Lock()
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -97,13 +97,13 @@
 func (l *link) Handle(c *peer.Conn, m peer.Message) {
 	switch m := m.(type) {
 	case *peer.StoreNews:
-		l.links.g.news.heard(m)
+		l.links.g.news.receive(m)
 	case *peer.CrashNews:
-		l.links.g.crashes.heard(m)
+		l.links.g.crashes.receive(m)
 	case *peer.TeamUse:
-		l.links.g.caps.heard(m)
+		l.links.g.caps.receive(m)
 	case *peer.LimitNews:
-		l.links.g.limits.heard(m)
+		l.links.g.limits.receive(m)
 	case *peer.StartedReport:
 		l.links.g.notStarted.markStarted(m.Upstream, m.IDs)
 	case *peer.Holding:
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -230,17 +230,17 @@
 	}
 }
 
-// heard takes the word of another gateway.
-func (n *news) heard(m *peer.StoreNews) {
+// receive takes a message of another gateway.
+func (n *news) receive(m *peer.StoreNews) {
 	if m.Reader == n.g.cfg.Process {
 		return
 	}
-	n.g.crashes.heardReading(m.Crashes)
+	n.g.crashes.mergeReading(m.Crashes)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.g.clock.Now()
 	if m.Members != nil {
-		n.heardMembers(now, m)
+		n.receiveMembers(now, m)
 		return
 	}
 	if m.Config > n.configTo {
@@ -253,9 +253,9 @@
 	n.wake()
 }
 
-// heardMembers hands a change of the list on; the lock is held. If that cannot be
+// receiveMembers hands a change of the list on; the lock is held. If that cannot be
 // taken, the list counts as out of date.
-func (n *news) heardMembers(now time.Time, m *peer.StoreNews) {
+func (n *news) receiveMembers(now time.Time, m *peer.StoreNews) {
 	if m.Members.From < 0 {
 		// The change is too long to be told. The list is read when its turn comes: read at
 		// once by all that hear of it, while hundreds of upstreams enter, it would have all
