--- a/decide/holding.go
+++ b/decide/holding.go
@@ -50,7 +50,7 @@
 	m.holding = h
 	m.heldAt = now
 	if h.Limit > 0 {
-		f.limits.Named(now, id, h.Limit)
+		f.limits.Observe(now, id, h.Limit)
 	}
 	if h.Leaving {
 		f.Leaves(now, id, out)
--- a/decide/limited_test.go
+++ b/decide/limited_test.go
@@ -16,7 +16,7 @@
 	var limits *decide.Limits
 	name := func(ids ...wardturn.UpstreamID) {
 		for _, id := range ids {
-			limits.Named(x.now, id, 2)
+			limits.Observe(x.now, id, 2)
 		}
 	}
 	BeforeEach(func() {
--- a/decide/limits.go
+++ b/decide/limits.go
@@ -93,9 +93,9 @@
 	l.SetGateways(now, gateways)
 }
 
-// Named takes an answer that names a limit. It reports whether that is another than
+// Observe takes an answer that names a limit and reports whether that is another than
 // was known.
-func (l *Limits) Named(now time.Time, id wardturn.UpstreamID, rate wardturn.RequestRate) (changed bool) {
+func (l *Limits) Observe(now time.Time, id wardturn.UpstreamID, rate wardturn.RequestRate) (changed bool) {
 	r := max(float64(rate), leastLimit)
 	n := l.limit(id)
 	changed = n.rate != r
@@ -104,18 +104,18 @@
 	return changed
 }
 
-// Unclear takes an answer that names a limit which can't be read: the one that is known
+// ObserveUnclear takes an answer that names a limit which can't be read: the one that is known
 // stays.
-func (l *Limits) Unclear(now time.Time, id wardturn.UpstreamID) {
+func (l *Limits) ObserveUnclear(now time.Time, id wardturn.UpstreamID) {
 	if n := l.named[id.Instance()]; n != nil && n.rate > 0 {
 		n.confirm(now)
 	}
 }
 
-// Unnamed takes an answer that names no limit, to a request that was sent at a time. It
+// ObserveNone takes an answer that names no limit, to a request that was sent at a time. It
 // reports whether that ends one: answers to requests that were sent before the latest
 // that names it say nothing.
-func (l *Limits) Unnamed(now time.Time, id wardturn.UpstreamID, sent time.Time) (ended bool) {
+func (l *Limits) ObserveNone(now time.Time, id wardturn.UpstreamID, sent time.Time) (ended bool) {
 	n := l.named[id.Instance()]
 	if n == nil || n.rate == 0 || !sent.After(n.namedAt) {
 		return false
--- a/decide/limits_bench_test.go
+++ b/decide/limits_bench_test.go
@@ -42,11 +42,11 @@
 	l = decide.NewLimits(start, "p0")
 	l.SetGateways(start, n)
 	for i := range 50 {
-		l.Named(start, wardturn.UpstreamID(fmt.Sprint("u", i)), 5)
+		l.Observe(start, wardturn.UpstreamID(fmt.Sprint("u", i)), 5)
 	}
 	for i := 1; i < n; i++ {
 		other := decide.NewLimits(start, wardturn.Incarnation(fmt.Sprint("p", i)))
-		other.Named(start, wardturn.UpstreamID(fmt.Sprint("u", i%50)), 5)
+		other.Observe(start, wardturn.UpstreamID(fmt.Sprint("u", i%50)), 5)
 		w, _, _ := other.Word(start)
 		l.Heard(start, w)
 		words = append(words, w)
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -174,9 +174,9 @@
 			if s.firstAt < 0 {
 				s.firstAt = len(s.sent)
 			}
-			a.to.limits.Named(s.now, limitID, wardturn.RequestRate(a.rate))
+			a.to.limits.Observe(s.now, limitID, wardturn.RequestRate(a.rate))
 		default:
-			a.to.limits.Unnamed(s.now, limitID, a.sent)
+			a.to.limits.ObserveNone(s.now, limitID, a.sent)
 		}
 	}
 	s.answers = answers
@@ -361,11 +361,11 @@
 	now := start
 	for i := range 60 {
 		now = now.Add(500 * time.Millisecond)
-		l.Named(now, limitID, 5)
-		if l.Unnamed(now.Add(time.Millisecond), limitID, now.Add(-time.Second)) {
+		l.Observe(now, limitID, 5)
+		if l.ObserveNone(now.Add(time.Millisecond), limitID, now.Add(-time.Second)) {
 			t.Fatal("ended by an answer to a request that was sent before")
 		}
-		if i%2 == 0 && l.Unnamed(now.Add(400*time.Millisecond), limitID, now.Add(time.Millisecond)) {
+		if i%2 == 0 && l.ObserveNone(now.Add(400*time.Millisecond), limitID, now.Add(time.Millisecond)) {
 			t.Fatal("ended by one answer")
 		}
 	}
@@ -378,15 +378,15 @@
 func TestLimitsUnclear(t *testing.T) {
 	l := decide.NewLimits(start, "p")
 	l.SetGateways(start, 1)
-	l.Unclear(start, limitID)
+	l.ObserveUnclear(start, limitID)
 	if l.Limited(limitID) {
 		t.Error("limited by a figure that can't be read")
 	}
-	l.Named(start, limitID, 5)
+	l.Observe(start, limitID, 5)
 	for i := range 50 {
 		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
-		l.Unnamed(now, limitID, now)
-		l.Unclear(now, limitID)
+		l.ObserveNone(now, limitID, now)
+		l.ObserveUnclear(now, limitID)
 	}
 	if !l.Limited(limitID) {
 		t.Error("ended while answers name one")
@@ -398,7 +398,7 @@
 func TestLimitsReborn(t *testing.T) {
 	l := decide.NewLimits(start, "p")
 	l.SetGateways(start, 1)
-	l.Named(start, wardturn.Lifetime("u", 1000), 5)
+	l.Observe(start, wardturn.Lifetime("u", 1000), 5)
 	if !l.Limited(wardturn.Lifetime("u", 2000)) {
 		t.Error("not limited after a restart")
 	}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -28,7 +28,7 @@
 	mu       sync.Mutex
 	book     *decide.Crashes
 	checking map[wardturn.UpstreamID]bool
-	unsent  bool              // a crash could be told to nobody
+	unsent   bool              // a crash could be told to nobody
 	readTo   wardturn.Position // of the store
 	readAt   time.Time         // when that was known to be the latest; zero: nothing was read
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,7 +154,7 @@
 	g.news = newNews(g)
 	g.caps = newCaps(g)
 	g.limits = newLimits(g)
-	d.Config.Fleet.Limits = g.limits.book
+	d.Config.Fleet.Limits = g.limits.state
 	g.fleet = decide.NewFleet(d.Config.Fleet)
 	g.crashes = newCrashes(g, d.Crashes)
 	g.links = newLinks(g)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -17,28 +17,28 @@
 // them that go to and come from the other gateways through keepers.
 type limits struct {
 	g     *Gateway
-	book  *decide.Limits // guarded by the gateway's lock
+	state *decide.Limits // guarded by the gateway's lock
 	any   atomic.Bool    // some upstream has named one
 	words atomic.Int64   // told so far
 }
 
 func newLimits(g *Gateway) *limits {
 	return &limits{
-		g:    g,
-		book: decide.NewLimits(g.clock.Now(), g.cfg.Process),
+		g:     g,
+		state: decide.NewLimits(g.clock.Now(), g.cfg.Process),
 	}
 }
 
-// named takes an answer that names a limit.
-func (l *limits) named(id wardturn.UpstreamID, limit wardturn.Figure[wardturn.RequestRate], status int) {
+// observe takes an answer that names a limit.
+func (l *limits) observe(id wardturn.UpstreamID, limit wardturn.Figure[wardturn.RequestRate], status int) {
 	l.any.Store(true)
 	now := l.g.clock.Now()
 	l.g.mu.Lock()
 	changed := false
 	if limit.Err != nil {
-		l.book.Unclear(now, id)
+		l.state.ObserveUnclear(now, id)
 	} else {
-		changed = l.book.Named(now, id, limit.Value)
+		changed = l.state.Observe(now, id, limit.Value)
 	}
 	l.g.mu.Unlock()
 	if limit.Err != nil {
@@ -50,10 +50,10 @@
 	}
 }
 
-// unnamed takes an answer that names no limit, to a request sent at a time.
-func (l *limits) unnamed(id wardturn.UpstreamID, sent time.Time, status int) {
+// observeNone takes an answer that names no limit, to a request sent at a time.
+func (l *limits) observeNone(id wardturn.UpstreamID, sent time.Time, status int) {
 	l.g.mu.Lock()
-	ended := l.book.Unnamed(l.g.clock.Now(), id, sent)
+	ended := l.state.ObserveNone(l.g.clock.Now(), id, sent)
 	l.g.mu.Unlock()
 	if ended {
 		l.g.logger.Info("upstream names no limit any more", "upstream", id, "status", status)
@@ -67,8 +67,8 @@
 	l.g.mu.Lock()
 	now := l.g.clock.Now()
 	counted := l.g.fleet.CountedGateways()
-	l.book.SetGateways(now, counted)
-	w, fresh, due := l.book.Word(now)
+	l.state.SetGateways(now, counted)
+	w, fresh, due := l.state.Word(now)
 	l.g.mu.Unlock()
 	if !due {
 		return
@@ -95,7 +95,7 @@
 	l.g.mu.Lock()
 	now := l.g.clock.Now()
 	for _, w := range m.Words {
-		changes = append(changes, l.book.Heard(now, w)...)
+		changes = append(changes, l.state.Heard(now, w)...)
 	}
 	l.g.mu.Unlock()
 	for _, c := range changes {
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -27,7 +27,7 @@
 		if err == nil {
 			g.mu.Lock()
 			g.fleet.RecallWindow(facts.Window)
-			g.limits.book.Recall(g.clock.Now(), facts.Gateways)
+			g.limits.state.Recall(g.clock.Now(), facts.Gateways)
 			g.mu.Unlock()
 			g.caps.recall(facts.Gateways)
 			g.remembered = facts
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -40,9 +40,9 @@
 	}
 	switch {
 	case head.Limit.Named:
-		g.limits.named(id, head.Limit, status)
+		g.limits.observe(id, head.Limit, status)
 	case own && g.limits.any.Load():
-		g.limits.unnamed(id, x.send.sent, status)
+		g.limits.observeNone(id, x.send.sent, status)
 	}
 }
 
