Soak: an answer that says leaving counts for the upstream that gave it

The log has no such fault at that upstream: the check was wrong, the case is allowed. Its test has the case now.

--- a/soak/answers.go
+++ b/soak/answers.go
@@ -144,8 +144,9 @@
 		return l.sent[a.Attempt].process + " " + a.Lifetime
 	}
 	for _, a := range arrivals {
+		// An attempt may have arrived here, been turned away, and been answered elsewhere.
 		at, ok := l.leaving[a.Attempt]
-		if first := told[key(a)]; ok && (first.IsZero() || at.Before(first)) {
+		if first := told[key(a)]; ok && a.Leaving && (first.IsZero() || at.Before(first)) {
 			told[key(a)] = at
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"wardturn/standin"
 )
 
 // TestSoak plays a short soak with the real daemons.
@@ -231,6 +233,12 @@
 		s.answers.note(id, process)
 		ranOnce(t, u, id)
 	}
+	send("elsewhere", "resent") // and answered by an upstream that leaves
+	s.answers.leaving["resent"] = time.Now().Add(-leavingBound)
+	send("elsewhere", "allowed")
+	u.behave(standin.WorkerFaults{
+		Leaving: "1",
+	})
 	send("told", "leaves")
 	s.answers.leaving["leaves"] = time.Now().Add(-leavingBound)
 	send("untold", "other")
--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -66,6 +66,7 @@
 		At:       time.Now(),
 		Attempt:  r.Header.Get("X-Wardturn-Attempt-Id"),
 		Lifetime: fmt.Sprintf("%s@%d", m.id, m.born),
+		Leaving:  m.faults.Leaving == "1",
 	})
 	m.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -146,6 +146,7 @@
 	At       time.Time
 	Attempt  string
 	Lifetime string        // of the worker
+	Leaving  bool          // the answer says that the worker leaves
 	Rest     time.Duration // that the refusal asked for; zero: none
 }
 
