--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -11,7 +11,8 @@
 // followConfig keeps the configuration up to date by long polls of the store.
 func (g *Gateway) followConfig() {
 	retryDelay := configRetryDelay
-	unavailable := false
+	failedReads := 0
+	var failingSince time.Time
 	for {
 		if !g.reads.awaitRead(g.reads.config) {
 			return
@@ -22,10 +23,10 @@
 		apply, err := g.configSource.Poll(g.reads.currentConfigPosition(), wait)
 		if err == nil {
 			g.metrics.config.succeeded.Inc(1)
-			if unavailable {
-				g.logger.Info("store answers again", "for", "configuration")
+			if failedReads > 0 {
+				g.logger.Info("store answers again", "for", "configuration", "away_for", g.clock.Now().Sub(failingSince), "failed_reads", failedReads)
 			}
-			unavailable = false
+			failedReads = 0
 			retryDelay = configRetryDelay
 			g.applyRead(apply, sent, wait)
 			if g.hadUpstreams.Load() {
@@ -34,10 +35,11 @@
 			continue
 		}
 		g.metrics.config.failed.Inc(1)
-		if !unavailable {
+		if failedReads == 0 {
+			failingSince = sent
 			g.logger.Warn("store away, the present configuration stays", "error", err)
 		}
-		unavailable = true
+		failedReads++
 		g.reads.readFailed(g.reads.config)
 		if !g.tasks.Sleep(retryDelay) {
 			return
@@ -119,6 +121,9 @@
 		g.routes.Store(newRoutes(c.Table))
 		g.applyPartialMembers()
 		fields := []any{"version", c.Table.Version, "routes", len(c.Table.Routes), "teams", len(c.Table.Teams)}
+		if !known.IsZero() {
+			fields = append(fields, "known_ago", now.Sub(known))
+		}
 		g.logger.Info("configuration in force", append(fields, reader...)...)
 	}
 	g.mu.Unlock()
