--- a/standin/faultproxy.go
+++ b/standin/faultproxy.go
@@ -30,10 +30,15 @@
 	delay   time.Duration
 	blocked bool
 	closed  bool
-	conns   map[net.Conn]bool
+	conns   map[net.Conn]*proxiedConn
 	wg      sync.WaitGroup
 }
 
+// proxiedConn is a connection through a FaultProxy. Both of its sides share it.
+type proxiedConn struct {
+	silent bool // bytes are read and dropped; guarded by FaultProxy.mu
+}
+
 // NewFaultProxy starts a proxy on a free loopback port.
 func NewFaultProxy(target string) (*FaultProxy, error) {
 	return NewFaultProxyAt("127.0.0.1:0", target)
@@ -48,7 +53,7 @@
 	r := &FaultProxy{
 		ln:     ln,
 		target: target,
-		conns:  make(map[net.Conn]bool),
+		conns:  make(map[net.Conn]*proxiedConn),
 	}
 	r.resumed = sync.NewCond(&r.mu)
 	r.wg.Add(1)
@@ -119,6 +124,16 @@
 	r.resumed.Broadcast()
 }
 
+// SilenceConns drops everything that is sent on the open connections from now on, without
+// closing them. New connections are forwarded.
+func (r *FaultProxy) SilenceConns() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.conns {
+		p.silent = true
+	}
+}
+
 // Delay sets the time by which each chunk of data is delayed.
 func (r *FaultProxy) Delay(d time.Duration) {
 	r.mu.Lock()
@@ -180,7 +195,8 @@
 		c.Close()
 		return
 	}
-	if !r.addConns(c, t) {
+	p := &proxiedConn{}
+	if !r.addConns(p, c, t) {
 		c.Close()
 		t.Close()
 		return
@@ -190,7 +206,7 @@
 	for dir, pair := range [][2]net.Conn{{c, t}, {t, c}} {
 		go func() {
 			defer wg.Done()
-			r.copy(Direction(dir), pair[1], pair[0])
+			r.copy(p, Direction(dir), pair[1], pair[0])
 			c.Close()
 			t.Close()
 		}()
@@ -203,24 +219,24 @@
 }
 
 // addConns registers connections. It returns false if the proxy is blocked or closed.
-func (r *FaultProxy) addConns(conns ...net.Conn) bool {
+func (r *FaultProxy) addConns(p *proxiedConn, conns ...net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.blocked || r.closed {
 		return false
 	}
 	for _, c := range conns {
-		r.conns[c] = true
+		r.conns[c] = p
 	}
 	return true
 }
 
-func (r *FaultProxy) copy(dir Direction, dst io.Writer, src io.Reader) {
+func (r *FaultProxy) copy(p *proxiedConn, dir Direction, dst io.Writer, src io.Reader) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		r.waitResumed(dir)
-		if n > 0 {
+		dropped := r.waitResumed(p, dir)
+		if n > 0 && !dropped {
 			if _, err := dst.Write(buf[:n]); err != nil {
 				return
 			}
@@ -231,13 +247,16 @@
 	}
 }
 
-// waitResumed waits while the direction is stalled, and then for the delay.
-func (r *FaultProxy) waitResumed(dir Direction) {
+// waitResumed waits while the direction is stalled, and then for the delay. It reports whether
+// the connection is silent.
+func (r *FaultProxy) waitResumed(p *proxiedConn, dir Direction) (silent bool) {
 	r.mu.Lock()
 	for r.stalled[dir] {
 		r.resumed.Wait()
 	}
 	d := r.delay
+	silent = p.silent
 	r.mu.Unlock()
 	time.Sleep(d)
+	return silent
 }
