gateway: a poll before any upstream is registered ends in time on a silent connection

Callers: routes that had been added were answered 404 up to 5.6 s after the gateway's connection to the store had gone silent, as long as no upstream was registered.

Cause: such polls wait for 5 s instead of 1.2 s, to spare calls, and a silent connection shows only when the wait and its margin are over.

The wait is 2 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,8 +27,9 @@
 	// spread of the read schedule, the last gateway polls after 1.7 s.
 	configWait = 1200 * time.Millisecond
 	// configIdleWait replaces configWait while no upstream is registered and nothing can
-	// be served.
-	configIdleWait = 5 * time.Second
+	// be served. A poll on a connection that has gone silent must still be repeated within
+	// the 3 s after which a change must be in force again.
+	configIdleWait = 2 * time.Second
 	// configMinInterval is the minimum interval between configuration reads triggered by
 	// announcements of other gateways. Every gateway reads a change itself that was announced
 	// without its records.
--- a/gateway/silentstore_test.go
+++ b/gateway/silentstore_test.go
@@ -53,3 +53,26 @@
 		}, configBound, pollInterval).Should(Equal(http.StatusOK))
 	})
 })
+
+// Before upstreams are registered, polls wait longer, and a silent connection is noticed only
+// at the end of the wait.
+var _ = Describe("A gateway without upstreams whose connection to the store goes silent", func() {
+	It("applies later configuration changes in time", func() {
+		x := newRig()
+		store := standin.NewMetaStore()
+		store.PutConfig(config(1, ""))
+		ln := listen("127.0.0.1:0")
+		serve(ln, store)
+		proxy, err := standin.NewFaultProxy(ln.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+		x.startGateway("alone", platform.NewStore(proxy.Addr(), x.metrics))
+		Eventually(func() int {
+			return store.TopicReads(topicOperator)
+		}, eventTimeout, pollInterval).Should(BeNumerically(">=", 2)) // a long poll has just started
+		proxy.SilenceConns()
+		time.Sleep(contactBound - configBound)
+		store.PutConfig(config(2, newRoute))
+		Eventually(x.log.String, configBound, pollInterval).Should(ContainSubstring("configuration in force: version=2"))
+	})
+})
