gateway: the spec of usage caps waits until the caps are in force

Cause: it takes the first 200 for a sign that the configuration with teams is in force. The configuration before it has no teams and serves the same request, so all requests of the spec could be answered before the change arrived (the log of the failed run has 'configuration in force: version=2' after its last request).

It now waits first for 401 to an unknown key, which only the configuration with teams answers. All its checks stay.

--- a/gateway/caps_test.go
+++ b/gateway/caps_test.go
@@ -28,6 +28,10 @@
 	BeforeEach(func() {
 		x = newRig()
 		x.store.PutConfig(configWithTeams(2, capped+","+free))
+		Eventually(func() int {
+			_, r := sendWithTokens(x.frontURL, "unknown", "1,1")
+			return r.status
+		}, eventTimeout, pollInterval).Should(Equal(http.StatusUnauthorized)) // the caps are in force
 		Eventually(func() int {
 			_, r := sendWithTokens(x.frontURL, "key-a", "1,1")
 			return r.status
