--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -25,14 +25,19 @@
 	faults   MetaFaults
 	reads    map[string]int // number of read calls by topic
 	pageSize int            // maximum number of items in a response of log-newest
+	maxRead  int            // maximum number of bytes of the records in a response of log-read
 	era      int            // incremented by each restore from a copy
 }
 
 // lengthPrefixBytes is the size of a record's length prefix.
 const lengthPrefixBytes = 4
 
-// newestPageSize is the page size of log-newest in the platform's store.
-const newestPageSize = 500
+const (
+	// newestPageSize is the page size of log-newest in the platform's store.
+	newestPageSize = 500
+	// maxReadBytes is the maximum size of a response of log-read in the platform's store.
+	maxReadBytes = 1 << 20
+)
 
 // MetaFaults are the faults of a MetaStore.
 type MetaFaults struct {
@@ -60,6 +65,7 @@
 		changed:  make(chan struct{}),
 		reads:    make(map[string]int),
 		pageSize: newestPageSize,
+		maxRead:  maxReadBytes,
 		era:      1,
 	}
 }
@@ -258,6 +264,14 @@
 	s.pageSize = n
 }
 
+// SetMaxRead sets the maximum number of bytes of the records in a response of log-read. A
+// response has at least one record.
+func (s *MetaStore) SetMaxRead(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxRead = n
+}
+
 func (s *MetaStore) serveNewest(w http.ResponseWriter, topic, after string) {
 	type item struct {
 		Key    string `json:"key"`
@@ -312,7 +326,7 @@
 			return
 		}
 		if from < t.end() || wait == 0 {
-			body := t.encodeFrom(from)
+			body := t.encodeFrom(from, s.maxRead)
 			s.mu.Unlock()
 			_, _ = w.Write(body)
 			return
@@ -328,11 +342,16 @@
 	}
 }
 
-// encodeFrom encodes the records starting at an offset.
-func (t *metaTopic) encodeFrom(from int64) []byte {
+// encodeFrom encodes the records starting at an offset, up to a number of bytes but at least
+// one record.
+func (t *metaTopic) encodeFrom(from int64, maxBytes int) []byte {
 	b := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
 	b = binary.BigEndian.AppendUint64(b, uint64(t.first))
+	start := len(b)
 	for _, rec := range t.records[from-t.first:] {
+		if len(b) > start && len(b)-start+lengthPrefixBytes+len(rec) > maxBytes {
+			break
+		}
 		b = binary.BigEndian.AppendUint32(b, uint32(len(rec)))
 		b = append(b, rec...)
 	}
