soak: open connections of one or of all links go silent

The soak could hold links back and release them, so that their bytes arrived late, but no connection stayed silent while new ones worked.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -146,12 +146,48 @@
 			},
 		},
 	}
-	f := randomElement(r, list)
+	i := r.IntN(len(list) + 2)
+	if i >= len(list) {
+		return s.silentConnsFault(link, i > len(list))
+	}
+	f := list[i]
 	f.target = link.Addr()
 	f.begin = excuseDuring(s.world.upstreamOf(link), f.begin)
 	return f
 }
 
+// silentConnsDuration is how long processes have to replace connections that have gone silent.
+const silentConnsDuration = 3 * time.Second
+
+// silentConnsFault makes the open connections of a link, or of all links, silent for good. New
+// connections work.
+func (s *soak) silentConnsFault(link *standin.FaultProxy, all bool) fault {
+	f := fault{
+		name:     "open connections go silent",
+		target:   link.Addr(),
+		duration: silentConnsDuration,
+	}
+	links := []*standin.FaultProxy{link}
+	if all {
+		f.target = "all links"
+		links = s.links()
+	}
+	f.begin = func() func() {
+		from := time.Now()
+		for _, l := range links {
+			l.SilenceConns()
+		}
+		return func() {
+			for _, l := range links {
+				if u := s.world.upstreamOf(l); u != nil {
+					u.addExcused(from, time.Now())
+				}
+			}
+		}
+	}
+	return f
+}
+
 func (s *soak) randomStoreFault(r *rand.Rand) fault {
 	list := map[string]standin.MetaFaults{
 		"store away": {
