--- a/gateway/silentstore_test.go
+++ b/gateway/silentstore_test.go
@@ -54,6 +54,28 @@
 	})
 })
 
+// A gateway that relies on the reads of another one polls late: 1.4 to 1.7 s after the last
+// read that it received.
+var _ = Describe("A gateway that loses the reads of another one and its connections to the store", func() {
+	It("applies later configuration changes in time", func() {
+		x := newRigWithDrain(4*time.Second, "d", "d")
+		proxy, err := standin.NewFaultProxy(x.storeAddr)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+		reader := x.gateway // its ID is lower
+		x.gateway, x.frontURL, x.readyURL = x.startGateway("relying", platform.NewStore(proxy.Addr(), x.metrics))
+		Eventually(x.gateway.Ready, eventTimeout, pollInterval).Should(BeTrue())
+		time.Sleep(2 * configBound) // until it relies on the other one
+		proxy.SilenceConns()
+		reader.Close()
+		time.Sleep(contactBound - configBound)
+		x.store.PutConfig(config(2, newRoute))
+		Eventually(func() int {
+			return x.get("new", "/new/", "").status
+		}, configBound, pollInterval).Should(Equal(http.StatusOK))
+	})
+})
+
 // Before upstreams are registered, polls wait longer, and a silent connection is noticed only
 // at the end of the wait.
 var _ = Describe("A gateway without upstreams whose connection to the store goes silent", func() {
