decide: an upstream gets its share again after the backoff that it asked for

Callers: after an overloaded upstream had asked for a rest (Retry-After) and was well again, it stayed nearly unused for some two seconds, and the others carried its share.

Cause: a refusal for lack of capacity counts as a slow answer, which fades with a time constant of 2 s. That is what keeps requests from an upstream that refuses and says no more. One that asks for a backoff is left alone for as long as it wants anyway, and the penalty of its refusals outlasted that.

Refusals with Retry-After no longer count as slow answers; plain services still learn their capacity from them.

The new test of decide gives the upstream 0 of 4 requests without the change, 2 of 4 with it.

--- a/decide/backoff_test.go
+++ b/decide/backoff_test.go
@@ -1,6 +1,7 @@
 package decide_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -70,6 +71,24 @@
 		Expect(x.assigned["second"].Member.ID).To(BeEquivalentTo("n0"))
 	})
 
+	It("is as attractive after it as before its refusals", func() {
+		x.setAdapters("n0", readyAdapter("a", 1))
+		x.setAdapters("n1", readyAdapter("a", 1))
+		for range 10 {
+			x.f.RefusedAsFull(x.now, "n0", true)
+			x.f.BackOff(x.now, "n0", 100*time.Millisecond)
+		}
+		x.now = x.now.Add(100 * time.Millisecond)
+		x.f.ClearBackoff("n0", x.now)
+		counts := make(map[wardturn.UpstreamID]int)
+		for i := range 4 {
+			id := fmt.Sprint("r", i)
+			x.admit(id, "a")
+			counts[x.assigned[id].Member.ID]++
+		}
+		Expect(counts["n0"]).To(Equal(2), "%v", counts)
+	})
+
 	It("makes new and waiting requests fail at once if all upstreams are backing off", func() {
 		x.admit("waits", "a")
 		Expect(x.assigned).NotTo(HaveKey("waits"))
--- a/decide/member.go
+++ b/decide/member.go
@@ -116,10 +116,13 @@
 	f.plain.ResponseTimed(now, f.members[id], took)
 }
 
-// RefusedAsFull records that a plain upstream refused a request for lack of capacity.
-// Requests of other gateways, which this gateway does not see, may fill it.
-func (f *Fleet) RefusedAsFull(now time.Time, id wardturn.UpstreamID) {
-	f.observeLatency(now, id, queueFullLatency)
+// RefusedAsFull records that an upstream refused a request for lack of capacity, and whether
+// it asked for a backoff. Requests of other gateways, which this gateway does not see, may
+// fill it. After a backoff, which ends when the upstream wants, it is not avoided any longer.
+func (f *Fleet) RefusedAsFull(now time.Time, id wardturn.UpstreamID, backsOff bool) {
+	if !backsOff {
+		f.observeLatency(now, id, queueFullLatency)
+	}
 	f.plain.Rejected(now, f.members[id])
 }
 
--- a/decide/plainreplayupstream_test.go
+++ b/decide/plainreplayupstream_test.go
@@ -15,7 +15,7 @@
 		if len(s.u.queue)+s.u.running >= replaySlots+x.queue {
 			x.rejected++
 			x.after(replayHop, func() {
-				s.g.fleet.RefusedAsFull(x.now, s.u.member.ID)
+				s.g.fleet.RefusedAsFull(x.now, s.u.member.ID, false)
 				s.g.fleet.RequestEnded(x.now, s.u.member.ID, wardturn.ModelAdapter{}, decide.OutcomeOK)
 				x.admit(s.caller, s.g, s.r.Arrived, append(s.r.Tried, s.u.member.ID))
 			})
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -89,17 +89,20 @@
 	g.markMembersStale()
 }
 
-// recordLatency records the response time of a plain upstream, or that it was at capacity.
-func (g *Gateway) recordLatency(id wardturn.UpstreamID, took time.Duration, full bool) {
+// recordLatency records the response time of a plain upstream.
+func (g *Gateway) recordLatency(id wardturn.UpstreamID, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if full {
-		g.fleet.RefusedAsFull(g.clock.Now(), id)
-		return
-	}
 	g.fleet.ResponseTimed(g.clock.Now(), id, took)
 }
 
+// recordFull records that an upstream was at capacity, and whether it asked for a backoff.
+func (g *Gateway) recordFull(id wardturn.UpstreamID, backsOff bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.RefusedAsFull(g.clock.Now(), id, backsOff)
+}
+
 // accepts reports whether a request that was assigned to an upstream may still be sent to
 // it.
 func (g *Gateway) accepts(m wardturn.Member) bool {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -365,8 +365,11 @@
 		return x.sendFailed(a, err)
 	}
 	rejected := resp.head.NotExecuted && resp.res.StatusCode != http.StatusMisdirectedRequest
-	if !x.engine || rejected {
-		x.g.recordLatency(a.Member.ID, x.g.clock.Now().Sub(now), rejected)
+	switch {
+	case rejected:
+		x.g.recordFull(a.Member.ID, resp.head.RetryAfter.Present)
+	case !x.engine:
+		x.g.recordLatency(a.Member.ID, x.g.clock.Now().Sub(now))
 	}
 	return x.handleResponse(a, resp)
 }
--- a/peer/plainload_test.go
+++ b/peer/plainload_test.go
@@ -85,7 +85,7 @@
 			Rank: 2,
 		},
 		Assign: func(a decide.Assignment) {
-			f.RefusedAsFull(now, a.Member.ID)
+			f.RefusedAsFull(now, a.Member.ID, false)
 			f.ResponseTimed(now, a.Member.ID, 60*time.Millisecond)
 			f.RequestEnded(now, a.Member.ID, wardturn.ModelAdapter{}, decide.OutcomeOK)
 		},
