--- a/decide/loadwindow.go
+++ b/decide/loadwindow.go
@@ -48,7 +48,7 @@
 	// time.
 	windowProbe = 0.5
 	// windowStartRatio is the initial window as a fraction of the number of engines. Stores
-	// are sized for their engines: the known ones serve 0.33 to 2 concurrent loads per
+	// are sized for their engines: the known ones serve 0.3 to 2.2 concurrent loads per
 	// engine at full speed. From a small window it takes over a second to grow to what a
 	// store for many engines serves, and the requests of that time are late.
 	windowStartRatio = 0.5
