soak: keepers listen on a port below the range of outgoing connections

Cause: the harness took the keepers' port from the kernel's range for outgoing connections. Before a keeper was started again, a connection of another process could have taken its port. Gateways already had ports below that range.

Keepers' ports come from the same range as those of gateways now.

--- a/soak/world.go
+++ b/soak/world.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -175,10 +177,11 @@
 	return nil
 }
 
-// freePort returns a port that is free on the front and back hosts of n engines.
+// freePort returns a port, of those that daemons listen on, that is free on the front and
+// back hosts of n engines.
 func freePort(n int) (string, error) {
-	for range 100 {
-		port, free := "0", true
+	for range maxPortTries {
+		port, free := strconv.Itoa(minPort+rand.IntN(portCount)), true
 		var listeners []net.Listener
 		for i := range n {
 			for _, host := range []string{frontHost(i), backHost(i)} {
@@ -187,7 +190,6 @@
 					free = false
 					continue
 				}
-				_, port, _ = net.SplitHostPort(ln.Addr().String())
 				listeners = append(listeners, ln)
 			}
 		}
