driver: the log and the list of hosts are read again soon after connections go silent

A lost call closes the idle connections, and unused ones are kept for 0.5 s. Clients of engines and services are left: their calls fail one by one by design, and a lost call there may be the engine's own.

--- a/driver/hosts.go
+++ b/driver/hosts.go
@@ -32,8 +32,10 @@
 // NewHostList returns a client for the list at addr, which has the form IP:port.
 func NewHostList(addr string) *HostList {
 	return &HostList{
-		url:    "http://" + addr + PathHosts,
-		client: &fasthttp.Client{},
+		url: "http://" + addr + PathHosts,
+		client: &fasthttp.Client{
+			MaxIdleConnDuration: maxIdleConn,
+		},
 	}
 }
 
@@ -50,6 +52,7 @@
 		req.Header.Set(fasthttp.HeaderIfNoneMatch, l.etag)
 	}
 	if err := l.client.DoTimeout(req, res, timeoutFor(ctx, hostsTimeout)); err != nil {
+		l.client.CloseIdleConnections()
 		return nil, errors.Wrapf(wardturn.ErrUnavailable, "hosts: %v", err)
 	}
 	switch res.StatusCode() {
--- a/driver/log.go
+++ b/driver/log.go
@@ -16,6 +16,9 @@
 	logAppendTimeout = 3 * time.Second
 	logReadExtraTime = 3 * time.Second
 	maxLogPageSize   = 64 << 20
+	// maxIdleConn is how long an unused connection to the platform is kept. One that has gone
+	// silent delays a call by the whole timeout.
+	maxIdleConn = 500 * time.Millisecond
 )
 
 // Log is a client for the platform's log.
@@ -34,10 +37,20 @@
 			// A lost reply must be reported to the caller and not retried, because
 			// the append may have taken effect.
 			MaxIdemponentCallAttempts: 1,
+			MaxIdleConnDuration:       maxIdleConn,
 		},
 	}
 }
 
+// do sends a request. If it fails, the other connections may have been lost in the same way.
+func (l *Log) do(req *fasthttp.Request, res *fasthttp.Response, timeout time.Duration) error {
+	err := l.client.DoTimeout(req, res, timeout)
+	if err != nil {
+		l.client.CloseIdleConnections()
+	}
+	return err
+}
+
 // Append implements wardturn.Log.
 func (l *Log) Append(ctx context.Context, data []byte) (wardturn.Offset, error) {
 	offset, ended, err := await(ctx, func() (wardturn.Offset, error) {
@@ -57,7 +70,7 @@
 	req.SetRequestURI(l.base + PathRecords)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBodyRaw(data)
-	if err := l.client.DoTimeout(req, res, timeoutFor(ctx, logAppendTimeout)); err != nil {
+	if err := l.do(req, res, timeoutFor(ctx, logAppendTimeout)); err != nil {
 		return 0, appendError(err)
 	}
 	switch res.StatusCode() {
@@ -104,7 +117,7 @@
 	args.Set("from", strconv.FormatInt(int64(from), 10))
 	args.SetUint("limit", limit)
 	args.SetUint("wait_ms", int(wait.Milliseconds()))
-	if err := l.client.DoTimeout(req, res, timeoutFor(ctx, wait+logReadExtraTime)); err != nil {
+	if err := l.do(req, res, timeoutFor(ctx, wait+logReadExtraTime)); err != nil {
 		return wardturn.LogPage{}, errors.Wrapf(wardturn.ErrUnavailable, "log: %v", err)
 	}
 	return readPage(res)
