decide: a plain upstream that has just restarted gets requests at once

Callers: all requests to a plain service refused (queue_full, come back in 3 s) for some ten seconds while an upstream of it was well and had nothing to do.

Cause: the time per request of an upstream is the time for which it had requests over the responses it gave. One that has just been listed answers requests for its predecessor at once, before any request in flight was observed there: six responses in 1.7 ms with 0 s of requests. A time per request of zero excluded the upstream until the responses had faded.

Such responses now leave the upstream with the time per request of its service.

--- a/decide/plain_bench_test.go
+++ b/decide/plain_bench_test.go
@@ -36,17 +36,7 @@
 			},
 		},
 	})
-	var list []wardturn.Member
-	for i := range upstreams {
-		list = append(list, wardturn.Member{
-			ID:      wardturn.UpstreamID(fmt.Sprint("u", i)),
-			Service: replayService,
-			Addr:    fmt.Sprint("u", i, ":1"),
-			Domain:  wardturn.FailureDomain(fmt.Sprint("d", i%3)),
-			Slots:   replaySlots,
-		})
-	}
-	x.f.SetMembers(start, list)
+	x.f.SetMembers(start, plainBenchMembers(upstreams))
 	for i := range gateways - 1 {
 		x.other = append(x.other, wardturn.Incarnation(fmt.Sprintf("%016x", i)))
 	}
@@ -69,6 +59,20 @@
 	return x
 }
 
+func plainBenchMembers(n int) []wardturn.Member {
+	list := make([]wardturn.Member, 0, n)
+	for i := range n {
+		list = append(list, wardturn.Member{
+			ID:      wardturn.UpstreamID(fmt.Sprint("u", i)),
+			Service: replayService,
+			Addr:    fmt.Sprint("u", i, ":1"),
+			Domain:  wardturn.FailureDomain(fmt.Sprint("d", i%3)),
+			Slots:   replaySlots,
+		})
+	}
+	return list
+}
+
 // receive has all other gateways report.
 func (x *plainBench) receive() {
 	x.seq++
--- a/decide/plainview.go
+++ b/decide/plainview.go
@@ -139,7 +139,10 @@
 	u.timePerReq = v.timePerReq
 	if served := u.served.value(now, plainMemory); served >= minServed {
 		busy := min(u.busy.value(now, plainMemory), u.waitedFor.value(now, plainMemory))
-		u.timePerReq = time.Duration(busy / served * float64(time.Second))
+		// Responses that were not preceded by requests in flight tell nothing.
+		if t := time.Duration(busy / served * float64(time.Second)); t > 0 {
+			u.timePerReq = t
+		}
 	}
 	if u.stalls(now, p.reportAge()) {
 		u.stalled = true
