gateway: count where streams of upstreams end, by the framing of their bodies

A stream's end was seen as the caller's outcome only, and neither logs nor metrics named the framing of the upstream's body or whether the last event was complete.

The counter stream_ends has both, and a stream that did not end between two events has a line. No decision depends on them yet. go test ./gateway -run TestEvent is green; the whole package was not run on this commit.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -66,6 +66,7 @@
 	headerWritten   bool // the response header was written to the caller
 	refusal         *refusal
 	events          events
+	boundary        eventBoundary       // of the latest stream from an upstream
 	prefilling      wardturn.UpstreamID // the upstream that is prefilling the prompt
 	turn            *turn               // for prefilling; nil if none was requested or it has ended
 	turnOutcome     turnResult          // of the wait for the latest turn; empty: none
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -171,6 +171,14 @@
 	}).Counter("streams_misplaced").Inc(1)
 }
 
+// streamEnded counts a stream of events by the framing of its body and where it ended.
+func (m *Metrics) streamEnded(framing bodyFraming, end streamEnd) {
+	m.scope.Tagged(map[string]string{
+		"framing": string(framing),
+		"end":     string(end),
+	}).Counter("stream_ends").Inc(1)
+}
+
 // turnEnded records the wait for a turn at an engine and how it ended.
 func (m *Metrics) turnEnded(r turnResult, waited time.Duration) {
 	m.turnWait.RecordDuration(waited)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,6 +36,7 @@
 // appended to what the caller has, without headers of its own.
 func (x *exchange) forwardStream(a assignment, resp *response) result {
 	x.writeStreamHeader(resp.res)
+	x.boundary = eventBoundary{}
 	defer x.recordRepeated(a)
 	defer x.setWriteDeadline()()
 	flusher, _ := x.w.(http.Flusher)
@@ -46,6 +47,7 @@
 			x.recordPrefill(a)
 			x.endPrefill(a)
 			x.recordBytes()
+			x.boundary.write(buf[:n])
 			writeErr := x.forwardBytes(a, buf[:n])
 			flusher.Flush()
 			x.timing.maxWrite = max(x.timing.maxWrite, x.g.clock.Now().Sub(x.timing.lastByte))
@@ -62,6 +64,7 @@
 			if x.r.Context().Err() != nil {
 				return resultCallerGone
 			}
+			x.recordStreamEnd(a, resp.res, endError)
 			return resultTruncated
 		}
 	}
@@ -130,6 +133,7 @@
 
 // finishStream releases the connection and forwards what is left of a resumable stream.
 func (x *exchange) finishStream(a assignment, resp *response) result {
+	x.recordStreamEnd(a, resp.res, x.boundary.end())
 	resp.release()
 	if !x.route.Resumable {
 		return resultForwarded
@@ -141,6 +145,19 @@
 	return resultForwarded
 }
 
+// recordStreamEnd counts where a stream of events ended, and logs an end that does not
+// complete it.
+func (x *exchange) recordStreamEnd(a assignment, res *http.Response, end streamEnd) {
+	if !x.isEventStream(res) {
+		return
+	}
+	framing := framingOf(res)
+	x.g.metrics.streamEnded(framing, end)
+	if end != endBetweenEvents {
+		x.g.logger.Info("stream ended early", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID, "framing", framing, "end", end, "after", x.lastEvent())
+	}
+}
+
 // writeEvents forwards events. If mismatch is not empty, it is the reason why the rest of
 // the response does not continue the caller's stream, and writeEvents returns
 // errResumeMismatch.
