--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -108,6 +108,9 @@
 		return
 	}
 	h.Set(HeaderSeal, "seal-"+attempt)
+	if f.Unframed {
+		h.Set("Transfer-Encoding", "identity")
+	}
 	if f.CrashOn != "" && string(body) == f.CrashOn {
 		if m.cfg.Crash != nil {
 			m.cfg.Crash(r.URL.Path)
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -62,6 +62,7 @@
 	Stranger    bool          // the response to another request is sent first
 	CutAfter    int           // number of events after which streams are cut; zero: never
 	CutFresh    int           // the same for streams that are not resumed
+	Unframed    bool          // responses have neither length nor chunks, and end with a regular close
 	Full        bool          // requests are rejected
 	MaxRunning  int           // more requests at once are rejected; zero: no limit
 	Slots       int           // requests that run at once, also stated in the entry; zero: no limit, 8 stated
