gateway: a stream that ends inside an event is truncated, whatever its framing

Cause: the gateway took the end of the upstream's body for the end of the stream. A response with neither length nor chunks ends with its connection, and a regular close gives io.EOF at any byte. The class: the end of what carries a message taken for the end of the message.

Change: the end of a stream of events is judged by its events. Inside an event it is truncated: the caller's response is aborted, or the stream goes on at another upstream after its last complete event. This holds for bodies with a length or chunks too; streams get no length towards the caller, since one that is truncated after all of its bytes would look complete. An empty body that ends with its connection is no stream, unless the caller has the last event already. The response header is written with the first byte, so a stream that ends before it gives 502 or runs again, in place of a closed connection.

Why it works: an event ends with an empty line, which the upstream writes after the event; LF, CRLF and CR are understood, comments between events do not count. An end between two events of a body without framing cannot be told from a complete one, and is taken as such: complete responses without a length are delivered (specs for streams and whole responses, routes that may run once too).

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,7 +35,6 @@
 // forwardStream forwards a response as it arrives. A response that resumes a stream is
 // appended to what the caller has, without headers of its own.
 func (x *exchange) forwardStream(a assignment, resp *response) result {
-	x.writeStreamHeader(resp.res)
 	x.boundary = eventBoundary{}
 	defer x.recordRepeated(a)
 	defer x.setWriteDeadline()()
@@ -48,6 +47,7 @@
 			x.endPrefill(a)
 			x.recordBytes()
 			x.boundary.write(buf[:n])
+			x.writeStreamHeader(resp.res)
 			writeErr := x.forwardBytes(a, buf[:n])
 			flusher.Flush()
 			x.timing.maxWrite = max(x.timing.maxWrite, x.g.clock.Now().Sub(x.timing.lastByte))
@@ -65,18 +65,28 @@
 				return resultCallerGone
 			}
 			x.recordStreamEnd(a, resp.res, endError)
-			return resultTruncated
+			return x.truncated()
 		}
 	}
 }
 
-// writeStreamHeader writes the response header, unless an earlier send has done so.
+// truncated returns the result of a response that ended early.
+func (x *exchange) truncated() result {
+	if !x.headerWritten {
+		return resultUnknown
+	}
+	return resultTruncated
+}
+
+// writeStreamHeader writes the response header, unless an earlier send has done so. Streams
+// of events get no length, because a caller would take one that is truncated after all of
+// its bytes for complete.
 func (x *exchange) writeStreamHeader(res *http.Response) {
 	if x.headerWritten {
 		return
 	}
 	x.copyHeader(res)
-	if res.ContentLength >= 0 && !x.route.Resumable {
+	if res.ContentLength >= 0 && !x.isEventStream(res) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
 	} else {
 		x.w.Header().Del("Content-Length")
@@ -131,10 +141,24 @@
 	return x.writeEvents(a, events, mismatch)
 }
 
+// complete reports whether a stream of events that was read to its end is complete. A
+// resumed stream may be empty, if the caller already has its last event.
+func (x *exchange) complete(res *http.Response, end streamEnd) bool {
+	if end == endEmpty {
+		return framingOf(res) != framingClose || x.lastEvent() != ""
+	}
+	return end == endBetweenEvents
+}
+
 // finishStream releases the connection and forwards what is left of a resumable stream.
 func (x *exchange) finishStream(a assignment, resp *response) result {
-	x.recordStreamEnd(a, resp.res, x.boundary.end())
+	end := x.boundary.end()
+	x.recordStreamEnd(a, resp.res, end)
 	resp.release()
+	if x.isEventStream(resp.res) && !x.complete(resp.res, end) {
+		return x.truncated()
+	}
+	x.writeStreamHeader(resp.res)
 	if !x.route.Resumable {
 		return resultForwarded
 	}
--- a/gateway/truncatedstream_test.go
+++ b/gateway/truncatedstream_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +10,19 @@
 	"wardturn/standin"
 )
 
+// crlf is the format of the id line of events whose lines end with CRLF.
+const crlf = "id: %d\r\n"
+
+// streamEnds returns how many streams of upstreams had a framing and ended in a place.
+func (x *rig) streamEnds(framing, end string) int64 {
+	for _, c := range x.metrics.Snapshot().Counters() {
+		if c.Name() == "stream_ends" && c.Tags()["framing"] == framing && c.Tags()["end"] == end {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
 var _ = Describe("A stream whose connection ends inside an event", func() {
 	It("is not framed as complete for its caller", func() {
 		x := newRig()
@@ -24,3 +38,114 @@
 		}
 	})
 })
+
+var _ = Describe("A stream that ends inside an event", func() {
+	DescribeTable("is not framed as complete, whatever its own framing",
+		func(framing string, f standin.WorkerFaults) {
+			x := newRig()
+			f.CutAfter = 2
+			x.loadAndSetFaults(f)
+			r := x.get("truncated", "/ask/x", "m0/a1")
+			Expect(r.status).To(Equal(http.StatusOK))
+			Expect(r.body).To(HavePrefix(firstTwo))
+			Expect(r.err).To(HaveOccurred())
+			Expect(x.streamEnds(framing, "inside_event")).To(BeEquivalentTo(1))
+		},
+		Entry("none", "close", standin.WorkerFaults{
+			Unframed: true,
+		}),
+		Entry("chunks", "chunked", standin.WorkerFaults{
+			CutFramed: standin.FramedByChunks,
+		}),
+		Entry("a length", "length", standin.WorkerFaults{
+			CutFramed: standin.FramedByLength,
+		}),
+	)
+
+	DescribeTable("goes on at another engine if it may be resumed",
+		func(f standin.WorkerFaults) {
+			x := newRig()
+			f.CutFresh = 2
+			x.loadAndSetFaults(f)
+			id := fmt.Sprintf("truncated-%d", attempts.Add(1))
+			r := x.send("POST", id, "/resume/x", "m0/a1", "prompt")
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(r.body).To(Equal(completeStream))
+			Expect(x.runs(id)).To(Equal(2))
+		},
+		Entry("no framing", standin.WorkerFaults{
+			Unframed: true,
+		}),
+		Entry("chunks", standin.WorkerFaults{
+			CutFramed: standin.FramedByChunks,
+		}),
+	)
+})
+
+var _ = Describe("A stream that ends with its connection", func() {
+	DescribeTable("is complete if it ends between two events",
+		func(path string, shape standin.StreamShape) {
+			x := newRig()
+			x.loadAndSetFaults(standin.WorkerFaults{
+				Unframed: true,
+				Fresh:    shape,
+			})
+			want := ""
+			for i := 1; i <= 4; i++ {
+				want += string(shape.Event(i))
+			}
+			r := x.get("unframed", path, "m0/a1")
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(r.body).To(Equal(want))
+			Expect(x.streamEnds("close", "between_events")).To(BeEquivalentTo(1))
+		},
+		Entry("may run once", "/ask/x", standin.StreamShape{}),
+		Entry("may be resumed", "/resume/x", standin.StreamShape{}),
+		Entry("lines end with CRLF", "/ask/x", standin.StreamShape{
+			IDLine: crlf,
+			End:    "\r\n\r\n",
+		}),
+		Entry("may be resumed, lines end with CRLF", "/resume/x", standin.StreamShape{
+			IDLine: crlf,
+			End:    "\r\n\r\n",
+		}),
+	)
+
+	It("has failed if it is empty", func() {
+		x := newRig()
+		x.loadAndSetFaults(standin.WorkerFaults{
+			Unframed: true,
+			Empty:    true,
+		})
+		Expect(x.get("empty", "/ask/x", "m0/a1").status).To(Equal(http.StatusBadGateway))
+		Expect(x.get("empty", "/resume/x", "m0/a1").status).To(Equal(http.StatusBadGateway))
+	})
+
+	It("is complete without an event if its caller has the last one", func() {
+		x := newRig()
+		x.loadAndSetFaults(standin.WorkerFaults{
+			Unframed: true,
+		})
+		r := x.resumeFrom("4")
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.status).To(Equal(http.StatusOK))
+		Expect(r.body).To(BeEmpty())
+	})
+})
+
+var _ = Describe("A response that ends with its connection", func() {
+	It("is delivered, whether its request may run again or not", func() {
+		x := newRig()
+		for _, a := range x.apps {
+			a.SetFaults(standin.WorkerFaults{
+				Unframed: true,
+			})
+		}
+		for _, path := range []string{"/charge/x", "/look/x"} {
+			r := x.get("unframed", path, "")
+			Expect(r.err).NotTo(HaveOccurred())
+			Expect(r.status).To(Equal(http.StatusOK))
+			Expect(r.body).To(Equal("echo:prompt"))
+		}
+	})
+})
