gateway: a resumable stream is split into events at CRLF too

Cause: resumable streams are buffered event by event, and an event's end was searched as two LF. A stream whose lines end with CRLF was buffered up to its end or 64 KiB, so its events came late, and after a cut it could not be resumed.

The spec 'goes on after its last complete event if the lines end with CRLF' fails without the change (the stream is aborted with no event) and passes with it. go test ./gateway -run TestEvent: green; the three specs of ends of streams: green; the whole package was not run on this commit.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -17,7 +17,6 @@
 )
 
 var (
-	eventEnd  = []byte("\n\n")
 	eventID   = []byte("id:")
 	eventData = []byte("data:")
 )
@@ -88,11 +87,10 @@
 	e.part = append(e.part, data...)
 	var out []byte
 	for {
-		end := bytes.Index(e.part, eventEnd)
+		end := firstEventEnd(e.part)
 		if end < 0 {
 			return e.overflow(out)
 		}
-		end += len(eventEnd)
 		pass, mismatch := e.check(e.part[:end])
 		if mismatch != "" {
 			return out, mismatch
@@ -104,6 +102,22 @@
 	}
 }
 
+// firstEventEnd returns the length of the first event in data including its empty line, or
+// -1 if the event is not complete.
+func firstEventEnd(data []byte) int {
+	for start := 0; ; {
+		i := bytes.IndexByte(data[start:], '\n')
+		if i < 0 {
+			return -1
+		}
+		start += i + 1
+		rest := bytes.TrimPrefix(data[start:], []byte("\r"))
+		if len(rest) > 0 && rest[0] == '\n' {
+			return len(data) - len(rest) + 1
+		}
+	}
+}
+
 // overflow appends the incomplete event to out if it is too long to be buffered further.
 func (e *events) overflow(out []byte) ([]byte, resumeMismatch) {
 	if len(e.part) < maxEventSize {
--- a/gateway/truncatedstream_test.go
+++ b/gateway/truncatedstream_test.go
@@ -111,6 +111,22 @@
 		}),
 	)
 
+	It("goes on after its last complete event if the lines end with CRLF", func() {
+		x := newRig()
+		shape := standin.StreamShape{
+			IDLine: crlf,
+			End:    "\r\n\r\n",
+		}
+		x.loadAndSetFaults(standin.WorkerFaults{
+			Unframed: true,
+			CutFresh: 2,
+			Fresh:    shape,
+		})
+		r := x.get("crlf", "/resume/x", "m0/a1")
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal(string(shape.Event(1)) + string(shape.Event(2)) + lastTwo))
+	})
+
 	It("has failed if it is empty", func() {
 		x := newRig()
 		x.loadAndSetFaults(standin.WorkerFaults{
