gateway: a truncated response to an HTTP/1.0 request ends with a reset

What callers see: a caller that speaks HTTP/1.0, as some proxies do by default, gets a truncated stream that looks complete.

Cause: a response to HTTP/1.0 has no chunks and ends with its connection, and http.ErrAbortHandler closes the connection regularly.

The spec 'ends with a reset for a caller that speaks HTTP/1.0' fails without the change (the read ends without an error) and passes with it. The connection is taken over and reset; HTTP/1.1 responses end as before, by a missing last chunk or a short length. The specs of ends of streams are green; the whole package was not run on this commit.

--- a/gateway/errorresponse.go
+++ b/gateway/errorresponse.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -46,6 +47,28 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
+// abortResponse ends a response that is not complete, and does not return. With HTTP/1.1 the
+// last chunk or a part of the length is missing. A response to an HTTP/1.0 request without a
+// length ends with its connection, so only a reset tells its caller.
+func (x *exchange) abortResponse() {
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.resetCaller()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (x *exchange) resetCaller() {
+	c, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		x.g.logger.Warn("failed to reset a caller's connection", "id", x.attempt, "error", err)
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // on failure the connection is closed regularly
+	}
+	c.Close()
+}
+
 // fail responds with an error of the gateway's own, which does not say whether the request
 // may have run.
 func (x *exchange) fail(status int, text string) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -233,7 +233,7 @@
 			}
 			x.g.logger.Warn("answer cut", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID, "content", x.content, "sent_ago", x.g.clock.Now().Sub(x.send.sent))
 			x.g.metrics.finished(x, "cut")
-			panic(http.ErrAbortHandler)
+			x.abortResponse()
 		case resultFailed:
 			x.possibleRuns++
 			continue
@@ -303,7 +303,7 @@
 func (x *exchange) giveUp(ctx context.Context) {
 	if x.headerWritten {
 		x.g.metrics.finished(x, "cut")
-		panic(http.ErrAbortHandler)
+		x.abortResponse()
 	}
 	if x.r.Context().Err() != nil {
 		x.g.metrics.finished(x, "caller_left")
--- a/gateway/truncatedstream_test.go
+++ b/gateway/truncatedstream_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -62,6 +66,19 @@
 		}),
 	)
 
+	It("ends with a reset for a caller that speaks HTTP/1.0", func() {
+		x := newRig()
+		x.loadAndSetFaults(standin.WorkerFaults{
+			CutAfter: 2,
+		})
+		c, err := net.Dial("tcp", strings.TrimPrefix(x.frontURL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		fmt.Fprint(c, "POST /ask/x HTTP/1.0\r\nHost: h.example\r\nX-Wardturn-Attempt-Id: old-protocol\r\nX-Wardturn-Model: m0/a1\r\nContent-Length: 6\r\n\r\nprompt")
+		_, err = io.ReadAll(c)
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
+
 	DescribeTable("goes on at another engine if it may be resumed",
 		func(f standin.WorkerFaults) {
 			x := newRig()
