gateway: a response that is too long to be buffered is delivered without a length too

Cause: such a response was read up to the buffer's size and then dropped as of unknown outcome; only a stated length led to a streamed one. What was read is forwarded now, and the rest as it comes.

'A response that is too long to be buffered is delivered' fails in both cases without the change (502) and passes with it. Specs of ends of streams green; the whole package was not run on this commit.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"slices"
@@ -70,7 +71,8 @@
 	resp.release()
 }
 
-// forwardBuffered reads a response completely before it forwards any of it to the caller.
+// forwardBuffered reads a response completely before it forwards any of it to the caller,
+// unless it is too long for that.
 func (x *exchange) forwardBuffered(a assignment, resp *response) result {
 	x.unwatch() // the upstream responds, so the request has started
 	res := resp.res
@@ -78,7 +80,11 @@
 		return x.forwardStream(a, resp)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse+1))
-	if err != nil || len(body) > maxBufferedResponse {
+	if len(body) > maxBufferedResponse {
+		res.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), res.Body))
+		return x.forwardStream(a, resp)
+	}
+	if err != nil {
 		resp.discard()
 		if x.r.Context().Err() != nil {
 			return resultCallerGone
--- a/gateway/truncatedstream_test.go
+++ b/gateway/truncatedstream_test.go
@@ -182,3 +182,26 @@
 		}
 	})
 })
+
+var _ = Describe("A response that is too long to be buffered", func() {
+	DescribeTable("is delivered",
+		func(unframed bool) {
+			const size = 1 << 20
+			x := newRig()
+			for _, a := range x.apps {
+				a.SetFaults(standin.WorkerFaults{
+					Unframed: unframed,
+					Padding:  size,
+				})
+			}
+			for _, path := range []string{"/charge/x", "/look/x"} {
+				r := x.get("long", path, "")
+				Expect(r.err).NotTo(HaveOccurred())
+				Expect(r.status).To(Equal(http.StatusOK))
+				Expect(len(r.body)).To(Equal(len("echo:prompt") + size))
+			}
+		},
+		Entry("without a length", true),
+		Entry("in chunks", false),
+	)
+})
--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -127,7 +127,7 @@
 	case m.cfg.StreamEvents > 0:
 		m.writeStream(w, r, f)
 	default:
-		_, _ = w.Write(m.completeResponse(r, body))
+		_, _ = w.Write(append(m.completeResponse(r, body), make([]byte, f.Padding)...))
 	}
 }
 
--- a/standin/workerfaults.go
+++ b/standin/workerfaults.go
@@ -13,6 +13,7 @@
 	CutFramed   BodyFraming   // framing that a stream which is cut completes; empty: none, it is aborted
 	Empty       bool          // streams have no events
 	Unframed    bool          // responses have neither length nor chunks, and end with a regular close
+	Padding     int           // bytes appended to responses that are not streams
 	Full        bool          // requests are rejected
 	MaxRunning  int           // more requests at once are rejected; zero: no limit
 	Slots       int           // requests that run at once, also stated in the entry; zero: no limit, 8 stated
