soak, standin: streams without framing and streams whose framing ends inside an event

The soak's upstreams now cut streams in responses without framing and with a last chunk, and answer without framing at all.

Trace: an upstream answers without framing while its open connections are silent. The proxy dropped the data and then passed the regular close on, which no silent connection does, and it closed regularly towards one side when the other was reset. It now closes neither end of a silent connection and passes resets on. A regular close between two events of a body without framing remains indistinguishable from its end.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -236,6 +236,17 @@
 		{
 			CutAfter: 2,
 		},
+		{
+			CutAfter: 2,
+			Unframed: true,
+		},
+		{
+			CutAfter:  2,
+			CutFramed: standin.FramedByChunks,
+		},
+		{
+			Unframed: true,
+		},
 		{
 			Full: true,
 		},
--- a/standin/faultproxy.go
+++ b/standin/faultproxy.go
@@ -147,9 +147,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		if tc, ok := c.(*net.TCPConn); ok {
-			_ = tc.SetLinger(0)
-		}
+		reset(c)
 	}
 	r.closeConns()
 }
@@ -206,12 +204,21 @@
 	for dir, pair := range [][2]net.Conn{{c, t}, {t, c}} {
 		go func() {
 			defer wg.Done()
-			r.copy(p, Direction(dir), pair[1], pair[0])
+			err := r.copy(p, Direction(dir), pair[1], pair[0])
+			if r.isSilent(p) {
+				return // neither end of a silent connection learns of the other's end
+			}
+			if err != nil {
+				reset(pair[1])
+			}
 			c.Close()
 			t.Close()
 		}()
 	}
 	wg.Wait()
+	if r.isSilent(p) {
+		return // closed with the proxy
+	}
 	r.mu.Lock()
 	delete(r.conns, c)
 	delete(r.conns, t)
@@ -231,18 +238,35 @@
 	return true
 }
 
-func (r *FaultProxy) copy(p *proxiedConn, dir Direction, dst io.Writer, src io.Reader) {
+// reset makes the next Close of a connection reset it.
+func reset(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // on failure the connection is closed regularly
+	}
+}
+
+func (r *FaultProxy) isSilent(p *proxiedConn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return p.silent
+}
+
+// copy copies data until the source ends, for which it returns nil, or a side fails.
+func (r *FaultProxy) copy(p *proxiedConn, dir Direction, dst io.Writer, src io.Reader) error {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
 		dropped := r.waitResumed(p, dir)
 		if n > 0 && !dropped {
 			if _, err := dst.Write(buf[:n]); err != nil {
-				return
+				return err
 			}
 		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
