gateway, platform: log the software versions between which streams go on

'stream goes on' names the attempt in Resumes, the upstream, its version and the one that began the stream if this gateway knows it. No decision depends on it yet.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -66,11 +66,12 @@
 	headerWritten   bool // the response header was written to the caller
 	refusal         *refusal
 	events          events
-	boundary        eventBoundary       // of the latest stream from an upstream
-	prefilling      wardturn.UpstreamID // the upstream that is prefilling the prompt
-	turn            *turn               // for prefilling; nil if none was requested or it has ended
-	turnOutcome     turnResult          // of the wait for the latest turn; empty: none
-	registered      bool                // the prompt counts as one that takes a turn
+	boundary        eventBoundary            // of the latest stream from an upstream
+	software        wardturn.SoftwareVersion // that began the stream; empty: not known or not stated
+	prefilling      wardturn.UpstreamID      // the upstream that is prefilling the prompt
+	turn            *turn                    // for prefilling; nil if none was requested or it has ended
+	turnOutcome     turnResult               // of the wait for the latest turn; empty: none
+	registered      bool                     // the prompt counts as one that takes a turn
 	timing          timing
 	send            sendState
 	pending         *pendingSend // the latest send; nil once it has started or ended
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -148,7 +148,7 @@
 		current[m.ID] = m
 		delete(ms.retained, m.ID)
 		if _, ok := ms.byID[m.ID]; !ok {
-			ms.logger.Info("upstream listed", "upstream", m.ID, "addr", m.Addr, "service", m.Service, "domain", m.Domain)
+			ms.logger.Info("upstream listed", "upstream", m.ID, "addr", m.Addr, "service", m.Service, "domain", m.Domain, "software", m.Software)
 		} else if m.Draining && !ms.byID[m.ID].Draining {
 			ms.logger.Info("upstream leaving", "upstream", m.ID, "gone_at", m.ShutdownAt)
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,7 +23,7 @@
 	if x.possibleRuns >= x.route.MaxUpstreams || !x.g.clock.Now().Before(x.deadline) || !x.events.resume() || !x.g.allowRetry(x.service) {
 		return false
 	}
-	x.g.logger.Info("stream goes on elsewhere", "id", x.attempt, "after", x.lastEvent(), "tried", len(x.tried))
+	x.g.logger.Info("stream goes on elsewhere", "id", x.attempt, "after", x.lastEvent(), "tried", len(x.tried), "software", x.software)
 	return true
 }
 
@@ -46,6 +46,9 @@
 			x.recordPrefill(a)
 			x.endPrefill(a)
 			x.recordBytes()
+			if !x.boundary.any {
+				x.recordFirstEvent(a)
+			}
 			x.boundary.write(buf[:n])
 			x.writeStreamHeader(resp.res)
 			writeErr := x.forwardBytes(a, buf[:n])
@@ -78,6 +81,19 @@
 	return resultTruncated
 }
 
+// recordFirstEvent records which software version began the stream or, if an earlier send or
+// attempt began it, logs where it goes on.
+func (x *exchange) recordFirstEvent(a assignment) {
+	if !x.route.Resumable {
+		return
+	}
+	if last := x.lastEvent(); last != "" {
+		x.g.logger.Info("stream goes on", "id", x.attempt, "resumes", x.r.Header.Get(x.g.names.Resumes), "after", last, "upstream", a.Member.ID, "software", a.Member.Software, "before", x.software)
+		return
+	}
+	x.software = a.Member.Software
+}
+
 // writeStreamHeader writes the response header, unless an earlier send has done so. Streams
 // of events get no length, because a caller would take one that is truncated after all of
 // its bytes for complete.
--- a/ids.go
+++ b/ids.go
@@ -14,6 +14,10 @@
 // at 1; zero stands for the current version.
 type Version int64
 
+// SoftwareVersion identifies the version of an upstream's software, not of its weights. It is
+// empty if the upstream's entry does not state one.
+type SoftwareVersion string
+
 // UpstreamID identifies one lifetime of an upstream, which is a model engine or an
 // instance of a plain service. A lifetime is one run of the upstream from its start to
 // its end; an upstream that restarts under the same instance name has a new UpstreamID.
--- a/routes.go
+++ b/routes.go
@@ -109,6 +109,9 @@
 	// it is warm.
 	ColdFor  time.Duration
 	Position Position // position of its latest entry in the list
+	// Software is constant during a lifetime. It is not part of the encoding between
+	// processes, which older builds must be able to read.
+	Software SoftwareVersion `msgpack:"-"`
 }
 
 // MemberList is the result of one read of the platform's list of upstreams.
@@ -231,6 +234,7 @@
 	TokenCount     string // tokens of the prompt and maximum number of output tokens
 	Prompt         string // parts of the prompt that other prompts may share
 	LastEventID    string // last event of a stream that the caller has received
+	Resumes        string // ID of the attempt that brought the first event of that stream
 	ExpectInstance string // instance of the upstream that may run the request
 	ExpectVersion  string // version of the weights that may run it
 	Priority       string // priority at the upstream; 0 is the most urgent
