gateway: failing test of streams that go on at another software version

Two engines of versions v1 and v2, two gateways. A caller takes its stream up at the other gateway while the engine that began it is full: it gets 200 and the events of the other version, in place of a refusal. Inside one answer a stream that is cut after two events goes on with the other version: v2, v2, v1, v1.

--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -50,6 +50,9 @@
 	})
 }
 
+// firstEngineHost is the last byte of the address of the first engine's host.
+const firstEngineHost = 11
+
 // rigMaxBuffered is how many bytes of request bodies a gateway of a rig buffers at once.
 const rigMaxBuffered = 256 << 10
 
@@ -196,8 +199,22 @@
 // newRigWithDrain is newRigIn with another drain time, in which a leaving upstream may
 // still get new requests. Gateways read the list of upstreams twice in that time.
 func newRigWithDrain(drain time.Duration, domains ...string) *rig {
+	return newRigOf(rigOptions{
+		drain:   drain,
+		domains: domains,
+	})
+}
+
+// rigOptions configures a rig.
+type rigOptions struct {
+	drain    time.Duration
+	domains  []string // of the engines, each on a host of its own
+	software []string // versions of the engines; nil: they state none
+}
+
+func newRigOf(o rigOptions) *rig {
 	x := &rig{
-		drain:         drain,
+		drain:         o.drain,
 		domain:        "d",
 		domains:       make(map[*standin.ModelWorker]string),
 		store:         standin.NewMetaStore(),
@@ -215,12 +232,20 @@
 	serve(storeListener, x.store)
 	x.store.PutConfig(config(1, ""))
 	store := platform.NewStore(x.storeAddr, x.metrics)
-	hosts := []string{"127.0.0.11", "127.0.0.12"}
+	var hosts []string
+	for i := range o.domains {
+		hosts = append(hosts, fmt.Sprintf("127.0.0.%d", firstEngineHost+i))
+	}
 	keepers, port := listenAll(hosts...)
 	x.keeperPort = port
 	for i, host := range hosts {
-		m := x.addWorker("llm", host, domains[i], standin.ModelWorkerConfig{
+		software := ""
+		if o.software != nil {
+			software = o.software[i]
+		}
+		m := x.addWorker("llm", host, o.domains[i], standin.ModelWorkerConfig{
 			ID:            fmt.Sprintf("e%d", i),
+			Software:      software,
 			Model:         "m0",
 			Slots:         2,
 			LoadTime:      20 * time.Millisecond,
@@ -233,7 +258,7 @@
 			x.keeperProxy, ln = behindProxy(ln)
 		}
 		x.startKeeper(host, ln, m, store)
-		x.apps = append(x.apps, x.addWorker("app", host, domains[i], standin.ModelWorkerConfig{
+		x.apps = append(x.apps, x.addWorker("app", host, o.domains[i], standin.ModelWorkerConfig{
 			ID: fmt.Sprintf("a%d", i),
 		}))
 	}
--- a/standin/modelstream.go
+++ b/standin/modelstream.go
@@ -43,6 +43,7 @@
 	if r.Header.Get("Last-Event-Id") == "" {
 		shape, last = f.Fresh, max(f.CutAfter, f.CutFresh)
 	}
+	shape.Word = cmp.Or(shape.Word, m.cfg.Software)
 	first := max(lastEventID(r)+1+shape.Shift, 1)
 	if f.CutFramed == FramedByLength {
 		w.Header().Set("Content-Length", strconv.Itoa(truncatedLength(shape, first, last)))
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -46,6 +46,7 @@
 	Model         string // base model; empty: an application worker
 	Slots         int    // adapter slots
 	LoadTime      time.Duration
+	Software      string        // stated in the entry and in the data of events; empty: not stated
 	StreamEvents  int           // events of a stream; zero: responses are not streams
 	EventInterval time.Duration // between events
 	// Crash is called with the path of a request that crashes the worker. It closes the
@@ -206,7 +207,11 @@
 	if remaining := m.coldRemainingMS(); remaining > 0 {
 		cold = fmt.Sprintf(`,"cold_left_ms":%d`, remaining)
 	}
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q%s,"seq":1%s}`, service, addr, zone, cmp.Or(m.faults.Slots, defaultSlots), state, cold, start)
+	software := ""
+	if m.cfg.Software != "" {
+		software = fmt.Sprintf(`,"version":%q`, m.cfg.Software)
+	}
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q%s,"seq":1%s%s}`, service, addr, zone, cmp.Or(m.faults.Slots, defaultSlots), state, cold, start, software)
 }
 
 // SetCold makes the worker report for the duration d that it is cold.
