gateway, keeper, decide: a stream goes on only at the software version that began it

Cause: placement took all upstreams of a service for alike, and the version that began a stream was known to nobody but the gateway that forwarded its first event. The class: state that belongs to a stream kept with one connection of it.

The gateway that forwards a first event records attempt, service and version at two keepers that every gateway finds by rendezvous of the attempt. A take-up asks its own gateway's memory, then four keepers, then the history of the list; what nobody knows is refused as not run. Versions travel to other gateways in a message of their own, since older builds fix the form of the list's changes.

Why it works: no take-up and no resumption is placed without a version, and the record is sent before the first event is. Whoever does not know refuses.

--- a/decide/backoff.go
+++ b/decide/backoff.go
@@ -101,7 +101,7 @@
 		return 0, false
 	}
 	for _, m := range f.services[r.Service] {
-		if !m.available(now) || !f.inRegions(m, r.Regions) {
+		if !m.available(now) || !f.allows(m, r.restriction()) {
 			continue
 		}
 		if !m.backoff.inForce(now) {
--- a/decide/copies.go
+++ b/decide/copies.go
@@ -44,7 +44,7 @@
 		return
 	}
 	f.crossDomainBytes[r.Key] = 0
-	missing := f.missingFor(now, r.Key, r.Service, nil)
+	missing := f.missingFor(now, r.Key, r.Service, restriction{})
 	missing.cause = LoadLocal
 	missing.preload = !busy
 	if busy {
--- a/decide/evacuation.go
+++ b/decide/evacuation.go
@@ -49,7 +49,9 @@
 		if u.Running == 0 || f.heldByAvailable(now, key) || f.missing.unrestricted(key) != nil {
 			continue
 		}
-		missing := f.missingFor(now, key, m.Service, region)
+		missing := f.missingFor(now, key, m.Service, restriction{
+			regions: region,
+		})
 		missing.preload = true
 		missing.expectedRetries += u.Running
 		missing.retryWeight += float64(u.Running)
@@ -114,14 +116,16 @@
 // whatever their load, and why. Such a request is refused at once, since waiting in the
 // gateway would gain it nothing.
 func (f *Fleet) noneEligible(r *PendingRequest) (wardturn.Reason, bool) {
-	if r.Regions == nil && len(f.evacuated) == 0 {
+	if r.Regions == nil && r.Software == nil && len(f.evacuated) == 0 {
 		return "", false
 	}
-	evacuated, otherRegion := false, false
+	evacuated, otherRegion, otherSoftware := false, false, false
 	for _, m := range f.services[r.Service] {
 		switch {
 		case !f.inRegions(m, r.Regions):
 			otherRegion = true
+		case !r.Software.Allow(m.Software) || r.Software != nil && m.Draining:
+			otherSoftware = true
 		case m.evacuated:
 			evacuated = true
 		default:
@@ -133,6 +137,8 @@
 		return wardturn.ReasonEvacuated, true
 	case otherRegion:
 		return wardturn.ReasonRegions, true
+	case otherSoftware:
+		return wardturn.ReasonSoftware, true
 	}
 	return "", false
 }
--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -19,6 +19,7 @@
 	rollouts      map[wardturn.ModelAdapter]*rollout
 	members       map[wardturn.UpstreamID]*Member
 	services      map[wardturn.ServiceName][]*Member // sorted by ID
+	software      SoftwareHistory
 	// local holds those of services that are in this gateway's failure domain.
 	local map[wardturn.ServiceName][]*Member
 	// leaving holds the upstreams that announced that they are leaving, and when the list
@@ -190,6 +191,7 @@
 	f.limits.Retain(now, listedInstances(list))
 	f.updateColdLimits(now)
 	f.services = services
+	f.software.Observe(now, services)
 	f.updatePlainMembers()
 	f.local = membersByServiceIn(services, f.cfg.Domain)
 	f.updateEngineCount()
@@ -257,6 +259,11 @@
 	return f.window.Learned()
 }
 
+// Software returns the software versions that the list has had.
+func (f *Fleet) Software() *SoftwareHistory {
+	return &f.software
+}
+
 // Members returns the members of a service, sorted by ID.
 func (f *Fleet) Members(s wardturn.ServiceName) []*Member {
 	return f.services[s]
--- a/decide/limited.go
+++ b/decide/limited.go
@@ -13,7 +13,7 @@
 func (f *Fleet) refusedByLimits(now time.Time, r *PendingRequest) (reason wardturn.Reason, retryAfter time.Duration, refused bool) {
 	var soonest *Member
 	for _, m := range f.services[r.Service] {
-		if !m.available(now) || !f.inRegions(m, r.Regions) {
+		if !m.available(now) || !f.allows(m, r.restriction()) {
 			continue
 		}
 		backingOff := !m.backoff.allows(now)
--- a/decide/loadorder.go
+++ b/decide/loadorder.go
@@ -136,13 +136,13 @@
 
 // loadOrder is what the order of the missing adapters depends on.
 type loadOrder struct {
-	inTime   bool // a load can still bring a request in time
-	weight   float64
-	teamLoad int       // requests of the team of its most urgent request
-	arrival  time.Time // of the latest request
-	adapter  wardturn.AdapterID
-	model    wardturn.BaseModel
-	regions  string // missingKey.regions
+	inTime      bool // a load can still bring a request in time
+	weight      float64
+	teamLoad    int       // requests of the team of its most urgent request
+	arrival     time.Time // of the latest request
+	adapter     wardturn.AdapterID
+	model       wardturn.BaseModel
+	restriction string // missingKey.restriction
 }
 
 // before reports whether an adapter is requested before another. When more adapters are
@@ -170,7 +170,7 @@
 	if o.model != p.model {
 		return o.model < p.model
 	}
-	return o.regions < p.regions
+	return o.restriction < p.restriction
 }
 
 // loadOrderOf returns the place of a missing adapter in the order of loads. Without
@@ -178,13 +178,13 @@
 func (f *Fleet) loadOrderOf(now time.Time, missing *missingAdapter) loadOrder {
 	inTime, weight := f.loadClass(now, now.Add(f.window.MedianLoadTime()), missing)
 	return loadOrder{
-		inTime:   inTime,
-		weight:   weight,
-		teamLoad: loadOf(missing.urgency.teamLoad),
-		arrival:  missing.latestArrival,
-		adapter:  missing.key.Adapter,
-		model:    missing.key.Model,
-		regions:  missing.regionsKey,
+		inTime:      inTime,
+		weight:      weight,
+		teamLoad:    loadOf(missing.urgency.teamLoad),
+		arrival:     missing.latestArrival,
+		adapter:     missing.key.Adapter,
+		model:       missing.key.Model,
+		restriction: missing.restrictionKey,
 	}
 }
 
--- a/decide/loadorder_internal_test.go
+++ b/decide/loadorder_internal_test.go
@@ -20,7 +20,9 @@
 		missing := f.missingFor(now, wardturn.ModelAdapter{
 			Model:   "m",
 			Adapter: "x",
-		}, "s", regions)
+		}, "s", restriction{
+			regions: regions,
+		})
 		missing.waiting = []*PendingRequest{
 			{},
 		}
--- a/decide/missing.go
+++ b/decide/missing.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"fmt"
 	"time"
 
 	"wardturn"
@@ -17,8 +16,8 @@
 type missingAdapter struct {
 	key             wardturn.ModelAdapter
 	service         wardturn.ServiceName
-	regions         wardturn.Regions // in which the requests may be served
-	regionsKey      string           // missingKey.regions
+	restriction     restriction // of the requests
+	restrictionKey  string      // missingKey.restriction
 	waiting         []*PendingRequest
 	urgency         waitingUrgency
 	expectedRetries int       // requests that were refused with a retry time
@@ -43,29 +42,26 @@
 	preload           bool                // it is wanted for requests to come
 }
 
-// missingAdapters are the missing adapters, by adapter and by the regions in which their
-// requests may be served.
+// missingAdapters are the missing adapters, by adapter and by the restriction of their
+// requests.
 type missingAdapters map[missingKey]*missingAdapter
 
 type missingKey struct {
-	adapter wardturn.ModelAdapter
-	regions string
+	adapter     wardturn.ModelAdapter
+	restriction string
 }
 
-func missingKeyOf(adapter wardturn.ModelAdapter, r wardturn.Regions) missingKey {
-	k := missingKey{
-		adapter: adapter,
+func missingKeyOf(adapter wardturn.ModelAdapter, r restriction) missingKey {
+	return missingKey{
+		adapter:     adapter,
+		restriction: r.key(),
 	}
-	if r != nil {
-		k.regions = fmt.Sprintf("%q", r)
-	}
-	return k
 }
 
-// unrestricted returns the entry of an adapter for requests without a region restriction,
+// unrestricted returns the entry of an adapter for requests without a restriction,
 // or nil.
 func (m missingAdapters) unrestricted(adapter wardturn.ModelAdapter) *missingAdapter {
-	return m[missingKeyOf(adapter, nil)]
+	return m[missingKeyOf(adapter, restriction{})]
 }
 
 // all returns all entries of an adapter.
@@ -75,25 +71,25 @@
 		list = append(list, missing)
 	}
 	for k, missing := range m {
-		if k.adapter == adapter && k.regions != "" {
+		if k.adapter == adapter && k.restriction != "" {
 			list = append(list, missing)
 		}
 	}
 	return list
 }
 
-// missingFor returns the entry of an adapter for requests that may be served in the
-// regions r, and creates it if there is none.
-func (f *Fleet) missingFor(now time.Time, key wardturn.ModelAdapter, s wardturn.ServiceName, r wardturn.Regions) *missingAdapter {
+// missingFor returns the entry of an adapter for requests with restriction r, and creates it
+// if there is none.
+func (f *Fleet) missingFor(now time.Time, key wardturn.ModelAdapter, s wardturn.ServiceName, r restriction) *missingAdapter {
 	k := missingKeyOf(key, r)
 	missing := f.missing[k]
 	if missing == nil {
 		missing = &missingAdapter{
-			key:          key,
-			service:      s,
-			regions:      r,
-			regionsKey:   k.regions,
-			waitingSince: now,
+			key:            key,
+			service:        s,
+			restriction:    r,
+			restrictionKey: k.restriction,
+			waitingSince:   now,
 		}
 		f.missing[k] = missing
 	}
@@ -131,7 +127,7 @@
 func (f *Fleet) homeAmong(now time.Time, missing *missingAdapter, match func(*Member) bool) *Member {
 	newest := f.newest(missing.key)
 	fits := func(m *Member) bool {
-		return m.Service == missing.service && f.inRegions(m, missing.regions) && m.ID != missing.failedHome && m.canLoad(now, missing.key.Model) && !m.serves(now, missing.key, newest) && m.utilization() < engineFillLimit && match(m)
+		return m.Service == missing.service && f.allows(m, missing.restriction) && m.ID != missing.failedHome && m.canLoad(now, missing.key.Model) && !m.serves(now, missing.key, newest) && m.utilization() < engineFillLimit && match(m)
 	}
 	for m := range inHomeOrder(missing.key, f.loaders[missing.key]) {
 		if fits(m) {
@@ -275,7 +271,7 @@
 // removeMissing removes a missing adapter.
 func (f *Fleet) removeMissing(missing *missingAdapter) {
 	f.cancelRequest(missing)
-	delete(f.missing, missingKeyOf(missing.key, missing.regions))
+	delete(f.missing, missingKeyOf(missing.key, missing.restriction))
 }
 
 // renewRequest repeats the load request of a load in progress. It gives up a load that
--- a/decide/objective.go
+++ b/decide/objective.go
@@ -30,7 +30,7 @@
 	if meetsObjective(now, r, m, 0) {
 		return false
 	}
-	missing := f.missingFor(now, r.Key, r.Service, r.Regions)
+	missing := f.missingFor(now, r.Key, r.Service, r.restriction())
 	home := f.members[missing.home]
 	queued := time.Duration(0)
 	if missing.firstRequestedAt.IsZero() {
--- a/decide/pending.go
+++ b/decide/pending.go
@@ -34,8 +34,10 @@
 	Body      int  // bytes of the request body
 	Bytes     int  // of the request and, estimated, of its response
 	Regions   wardturn.Regions
-	Urgency   Urgency
-	Tried     []wardturn.UpstreamID
+	// Software is the version that may run the request; nil: any.
+	Software wardturn.SoftwareVersions
+	Urgency  Urgency
+	Tried    []wardturn.UpstreamID
 	// Repeatable means that the request may run more than once.
 	Repeatable bool
 	// Content identifies a request that was refused and comes back; empty if it is not known.
@@ -222,7 +224,7 @@
 		list = f.holders[r.Key]
 	}
 	able := func(m *Member) bool {
-		if m.Service != r.Service || !m.usable(now, r.Tried) || !f.inRegions(m, r.Regions) || m.utilization() >= engineFillLimit || !f.bodyFits(m, r) {
+		if m.Service != r.Service || !m.usable(now, r.Tried) || !f.allows(m, r.restriction()) || m.utilization() >= engineFillLimit || !f.bodyFits(m, r) {
 			return false
 		}
 		return m.serves(now, r.Key, least) && match(m) && f.limits.Allows(now, m.ID)
@@ -257,7 +259,7 @@
 
 // enqueue queues a request until its adapter is loaded, and requests the adapter if needed.
 func (f *Fleet) enqueue(now time.Time, r *PendingRequest, out *Actions) {
-	missing := f.missingFor(now, r.Key, r.Service, r.Regions)
+	missing := f.missingFor(now, r.Key, r.Service, r.restriction())
 	r.missing = missing
 	missing.waiting = append(missing.waiting, r)
 	missing.latestArrival = now
--- a/decide/plainadmit.go
+++ b/decide/plainadmit.go
@@ -177,7 +177,7 @@
 
 // takesPlain reports whether a request may be sent to an upstream, whatever its load.
 func (f *Fleet) takesPlain(now time.Time, m *Member, r *PendingRequest) bool {
-	return m.plain != nil && m.usable(now, r.Tried) && f.inRegions(m, r.Regions) && f.bodyFits(m, r) && f.limits.Allows(now, m.ID)
+	return m.plain != nil && m.usable(now, r.Tried) && f.allows(m, r.restriction()) && f.bodyFits(m, r) && f.limits.Allows(now, m.ID)
 }
 
 // weightedMember returns the upstream for the next request, in proportion to the rates that
--- /dev/null
+++ b/decide/restriction.go
@@ -0,0 +1,33 @@
+package decide
+
+import (
+	"fmt"
+
+	"wardturn"
+)
+
+// restriction limits the upstreams of a service that may run a request.
+type restriction struct {
+	regions  wardturn.Regions
+	software wardturn.SoftwareVersions
+}
+
+func (r *PendingRequest) restriction() restriction {
+	return restriction{
+		regions:  r.Regions,
+		software: r.Software,
+	}
+}
+
+// key returns a text that is the same for equal restrictions, empty for none.
+func (r restriction) key() string {
+	if r.regions == nil && r.software == nil {
+		return ""
+	}
+	return fmt.Sprintf("%#v %#v", r.regions, r.software)
+}
+
+// allows reports whether a restriction allows an upstream.
+func (f *Fleet) allows(m *Member, r restriction) bool {
+	return f.inRegions(m, r.regions) && r.software.Allow(m.Software)
+}
--- a/decide/rollout.go
+++ b/decide/rollout.go
@@ -110,7 +110,7 @@
 		if _, holds := m.held[key]; holds || m.loading() >= MaxConcurrentLoads {
 			continue
 		}
-		missing := f.missingFor(now, key, s, nil)
+		missing := f.missingFor(now, key, s, restriction{})
 		missing.cause = LoadVersion
 		missing.preload = true
 		f.requestLoad(now, missing, m, out)
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -24,6 +24,7 @@
 		Bytes:     len(x.body) + responseSizeEstimate,
 		Tried:     x.tried,
 		Regions:   x.regions,
+		Software:  x.software,
 		Urgency:   x.urgency(),
 
 		Repeatable: x.repeatable(),
--- a/gateway/errorresponse.go
+++ b/gateway/errorresponse.go
@@ -10,6 +10,25 @@
 	"wardturn"
 )
 
+// refusal is why a request was not run and when the caller may retry.
+type refusal struct {
+	reason     wardturn.Reason
+	retryAfter time.Duration
+	predicted  time.Duration // until the response could have started; zero: not predicted
+	// capacity and demand are those of the plain service in requests per second; zero if
+	// they did not cause the refusal.
+	capacity float64
+	demand   float64
+}
+
+// fields returns the additional fields of the log line.
+func (r *refusal) fields() []any {
+	if r.capacity == 0 {
+		return nil
+	}
+	return []any{"capacity", strconv.FormatFloat(r.capacity, 'f', 1, 64), "demand", strconv.FormatFloat(r.demand, 'f', 1, 64)}
+}
+
 // refuse responds that the request was not run and when to retry; extra are additional
 // fields of the log line.
 func (x *exchange) refuse(reason wardturn.Reason, retryAfter time.Duration, extra ...any) {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,12 +65,13 @@
 	headerWritten   bool // the response header was written to the caller
 	refusal         *refusal
 	events          events
-	boundary        eventBoundary            // of the latest stream from an upstream
-	software        wardturn.SoftwareVersion // that began the stream; empty: not known or not stated
-	prefilling      wardturn.UpstreamID      // the upstream that is prefilling the prompt
-	turn            *turn                    // for prefilling; nil if none was requested or it has ended
-	turnOutcome     turnResult               // of the wait for the latest turn; empty: none
-	registered      bool                     // the prompt counts as one that takes a turn
+	boundary        eventBoundary             // of the latest stream from an upstream
+	software        wardturn.SoftwareVersions // that may run it, since it began the stream; nil: any
+	eventsFrom      wardturn.UpstreamID       // the latest upstream with forwarded events
+	prefilling      wardturn.UpstreamID       // the upstream that is prefilling the prompt
+	turn            *turn                     // for prefilling; nil if none was requested or it has ended
+	turnOutcome     turnResult                // of the wait for the latest turn; empty: none
+	registered      bool                      // the prompt counts as one that takes a turn
 	timing          timing
 	send            sendState
 	pending         *pendingSend // the latest send; nil once it has started or ended
@@ -94,25 +94,6 @@
 	aborted   bool      // the gateway aborted the send before it started
 }
 
-// refusal is why a request was not run and when the caller may retry.
-type refusal struct {
-	reason     wardturn.Reason
-	retryAfter time.Duration
-	predicted  time.Duration // until the response could have started; zero: not predicted
-	// capacity and demand are those of the plain service in requests per second; zero if
-	// they did not cause the refusal.
-	capacity float64
-	demand   float64
-}
-
-// fields returns the additional fields of the log line.
-func (r *refusal) fields() []any {
-	if r.capacity == 0 {
-		return nil
-	}
-	return []any{"capacity", strconv.FormatFloat(r.capacity, 'f', 1, 64), "demand", strconv.FormatFloat(r.demand, 'f', 1, 64)}
-}
-
 // result is the outcome of one send.
 type result uint8
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,6 +130,7 @@
 	pool              *pool
 	links             *links
 	pendingSends      *pendingSends
+	origins           *origins
 	server            *http.Server
 	readyServer       *http.Server
 	listener          net.Listener
@@ -171,6 +172,7 @@
 	g.bodyLimiter.limit = d.Config.MaxBufferedBytes
 	g.membership = newMembership(d.Members, d.Clock, d.Logger, d.Config.ExpiryGrace)
 	g.reads = newReadCoordinator(g)
+	g.membership.announced = g.reads.announcedSoftwareOf
 	g.caps = newCaps(g)
 	g.limits = newLimits(g)
 	g.plain = newPlain(g)
@@ -179,6 +181,7 @@
 	g.fleet = decide.NewFleet(d.Config.Fleet)
 	g.crashes = newCrashes(g, d.Crashes)
 	g.links = newLinks(g)
+	g.origins = newOrigins(g)
 	g.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: defaultReadTimeout,
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -113,6 +113,10 @@
 		l.links.g.limits.receive(m)
 	case *peer.PlainLoadReports:
 		l.links.g.plain.receive(m)
+	case *peer.OriginReply:
+		l.links.g.origins.handleReply(m)
+	case *peer.SoftwareAnnouncement:
+		l.links.g.reads.receiveSoftware(m)
 	case *peer.StartedReport:
 		l.links.g.pendingSends.markStarted(m.Upstream, m.IDs)
 	case *peer.EngineUpdate:
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -17,6 +17,8 @@
 	clock  wardturn.Clock
 	logger hclog.Logger
 	grace  time.Duration
+	// announced returns the software version of an upstream as announced by other gateways.
+	announced func(wardturn.UpstreamID) (wardturn.SoftwareVersion, bool)
 
 	current      []wardturn.Member                       // members in the latest list
 	byID         map[wardturn.UpstreamID]wardturn.Member // the same, by ID
@@ -87,6 +89,9 @@
 // zero if unknown. It reports false if the change does not directly follow the local state.
 func (ms *membership) apply(c wardturn.MemberChange, asOf time.Time) (membershipView, bool) {
 	ms.recordStoreRead(asOf, minOutage)
+	if !ms.completeSoftware(c) {
+		return membershipView{}, false
+	}
 	list, ok := ms.source.Apply(c)
 	if !ok {
 		return membershipView{}, false
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -179,6 +179,13 @@
 	}).Counter("stream_ends").Inc(1)
 }
 
+// streamResumed counts a stream that a caller resumes, by how its origin was found.
+func (m *Metrics) streamResumed(source originSource) {
+	m.scope.Tagged(map[string]string{
+		"origin": string(source),
+	}).Counter("streams_resumed").Inc(1)
+}
+
 // turnEnded records the wait for a turn at an engine and how it ended.
 func (m *Metrics) turnEnded(r turnResult, waited time.Duration) {
 	m.turnWait.RecordDuration(waited)
--- /dev/null
+++ b/gateway/origins.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wardturn"
+	"wardturn/decide"
+	"wardturn/peer"
+)
+
+const (
+	// originGrace is how long after the deadline of its attempt a stream can be resumed.
+	originGrace = 30 * time.Second
+	// originHolders is the number of keepers that a stream's origin is recorded at.
+	originHolders = 2
+	// originAsked is the number of keepers that are asked for it. Gateways that are connected
+	// to different keepers choose different holders.
+	originAsked = 4
+	// originTimeout bounds the wait for the replies. Keepers reply within a few milliseconds.
+	originTimeout = 150 * time.Millisecond
+	// originRepeatDelay is when keepers are asked again, since the record of a stream that
+	// has just begun may still be on its way.
+	originRepeatDelay = 50 * time.Millisecond
+	// originCandidatesAge is how long the list of connected keepers is reused.
+	originCandidatesAge = 200 * time.Millisecond
+)
+
+// origins knows where streams began that a caller may resume at any gateway. The gateway that
+// forwards the first event of a stream records its origin at keepers that every gateway finds
+// by the ID of the attempt.
+type origins struct {
+	g *Gateway
+
+	mu           sync.Mutex
+	local        *decide.StreamOrigins // streams of this gateway
+	queries      map[uint64]chan *peer.OriginReply
+	lastQuery    uint64
+	candidates   []originCandidate
+	candidatesAt time.Time
+}
+
+// originCandidate is a connected keeper.
+type originCandidate struct {
+	conn   *peer.Conn
+	addr   string
+	domain wardturn.FailureDomain
+}
+
+func newOrigins(g *Gateway) *origins {
+	return &origins{
+		g:       g,
+		local:   decide.NewStreamOrigins(),
+		queries: make(map[uint64]chan *peer.OriginReply),
+	}
+}
+
+// record records where the stream of an attempt with a deadline began.
+func (o *origins) record(attempt string, origin wardturn.StreamOrigin, deadline time.Time) {
+	now := o.g.clock.Now()
+	until := deadline.Add(originGrace)
+	o.mu.Lock()
+	o.local.Record(now, attempt, origin, until)
+	o.mu.Unlock()
+	m := &peer.StreamStarts{
+		Starts: []peer.StreamStart{
+			{
+				Attempt: attempt,
+				Origin:  origin,
+				For:     until.Sub(now),
+			},
+		},
+	}
+	for _, c := range o.holders(attempt, originHolders) {
+		// Errors are ignored: the other holder has it too, and an origin that nobody knows
+		// has the resumption refused.
+		_ = c.conn.Send(m)
+	}
+}
+
+// find returns where the stream of an attempt began. It reports false if nobody knows.
+func (o *origins) find(ctx context.Context, attempt string) (origin wardturn.StreamOrigin, local, ok bool) {
+	o.mu.Lock()
+	origin, ok = o.local.Find(o.g.clock.Now(), attempt)
+	o.mu.Unlock()
+	if ok {
+		return origin, true, true
+	}
+	ctx, cancel := wardturn.WithTimeout(ctx, o.g.clock, originTimeout)
+	defer cancel()
+	replies, id, end := o.startQuery()
+	defer end()
+	for range 2 {
+		asked := o.ask(id, attempt)
+		origin, ok := awaitOrigin(ctx, replies, asked)
+		if ok {
+			return origin, false, true
+		}
+		wardturn.Sleep(ctx, o.g.clock, originRepeatDelay)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return wardturn.StreamOrigin{}, false, false
+}
+
+// startQuery registers a query. The channel has room for all replies to it.
+func (o *origins) startQuery() (replies chan *peer.OriginReply, id uint64, end func()) {
+	replies = make(chan *peer.OriginReply, 2*originAsked)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastQuery++
+	id = o.lastQuery
+	o.queries[id] = replies
+	return replies, id, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.queries, id)
+	}
+}
+
+// ask sends a query to keepers and returns their number.
+func (o *origins) ask(id uint64, attempt string) int {
+	asked := 0
+	for _, c := range o.holders(attempt, originAsked) {
+		err := c.conn.Send(&peer.OriginQuery{
+			ID:      id,
+			Attempt: attempt,
+		})
+		if err == nil {
+			asked++
+		}
+	}
+	return asked
+}
+
+// awaitOrigin waits for the first of a number of replies that knows the origin.
+func awaitOrigin(ctx context.Context, replies <-chan *peer.OriginReply, asked int) (wardturn.StreamOrigin, bool) {
+	for range asked {
+		select {
+		case r := <-replies:
+			if r.Known {
+				return r.Origin, true
+			}
+		case <-ctx.Done():
+			return wardturn.StreamOrigin{}, false
+		}
+	}
+	return wardturn.StreamOrigin{}, false
+}
+
+// handleReply handles a keeper's reply to a query.
+func (o *origins) handleReply(m *peer.OriginReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	replies := o.queries[m.ID]
+	if replies == nil {
+		return // the query has ended
+	}
+	select {
+	case replies <- m:
+	default: // more replies than queries
+	}
+}
+
+// holders returns the n keepers at which the origin of an attempt's stream is recorded first.
+func (o *origins) holders(attempt string, n int) []originCandidate {
+	return decide.Spread(attempt, o.connected(), func(c originCandidate) string {
+		return c.addr
+	}, func(c originCandidate) string {
+		return string(c.domain)
+	}, n)
+}
+
+// connected returns the connected keepers that record origins.
+func (o *origins) connected() []originCandidate {
+	now := o.g.clock.Now()
+	o.mu.Lock()
+	list, at := o.candidates, o.candidatesAt
+	o.mu.Unlock()
+	if !at.IsZero() && now.Sub(at) < originCandidatesAge {
+		return list
+	}
+	list = o.g.links.originCandidates()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.candidates, o.candidatesAt = list, now
+	return list
+}
+
+// originCandidates returns the connected keepers that record origins of streams.
+func (ls *links) originCandidates() []originCandidate {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	list := make([]originCandidate, 0, len(ls.byAddr))
+	for _, l := range ls.byAddr {
+		conn, domain := l.current()
+		if conn != nil && conn.Understands(peer.FeatureStreamOrigins) {
+			list = append(list, originCandidate{
+				conn:   conn,
+				addr:   l.addr(),
+				domain: domain,
+			})
+		}
+	}
+	return list
+}
--- a/gateway/readcoordinator.go
+++ b/gateway/readcoordinator.go
@@ -23,6 +23,7 @@
 	config          *decide.ReadScheduler
 	members         *decide.ReadScheduler
 	records         configRecords
+	software        announcedSoftware
 }
 
 // announcedChange is a change of the list that another gateway has read.
@@ -219,6 +220,7 @@
 			_ = c.Send(records)
 		}
 		if m != nil {
+			rc.announceSoftware(c, m.Members)
 			_ = c.Send(m)
 		}
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -36,7 +36,10 @@
 	if x.team != nil {
 		x.regions = x.regions.Both(x.team.Regions)
 	}
-	x.service = selectService(x.route, x.attempt)
+	x.service = selectService(x.route, x.serviceKey())
+	if x.resumes() && !x.resolveOrigin() {
+		return false
+	}
 	spec := rs.table.Services[x.service]
 	x.engine = spec.Engine != nil
 	timeout := x.route.Timeout
--- /dev/null
+++ b/gateway/resumption.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"cmp"
+	"time"
+
+	"wardturn"
+)
+
+const (
+	// originRetryAfter is the Retry-After of resumptions of a stream whose origin is not
+	// known.
+	originRetryAfter = 500 * time.Millisecond
+	// maxListAge is the age up to which the list of upstreams tells which software versions
+	// there are.
+	maxListAge = 3 * time.Second
+)
+
+// originSource is how the origin of a stream that a caller resumes was found.
+type originSource string
+
+const (
+	originUnstated originSource = "unstated" // no upstream states its software version
+	originLocal    originSource = "local"    // the stream began at this gateway
+	originKeeper   originSource = "keeper"
+	originOnly     originSource = "only_version"
+	originUnknown  originSource = "unknown"
+)
+
+// resumes reports whether the caller resumes a stream that began in an earlier attempt.
+func (x *exchange) resumes() bool {
+	return x.route.Resumable && x.r.Header.Get(x.g.names.LastEventID) != ""
+}
+
+// resolveOrigin determines the service and the software version that began the stream which
+// the caller resumes. The rest of it may come only from there, because what two versions
+// generate does not fit together and upstreams do not check it. It reports false after it has
+// refused a request for which that is not known.
+func (x *exchange) resolveOrigin() bool {
+	origin, source := x.findOrigin()
+	x.g.metrics.streamResumed(source)
+	switch {
+	case source == originUnstated:
+		return true
+	case source == originUnknown:
+		x.refuse(wardturn.ReasonOrigin, originRetryAfter, "resumes", x.resumedAttempt())
+		return false
+	case !routeLeadsTo(x.route, origin.Service):
+		x.refuse(wardturn.ReasonSoftware, originRetryAfter, "resumes", x.resumedAttempt(), "service", origin.Service)
+		return false
+	}
+	x.service = origin.Service
+	x.setSoftware(origin.Software)
+	return true
+}
+
+// findOrigin returns the origin of the stream that the caller resumes and how it was found.
+func (x *exchange) findOrigin() (wardturn.StreamOrigin, originSource) {
+	if !x.g.statesSoftware(x.service) {
+		return wardturn.StreamOrigin{}, originUnstated
+	}
+	attempt := x.resumedAttempt()
+	if attempt != "" {
+		if origin, local, ok := x.g.origins.find(x.r.Context(), attempt); ok {
+			if local {
+				return origin, originLocal
+			}
+			return origin, originKeeper
+		}
+	}
+	// Callers that name no attempt can't be told from those whose stream began before this
+	// gateway, and refusing them all for its first minute would refuse most for nothing.
+	v, ok := x.g.onlySoftware(x.service, attempt == "")
+	if !ok {
+		return wardturn.StreamOrigin{}, originUnknown
+	}
+	return wardturn.StreamOrigin{
+		Service:  x.service,
+		Software: v,
+	}, originOnly
+}
+
+// resumedAttempt returns the ID of the attempt that brought the first event of the stream that
+// the caller resumes, or "" if the caller does not name it.
+func (x *exchange) resumedAttempt() string {
+	return x.r.Header.Get(x.g.names.Resumes)
+}
+
+// serviceKey returns the ID that selects the service of the request: an attempt that resumes
+// a stream goes where the stream began.
+func (x *exchange) serviceKey() string {
+	if !x.resumes() {
+		return x.attempt
+	}
+	return cmp.Or(x.resumedAttempt(), x.attempt)
+}
+
+func routeLeadsTo(r *wardturn.Route, s wardturn.ServiceName) bool {
+	for _, t := range r.Targets {
+		if t.Service == s {
+			return true
+		}
+	}
+	return false
+}
+
+// setSoftware restricts the request to upstreams of a software version.
+func (x *exchange) setSoftware(v wardturn.SoftwareVersion) {
+	x.software = wardturn.SoftwareVersions{v}
+}
+
+// recordOrigin records, before the first event from an upstream is forwarded, which software
+// version began the stream. A resumed stream is recorded again under both attempts, for
+// keepers that have lost the record.
+func (x *exchange) recordOrigin(a assignment) {
+	if x.eventsFrom == a.Member.ID {
+		return
+	}
+	if x.eventsFrom != "" || x.resumes() {
+		x.g.logger.Info("stream goes on", "id", x.attempt, "resumes", x.resumedAttempt(), "after", x.lastEvent(), "upstream", a.Member.ID, "software", a.Member.Software, "before", x.software)
+	}
+	first := x.eventsFrom == ""
+	x.eventsFrom = a.Member.ID
+	x.setSoftware(a.Member.Software)
+	if !first || a.Member.Software == "" {
+		return
+	}
+	origin := wardturn.StreamOrigin{
+		Service:  x.service,
+		Software: a.Member.Software,
+	}
+	x.g.origins.record(x.attempt, origin, x.deadline)
+	if attempt := x.resumedAttempt(); x.resumes() && attempt != "" {
+		x.g.origins.record(attempt, origin, x.deadline)
+	}
+}
+
+// statesSoftware reports whether upstreams of a service state their software version.
+func (g *Gateway) statesSoftware(s wardturn.ServiceName) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Software().Stated(s)
+}
+
+// onlySoftware returns the software version of a service if the current list of upstreams has
+// had no other for as long as a stream can be resumed. With partial, the time since this
+// gateway first read the list is enough.
+func (g *Gateway) onlySoftware(s wardturn.ServiceName, partial bool) (wardturn.SoftwareVersion, bool) {
+	now := g.clock.Now()
+	if !g.reads.membersCurrent(now, maxListAge) {
+		return "", false
+	}
+	within := g.routes.Load().resumableFor(s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v, whole, ok := g.fleet.Software().Only(now, s, within)
+	return v, ok && (whole || partial)
+}
+
+// resumableFor returns how long after its start a stream of a service can be resumed.
+func (rs *routes) resumableFor(s wardturn.ServiceName) time.Duration {
+	longest := time.Duration(0)
+	for _, list := range rs.byHost {
+		for _, r := range list {
+			if r.Resumable && routeLeadsTo(r, s) {
+				longest = max(longest, cmp.Or(r.Timeout, defaultTimeout))
+			}
+		}
+	}
+	return longest + originGrace
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,9 +46,6 @@
 			x.recordPrefill(a)
 			x.endPrefill(a)
 			x.recordBytes()
-			if !x.boundary.any {
-				x.recordFirstEvent(a)
-			}
 			x.boundary.write(buf[:n])
 			x.writeStreamHeader(resp.res)
 			writeErr := x.forwardBytes(a, buf[:n])
@@ -81,19 +78,6 @@
 	return resultTruncated
 }
 
-// recordFirstEvent records which software version began the stream or, if an earlier send or
-// attempt began it, logs where it goes on.
-func (x *exchange) recordFirstEvent(a assignment) {
-	if !x.route.Resumable {
-		return
-	}
-	if last := x.lastEvent(); last != "" {
-		x.g.logger.Info("stream goes on", "id", x.attempt, "resumes", x.r.Header.Get(x.g.names.Resumes), "after", last, "upstream", a.Member.ID, "software", a.Member.Software, "before", x.software)
-		return
-	}
-	x.software = a.Member.Software
-}
-
 // writeStreamHeader writes the response header, unless an earlier send has done so. Streams
 // of events get no length, because a caller would take one that is truncated after all of
 // its bytes for complete.
@@ -154,6 +138,9 @@
 		return err
 	}
 	events, mismatch := x.events.feed(data)
+	if len(events) > 0 {
+		x.recordOrigin(a)
+	}
 	return x.writeEvents(a, events, mismatch)
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -76,6 +76,7 @@
 	gatewayCountAt   time.Time // when an update with only a new number of gateways may be sent
 	pendingGossip    gossip
 	startedQueries   startedQueries
+	streamOrigins    *decide.StreamOrigins // guarded by mu
 	turns            prefillTurns
 }
 
@@ -98,6 +99,7 @@
 		sent:           &engineSnapshot{},
 		subscribers:    newSubscribers(),
 		startedQueries: newStartedQueries(),
+		streamOrigins:  decide.NewStreamOrigins(),
 		turns:          newPrefillTurns(d.Scope),
 	}
 	k.takeFence()
@@ -328,6 +330,14 @@
 		k.queueGossip(gossip{
 			plain: m.Reports,
 		})
+	case *peer.StreamStarts:
+		for _, s := range m.Starts {
+			k.streamOrigins.Record(now, s.Attempt, s.Origin, now.Add(s.For))
+		}
+	case *peer.OriginQuery:
+		k.replyOrigin(c, now, m)
+	case *peer.SoftwareAnnouncement:
+		k.forwardFeature(c, m, peer.FeatureStreamOrigins)
 	case *peer.StartedQuery:
 		k.startedQueries.add(c, m.IDs)
 	case *peer.AdapterUsage:
--- a/outcome.go
+++ b/outcome.go
@@ -67,6 +67,10 @@
 	ReasonEvacuated Reason = "domains_evacuated"
 	// ReasonRegions: no upstream is in a region where the request may be served.
 	ReasonRegions Reason = "no_upstream_in_regions"
+	// ReasonSoftware: no upstream has the software version that began the stream.
+	ReasonSoftware Reason = "no_upstream_of_software"
+	// ReasonOrigin: it is not known which software version began the stream.
+	ReasonOrigin Reason = "unknown_origin"
 	// ReasonCrashes: upstreams crashed while they had requests of the same content.
 	ReasonCrashes Reason = "crashes_upstreams"
 )
--- a/peer/feature.go
+++ b/peer/feature.go
@@ -20,10 +20,12 @@
 	FeatureUrgentLoads
 	// FeatureConfigRecords: ConfigAnnouncement.
 	FeatureConfigRecords
+	// FeatureStreamOrigins: StreamStarts, OriginQuery, OriginReply and SoftwareAnnouncement.
+	FeatureStreamOrigins
 )
 
 // ownFeatures are the features of this build.
-const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords
+const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins
 
 // Has reports whether the set contains a feature.
 func (f Features) Has(feature Features) bool {
--- a/peer/message.go
+++ b/peer/message.go
@@ -52,6 +52,10 @@
 	KindPlainLoadReports
 	KindUrgentLoadRequest
 	KindConfigAnnouncement
+	KindStreamStarts
+	KindOriginQuery
+	KindOriginReply
+	KindSoftwareAnnouncement
 )
 
 // Message is a typed message.
@@ -323,6 +327,14 @@
 		return &UrgentLoadRequest{}
 	case KindConfigAnnouncement:
 		return &ConfigAnnouncement{}
+	case KindStreamStarts:
+		return &StreamStarts{}
+	case KindOriginQuery:
+		return &OriginQuery{}
+	case KindOriginReply:
+		return &OriginReply{}
+	case KindSoftwareAnnouncement:
+		return &SoftwareAnnouncement{}
 	}
 	return nil
 }
