--- a/decide/rendezvous.go
+++ b/decide/rendezvous.go
@@ -1,11 +1,5 @@
 package decide
 
-import (
-	"cmp"
-	"maps"
-	"slices"
-)
-
 // First returns the element of a list with the highest score for a key by rendezvous
 // hashing. Callers with the same list choose the same element, and when an element is
 // removed only its keys move. It reports false for an empty list.
@@ -43,52 +37,6 @@
 	return best
 }
 
-// Spread returns up to n elements of a list with the highest scores for a key, the highest
-// first. It takes one element of each group before a second one of any.
-func Spread[T any](key string, list []T, name, group func(T) string, n int) []T {
-	var spread []T
-	taken := make(map[int]bool)
-	for len(spread) < min(n, len(list)) {
-		round := bestOfGroups(key, list, name, group, taken)
-		for _, i := range round[:min(len(round), n-len(spread))] {
-			taken[i] = true
-			spread = append(spread, list[i])
-		}
-	}
-	return spread
-}
-
-// bestOfGroups returns the index of the element of each group with the highest score for a
-// key, the highest score first. Elements that are taken are left out.
-func bestOfGroups[T any](key string, list []T, name, group func(T) string, taken map[int]bool) []int {
-	type candidate struct {
-		index int
-		score uint64
-	}
-	h := hashString(key)
-	best := make(map[string]candidate)
-	for i, x := range list {
-		if taken[i] {
-			continue
-		}
-		c := candidate{
-			index: i,
-			score: mix(h ^ hashString(name(x))),
-		}
-		if b, ok := best[group(x)]; !ok || c.score > b.score {
-			best[group(x)] = c
-		}
-	}
-	order := slices.SortedFunc(maps.Values(best), func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(y.score, x.score), cmp.Compare(x.index, y.index))
-	})
-	indexes := make([]int, len(order))
-	for i, c := range order {
-		indexes[i] = c.index
-	}
-	return indexes
-}
-
 // hashString returns the FNV-1a hash of s, passed through mix.
 func hashString(s string) uint64 {
 	const (
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -37,7 +37,7 @@
 	local        *decide.StreamOrigins // streams of this gateway
 	queries      map[uint64]chan *peer.OriginReply
 	lastQuery    uint64
-	candidates   []originCandidate
+	candidates   *decide.Spread[originCandidate]
 	candidatesAt time.Time
 }
 
@@ -91,18 +91,13 @@
 	defer cancel()
 	replies, id, end := o.startQuery()
 	defer end()
-	for range 2 {
-		asked := o.ask(id, attempt)
-		origin, ok := awaitOrigin(ctx, replies, asked)
-		if ok {
-			return origin, false, true
-		}
-		wardturn.Sleep(ctx, o.g.clock, originRepeatDelay)
-		if ctx.Err() != nil {
-			break
-		}
+	origin, ok = awaitOrigin(ctx, replies, o.ask(id, attempt))
+	if ok {
+		return origin, false, true
 	}
-	return wardturn.StreamOrigin{}, false, false
+	wardturn.Sleep(ctx, o.g.clock, originRepeatDelay)
+	origin, ok = awaitOrigin(ctx, replies, o.ask(id, attempt))
+	return origin, false, ok
 }
 
 // startQuery registers a query. The channel has room for all replies to it.
@@ -166,27 +161,18 @@
 
 // holders returns the n keepers at which the origin of an attempt's stream is recorded first.
 func (o *origins) holders(attempt string, n int) []originCandidate {
-	return decide.Spread(attempt, o.connected(), func(c originCandidate) string {
-		return c.addr
-	}, func(c originCandidate) string {
-		return string(c.domain)
-	}, n)
-}
-
-// connected returns the connected keepers that record origins.
-func (o *origins) connected() []originCandidate {
 	now := o.g.clock.Now()
 	o.mu.Lock()
-	list, at := o.candidates, o.candidatesAt
-	o.mu.Unlock()
-	if !at.IsZero() && now.Sub(at) < originCandidatesAge {
-		return list
-	}
-	list = o.g.links.originCandidates()
-	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.candidates, o.candidatesAt = list, now
-	return list
+	if o.candidates == nil || now.Sub(o.candidatesAt) >= originCandidatesAge {
+		o.candidates = decide.NewSpread(o.g.links.originCandidates(), func(c originCandidate) string {
+			return c.addr
+		}, func(c originCandidate) string {
+			return string(c.domain)
+		})
+		o.candidatesAt = now
+	}
+	return o.candidates.Choose(attempt, n)
 }
 
 // originCandidates returns the connected keepers that record origins of streams.
--- a/gateway/turns_internal_test.go
+++ b/gateway/turns_internal_test.go
@@ -10,14 +10,16 @@
 	"wardturn/process"
 )
 
-// A keeper of an older build closes the connection on a message of an unknown kind, so no
-// turn is requested from it.
-func TestNoTurnFromOlderKeeper(t *testing.T) {
+// connectOlderKeeper returns a link to a stand-in for a keeper of an older build. Such a
+// keeper closes the connection on a message of an unknown kind.
+func connectOlderKeeper(t *testing.T) *link {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
+	t.Cleanup(func() {
+		ln.Close()
+	})
 	go func() {
 		nc, err := ln.Accept()
 		if err != nil {
@@ -43,14 +45,30 @@
 	t.Cleanup(client.Close)
 	select {
 	case c := <-conns:
-		l := &link{
+		return &link{
 			conn: c,
 		}
-		if l.requestTurn(&peer.PrefillRequest{}) != nil {
-			t.Error("a turn was requested from a keeper that does not understand turns")
-		}
 	case <-time.After(5 * time.Second):
 		t.Fatal("not connected")
+		return nil
+	}
+}
+
+func TestNoTurnFromOlderKeeper(t *testing.T) {
+	l := connectOlderKeeper(t)
+	if l.requestTurn(&peer.PrefillRequest{}) != nil {
+		t.Error("a turn was requested from a keeper that does not understand turns")
+	}
+}
+
+func TestNoOriginAtOlderKeeper(t *testing.T) {
+	ls := &links{
+		byAddr: map[string]*link{
+			"10.0.0.1:80": connectOlderKeeper(t),
+		},
+	}
+	if list := ls.originCandidates(); len(list) != 0 {
+		t.Errorf("%d keepers that do not understand origins of streams would get them", len(list))
 	}
 }
 
