gateway: the origin of a stream is recorded where its upstream states no version

Cause: beside upstreams that state a software version, those that state none are a version of their own, but their streams were not recorded, so every take-up at another gateway was refused. The spec 'goes on where no version is stated if it began there' fails without the change and passes with it.

--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -185,6 +185,30 @@
 		}, "unknown_origin")
 	})
 
+	It("goes on where no version is stated if it began there, beside upstreams that state one", func() {
+		start("", "v2")
+		x.engines[1].SetFaults(standin.WorkerFaults{
+			Full: true,
+		})
+		id := fmt.Sprintf("begun-%d", attempts.Add(1))
+		ctx, disconnect := context.WithCancel(context.Background())
+		res, err := x.client.Do(x.streamRequest(ctx, x.frontURL, id))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(res.Body, make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		disconnect()
+		res.Body.Close()
+		x.engines[1].SetFaults(standin.WorkerFaults{})
+		x.engines[0].SetFaults(standin.WorkerFaults{
+			Full: true,
+		})
+		Expect(x.takeUp(other, id).status).To(Equal(http.StatusServiceUnavailable))
+		x.engines[0].SetFaults(standin.WorkerFaults{})
+		Eventually(func() string {
+			return x.takeUp(other, id).body
+		}, eventTimeout, pollInterval).Should(HaveSuffix(lastTwo))
+	})
+
 	It("goes on at any upstream if none states a version", func() {
 		x = newRig()
 		x.loadAndSetFaults(standin.WorkerFaults{})
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -122,7 +122,7 @@
 	first := x.eventsFrom == ""
 	x.eventsFrom = a.Member.ID
 	x.setSoftware(a.Member.Software)
-	if !first || a.Member.Software == "" {
+	if !first || !x.g.statesSoftware(x.service) {
 		return
 	}
 	origin := wardturn.StreamOrigin{
