--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -207,5 +207,5 @@
 		return
 	}
 	x.g.metrics.resumeMismatch(mismatchRepeated)
-	x.g.logger.Warn("resumed stream begins elsewhere", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID, "left_out", x.events.skipped, "reason", mismatchRepeated)
+	x.g.logger.Warn("resumed stream begins elsewhere", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID, "repeated", x.events.skipped, "reason", mismatchRepeated)
 }
