decide: a request that has been sent to every upstream that may run it is refused at once

What callers see: a stream that the only engine of its software version cut, or refused to resume, ended 1.5 s later, the objective of its route, instead of at once.

Cause: a request is not sent twice to one upstream, but it still waited for its adapter when it had been sent to all of them. Restricting streams to one version makes that common; with one engine or few it held for every request.

--- a/decide/pending.go
+++ b/decide/pending.go
@@ -120,11 +120,14 @@
 		r.refuse(reason, maxLoadRetryDelay)
 		return
 	}
-	spec := f.Engine(r.Service)
-	if spec == nil {
+	if f.Engine(r.Service) == nil {
 		f.admitPlain(now, r)
 		return
 	}
+	if f.allTried(r) {
+		r.refuse(wardturn.ReasonQueueFull, fullRetryAfter)
+		return
+	}
 	if f.tryAssign(now, r, out) {
 		return
 	}
@@ -287,6 +290,9 @@
 	if reason, none := f.noneEligible(r); none {
 		return reason, maxLoadRetryDelay, true
 	}
+	if f.allTried(r) {
+		return wardturn.ReasonQueueFull, fullRetryAfter, true
+	}
 	if left, all := f.allBackingOff(now, r); all {
 		return wardturn.ReasonBackoff, f.jitteredDelay(left), true
 	}
--- a/decide/restriction.go
+++ b/decide/restriction.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"wardturn"
 )
@@ -31,3 +32,22 @@
 func (f *Fleet) allows(m *Member, r restriction) bool {
 	return f.inRegions(m, r.regions) && r.software.Allow(m.Software)
 }
+
+// allTried reports whether a request has been sent to every upstream that may run it, so that
+// it would wait in vain.
+func (f *Fleet) allTried(r *PendingRequest) bool {
+	if len(r.Tried) == 0 {
+		return false
+	}
+	tried := false
+	for _, m := range f.services[r.Service] {
+		if !f.allows(m, r.restriction()) {
+			continue
+		}
+		if !slices.Contains(r.Tried, m.ID) {
+			return false
+		}
+		tried = true
+	}
+	return tried
+}
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -216,6 +216,35 @@
 	})
 })
 
+var _ = Describe("A stream that the only engine of its version cuts", func() {
+	It("ends at once", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		for _, e := range x.engines {
+			e.SetFaults(standin.WorkerFaults{
+				CutFresh: 2,
+			})
+		}
+		sent := time.Now()
+		r := x.get("cut", "/resume/x", "m0/a1")
+		Expect(r.err).To(HaveOccurred())
+		Expect(time.Since(sent)).To(BeNumerically("<", refusalTime))
+	})
+
+	It("is refused at once if that engine refuses to resume it", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		id := fmt.Sprintf("begun-%d", attempts.Add(1))
+		engine, _ := x.engineOf(x.beginStream(x.frontURL, id), "v1", "v2")
+		engine.SetFaults(standin.WorkerFaults{
+			Full: true,
+		})
+		x.expectRefused(func() reply {
+			return x.takeUp(x.frontURL, id)
+		}, "queue_full")
+	})
+})
+
 var _ = Describe("A stream that is cut before its first event", func() {
 	It("may begin at another software version", func() {
 		x := newVersionedRig("v1", "v2")
