gateway: responses on resumable routes get no length, also if they are no streams of events

Cause: the change that takes the length from streams of events had let it through for other responses on resumable routes, which may go on at another upstream with another length. Found by reading the diff.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -86,7 +86,7 @@
 		return
 	}
 	x.copyHeader(res)
-	if res.ContentLength >= 0 && !x.isEventStream(res) {
+	if res.ContentLength >= 0 && !x.route.Resumable && !x.isEventStream(res) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
 	} else {
 		x.w.Header().Del("Content-Length")
