--- a/gateway/resumemismatch_test.go
+++ b/gateway/resumemismatch_test.go
@@ -100,11 +100,11 @@
 		}),
 		Entry("it starts over with other data", "other_run", standin.StreamShape{
 			Shift: -2,
-			Word:  "other",
+			Text:  "other",
 		}),
 		Entry("the last event is repeated with other data", "other_run", standin.StreamShape{
 			Shift: -1,
-			Word:  "other",
+			Text:  "other",
 		}),
 		Entry("events have no id", "no_number", standin.StreamShape{
 			IDLine: noID,
--- a/soak/resumption.go
+++ b/soak/resumption.go
@@ -22,7 +22,7 @@
 // eventOf returns event i of a stream of a software version.
 func eventOf(software string, i int) string {
 	return string(standin.StreamShape{
-		Word: software,
+		Text: software,
 	}.Event(i))
 }
 
--- a/standin/modelstream.go
+++ b/standin/modelstream.go
@@ -13,14 +13,14 @@
 type StreamShape struct {
 	Shift  int    // offset of the first event from the right one
 	IDLine string // format of the id line of events; empty: the correct format
-	Word   string // text in the data of events; empty: piece
+	Text   string // text in the data of events; empty: piece
 	End    string // end of the data line and empty line; empty: both end with LF
 }
 
 // Event returns event i of a stream.
 func (s StreamShape) Event(i int) []byte {
 	b := fmt.Appendf(nil, cmp.Or(s.IDLine, "id: %d\n"), i)
-	return fmt.Appendf(b, "data: %s %d%s", cmp.Or(s.Word, "piece"), i, cmp.Or(s.End, "\n\n"))
+	return fmt.Appendf(b, "data: %s %d%s", cmp.Or(s.Text, "piece"), i, cmp.Or(s.End, "\n\n"))
 }
 
 // completeResponse returns the complete response to a request. A stream starts after the
@@ -31,7 +31,7 @@
 	}
 	var b []byte
 	shape := StreamShape{
-		Word: m.cfg.Software,
+		Text: m.cfg.Software,
 	}
 	for i := lastEventID(r) + 1; i <= m.cfg.StreamEvents; i++ {
 		b = append(b, shape.Event(i)...)
@@ -46,7 +46,7 @@
 	if r.Header.Get("Last-Event-Id") == "" {
 		shape, last = f.Fresh, max(f.CutAfter, f.CutFresh)
 	}
-	shape.Word = cmp.Or(shape.Word, m.cfg.Software)
+	shape.Text = cmp.Or(shape.Text, m.cfg.Software)
 	first := max(lastEventID(r)+1+shape.Shift, 1)
 	if f.CutFramed == FramedByLength {
 		w.Header().Set("Content-Length", strconv.Itoa(truncatedLength(shape, first, last)))
