gateway, cli: resumed streams that are refused tell which keepers were asked

The line now has the connected keepers, queries, replies in time and the time of the lookup; any refusal of a resumed stream names what it resumes. Metrics origins_recorded by number of holders, origin_replies, origin_lookup_time. losses lists refusals of resumed streams by reason, explain says who was asked. No decision changed.

--- a/cli/explain_reasons.go
+++ b/cli/explain_reasons.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"wardturn"
 )
 
 // explainReasons returns sentences that say why the request waited or was rejected, from
@@ -45,6 +47,9 @@
 		demand, _ := l.float("demand")
 		reasons = append(reasons, capacityReason(l, capacity, demand))
 	}
+	if l.fields["reason"] == string(wardturn.ReasonOrigin) {
+		reasons = append(reasons, fmt.Sprintf("nobody knew which software version began %s: %s of %s queries to %s connected keepers had a reply after %v", l.fields["resumes"], l.fields["replied"], l.fields["asked"], l.fields["keepers"], l.duration("lookup")))
+	}
 	if l.fields["predicted"] != "" {
 		reasons = append(reasons, fmt.Sprintf("rejected after %v because the predicted wait was %v%s", l.duration("waited"), l.duration("predicted"), ofRank(l)))
 	}
--- a/cli/losses.go
+++ b/cli/losses.go
@@ -32,6 +32,7 @@
 	adapters      map[string]bool
 	late          map[string]*lateStats      // by the phase that took the most time
 	refused       map[string][]time.Duration // time before the refusal, by reason
+	resumed       map[string]int             // those of refused that would have resumed a stream
 	largestTenths *largestTenths
 	byRank        *rankLosses
 	droppedLines  int // lines dropped by the rate limits of the logs
@@ -69,6 +70,7 @@
 		adapters:      make(map[string]bool),
 		late:          make(map[string]*lateStats),
 		refused:       make(map[string][]time.Duration),
+		resumed:       make(map[string]int),
 		largestTenths: newLargestTenths(),
 		byRank:        newRankLosses(),
 	}
@@ -84,6 +86,9 @@
 		case strings.Contains(line.text, ": refused:"):
 			reason := line.fields["reason"]
 			l.refused[reason] = append(l.refused[reason], line.duration("waited"))
+			if _, resumes := line.fields["resumes"]; resumes {
+				l.resumed[reason]++
+			}
 			l.largestTenths.add(line, true)
 			l.byRank.addRefused(line)
 		case strings.Contains(line.text, ": beyond the cap:"):
@@ -182,6 +187,12 @@
 		waits := l.refused[reason]
 		fmt.Fprintf(t, "%s\t%d\t%s\t%s\n", reason, len(waits), formatMillis(quantile(waits, 0.5)), formatMillis(quantile(waits, 0.9)))
 	}
+	if len(l.resumed) > 0 {
+		fmt.Fprintln(t, "\nresumed streams refused for\trequests")
+	}
+	for _, reason := range keysByCount(l.resumed, func(n int) int { return n }) {
+		fmt.Fprintf(t, "%s\t%d\n", reason, l.resumed[reason])
+	}
 	l.byRank.write(t)
 	l.largestTenths.write(t)
 	if l.droppedLines > 0 {
--- a/cli/losses_test.go
+++ b/cli/losses_test.go
@@ -19,6 +19,7 @@
 10:00:03.000 [INFO]  gateway: refused: id=r5 reason=adapter_loading retry_after=300ms adapter=a9 waited=301ms left_out=3
 10:00:03.100 [INFO]  gateway: refused: id=r6 reason=no_upstream retry_after=300ms waited="0s"
 10:00:03.200 [INFO]  gateway: refused: id=r7 reason=adapter_loading retry_after=300ms adapter=a9 waited=420ms
+10:00:03.300 [INFO]  gateway: refused: id=r8 reason=unknown_origin retry_after=500ms adapter= waited=150ms resumes=b1 software="[]" keepers=8 asked=8 replied=4 lookup=150ms
 a line without a time: refused: reason=other
 `
 
--- a/decide/spread.go
+++ b/decide/spread.go
@@ -32,6 +32,11 @@
 	return s
 }
 
+// Len returns the number of elements.
+func (s *Spread[T]) Len() int {
+	return len(s.elements)
+}
+
 // Choose returns up to n elements with the highest scores for a key, the highest first. It
 // takes one element of each group before a second one of any.
 func (s *Spread[T]) Choose(key string, n int) []T {
--- a/gateway/errorresponse.go
+++ b/gateway/errorresponse.go
@@ -48,6 +48,9 @@
 	if x.team != nil {
 		fields = append(fields, "team", x.team.ID)
 	}
+	if x.route != nil && x.resumes() {
+		fields = append(fields, "resumes", x.resumedAttempt(), "software", x.software)
+	}
 	if x.refusal != nil && x.refusal.predicted > 0 {
 		fields = append(fields, "predicted", x.refusal.predicted)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,7 @@
 	staleKeys         tally.Counter   // requests rejected because the API keys were too old
 	backoffsRequested tally.Counter   // responses in which an upstream requested a backoff
 	turnWait          tally.Histogram // waits for turns at engines
+	originTime        tally.Histogram // lookups of the origins of streams
 	config            recordMetrics
 	recordsApplied    tally.Counter // announcements of configuration records that were applied
 	recordsNotApplied tally.Counter // and those that could not be
@@ -123,6 +124,7 @@
 		staleKeys:         scope.Counter("refused_stale_keys"),
 		backoffsRequested: scope.Counter("rests_asked"),
 		turnWait:          scope.Histogram("turn_wait", latencies),
+		originTime:        scope.Histogram("origin_lookup_time", latencies),
 		config:            newRecordMetrics(scope, "configuration"),
 		recordsApplied:    configAnnouncements(scope, "applied"),
 		recordsNotApplied: configAnnouncements(scope, "not_applied"),
@@ -186,6 +188,35 @@
 	}).Counter("streams_resumed").Inc(1)
 }
 
+// originLookup counts the queries of a lookup of a stream's origin.
+func (m *Metrics) originLookup(l *originLookup) {
+	m.originTime.RecordDuration(l.took)
+	m.originReplies(replyInTime, l.replied)
+	m.originReplies(replyMissing, l.asked-l.replied)
+}
+
+// The results of queries for the origin of a stream.
+const (
+	replyInTime  = "in_time"
+	replyMissing = "missing" // late, lost, or not awaited after one that knew
+)
+
+func (m *Metrics) originReplies(result string, n int) {
+	if n == 0 {
+		return
+	}
+	m.scope.Tagged(map[string]string{
+		"result": result,
+	}).Counter("origin_replies").Inc(int64(n))
+}
+
+// originRecorded counts the origin of a stream by the number of keepers that it was sent to.
+func (m *Metrics) originRecorded(holders int) {
+	m.scope.Tagged(map[string]string{
+		"holders": strconv.Itoa(holders),
+	}).Counter("origins_recorded").Inc(1)
+}
+
 // turnEnded records the wait for a turn at an engine and how it ended.
 func (m *Metrics) turnEnded(r turnResult, waited time.Duration) {
 	m.turnWait.RecordDuration(waited)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -72,32 +72,80 @@
 			},
 		},
 	}
+	recorded := 0
 	for _, c := range o.holders(attempt, originHolders) {
-		// Errors are ignored: the other holder has it too, and an origin that nobody knows
-		// has the resumption refused.
-		_ = c.conn.Send(m)
+		// Errors are counted only: the other holder has it too, and an origin that nobody
+		// knows has the resumption refused.
+		if c.conn.Send(m) == nil {
+			recorded++
+		}
 	}
+	o.g.metrics.originRecorded(recorded)
+}
+
+// originLookup is the result of looking for where a stream began.
+type originLookup struct {
+	origin  wardturn.StreamOrigin
+	source  originSource
+	keepers int // connected keepers that record origins
+	asked   int // queries sent to keepers
+	replied int // replies that arrived in time
+	took    time.Duration
+}
+
+// fields returns the fields of a log line.
+func (l *originLookup) fields() []any {
+	return []any{"keepers", l.keepers, "asked", l.asked, "replied", l.replied, "lookup", l.took}
 }
 
-// find returns where the stream of an attempt began. It reports false if nobody knows.
-func (o *origins) find(ctx context.Context, attempt string) (origin wardturn.StreamOrigin, local, ok bool) {
+// find looks for where the stream of an attempt began. The source of the result is
+// originUnknown if nobody knows.
+func (o *origins) find(ctx context.Context, attempt string) *originLookup {
+	started := o.g.clock.Now()
+	l := &originLookup{
+		source: originUnknown,
+	}
+	defer func() {
+		l.took = o.g.clock.Now().Sub(started)
+		o.g.metrics.originLookup(l)
+	}()
 	o.mu.Lock()
-	origin, ok = o.local.Find(o.g.clock.Now(), attempt)
+	origin, ok := o.local.Find(started, attempt)
 	o.mu.Unlock()
 	if ok {
-		return origin, true, true
+		l.origin, l.source = origin, originLocal
+		return l
 	}
 	ctx, cancel := wardturn.WithTimeout(ctx, o.g.clock, originTimeout)
 	defer cancel()
 	replies, id, end := o.startQuery()
 	defer end()
-	origin, ok = awaitOrigin(ctx, replies, o.ask(id, attempt))
-	if ok {
-		return origin, false, true
+	if o.query(ctx, l, replies, id, attempt) {
+		return l
 	}
 	wardturn.Sleep(ctx, o.g.clock, originRepeatDelay)
-	origin, ok = awaitOrigin(ctx, replies, o.ask(id, attempt))
-	return origin, false, ok
+	o.query(ctx, l, replies, id, attempt)
+	return l
+}
+
+// query asks keepers once and reports whether one of them knows the origin.
+func (o *origins) query(ctx context.Context, l *originLookup, replies <-chan *peer.OriginReply, id uint64, attempt string) bool {
+	asked := o.ask(id, attempt)
+	l.asked += asked
+	l.keepers = o.candidateCount()
+	for range asked {
+		select {
+		case r := <-replies:
+			l.replied++
+			if r.Known {
+				l.origin, l.source = r.Origin, originKeeper
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
 }
 
 // startQuery registers a query. The channel has room for all replies to it.
@@ -130,21 +178,6 @@
 	return asked
 }
 
-// awaitOrigin waits for the first of a number of replies that knows the origin.
-func awaitOrigin(ctx context.Context, replies <-chan *peer.OriginReply, asked int) (wardturn.StreamOrigin, bool) {
-	for range asked {
-		select {
-		case r := <-replies:
-			if r.Known {
-				return r.Origin, true
-			}
-		case <-ctx.Done():
-			return wardturn.StreamOrigin{}, false
-		}
-	}
-	return wardturn.StreamOrigin{}, false
-}
-
 // handleReply handles a keeper's reply to a query.
 func (o *origins) handleReply(m *peer.OriginReply) {
 	o.mu.Lock()
@@ -175,6 +208,14 @@
 	return o.candidates.Choose(attempt, n)
 }
 
+// candidateCount returns the number of connected keepers that record origins, when holders
+// were last chosen.
+func (o *origins) candidateCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.candidates.Len()
+}
+
 // originCandidates returns the connected keepers that record origins of streams.
 func (ls *links) originCandidates() []originCandidate {
 	ls.mu.Lock()
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -37,47 +37,52 @@
 // generate does not fit together and upstreams do not check it. It reports false after it has
 // refused a request for which that is not known.
 func (x *exchange) resolveOrigin() bool {
-	origin, source := x.findOrigin()
-	x.g.metrics.streamResumed(source)
+	l := x.findOrigin()
+	x.g.metrics.streamResumed(l.source)
 	switch {
-	case source == originUnstated:
+	case l.source == originUnstated:
 		return true
-	case source == originUnknown:
-		x.refuse(wardturn.ReasonOrigin, originRetryAfter, "resumes", x.resumedAttempt())
+	case l.source == originUnknown:
+		x.refuse(wardturn.ReasonOrigin, originRetryAfter, l.fields()...)
 		return false
-	case !routeLeadsTo(x.route, origin.Service):
-		x.refuse(wardturn.ReasonSoftware, originRetryAfter, "resumes", x.resumedAttempt(), "service", origin.Service)
+	case !routeLeadsTo(x.route, l.origin.Service):
+		x.refuse(wardturn.ReasonSoftware, originRetryAfter, "service", l.origin.Service)
 		return false
 	}
-	x.service = origin.Service
-	x.setSoftware(origin.Software)
+	x.service = l.origin.Service
+	x.setSoftware(l.origin.Software)
 	return true
 }
 
-// findOrigin returns the origin of the stream that the caller resumes and how it was found.
-func (x *exchange) findOrigin() (wardturn.StreamOrigin, originSource) {
+// findOrigin looks for the origin of the stream that the caller resumes.
+func (x *exchange) findOrigin() *originLookup {
 	if !x.g.statesSoftware(x.service) {
-		return wardturn.StreamOrigin{}, originUnstated
+		return &originLookup{
+			source: originUnstated,
+		}
 	}
 	attempt := x.resumedAttempt()
+	l := &originLookup{
+		source: originUnknown,
+	}
 	if attempt != "" {
-		if origin, local, ok := x.g.origins.find(x.r.Context(), attempt); ok {
-			if local {
-				return origin, originLocal
-			}
-			return origin, originKeeper
+		l = x.g.origins.find(x.r.Context(), attempt)
+		if l.source != originUnknown {
+			return l
 		}
 	}
 	// Callers that name no attempt can't be told from those whose stream began before this
 	// gateway, and refusing them all for its first minute would refuse most for nothing.
 	v, ok := x.g.onlySoftware(x.service, attempt == "")
 	if !ok {
-		return wardturn.StreamOrigin{}, originUnknown
+		return l
 	}
-	return wardturn.StreamOrigin{
+	l.source = originOnly
+	l.origin = wardturn.StreamOrigin{
 		Service:  x.service,
 		Software: v,
-	}, originOnly
+	}
+	return l
 }
 
 // resumedAttempt returns the ID of the attempt that brought the first event of the stream that
