gateway: failing test of resumed streams after a loss of power

The rig has four engines of two software versions and a gateway; the gateway and all keepers restart between the first events and the resumptions.

--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -70,6 +70,7 @@
 	readyURL    string
 	keeperPort  string // port of the keepers
 	keepers     []*keeper.Keeper
+	keeperAddrs []string               // where the keepers listen
 	keeperProxy *standin.FaultProxy    // in front of the first keeper
 	domain      wardturn.FailureDomain // of gateways that are started
 	metrics     tally.TestScope
@@ -183,9 +184,24 @@
 		Listener: ln,
 	})
 	x.keepers = append(x.keepers, k)
+	x.keeperAddrs = append(x.keeperAddrs, ln.Addr().String())
 	DeferCleanup(k.Close)
 }
 
+// restartKeepers replaces all keepers by new processes at the same addresses, which have lost
+// the memory of the former.
+func (x *rig) restartKeepers() {
+	addrs := x.keeperAddrs
+	for _, k := range x.keepers {
+		k.Close()
+	}
+	x.keepers, x.keeperAddrs = nil, nil
+	store := platform.NewStore(x.storeAddr, x.metrics)
+	for i, addr := range addrs {
+		x.startKeeper(fmt.Sprintf("restarted-%d", i), listen(addr), x.engines[i], store)
+	}
+}
+
 func newRig() *rig {
 	return newRigIn("d", "d")
 }
