gateway, platform: origins of streams outlive the hosts that hold them in memory

Cause: the origin of a stream was in the memory of one gateway and two keepers, whose hosts are lost together; the stream's caller outlives them. Change: gateways append origins in batches to a topic of the store, while a service has had more than one version, and read it when no keeper that was asked knows. A lookup may take 1 s in place of 150 ms, since the refusal may be the last that its caller hears.

--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -187,6 +187,7 @@
 			Members:        platform.NewMemberReader(s, clock, logger),
 			FactStore:      s,
 			Crashes:        platform.NewCrashStore(s, logger),
+			Origins:        platform.NewOriginStore(s, logger),
 			Listener:       listener,
 			ReadyListener:  readyListener,
 			ReadyPath:      platform.ReadyPath,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,7 @@
 	Members        wardturn.MemberSource
 	FactStore      wardturn.FleetFactStore
 	Crashes        wardturn.CrashStore
+	Origins        wardturn.OriginStore
 	Listener       net.Listener // for callers
 	ReadyListener  net.Listener // for the load balancer's readiness probe; may be nil
 	// ReadyPath is the path of the readiness probe.
@@ -131,6 +132,7 @@
 	links             *links
 	pendingSends      *pendingSends
 	origins           *origins
+	originRecords     *originRecords
 	server            *http.Server
 	readyServer       *http.Server
 	listener          net.Listener
@@ -182,6 +184,7 @@
 	g.crashes = newCrashes(g, d.Crashes)
 	g.links = newLinks(g)
 	g.origins = newOrigins(g)
+	g.originRecords = newOriginRecords(g, d.Origins)
 	g.server = &http.Server{
 		Handler:           g,
 		ReadHeaderTimeout: defaultReadTimeout,
@@ -197,6 +200,8 @@
 	g.tasks.Go(g.followMembers)
 	g.tasks.Go(g.crashes.readLoop)
 	g.tasks.Go(g.crashes.writeLoop)
+	g.tasks.Go(g.originRecords.readLoop)
+	g.tasks.Go(g.originRecords.writeLoop)
 	g.tasks.Go(g.caps.sendUrgent)
 	g.tasks.Go(func() {
 		g.restoreFleetFacts()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,7 @@
 	backoffsRequested tally.Counter   // responses in which an upstream requested a backoff
 	turnWait          tally.Histogram // waits for turns at engines
 	originTime        tally.Histogram // lookups of the origins of streams
+	originsDropped    tally.Counter   // origins never written, since the store was unavailable for long
 	config            recordMetrics
 	recordsApplied    tally.Counter // announcements of configuration records that were applied
 	recordsNotApplied tally.Counter // and those that could not be
@@ -125,6 +126,7 @@
 		backoffsRequested: scope.Counter("rests_asked"),
 		turnWait:          scope.Histogram("turn_wait", latencies),
 		originTime:        scope.Histogram("origin_lookup_time", latencies),
+		originsDropped:    scope.Counter("origins_dropped"),
 		config:            newRecordMetrics(scope, "configuration"),
 		recordsApplied:    configAnnouncements(scope, "applied"),
 		recordsNotApplied: configAnnouncements(scope, "not_applied"),
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -18,8 +18,12 @@
 	// originAsked is the number of keepers that are asked for it. Gateways that are connected
 	// to different keepers choose different holders.
 	originAsked = 4
-	// originTimeout bounds the wait for the replies. Keepers reply within a few milliseconds.
-	originTimeout = 150 * time.Millisecond
+	// originTimeout bounds a lookup. A refusal may be the last that its caller hears, so it
+	// may take longer than any reply on a busy host.
+	originTimeout = time.Second
+	// originReplyTimeout bounds the wait for the replies to one query. Keepers reply within a
+	// few milliseconds.
+	originReplyTimeout = 150 * time.Millisecond
 	// originRepeatDelay is when keepers are asked again, since the record of a stream that
 	// has just begun may still be on its way.
 	originRepeatDelay = 50 * time.Millisecond
@@ -63,6 +67,9 @@
 	o.mu.Lock()
 	o.local.Record(now, attempt, origin, until)
 	o.mu.Unlock()
+	if o.g.needsOriginRecord(origin.Service) {
+		o.g.originRecords.add(attempt, origin)
+	}
 	m := &peer.StreamStarts{
 		Starts: []peer.StreamStart{
 			{
@@ -91,15 +98,21 @@
 	asked   int // queries sent to keepers
 	replied int // replies that arrived in time
 	took    time.Duration
+	// storeErr is the error of the read of the store, if it was read.
+	storeErr error
 }
 
 // fields returns the fields of a log line.
 func (l *originLookup) fields() []any {
-	return []any{"keepers", l.keepers, "asked", l.asked, "replied", l.replied, "lookup", l.took}
+	list := []any{"keepers", l.keepers, "asked", l.asked, "replied", l.replied, "lookup", l.took}
+	if l.storeErr != nil {
+		list = append(list, "store", l.storeErr)
+	}
+	return list
 }
 
-// find looks for where the stream of an attempt began. The source of the result is
-// originUnknown if nobody knows.
+// find looks for where the stream of an attempt began: here, at keepers, and if none of them
+// knows, in the store. The source of the result is originUnknown if nobody knows.
 func (o *origins) find(ctx context.Context, attempt string) *originLookup {
 	started := o.g.clock.Now()
 	l := &originLookup{
@@ -123,13 +136,38 @@
 	if o.query(ctx, l, replies, id, attempt) {
 		return l
 	}
+	stored := make(chan storedOrigin, 1)
+	o.g.tasks.Go(func() {
+		origin, known, err := o.g.originRecords.find(ctx, attempt)
+		stored <- storedOrigin{
+			origin: origin,
+			known:  known,
+			err:    err,
+		}
+	})
 	wardturn.Sleep(ctx, o.g.clock, originRepeatDelay)
-	o.query(ctx, l, replies, id, attempt)
+	if o.query(ctx, l, replies, id, attempt) {
+		return l
+	}
+	s := <-stored // ends with ctx
+	l.storeErr = s.err
+	if s.known {
+		l.origin, l.source = s.origin, originStore
+	}
 	return l
 }
 
+// storedOrigin is the result of looking for an origin in the store.
+type storedOrigin struct {
+	origin wardturn.StreamOrigin
+	known  bool
+	err    error
+}
+
 // query asks keepers once and reports whether one of them knows the origin.
 func (o *origins) query(ctx context.Context, l *originLookup, replies <-chan *peer.OriginReply, id uint64, attempt string) bool {
+	ctx, cancel := wardturn.WithTimeout(ctx, o.g.clock, originReplyTimeout)
+	defer cancel()
 	asked := o.ask(id, attempt)
 	l.asked += asked
 	l.keepers = o.candidateCount()
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -23,6 +23,7 @@
 	originUnstated originSource = "unstated" // no upstream states its software version
 	originLocal    originSource = "local"    // the stream began at this gateway
 	originKeeper   originSource = "keeper"
+	originStore    originSource = "store"
 	originOnly     originSource = "only_version"
 	originUnknown  originSource = "unknown"
 )
@@ -147,6 +148,13 @@
 	return g.fleet.Software().Stated(s)
 }
 
+// needsOriginRecord reports whether the origins of a service's streams have to be recorded in
+// the store, because they may differ.
+func (g *Gateway) needsOriginRecord(s wardturn.ServiceName) bool {
+	_, only := g.onlySoftware(s, true)
+	return !only
+}
+
 // onlySoftware returns the software version of a service if the current list of upstreams has
 // had no other for as long as a stream can be resumed. With partial, the time since this
 // gateway first read the list is enough.
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -330,6 +330,7 @@
 		Members:        platform.NewMemberReader(store, process.Clock{}, logger),
 		FactStore:      store,
 		Crashes:        platform.NewCrashStore(store, logger),
+		Origins:        platform.NewOriginStore(store, logger),
 		Listener:       frontListener,
 		ReadyListener:  readyListener,
 		ReadyPath:      platform.ReadyPath,
--- a/standin/metaserve.go
+++ b/standin/metaserve.go
@@ -62,8 +62,12 @@
 		t := s.topic(topic)
 		changed := s.changed
 		if from < t.first || from > t.end() {
+			first := t.first
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
+			writeBody(w, map[string]int64{
+				"first": first,
+			})
 			return
 		}
 		if from < t.end() || wait == 0 {
