gateway: failing test of resumed streams after a loss of power with one software version

With one software version nothing is recorded in the store, and a gateway that has just started does not know that the list had no other: 0 of 24 resumed streams go on, 24 new ones start.

--- a/gateway/lostresumptions_test.go
+++ b/gateway/lostresumptions_test.go
@@ -83,5 +83,6 @@
 			expectResumed(front, begun)
 		},
 		Entry("with two software versions", "v1", "v2", "v1", "v2"),
+		Entry("with one software version", "v1", "v1"),
 	)
 })
