gateway, decide: after a loss of all hosts streams of the only software version go on

Cause: a gateway knows that a service has had one version only from lists that it has read itself, for 36 s; one that has just started knows nothing, and nothing was recorded. Change: the gateway that reads the store for all records each 5 s which services have one version only; gateways that do not know it, of their own or from there, record each stream.

--- a/gateway/lostresumptions_test.go
+++ b/gateway/lostresumptions_test.go
@@ -11,8 +11,16 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/platform"
 )
 
+// originCalls returns the number of calls to the store about origins, reads included.
+func (x *rig) originCalls() int64 {
+	return x.metrics.Snapshot().Counters()["store_calls+purpose=origins,result=answered"].Value()
+}
+
 // Guards against streams whose origin is lost with the processes that hold it in memory, so
 // that callers cannot resume them while new ones start.
 var _ = Describe("Streams that callers resume while new ones start", func() {
@@ -85,4 +93,25 @@
 		Entry("with two software versions", "v1", "v2", "v1", "v2"),
 		Entry("with one software version", "v1", "v1"),
 	)
+
+	It("go on after such a loss if the store had only the record that there is no other version", func() {
+		start("v1", "v1")
+		store := platform.NewStore(x.storeAddr, x.metrics)
+		err := platform.NewOriginStore(store, testLogger("earlier")).AppendOrigins([]wardturn.StreamRecord{{
+			Origin: wardturn.StreamOrigin{
+				Service:  "llm",
+				Software: "v1",
+			},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		x.takeUp(x.frontURL, "never-begun") // the gateway reads the record
+		written := x.originCalls()
+		begun := begin()
+		time.Sleep(time.Second)
+		Expect(x.originCalls()).To(Equal(written), "records that nobody needs")
+		x.gateway.Close()
+		x.restartKeepers()
+		_, front := x.startOther("after")
+		expectResumed(front, begun)
+	})
 })
--- a/gateway/originrecords.go
+++ b/gateway/originrecords.go
@@ -21,6 +21,9 @@
 	originRetryDelay = time.Second
 	// maxPendingOrigins bounds the origins that wait while the store is unavailable.
 	maxPendingOrigins = 1 << 12
+	// onlyInterval is the interval of records that a service has one software version only.
+	// It is a fraction of the time that the store keeps them.
+	onlyInterval = 5 * time.Second
 	// storedOriginAge is how long origins that were read from the store are kept. The store
 	// itself drops them after 20 s.
 	storedOriginAge = 30 * time.Second
@@ -37,6 +40,7 @@
 	mu      sync.Mutex
 	pending []wardturn.StreamRecord // to be written
 	stored  *decide.StreamOrigins   // as read from the store
+	only    *decide.OnlySoftware    // as read from the store
 	waiting []chan error            // lookups that wait for the next read
 }
 
@@ -47,6 +51,7 @@
 		writeSignal: make(chan struct{}, 1),
 		readSignal:  make(chan struct{}, 1),
 		stored:      decide.NewStreamOrigins(),
+		only:        decide.NewOnlySoftware(),
 	}
 }
 
@@ -145,7 +150,10 @@
 		now := r.g.clock.Now()
 		r.mu.Lock()
 		for _, rec := range list {
-			r.stored.Record(now, rec.Attempt, rec.Origin, now.Add(storedOriginAge))
+			r.only.Record(now, rec, storedOriginAge)
+			if rec.Attempt != "" {
+				r.stored.Record(now, rec.Attempt, rec.Origin, now.Add(storedOriginAge))
+			}
 		}
 		r.mu.Unlock()
 		for _, c := range waiting {
@@ -154,6 +162,42 @@
 	}
 }
 
+// onlySoftware returns the software version that began all streams of a service which have no
+// record of their own, as far as the store was read.
+func (r *originRecords) onlySoftware(s wardturn.ServiceName) (wardturn.SoftwareVersion, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.only.Find(r.g.clock.Now(), s)
+}
+
+// recordOnly records the services whose streams need no records of their own. Gateways that
+// start later know it from there, even if all others are gone.
+func (r *originRecords) recordOnly() {
+	if !r.g.reads.readsForAll() {
+		return
+	}
+	var list []wardturn.StreamRecord
+	for _, s := range r.g.routes.Load().resumableServices() {
+		if !r.g.statesSoftware(s) {
+			continue
+		}
+		if v, ok := r.g.onlySoftware(s, false); ok {
+			list = append(list, wardturn.StreamRecord{
+				Origin: wardturn.StreamOrigin{
+					Service:  s,
+					Software: v,
+				},
+			})
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	if err := r.store.AppendOrigins(list); err != nil {
+		r.g.logger.Warn("only software versions not recorded in the store", "services", len(list), "error", err)
+	}
+}
+
 // await waits for a signal. It reports false when the gateway shuts down.
 func (r *originRecords) await(c <-chan struct{}) bool {
 	select {
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"wardturn"
@@ -151,7 +152,7 @@
 // needsOriginRecord reports whether the origins of a service's streams have to be recorded in
 // the store, because they may differ.
 func (g *Gateway) needsOriginRecord(s wardturn.ServiceName) bool {
-	_, only := g.onlySoftware(s, true)
+	_, only := g.onlySoftware(s, false)
 	return !only
 }
 
@@ -167,9 +168,30 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v, whole, ok := g.fleet.Software().Only(now, s, within)
+	if stored, known := g.originRecords.onlySoftware(s); known && stored == v {
+		whole = true // the time before this gateway's first list
+	}
 	return v, ok && (whole || partial)
 }
 
+// resumableServices returns the services of routes whose streams callers may resume.
+func (rs *routes) resumableServices() []wardturn.ServiceName {
+	if rs == nil {
+		return nil
+	}
+	var list []wardturn.ServiceName
+	for _, routes := range rs.byHost {
+		for _, r := range routes {
+			for _, t := range r.Targets {
+				if r.Resumable && !slices.Contains(list, t.Service) {
+					list = append(list, t.Service)
+				}
+			}
+		}
+	}
+	return list
+}
+
 // resumableFor returns how long after its start a stream of a service can be resumed.
 func (rs *routes) resumableFor(s wardturn.ServiceName) time.Duration {
 	longest := time.Duration(0)
