--- a/gateway/lostresumptions_test.go
+++ b/gateway/lostresumptions_test.go
@@ -14,6 +14,7 @@
 
 	"wardturn"
 	"wardturn/platform"
+	"wardturn/standin"
 )
 
 // originCalls returns the number of calls to the store about origins, reads included.
@@ -114,4 +115,28 @@
 		_, front := x.startOther("after")
 		expectResumed(front, begun)
 	})
+
+	It("go on after most engines have left the list, whose keepers live, while the store is down", func() {
+		start("v1", "v2", "v1", "v2", "v1", "v2", "v1", "v2")
+		_, front := x.startOther("other")
+		begun := begin()
+		left := x.engines[:6]
+		for _, e := range left {
+			x.putEntry(e, "llm", e.ID(), "draining")
+		}
+		for _, e := range left {
+			Eventually(x.log.String, eventTimeout, pollInterval).Should(ContainSubstring("other: upstream leaving: upstream=" + e.ID()))
+		}
+		for _, e := range left {
+			x.store.DeleteServer(e.ID())
+		}
+		for _, e := range left {
+			Eventually(x.log.String, eventTimeout, pollInterval).Should(ContainSubstring("other: upstream left the list: upstream=" + e.ID()))
+		}
+		x.store.SetFaults(standin.MetaFaults{
+			Unavailable: true,
+		})
+		x.gateway.Close()
+		expectResumed(front, begun)
+	})
 })
