gateway: keepers answer for the origins of streams after their engines have left the list

Cause: the link to a keeper ended with the list entry of its engine, so that records of a process that lived were out of reach. Class: the life of one thing taken for that of another beside it. Change: a gateway keeps a connection of its own for 30 s to the keeper of an engine that has left the list, for questions about origins only, and the second question goes to 16 keepers in place of 4, since keepers that joined meanwhile change the order of rendezvous.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,6 +217,7 @@
 	g.tasks.Every(tickInterval, g.tick)
 	g.tasks.Every(usageInterval, g.links.reportUsage)
 	g.tasks.Every(checkInterval, g.links.checkRelays)
+	g.tasks.Every(sweepInterval, g.links.expireFormer)
 	g.tasks.Every(checkInterval, g.endRetainedEvacuations)
 	g.tasks.Every(capInterval, g.caps.announce)
 	g.tasks.Every(limitInterval, g.limits.announce)
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -16,8 +16,9 @@
 	mu              sync.Mutex
 	byAddr          map[string]*link // by the engine's address
 	byID            map[wardturn.UpstreamID]*link
-	keepers         map[string]*link // by the keeper's address
-	relayCandidates []*link          // relay candidates at the latest updateRelays
+	former          map[string]*formerKeeper // by the keeper's address
+	keepers         map[string]*link         // by the keeper's address
+	relayCandidates []*link                  // relay candidates at the latest updateRelays
 	// announcementDomains are the failure domains whose keepers forward announcements to this
 	// gateway, at the latest updateRelays.
 	announcementDomains []wardturn.FailureDomain
@@ -29,6 +30,7 @@
 		g:       g,
 		byAddr:  make(map[string]*link),
 		byID:    make(map[wardturn.UpstreamID]*link),
+		former:  make(map[string]*formerKeeper),
 		keepers: make(map[string]*link),
 	}
 }
@@ -87,6 +89,7 @@
 	delete(ls.keepers, l.client.Addr())
 	l.setRelay(ls.g.clock.Now(), nil)
 	ls.g.tasks.Go(l.client.Close)
+	ls.addFormer(l)
 }
 
 // connect creates the link to the keeper of an engine. The caller must hold ls.mu.
@@ -101,14 +104,21 @@
 	if err != nil {
 		ls.g.logger.Error("invalid upstream address", "upstream", m.ID, "addr", m.Addr, "error", err)
 	}
-	l.client = peer.NewClient(net.JoinHostPort(host, ls.g.cfg.KeeperPort), nil, ls.g.clock, peer.Identity{
+	addr := net.JoinHostPort(host, ls.g.cfg.KeeperPort)
+	ls.dropFormer(addr)
+	l.client = ls.newClient(addr, l)
+	ls.keepers[addr] = l
+	return l
+}
+
+// newClient returns a client of a keeper.
+func (ls *links) newClient(addr string, h peer.ClientHandler) *peer.Client {
+	return peer.NewClient(addr, nil, ls.g.clock, peer.Identity{
 		Role:    peer.RoleEntry,
 		Process: ls.g.cfg.Process,
 		Host:    ls.g.cfg.Host,
 		Config:  ls.g.configVersion,
-	}, l)
-	ls.keepers[l.client.Addr()] = l
-	return l
+	}, h)
 }
 
 func (g *Gateway) configVersion() wardturn.Offset {
@@ -218,8 +228,13 @@
 	ls.closed = true
 	list := ls.byAddr
 	ls.byAddr = nil
+	former := ls.former
+	ls.former = nil
 	ls.mu.Unlock()
 	for _, l := range list {
 		l.client.Close()
 	}
+	for _, f := range former {
+		f.client.Close()
+	}
 }
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -18,6 +18,9 @@
 	// originAsked is the number of keepers that are asked for it. Gateways that are connected
 	// to different keepers choose different holders.
 	originAsked = 4
+	// originAskedAgain is the number of keepers that are asked if those do not know, since
+	// keepers that joined after the stream began come before its holders.
+	originAskedAgain = 16
 	// originTimeout bounds a lookup. A refusal may be the last that its caller hears, so it
 	// may take longer than any reply on a busy host.
 	originTimeout = time.Second
@@ -41,7 +44,8 @@
 	local        *decide.StreamOrigins // streams of this gateway
 	queries      map[uint64]chan *peer.OriginReply
 	lastQuery    uint64
-	candidates   *decide.Spread[originCandidate]
+	listed       *decide.Spread[originCandidate] // keepers of listed engines
+	all          *decide.Spread[originCandidate] // and former ones
 	candidatesAt time.Time
 }
 
@@ -94,7 +98,7 @@
 type originLookup struct {
 	origin  wardturn.StreamOrigin
 	source  originSource
-	keepers int // connected keepers that record origins
+	keepers int // connected keepers that record origins, former ones included
 	asked   int // queries sent to keepers
 	replied int // replies that arrived in time
 	took    time.Duration
@@ -133,7 +137,7 @@
 	defer cancel()
 	replies, id, end := o.startQuery()
 	defer end()
-	if o.query(ctx, l, replies, id, attempt) {
+	if o.query(ctx, l, replies, id, attempt, originAsked) {
 		return l
 	}
 	stored := make(chan storedOrigin, 1)
@@ -146,7 +150,7 @@
 		}
 	})
 	wardturn.Sleep(ctx, o.g.clock, originRepeatDelay)
-	if o.query(ctx, l, replies, id, attempt) {
+	if o.query(ctx, l, replies, id, attempt, originAskedAgain) {
 		return l
 	}
 	s := <-stored // ends with ctx
@@ -164,13 +168,14 @@
 	err    error
 }
 
-// query asks keepers once and reports whether one of them knows the origin.
-func (o *origins) query(ctx context.Context, l *originLookup, replies <-chan *peer.OriginReply, id uint64, attempt string) bool {
+// query asks a number of keepers once and reports whether one of them knows the origin.
+func (o *origins) query(ctx context.Context, l *originLookup, replies <-chan *peer.OriginReply, id uint64, attempt string, holders int) bool {
 	ctx, cancel := wardturn.WithTimeout(ctx, o.g.clock, originReplyTimeout)
 	defer cancel()
-	asked := o.ask(id, attempt)
+	_, all := o.spreads()
+	asked := ask(all.Choose(attempt, holders), id, attempt)
 	l.asked += asked
-	l.keepers = o.candidateCount()
+	l.keepers = all.Len()
 	for range asked {
 		select {
 		case r := <-replies:
@@ -188,7 +193,7 @@
 
 // startQuery registers a query. The channel has room for all replies to it.
 func (o *origins) startQuery() (replies chan *peer.OriginReply, id uint64, end func()) {
-	replies = make(chan *peer.OriginReply, 2*originAsked)
+	replies = make(chan *peer.OriginReply, originAsked+originAskedAgain)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.lastQuery++
@@ -201,10 +206,10 @@
 	}
 }
 
-// ask sends a query to keepers and returns their number.
-func (o *origins) ask(id uint64, attempt string) int {
+// ask sends a query to keepers and returns the number of those that it was sent to.
+func ask(keepers []originCandidate, id uint64, attempt string) int {
 	asked := 0
-	for _, c := range o.holders(attempt, originAsked) {
+	for _, c := range keepers {
 		err := c.conn.Send(&peer.OriginQuery{
 			ID:      id,
 			Attempt: attempt,
@@ -232,26 +237,30 @@
 
 // holders returns the n keepers at which the origin of an attempt's stream is recorded first.
 func (o *origins) holders(attempt string, n int) []originCandidate {
+	listed, _ := o.spreads()
+	return listed.Choose(attempt, n)
+}
+
+// spreads returns the connected keepers of listed engines, and these with former keepers.
+func (o *origins) spreads() (listed, all *decide.Spread[originCandidate]) {
 	now := o.g.clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.candidates == nil || now.Sub(o.candidatesAt) >= originCandidatesAge {
-		o.candidates = decide.NewSpread(o.g.links.originCandidates(), func(c originCandidate) string {
-			return c.addr
-		}, func(c originCandidate) string {
-			return string(c.domain)
-		})
+	if o.listed == nil || now.Sub(o.candidatesAt) >= originCandidatesAge {
+		list := o.g.links.originCandidates()
+		o.listed = newOriginSpread(list)
+		o.all = newOriginSpread(append(list, o.g.links.formerCandidates()...))
 		o.candidatesAt = now
 	}
-	return o.candidates.Choose(attempt, n)
+	return o.listed, o.all
 }
 
-// candidateCount returns the number of connected keepers that record origins, when holders
-// were last chosen.
-func (o *origins) candidateCount() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.candidates.Len()
+func newOriginSpread(list []originCandidate) *decide.Spread[originCandidate] {
+	return decide.NewSpread(list, func(c originCandidate) string {
+		return c.addr
+	}, func(c originCandidate) string {
+		return string(c.domain)
+	})
 }
 
 // originCandidates returns the connected keepers that record origins of streams.
