--- a/gateway/lostresumptions_test.go
+++ b/gateway/lostresumptions_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,4 +140,19 @@
 		x.gateway.Close()
 		expectResumed(front, begun)
 	})
+
+	It("go on after half of the keepers and the first gateway are gone", func() {
+		start("v1", "v2", "v1", "v2", "v1", "v2", "v1", "v2")
+		_, front := x.startOther("other")
+		begun := begin()
+		time.Sleep(time.Second) // the records are in the store by then
+		x.gateway.Close()
+		for _, k := range x.keepers[:4] {
+			k.Close()
+		}
+		Eventually(func() int {
+			return strings.Count(x.log.String(), "other: keeper lost")
+		}, eventTimeout, pollInterval).Should(Equal(4))
+		expectResumed(front, begun)
+	})
 })
