gateway: records of single streams only beside a second software version

Cause: a gateway recorded each stream until it had read lists for 36 s, which nobody needs while lists name one version. Change: what counts is the list of the gateway that begins the stream; the record that there is one version only is written at once and at each change, then each 5 s. A gateway that starts takes it for the time before its own lists.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -223,7 +223,7 @@
 	g.tasks.Every(limitInterval, g.limits.announce)
 	g.tasks.Every(plainInterval, g.plain.announce)
 	g.tasks.Every(startedQueryInterval, g.queryStarted)
-	g.tasks.Every(onlyInterval, g.originRecords.recordOnly)
+	g.tasks.Every(onlyCheckInterval, g.originRecords.updateOnly)
 	g.tasks.Every(sweepInterval, g.sweep)
 	g.tasks.Every(promptLogInterval, g.logPromptCounts)
 	g.logger.Info("gateway started", "front", d.Listener.Addr(), "process", d.Config.Process, "domain", d.Config.Domain)
--- a/gateway/originrecords.go
+++ b/gateway/originrecords.go
@@ -24,6 +24,8 @@
 	// onlyInterval is the interval of records that a service has one software version only.
 	// It is a fraction of the time that the store keeps them.
 	onlyInterval = 5 * time.Second
+	// onlyCheckInterval is the interval of checks whether that has changed.
+	onlyCheckInterval = 200 * time.Millisecond
 	// storedOriginAge is how long origins that were read from the store are kept. The store
 	// itself drops them after 20 s.
 	storedOriginAge = 30 * time.Second
@@ -36,6 +38,10 @@
 	store       wardturn.OriginStore
 	writeSignal chan struct{}
 	readSignal  chan struct{}
+	// onlyWritten and onlyWrittenAt are the latest records of updateOnly, which is called by
+	// one goroutine.
+	onlyWritten   []wardturn.StreamRecord
+	onlyWrittenAt time.Time
 
 	mu      sync.Mutex
 	pending []wardturn.StreamRecord // to be written
@@ -170,32 +176,34 @@
 	return r.only.Find(r.g.clock.Now(), s)
 }
 
-// recordOnly records the services whose streams need no records of their own. Gateways that
-// start later know it from there, even if all others are gone.
-func (r *originRecords) recordOnly() {
+// updateOnly records the services whose streams need no records of their own, so that a
+// gateway that starts after the loss of all others knows where these streams began.
+func (r *originRecords) updateOnly() {
 	if !r.g.reads.readsForAll() {
 		return
 	}
+	now := r.g.clock.Now()
 	var list []wardturn.StreamRecord
 	for _, s := range r.g.routes.Load().resumableServices() {
-		if !r.g.statesSoftware(s) {
+		v, only := r.g.onlySoftware(s, true)
+		if !only || v == "" {
 			continue
 		}
-		if v, ok := r.g.onlySoftware(s, false); ok {
-			list = append(list, wardturn.StreamRecord{
-				Origin: wardturn.StreamOrigin{
-					Service:  s,
-					Software: v,
-				},
-			})
-		}
+		list = append(list, wardturn.StreamRecord{
+			Origin: wardturn.StreamOrigin{
+				Service:  s,
+				Software: v,
+			},
+		})
 	}
-	if len(list) == 0 {
+	if len(list) == 0 || slices.Equal(list, r.onlyWritten) && now.Sub(r.onlyWrittenAt) < onlyInterval {
 		return
 	}
 	if err := r.store.AppendOrigins(list); err != nil {
 		r.g.logger.Warn("only software versions not recorded in the store", "services", len(list), "error", err)
+		return
 	}
+	r.onlyWritten, r.onlyWrittenAt = list, now
 }
 
 // await waits for a signal. It reports false when the gateway shuts down.
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -152,7 +152,7 @@
 // needsOriginRecord reports whether the origins of a service's streams have to be recorded in
 // the store, because they may differ.
 func (g *Gateway) needsOriginRecord(s wardturn.ServiceName) bool {
-	_, only := g.onlySoftware(s, false)
+	_, only := g.onlySoftware(s, true)
 	return !only
 }
 
@@ -174,7 +174,7 @@
 	return v, ok && (whole || partial)
 }
 
-// resumableServices returns the services of routes whose streams callers may resume.
+// resumableServices returns the services of routes whose streams callers may resume, sorted.
 func (rs *routes) resumableServices() []wardturn.ServiceName {
 	if rs == nil {
 		return nil
@@ -189,6 +189,7 @@
 			}
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
