gateway: failing test of streams that go on at the only version before theirs

What callers would see: a stream that began at v2 goes on at v1 (ORDER). A record says that v1 is the only version; v2 appears, its streams' batches are not written (store away, or the last batch), all hosts lose power, and v2's engine is listed later than v1's. A gateway that has just started takes the stale record for the time before its list. Fails: status 200, events v1 v1 v1 of a stream of v2.

--- /dev/null
+++ b/gateway/originrecords_test.go
@@ -0,0 +1,77 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wardturn"
+	"wardturn/platform"
+	"wardturn/standin"
+)
+
+// recordOnly records in the store that a service has one software version only, as the gateway
+// does that reads the store for all.
+func (x *rig) recordOnly(software wardturn.SoftwareVersion) {
+	GinkgoHelper()
+	store := platform.NewStore(x.storeAddr, x.metrics)
+	err := platform.NewOriginStore(store, testLogger("earlier")).AppendOrigins([]wardturn.StreamRecord{{
+		Origin: wardturn.StreamOrigin{
+			Service:  "llm",
+			Software: software,
+		},
+	}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// beginAt starts a stream at an engine while the others are full.
+func (x *rig) beginAt(engine *standin.ModelWorker) (id, software string) {
+	GinkgoHelper()
+	for _, e := range x.engines {
+		e.SetFaults(standin.WorkerFaults{
+			Full: e != engine,
+		})
+	}
+	ctx, disconnect := context.WithCancel(context.Background())
+	defer disconnect()
+	var body io.ReadCloser
+	Eventually(func() int { // a full engine may have been tried in vain
+		id = fmt.Sprintf("begun-%d", attempts.Add(1))
+		res, err := x.client.Do(x.streamRequest(ctx, x.frontURL, id))
+		Expect(err).NotTo(HaveOccurred())
+		body = res.Body
+		return res.StatusCode
+	}, eventTimeout, pollInterval).Should(Equal(http.StatusOK))
+	defer body.Close()
+	first := make([]byte, len("id: 1\ndata: v1 1\n"))
+	_, err := io.ReadFull(body, first)
+	Expect(err).NotTo(HaveOccurred())
+	for _, e := range x.engines {
+		e.SetFaults(standin.WorkerFaults{})
+	}
+	return id, softwareOf(string(first))[0]
+}
+
+var _ = Describe("A stream whose record in the store is lost", func() {
+	It("does not go on at the version that was the only one before its own appeared", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		x.recordOnly("v1")
+		x.store.SetFaults(standin.MetaFaults{
+			Unavailable: true, // until the gateway has lost power
+		})
+		id, software := x.beginAt(x.engines[1])
+		Expect(software).To(Equal("v2"))
+		x.gateway.Close()
+		x.restartKeepers()
+		x.store.SetFaults(standin.MetaFaults{})
+		x.store.DeleteServer("e1") // back later than the other engine
+		_, front := x.startOther("after")
+		r := x.takeUp(front, id)
+		Expect(softwareOf(r.body)).To(BeEmpty(), "began at v2, status %d", r.status)
+	})
+})
