gateway: failing test of streams resumed before their service is listed

A gateway that has just started and lists no upstream of a service takes the service for one that states no versions; the resumption waits without a restriction for whichever upstream is listed first. It then records that version under the attempt that it names, so that later resumptions follow.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -75,3 +77,41 @@
 		Expect(softwareOf(r.body)).To(BeEmpty(), "began at v2, status %d", r.status)
 	})
 })
+
+var _ = Describe("A stream that is resumed before any upstream of its service is listed", func() {
+	It("does not go on at another software version that appears first", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		id, software := x.beginAt(x.engines[1])
+		Expect(software).To(Equal("v2"))
+		x.gateway.Close()
+		for _, e := range x.engines {
+			x.store.DeleteServer(e.ID())
+		}
+		g, front, _ := x.startGateway("after", platform.NewStore(x.storeAddr, x.metrics))
+		Eventually(g.Ready, eventTimeout, pollInterval).Should(BeTrue())
+		var mu sync.Mutex
+		var bodies []string
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+				r := x.takeUp(front, id)
+				mu.Lock()
+				defer mu.Unlock()
+				bodies = append(bodies, r.body)
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		x.putEntry(x.engines[0], "llm", "e0", "ready")
+		wg.Wait()
+		mixed := 0
+		for _, b := range bodies {
+			if len(softwareOf(b)) > 0 && softwareOf(b)[0] != software {
+				mixed++
+			}
+		}
+		Expect(mixed).To(BeZero(), "of %d: %q", len(bodies), bodies)
+	})
+})
