gateway: failing test of resumed streams whose route has moved

What callers would see: a stream that began at service llm goes on at llm2, to which its route has moved since. The record of the only version holds for a service, and the service is the one that the route leads to now. Fails: events of llm2, status 200.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -115,3 +116,28 @@
 		Expect(mixed).To(BeZero(), "of %d: %q", len(bodies), bodies)
 	})
 })
+
+var _ = Describe("A stream whose route has moved to another service", func() {
+	It("does not go on at the only version of that service", func() {
+		x := newVersionedRig("v1", "v1")
+		x.holdEverywhere("m0/a1")
+		x.recordOnly("v1")
+		x.takeUp(x.frontURL, "never-begun") // the gateway reads the record
+		id, _ := x.beginAt(x.engines[0])
+		x.gateway.Close()
+		x.restartKeepers()
+		x.store.DeleteServer("e1")
+		x.putEntry(x.engines[1], "llm2", "e1", "ready")
+		moved := strings.Replace(config(2, ""), `"service":"llm","max_attempts":2`, `"service":"llm2","max_attempts":2`, 1)
+		x.store.PutConfig(strings.Replace(moved, `{"name":"llm",`, `{"name":"llm2","max_conns":50,"engine":{"slots":8,"adapter_slots":2,"models":[{"name":"m0","load_s":0.1}]}},{"name":"llm",`, 1))
+		store := platform.NewOriginStore(platform.NewStore(x.storeAddr, x.metrics), testLogger("earlier"))
+		Expect(store.AppendOrigins([]wardturn.StreamRecord{{
+			Origin: wardturn.StreamOrigin{
+				Service:  "llm2",
+				Software: "v1",
+			},
+		}})).To(Succeed())
+		_, front := x.startOther("after")
+		Expect(softwareOf(x.takeUp(front, id).body)).To(BeEmpty(), "began at service llm")
+	})
+})
