gateway: failing test of resumed streams after the reader for all has started anew

What callers would see: resumed streams are refused while new ones start (LOST). Gateways that know that there is one version write no records of streams; the one that reads for all writes that there is one only, but does not know it for 36 s after its start unless a lookup has made it read the store. The store keeps records for 20 s (here: dropped at once). Fails: unknown_origin, keepers=2 asked=4 replied=4.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -141,3 +141,23 @@
 		Expect(softwareOf(x.takeUp(front, id).body)).To(BeEmpty(), "began at service llm")
 	})
 })
+
+var _ = Describe("Streams of a service with one software version", func() {
+	It("go on after a loss of power that follows a start of the gateway that reads the store for all", func() {
+		x := newVersionedRig("v1", "v1")
+		x.holdEverywhere("m0/a1")
+		x.recordOnly("v1")
+		x.takeUp(x.frontURL, "never-begun") // the gateway reads the record
+		reader, _ := x.startOther("a-reader")
+		time.Sleep(7 * time.Second) // the gateways agree who reads; a record by either is due
+		x.store.Compact("wardturn.origins")
+		time.Sleep(6 * time.Second) // the interval of such records and a second
+		id, software := x.beginAt(x.engines[0])
+		time.Sleep(time.Second) // a record of the stream is written
+		x.gateway.Close()
+		reader.Close()
+		x.restartKeepers()
+		_, front := x.startOther("z-after")
+		Expect(softwareOf(x.takeUp(front, id).body)).To(HaveExactElements(software, software, software))
+	})
+})
