gateway: failing test of lookups whose call to the store fails at once

What callers would see: a resumed stream is refused although the store answers 300 ms later, and 950 ms of the lookup's second are left (LOST if the refusal is the last attempt). Fails: unknown_origin after 51 ms, store status 503.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -161,3 +161,22 @@
 		Expect(softwareOf(x.takeUp(front, id).body)).To(HaveExactElements(software, software, software))
 	})
 })
+
+var _ = Describe("A lookup of the origin of a stream", func() {
+	It("reads the store again within its time after a call that failed", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		id, software := x.beginAt(x.engines[0])
+		time.Sleep(time.Second) // the record is in the store by then
+		x.gateway.Close()
+		x.restartKeepers()
+		_, front := x.startOther("after")
+		x.store.SetFaults(standin.MetaFaults{
+			Unavailable: true,
+		})
+		time.AfterFunc(300*time.Millisecond, func() {
+			x.store.SetFaults(standin.MetaFaults{})
+		})
+		Expect(softwareOf(x.takeUp(front, id).body)).To(HaveExactElements(software, software, software))
+	})
+})
