gateway: failing test of replies of keepers that come while the store is silent

What callers would see: a resumed stream is refused although its holder replied in the lookup's second. Replies are read for 350 ms only; after that the lookup waits for the store alone. The keeper's link is delayed by 250 ms in each direction.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -179,4 +179,17 @@
 		})
 		Expect(softwareOf(x.takeUp(front, id).body)).To(HaveExactElements(software, software, software))
 	})
+
+	It("uses a keeper's late reply while the store is silent", func() {
+		x := newVersionedRig("v1")
+		x.holdEverywhere("m0/a1")
+		_, front := x.startOther("other")
+		id, software := x.beginAt(x.engines[0])
+		x.gateway.Close()
+		x.store.SetFaults(standin.MetaFaults{
+			NoResponse: true,
+		})
+		x.keeperProxy.Delay(250 * time.Millisecond) // in each direction
+		Expect(softwareOf(x.takeUp(front, id).body)).To(HaveExactElements(software, software, software))
+	})
 })
