gateway: failing test of lookups that outlast their caller

The lookup is bounded by its own second and not by the deadline of the request. 300 ms and a quarter of a second are allowed.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -192,4 +192,23 @@
 		x.keeperProxy.Delay(250 * time.Millisecond) // in each direction
 		Expect(softwareOf(x.takeUp(front, id).body)).To(HaveExactElements(software, software, software))
 	})
+
+	It("ends in the caller's time", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		_, front := x.startOther("other")
+		x.store.SetFaults(standin.MetaFaults{
+			NoResponse: true,
+		})
+		req := x.streamRequest(GinkgoT().Context(), front, fmt.Sprintf("taker-%d", attempts.Add(1)))
+		req.Header.Set("Last-Event-Id", "1")
+		req.Header.Set("Resumes", "never-begun")
+		req.Header.Set("X-Wardturn-Deadline-Ms", "300")
+		sent := time.Now()
+		res, err := x.client.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		res.Body.Close()
+		Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(time.Since(sent)).To(BeNumerically("<", 550*time.Millisecond))
+	})
 })
