gateway: failing test of lookups that outlive their gateway

A lookup that comes to read the store after its gateway's tasks have been stopped waits forever for a task that was not started. Fails: one goroutine in origins.find 3 s after Close.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"time"
@@ -211,4 +212,26 @@
 		Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
 		Expect(time.Since(sent)).To(BeNumerically("<", 550*time.Millisecond))
 	})
+
+	It("ends when its gateway is closed", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		x.keeperProxy.Freeze(true)
+		defer x.keeperProxy.Freeze(false)
+		go func() {
+			req := x.streamRequest(GinkgoT().Context(), x.frontURL, "taker-closed")
+			req.Header.Set("Last-Event-Id", "1")
+			req.Header.Set("Resumes", "never-begun")
+			if res, err := x.client.Do(req); err == nil {
+				res.Body.Close()
+			}
+		}()
+		lookups := func() int {
+			buf := make([]byte, 8<<20)
+			return strings.Count(string(buf[:runtime.Stack(buf, true)]), "(*origins).find(")
+		}
+		Eventually(lookups, time.Second, time.Millisecond).Should(Equal(1))
+		x.gateway.Close()
+		Eventually(lookups, 3*time.Second, pollInterval).Should(BeZero())
+	})
 })
