gateway: failing test of the only version after a release

What callers would see: resumed streams are refused after a loss of power while new ones start (LOST), if the store keeps records for longer than 36 s: a stream's record of the old version makes the later records that there is one version only count for nothing. The settings name keep_s (300 in the sample, 20 s at both sites): nothing here reads it. Fails: unknown_origin.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -235,3 +235,23 @@
 		Eventually(lookups, 3*time.Second, pollInterval).Should(BeZero())
 	})
 })
+
+var _ = Describe("A stream that began after a release", func() {
+	It("goes on although the store still has records of the version before", func() {
+		x := newVersionedRig("v2", "v2")
+		x.holdEverywhere("m0/a1")
+		store := platform.NewOriginStore(platform.NewStore(x.storeAddr, x.metrics), testLogger("earlier"))
+		Expect(store.AppendOrigins([]wardturn.StreamRecord{{
+			Attempt: "before",
+			Origin: wardturn.StreamOrigin{
+				Service:  "llm",
+				Software: "v1",
+			},
+		}})).To(Succeed())
+		x.recordOnly("v2") // once no v1 has been listed for as long as a stream can be resumed
+		x.gateway.Close()
+		x.restartKeepers()
+		_, front := x.startOther("after")
+		Expect(softwareOf(x.takeUp(front, "after-release").body)).To(HaveExactElements("v2", "v2", "v2"))
+	})
+})
