gateway: failing test of the only version after the store was restored

The copy of the store is of before v2: it has neither v2's engine nor its streams' records, but the record that v1 is the only version, which a gateway that reads it again after the restore counts as new. Fails: status 200, events v1 v1 v1 of a stream of v2.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -78,6 +78,24 @@
 		r := x.takeUp(front, id)
 		Expect(softwareOf(r.body)).To(BeEmpty(), "began at v2, status %d", r.status)
 	})
+
+	It("does not go on at that version after the store was restored from a copy of before", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		x.recordOnly("v1")
+		x.store.DeleteServer("e1")
+		before := x.store.Copy()
+		x.putEntry(x.engines[1], "llm", "e1", "ready")
+		id, software := x.beginAt(x.engines[1])
+		Expect(software).To(Equal("v2"))
+		time.Sleep(time.Second) // the record is in the store by then
+		x.gateway.Close()
+		x.restartKeepers()
+		x.store.Restore(before)
+		_, front := x.startOther("after")
+		r := x.takeUp(front, id)
+		Expect(softwareOf(r.body)).To(BeEmpty(), "began at v2, status %d", r.status)
+	})
 })
 
 var _ = Describe("A stream that is resumed before any upstream of its service is listed", func() {
