gateway: tests of the records of origins in the store

The record that there is one version is written again and again by one gateway, is not written by one that does not know it, and does not count where another version is listed; origins whose write failed are written later.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -273,3 +273,66 @@
 		Expect(softwareOf(x.takeUp(front, "after-release").body)).To(HaveExactElements("v2", "v2", "v2"))
 	})
 })
+
+var _ = Describe("The record that a service has one software version only", func() {
+	// recorded returns the only versions in the store.
+	recorded := func(x *rig) []wardturn.SoftwareVersion {
+		GinkgoHelper()
+		list, err := platform.NewOriginStore(platform.NewStore(x.storeAddr, x.metrics), testLogger("reader")).NextOrigins()
+		Expect(err).NotTo(HaveOccurred())
+		var only []wardturn.SoftwareVersion
+		for _, r := range list {
+			if r.Attempt == "" {
+				only = append(only, r.Origin.Software)
+			}
+		}
+		return only
+	}
+
+	It("is written again and again by one gateway", func() {
+		x := newVersionedRig("v1", "v1")
+		x.holdEverywhere("m0/a1")
+		_, other := x.startOther("other")
+		x.recordOnly("v1")
+		x.takeUp(x.frontURL, "never-begun") // the gateways read the record
+		x.takeUp(other, "never-begun")
+		time.Sleep(6 * time.Second)
+		x.store.Compact("wardturn.origins")
+		time.Sleep(11 * time.Second)
+		Expect(len(recorded(x))).To(And(BeNumerically(">=", 2), BeNumerically("<=", 3)))
+	})
+
+	It("is not written by a gateway that does not know it", func() {
+		x := newVersionedRig("v1", "v1")
+		x.holdEverywhere("m0/a1")
+		time.Sleep(6 * time.Second)
+		Expect(recorded(x)).To(BeEmpty())
+	})
+
+	It("does not count where another version is listed", func() {
+		x := newVersionedRig("v2", "v2")
+		x.holdEverywhere("m0/a1")
+		x.recordOnly("v1")
+		x.expectRefused(func() reply {
+			return x.takeUp(x.frontURL, "never-begun")
+		}, "unknown_origin")
+	})
+})
+
+var _ = Describe("Origins of streams that could not be written to the store", func() {
+	It("are written once it is back", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		x.store.SetFaults(standin.MetaFaults{
+			Unavailable: true,
+		})
+		id, software := x.beginAt(x.engines[0])
+		time.Sleep(time.Second) // a write has failed
+		x.store.SetFaults(standin.MetaFaults{})
+		time.Sleep(1500 * time.Millisecond)
+		x.gateway.Close()
+		x.restartKeepers()
+		_, front := x.startOther("after")
+		Expect(softwareOf(x.takeUp(front, id).body)).To(HaveExactElements(software, software, software))
+	})
+})
