gateway: lines about lost responses name the parts of the prompt

Change: 'send failed' and 'answer cut' name the parts by their hashes and whether the answer had begun; 'answer lost' is new, for a head without an answer. No decision changes.

--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -144,6 +144,7 @@
 			"beyond the cap": failureLogRate,
 			"failed":         failureLogRate,
 			"answer cut":     failureLogRate,
+			"answer lost":    failureLogRate,
 			"send failed":    failureLogRate,
 		},
 		Default: defaultLogRate,
--- a/content.go
+++ b/content.go
@@ -4,10 +4,12 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
 // ContentID identifies the content of a request, independent of the attempt and of the
-// gateway that sends it. It has 32 hexadecimal digits.
+// gateway that sends it. It has 32 hexadecimal digits. Or it identifies a part of prompts,
+// see PromptPartID.
 type ContentID string
 
 // contentBytes is the number of bytes of the digest in a ContentID. At 1.2 billion
@@ -37,3 +39,25 @@
 	_, _ = h.Write(c.Body)
 	return ContentID(hex.EncodeToString(h.Sum(nil)[:contentBytes]))
 }
+
+const (
+	// promptPartPrefix distinguishes the IDs of parts of prompts from those of contents.
+	promptPartPrefix = "part-"
+	// promptPartBytes is the number of bytes of the digest in the ID of a part.
+	promptPartBytes = 8
+)
+
+// PromptPartID returns the ID of a part of prompts, from the service and the caller's name
+// for the part. Adapters are left out: a part may come under several.
+func PromptPartID(service ServiceName, part string) ContentID {
+	h := sha256.New()
+	_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(service))))
+	_, _ = h.Write([]byte(service))
+	_, _ = h.Write([]byte(part))
+	return ContentID(promptPartPrefix + hex.EncodeToString(h.Sum(nil)[:promptPartBytes]))
+}
+
+// IsPromptPart reports whether the ID is one of PromptPartID.
+func (id ContentID) IsPromptPart() bool {
+	return strings.HasPrefix(string(id), promptPartPrefix)
+}
--- a/content_test.go
+++ b/content_test.go
@@ -50,3 +50,16 @@
 		c.ID()
 	}
 }
+
+func TestPromptPartID(t *testing.T) {
+	id := wardturn.PromptPartID("llm", "5c1e07a2")
+	if !id.IsPromptPart() || id != wardturn.PromptPartID("llm", "5c1e07a2") {
+		t.Errorf("the ID %q of a part is not recognized", id)
+	}
+	if id == wardturn.PromptPartID("app", "5c1e07a2") || id == wardturn.PromptPartID("llm5", "c1e07a2") {
+		t.Error("parts of two services have the same ID")
+	}
+	if (wardturn.Content{}).ID().IsPromptPart() {
+		t.Error("a content is taken for a part")
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,6 +58,7 @@
 	body            []byte
 	reservedBody    int64 // bytes reserved for the body
 	content         wardturn.ContentID
+	parts           []wardturn.ContentID // of the prompt, that other prompts may share
 	arrived         time.Time
 	deadline        time.Time // deadline of the caller or the route
 	tried           []wardturn.UpstreamID
@@ -213,7 +214,7 @@
 			if x.mayResume() {
 				continue
 			}
-			x.g.logger.Warn("answer cut", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID, "content", x.content, "sent_ago", x.g.clock.Now().Sub(x.send.sent))
+			x.g.logger.Warn("answer cut", x.sendFields(a)...)
 			x.g.metrics.finished(x, "cut")
 			x.abortResponse()
 		case resultFailed:
@@ -354,7 +355,11 @@
 	case !x.engine:
 		x.g.recordLatency(a.Member.ID, x.g.clock.Now().Sub(now))
 	}
-	return x.handleResponse(a, resp)
+	result := x.handleResponse(a, resp)
+	if result == resultUnknown {
+		x.g.logger.Info("answer lost", x.sendFields(a, "status", resp.res.StatusCode)...)
+	}
+	return result
 }
 
 // sendFailed classifies and logs an error of a send.
@@ -365,7 +370,7 @@
 	if x.headerWritten && !errors.Is(err, errNotSent) {
 		return resultTruncated
 	}
-	x.g.logger.Info("send failed", "id", x.attempt, "upstream", a.Member.ID, "addr", a.Member.Addr, "content", x.content, "sent_ago", x.g.clock.Now().Sub(x.send.sent), "error", err)
+	x.g.logger.Info("send failed", x.sendFields(a, "addr", a.Member.Addr, "error", err)...)
 	if errors.Is(err, errRefused) {
 		x.g.recordRefused(a.Member.ID)
 		x.g.crashes.disappeared(a.Member.ID)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -121,7 +121,8 @@
 }
 
 // identifyContent computes the ID of the request's content, by which logs and decisions
-// recognize the request when it is repeated under another attempt ID.
+// recognize the request when it is repeated under another attempt ID, and those of the
+// shared parts of its prompt.
 func (x *exchange) identifyContent() {
 	c := wardturn.Content{
 		Method:  x.r.Method,
@@ -134,4 +135,5 @@
 		c.Team = x.team.ID
 	}
 	x.content = c.ID()
+	x.parts = promptParts(x.service, x.r.Header.Get(x.g.names.Prompt))
 }
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -360,6 +360,11 @@
 	if model != "" {
 		req.Header.Set("X-Wardturn-Model", model)
 	}
+	return x.do(req)
+}
+
+// do sends a request and reads the response.
+func (x *rig) do(req *http.Request) reply {
 	res, err := x.client.Do(req)
 	if err != nil {
 		return reply{
--- a/standin/modelrun.go
+++ b/standin/modelrun.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -111,7 +112,10 @@
 	if f.Unframed {
 		h.Set("Transfer-Encoding", "identity")
 	}
-	if f.CrashOn != "" && string(body) == f.CrashOn {
+	if m.cfg.StreamEvents > 0 && hasPart(r, f.CrashOnPart) {
+		_ = http.NewResponseController(w).Flush() // the head is sent
+	}
+	if f.CrashOn != "" && string(body) == f.CrashOn || hasPart(r, f.CrashOnPart) {
 		if m.cfg.Crash != nil {
 			m.cfg.Crash(r.URL.Path)
 		}
@@ -131,6 +135,16 @@
 	}
 }
 
+// hasPart reports whether the prompt of a request has one of the parts.
+func hasPart(r *http.Request, parts []string) bool {
+	for part := range strings.SplitSeq(r.Header.Get("X-Wardturn-Prompt-Prefix"), ",") {
+		if id, _, _ := strings.Cut(part, ":"); slices.Contains(parts, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // runEnded removes a run of an attempt from those in progress. The caller holds the lock.
 func (m *ModelWorker) runEnded(attempt string) {
 	m.running[attempt]--
--- a/standin/workerfaults.go
+++ b/standin/workerfaults.go
@@ -24,6 +24,7 @@
 	Linger      time.Duration // added to the pause between events
 	HideRuns    bool          // reports do not list the runs
 	CrashOn     string        // a request with this body crashes the worker; empty: none
+	CrashOnPart []string      // requests with one of these parts in their prompts do so as their response begins
 	Fresh       StreamShape   // format of streams that are not resumed
 	Resumed     StreamShape   // format of resumed streams
 	Limit       string        // value of the header Server-Limit, in requests per second; empty: no header
