--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,29 +21,31 @@
 // crashBody is the body of a request that crashes each upstream that starts it.
 const crashBody = "fatal"
 
-// downtime is how long a crashed upstream is down.
-const downtime = 150 * time.Millisecond
+// defaultDowntime is how long a crashed upstream is down.
+const defaultDowntime = 150 * time.Millisecond
 
 // crashingUpstream is an upstream that can crash: its connections and listener close, and
 // after downtime it restarts at the same address, without state and with a new ID.
 type crashingUpstream struct {
-	x       *rig
-	service string
-	worker  *standin.ModelWorker
+	x        *rig
+	service  string
+	downtime time.Duration
+	worker   *standin.ModelWorker
 
 	mu       sync.Mutex
 	server   *http.Server
 	restarts int
-	crashes  int
+	crashes  []time.Time
 	id       string
 }
 
 // crashingWorker starts and registers a worker that crashes on a fatal request.
 func (x *rig) crashingWorker(service, host string, cfg standin.ModelWorkerConfig) *crashingUpstream {
 	m := &crashingUpstream{
-		x:       x,
-		service: service,
-		id:      cfg.ID,
+		x:        x,
+		service:  service,
+		downtime: defaultDowntime,
+		id:       cfg.ID,
 	}
 	cfg.Crash = m.crash
 	m.worker = standin.NewModelWorker(cfg)
@@ -74,9 +77,9 @@
 func (m *crashingUpstream) crash(string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.crashes++
+	m.crashes = append(m.crashes, time.Now())
 	_ = m.server.Close()
-	time.AfterFunc(downtime, m.restart)
+	time.AfterFunc(m.downtime, m.restart)
 }
 
 func (m *crashingUpstream) restart() {
@@ -95,10 +98,10 @@
 	m.x.store.DeleteServer(old)
 }
 
-func (m *crashingUpstream) crashCount() int {
+func (m *crashingUpstream) crashTimes() []time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.crashes
+	return slices.Clone(m.crashes)
 }
 
 // crashRig is a rig with two gateways and upstreams that can crash.
@@ -110,10 +113,15 @@
 }
 
 func newCrashRig() *crashRig {
+	return newCrashRigOf(3)
+}
+
+// newCrashRigOf returns a rig with a number of upstreams that can crash.
+func newCrashRigOf(n int) *crashRig {
 	x := &crashRig{
 		rig: newRig(),
 	}
-	for i := range 3 {
+	for i := range n {
 		x.upstreams = append(x.upstreams, x.crashingWorker("app", "127.0.0.1", standin.ModelWorkerConfig{
 			ID: fmt.Sprintf("b%d", i),
 		}))
@@ -161,7 +169,7 @@
 func (x *crashRig) crashes() int {
 	n := 0
 	for _, m := range x.upstreams {
-		n += m.crashCount()
+		n += len(m.crashTimes())
 	}
 	return n
 }
