gateway, decide, peer, keeper: parts of prompts that crash upstreams are found and refused

Cause: crashes were counted by whole contents; no two of these requests are alike, so none ever had a second crash. Class: a bound kept with something narrower than what it is to bound. Change: decide.PartTracker counts the ends of upstreams by the parts of the requests that had no answer yet, over all gateways (PartAnnouncement, FeaturePromptParts) and in the store. Requests with a refused part get 503 at once (crashing_prompt_part), before each send too; copies that have not begun are broken off.

--- a/decide/crashtracker.go
+++ b/decide/crashtracker.go
@@ -27,18 +27,27 @@
 	brokenRequests map[wardturn.Crash]time.Time
 	ended          map[wardturn.UpstreamID]time.Time // when each upstream ended without notice
 	pendingDeletes map[wardturn.Crash]bool           // records to be deleted from the store
+	// spacing is the time after a crash of a content in which further ones belong to the
+	// same failure and are not counted; zero: all are counted.
+	spacing time.Duration
+	// held holds crashes observed here of contents that were answered shortly before; nil:
+	// these are dropped.
+	held map[wardturn.Crash]time.Time
 }
 
 // suspectContent is a content that was being served by upstreams when they ended.
 type suspectContent struct {
-	crashes map[wardturn.UpstreamID]*crashState
-	latest  time.Time
+	crashes  map[wardturn.UpstreamID]*crashState
+	counted  int // crashes that are not simultaneous with an earlier one
+	latest   time.Time
+	requests int // requests since it was suspected; counted for parts of prompts only
 }
 
 // crashState is the state of one crash.
 type crashState struct {
 	observedHere bool // observed by this gateway, which has to record it
 	recorded     bool
+	simultaneous bool      // with an earlier one: not counted and not recorded
 	learnedAt    time.Time // when this gateway learned of it
 }
 
@@ -93,7 +102,7 @@
 // Refuses reports whether a content is refused, and for how much longer.
 func (c *CrashTracker) Refuses(now time.Time, content wardturn.ContentID) (time.Duration, bool) {
 	s := c.contents[content]
-	if s == nil || len(s.crashes) < c.cfg.Limit {
+	if s == nil || s.counted < c.cfg.Limit {
 		return 0, false
 	}
 	left := s.latest.Add(c.cfg.Memory).Sub(now)
@@ -131,6 +140,11 @@
 // observed records crashes observed by this gateway, and returns those that count and are
 // new.
 func (c *CrashTracker) observed(now time.Time, list []wardturn.Crash) []wardturn.Crash {
+	for _, crash := range list {
+		if c.held != nil && c.recentlyAnswered(now, crash.Content) {
+			c.held[crash] = now
+		}
+	}
 	fresh := c.AddReported(now, list)
 	for _, crash := range fresh {
 		c.state(crash).observedHere = true
@@ -170,11 +184,20 @@
 		}
 		if state := c.state(r.Crash); state != nil {
 			state.recorded = true
+			c.countSimultaneous(r.Crash.Content, state)
 		}
 	}
 	return fresh
 }
 
+// countSimultaneous counts a crash after all, since another gateway has recorded it.
+func (c *CrashTracker) countSimultaneous(content wardturn.ContentID, state *crashState) {
+	if state.simultaneous {
+		state.simultaneous = false
+		c.contents[content].counted++
+	}
+}
+
 // StoreRestored records that the store may have lost records because it was restored from
 // an older copy. Call AddRecorded with the remaining records afterwards. The gateways that
 // observed a crash write its record again; other gateways do so only if that fails to
@@ -197,9 +220,15 @@
 	return s.crashes[crash.Upstream]
 }
 
+// recentlyAnswered reports whether a content was answered shortly before a time, or after it.
+func (c *CrashTracker) recentlyAnswered(at time.Time, content wardturn.ContentID) bool {
+	answeredAt, ok := c.answered[content]
+	return ok && at.Sub(answeredAt) < answeredGrace
+}
+
 // add counts a crash that occurred at a time, and reports whether it counts and is new.
 func (c *CrashTracker) add(now, at time.Time, crash wardturn.Crash) bool {
-	if answeredAt, ok := c.answered[crash.Content]; ok && at.Sub(answeredAt) < answeredGrace {
+	if c.recentlyAnswered(at, crash.Content) {
 		return false
 	}
 	s := c.contents[crash.Content]
@@ -213,9 +242,14 @@
 	if s.crashes[crash.Upstream] != nil {
 		return false
 	}
-	s.latest = latest(s.latest, at)
-	s.crashes[crash.Upstream] = &crashState{
-		learnedAt: now,
+	state := &crashState{
+		simultaneous: at.Sub(s.latest) < c.spacing,
+		learnedAt:    now,
+	}
+	s.crashes[crash.Upstream] = state
+	if !state.simultaneous {
+		s.counted++
+		s.latest = latest(s.latest, at)
 	}
 	return true
 }
@@ -252,8 +286,11 @@
 		if s == nil {
 			continue
 		}
+		if state := s.crashes[crash.Upstream]; state != nil && !state.simultaneous {
+			s.counted--
+		}
 		delete(s.crashes, crash.Upstream)
-		if len(s.crashes) == 0 {
+		if s.counted == 0 {
 			delete(c.contents, crash.Content)
 		}
 	}
@@ -265,12 +302,12 @@
 // set.
 func (c *CrashTracker) PendingWrites(now time.Time, all bool) (crashes, deletes []wardturn.Crash) {
 	for content, s := range c.contents {
-		if !all && len(s.crashes) < min(minRecordedCrashes, c.cfg.Limit) {
+		if !all && s.counted < min(minRecordedCrashes, c.cfg.Limit) {
 			continue
 		}
 		for id, state := range s.crashes {
 			assigned := state.observedHere || now.Sub(state.learnedAt) >= adoptDelay
-			if assigned && !state.recorded {
+			if assigned && !state.recorded && !state.simultaneous {
 				crashes = append(crashes, newCrash(content, id))
 			}
 		}
@@ -334,7 +371,7 @@
 	list := slices.Collect(maps.Keys(c.contents))
 	slices.SortFunc(list, func(x, y wardturn.ContentID) int {
 		sx, sy := c.contents[x], c.contents[y]
-		return cmp.Or(cmp.Compare(len(sx.crashes), len(sy.crashes)), sx.latest.Compare(sy.latest), cmp.Compare(x, y))
+		return cmp.Or(cmp.Compare(sx.counted, sy.counted), sx.latest.Compare(sy.latest), cmp.Compare(x, y))
 	})
 	for _, content := range list[:len(list)/evictDivisor] {
 		delete(c.contents, content)
--- a/decide/doc.go
+++ b/decide/doc.go
@@ -63,6 +63,7 @@
 //	rollout.go            rollout of a new adapter version
 //	announcement.go       announcements of adapter versions
 //	crashtracker.go       CrashTracker: requests that crash upstreams
+//	parttracker.go        PartTracker: parts of prompts that crash upstreams
 //	teamcaps.go           TeamCaps: usage caps of teams across all gateways
 //	teamreports.go        usage reports between gateways
 //	leaving.go            upstreams that announced that they are leaving
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -28,7 +28,9 @@
 
 	mu           sync.Mutex
 	tracker      *decide.CrashTracker
+	parts        *decide.PartTracker // the same for parts of prompts
 	checking     map[wardturn.UpstreamID]bool
+	updatingSoon bool              // updateParts is about to be called
 	unannounced  bool              // a crash was not announced: no keeper was connected
 	readPosition wardturn.Position // position up to which the store was read
 	readAt       time.Time         // when readPosition was current; zero before the first read
@@ -41,6 +43,7 @@
 		readSignal:  make(chan struct{}, 1),
 		writeSignal: make(chan struct{}, 1),
 		tracker:     decide.NewCrashTracker(g.cfg.Crashes),
+		parts:       decide.NewPartTracker(g.cfg.Crashes),
 		checking:    make(map[wardturn.UpstreamID]bool),
 	}
 }
@@ -77,16 +80,21 @@
 
 // interrupted records that a send received no complete response. If check is set, the
 // connection was not closed by this gateway, and it is checked whether the upstream has
-// crashed.
-func (c *crashes) interrupted(m wardturn.Member, content wardturn.ContentID, check bool) {
+// crashed. The parameter parts holds the parts of the prompt if no answer had begun.
+func (c *crashes) interrupted(m wardturn.Member, content wardturn.ContentID, parts []wardturn.ContentID, check bool) {
 	c.mu.Lock()
 	fresh := c.tracker.RequestBroke(c.g.clock.Now(), content, m.ID)
+	var freshParts []wardturn.Crash
+	if check {
+		freshParts = c.parts.RequestBroke(c.g.clock.Now(), parts, m.ID)
+	}
 	check = check && !c.checking[m.ID]
 	if check {
 		c.checking[m.ID] = true
 	}
 	c.mu.Unlock()
 	c.observed(fresh)
+	c.observedParts(freshParts)
 	if check {
 		c.g.tasks.Go(func() {
 			c.check(m)
@@ -110,14 +118,16 @@
 
 // disappeared records that upstreams have disappeared without draining.
 func (c *crashes) disappeared(ids ...wardturn.UpstreamID) {
-	var fresh []wardturn.Crash
+	var fresh, freshParts []wardturn.Crash
 	c.mu.Lock()
 	now := c.g.clock.Now()
 	for _, id := range ids {
 		fresh = append(fresh, c.tracker.UpstreamEnded(now, id)...)
+		freshParts = append(freshParts, c.parts.UpstreamEnded(now, id)...)
 	}
 	c.mu.Unlock()
 	c.observed(fresh)
+	c.observedParts(freshParts)
 }
 
 // observed announces crashes that were observed here to the other gateways.
@@ -203,8 +213,13 @@
 	case resultForwarded:
 		x.g.crashes.completed(x.content)
 	case resultUnknown, resultTruncated, resultCallerGone:
-		if !x.send.aborted && !x.slowCaller() {
-			x.g.crashes.interrupted(a.Member, x.content, sendResult != resultCallerGone && ctxErr == nil)
+		if x.send.aborted || x.slowCaller() {
+			return
+		}
+		parts := x.parts
+		if x.send.answered {
+			parts = nil
 		}
+		x.g.crashes.interrupted(a.Member, x.content, parts, sendResult != resultCallerGone && ctxErr == nil)
 	}
 }
--- a/gateway/crashrecord.go
+++ b/gateway/crashrecord.go
@@ -112,11 +112,19 @@
 	c.readAt = c.g.clock.Now()
 	if change.Restored {
 		c.tracker.StoreRestored(c.g.clock.Now())
+		c.parts.StoreRestored(c.g.clock.Now())
 	}
-	fresh := c.tracker.AddRecorded(c.g.clock.Now(), change.Crashes)
-	c.tracker.RecordsRemoved(change.Removed)
+	contents, parts := splitRecordedParts(change.Crashes)
+	removed, removedParts := splitParts(change.Removed)
+	fresh := c.tracker.AddRecorded(c.g.clock.Now(), contents)
+	c.tracker.RecordsRemoved(removed)
+	c.parts.AddRecorded(c.g.clock.Now(), parts)
+	c.parts.RecordsRemoved(removedParts)
 	c.mu.Unlock()
 	c.handleNew(fresh)
+	if len(parts)+len(removedParts) > 0 {
+		c.updateParts()
+	}
 	if change.Restored {
 		signal(c.writeSignal)
 	}
@@ -139,7 +147,7 @@
 // writeDue writes the records that are due. It reports false if the write failed.
 func (c *crashes) writeDue() bool {
 	c.mu.Lock()
-	crashes, deletes := c.tracker.PendingWrites(c.g.clock.Now(), c.unannounced)
+	crashes, deletes := c.pendingWrites(c.unannounced)
 	unannounced := c.unannounced
 	c.unannounced = false
 	c.mu.Unlock()
@@ -155,17 +163,39 @@
 		return false
 	}
 	c.g.logger.Info("crashes recorded", "crashes", len(crashes), "taken_back", len(deletes))
-	c.tracker.Written(crashes, deletes)
+	c.recordWritten(crashes, deletes)
 	return true
 }
 
+// pendingWrites returns the pending writes for contents and parts of prompts. The lock must
+// be held.
+func (c *crashes) pendingWrites(all bool) (crashes, deletes []wardturn.Crash) {
+	now := c.g.clock.Now()
+	crashes, deletes = c.tracker.PendingWrites(now, all)
+	partCrashes, partDeletes := c.parts.PendingWrites(now, all)
+	return append(crashes, partCrashes...), append(deletes, partDeletes...)
+}
+
+// recordWritten records that the store holds the result of pending writes. The lock must be
+// held.
+func (c *crashes) recordWritten(crashes, deletes []wardturn.Crash) {
+	contents, parts := splitParts(crashes)
+	contentDeletes, partDeletes := splitParts(deletes)
+	c.tracker.Written(contents, contentDeletes)
+	c.parts.Written(parts, partDeletes)
+}
+
 // sweep drops expired crashes and requests a write if their records have to be removed.
 func (c *crashes) sweep() {
 	c.mu.Lock()
 	now := c.g.clock.Now()
 	c.tracker.Sweep(now)
-	crashes, deletes := c.tracker.PendingWrites(now, false)
+	c.parts.Sweep(now)
+	suspected, refused := c.parts.Levels()
+	crashes, deletes := c.pendingWrites(false)
 	c.mu.Unlock()
+	c.g.metrics.updateParts(suspected, refused)
+	c.updateParts()
 	if len(crashes)+len(deletes) > 0 {
 		signal(c.writeSignal)
 	}
--- a/gateway/errorresponse.go
+++ b/gateway/errorresponse.go
@@ -19,10 +19,14 @@
 	// they did not cause the refusal.
 	capacity float64
 	demand   float64
+	part     wardturn.ContentID // of the prompt, which crashes upstreams; empty: none
 }
 
 // fields returns the additional fields of the log line.
 func (r *refusal) fields() []any {
+	if r.part != "" {
+		return []any{"part", r.part}
+	}
 	if r.capacity == 0 {
 		return nil
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -59,6 +59,7 @@
 	reservedBody    int64 // bytes reserved for the body
 	content         wardturn.ContentID
 	parts           []wardturn.ContentID // of the prompt, that other prompts may share
+	trialOf         wardturn.ContentID   // the refused part of which this is a trial; empty: none
 	arrived         time.Time
 	deadline        time.Time // deadline of the caller or the route
 	tried           []wardturn.UpstreamID
@@ -93,6 +94,8 @@
 	sent      time.Time // to the upstream
 	firstByte time.Time // of the response; of a buffered one, when it was read completely
 	aborted   bool      // the gateway aborted the send before it started
+	unreached bool      // no byte of the request reached the upstream
+	answered  bool      // a whole event or the whole successful response arrived
 }
 
 // result is the outcome of one send.
@@ -163,6 +166,10 @@
 		x.refuse(x.refusal.reason, x.refusal.retryAfter, "content", x.content)
 		return
 	}
+	if x.rejectCrashingPart() {
+		x.refuse(x.refusal.reason, x.refusal.retryAfter, x.refusal.fields()...)
+		return
+	}
 	if !x.charge() {
 		return
 	}
@@ -183,7 +190,7 @@
 			return
 		}
 		inTime := x.takeTurn(ctx, a)
-		if !inTime || ctx.Err() != nil || x.rejectCrashing() { // may have changed while it waited
+		if !inTime || ctx.Err() != nil || x.rejectCrashing() || x.rejectCrashingSend() { // may have changed while it waited
 			x.releaseAssignment(a)
 			x.giveUp(ctx)
 			return
@@ -192,6 +199,9 @@
 		x.endPrefill(a)
 		x.logOldVersion(a)
 		x.recordContent(a, sendResult, ctx.Err())
+		if sendResult != resultNotSent && !x.send.unreached {
+			x.endTrial(sendResult)
+		}
 		x.g.endSend(x, a, x.upstreamOutcome(sendResult))
 		if sendResult == resultNotSent {
 			continue
@@ -284,6 +294,7 @@
 // giveUp ends a request that is not sent any more. It reports it as not run, or as unknown
 // if an earlier send may have run it.
 func (x *exchange) giveUp(ctx context.Context) {
+	x.endTrial(resultNotRun)
 	if x.headerWritten {
 		x.g.metrics.finished(x, "cut")
 		x.abortResponse()
@@ -339,7 +350,7 @@
 	x.g.metrics.sends.Inc(1)
 	x.send.sent = now
 	resp, err := x.g.send(ctx, x, a.Member, x.encodeHeader(a, remaining))
-	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errVersionRetired) || errors.Is(cause, errCrashingContent)) {
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errVersionRetired) || errors.Is(cause, errCrashingContent) || errors.Is(cause, errCrashingPart)) {
 		err = errors.Wrap(err, cause.Error())
 	}
 	if errors.Is(err, errNotAccepting) {
@@ -376,6 +387,7 @@
 		x.g.crashes.disappeared(a.Member.ID)
 	}
 	if errors.Is(err, errNotSent) {
+		x.send.unreached = true
 		return resultNotRun
 	}
 	return resultUnknown
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -226,6 +226,7 @@
 	g.tasks.Every(onlyInterval, g.originRecords.recordOnly)
 	g.tasks.Every(sweepInterval, g.sweep)
 	g.tasks.Every(promptLogInterval, g.logPromptCounts)
+	g.tasks.Every(heldPartsInterval, g.crashes.countHeldParts)
 	g.logger.Info("gateway started", "front", d.Listener.Addr(), "process", d.Config.Process, "domain", d.Config.Domain)
 	return g
 }
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -107,6 +107,8 @@
 		l.links.g.reads.receiveConfig(m)
 	case *peer.CrashAnnouncement:
 		l.links.g.crashes.receive(m)
+	case *peer.PartAnnouncement:
+		l.links.g.crashes.receiveParts(m)
 	case *peer.TeamUsageReports:
 		l.links.g.caps.receive(m)
 	case *peer.LimitGossip:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -31,6 +31,8 @@
 	oldVersionAborted tally.Counter   // requests aborted before they started on an old version
 	relaysAbandoned   tally.Counter   // relays that sent nothing, were behind, or lost the keeper
 	crashes           tally.Counter   // requests that were at an upstream when it crashed
+	suspectedParts    tally.Gauge     // parts of prompts under which upstreams crashed
+	refusedParts      tally.Gauge     // those that are refused for it
 	staleKeys         tally.Counter   // requests rejected because the API keys were too old
 	backoffsRequested tally.Counter   // responses in which an upstream requested a backoff
 	turnWait          tally.Histogram // waits for turns at engines
@@ -122,6 +124,8 @@
 		oldVersionAborted: scope.Counter("old_version_broken_off"),
 		relaysAbandoned:   scope.Counter("relays_left"),
 		crashes:           scope.Counter("crash_suspects"),
+		suspectedParts:    scope.Gauge("prompt_parts_suspected"),
+		refusedParts:      scope.Gauge("prompt_parts_refused"),
 		staleKeys:         scope.Counter("refused_stale_keys"),
 		backoffsRequested: scope.Counter("rests_asked"),
 		turnWait:          scope.Histogram("turn_wait", latencies),
@@ -284,6 +288,12 @@
 	m.coldLoads.RecordDuration(l.Took)
 }
 
+// updateParts updates the gauges of parts of prompts that crash upstreams.
+func (m *Metrics) updateParts(suspected, refused int) {
+	m.suspectedParts.Update(float64(suspected))
+	m.refusedParts.Update(float64(refused))
+}
+
 // updateLevels updates the gauges of waiting requests, adapter loads and the load window.
 func (m *Metrics) updateLevels(l decide.FleetLevels) {
 	m.waiting.Update(float64(l.Waiting))
--- a/gateway/oldversion.go
+++ b/gateway/oldversion.go
@@ -5,7 +5,8 @@
 )
 
 // watchStart has the send aborted if, before it starts, its adapter version is retired or
-// requests of its content turn out to crash upstreams. The function stop ends the watch. The
+// requests of its content, or with a part of its prompt, turn out to crash upstreams. The
+// function stop ends the watch. The
 // result ok is false if the version is retired already. The first bytes of a streamed
 // response show the start; any other start is visible only to the keeper beside the engine.
 func (x *exchange) watchStart(ctx context.Context, a assignment) (watched context.Context, stop func(), ok bool) {
@@ -15,6 +16,8 @@
 		key:          x.key,
 		version:      a.Version,
 		content:      x.content,
+		parts:        x.parts,
+		trialOf:      x.trialOf,
 		nonStreaming: !x.route.Streaming,
 	}
 	ctx = x.g.pendingSends.add(ctx, x.pending)
--- a/gateway/pendingsends.go
+++ b/gateway/pendingsends.go
@@ -18,6 +18,8 @@
 	// errCrashingContent is the cause with which a send is aborted that has not started
 	// when it becomes known that requests of the same content crash upstreams.
 	errCrashingContent = errors.New("gateway: requests of this content crash upstreams")
+	// errCrashingPart is the same for requests with a part of their prompts in common.
+	errCrashingPart = errors.New("gateway: requests with this part of the prompt crash upstreams")
 )
 
 // pendingSends tracks the sends that have not started, as far as the gateway knows. A
@@ -36,6 +38,8 @@
 	key          wardturn.ModelAdapter
 	version      wardturn.Version // zero: none
 	content      wardturn.ContentID
+	parts        []wardturn.ContentID
+	trialOf      wardturn.ContentID
 	nonStreaming bool // no streamed response: only the keeper can report the start
 	cancel       context.CancelCauseFunc
 
@@ -126,6 +130,14 @@
 	})
 }
 
+// abortPart aborts the sends of requests with a part in their prompts, but for its trial,
+// and returns how many.
+func (p *pendingSends) abortPart(part wardturn.ContentID) int {
+	return p.abort(errCrashingPart, func(s *pendingSend) bool {
+		return s.trialOf != part && slices.Contains(s.parts, part)
+	})
+}
+
 // abort aborts the matching sends with a cause, and returns how many.
 func (p *pendingSends) abort(cause error, match func(*pendingSend) bool) int {
 	p.mu.Lock()
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -93,6 +93,9 @@
 	}
 	resp.release()
 	x.recordBytes()
+	if res.StatusCode < http.StatusMultipleChoices {
+		x.answerBegan()
+	}
 	x.copyHeader(res)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(res.StatusCode)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,9 @@
 			x.endPrefill(a)
 			x.recordBytes()
 			x.boundary.write(buf[:n])
+			if x.boundary.completed && !x.send.answered && x.isEventStream(resp.res) {
+				x.answerBegan()
+			}
 			x.writeStreamHeader(resp.res)
 			writeErr := x.forwardBytes(a, buf[:n])
 			flusher.Flush()
@@ -161,6 +164,9 @@
 	if x.isEventStream(resp.res) && !x.complete(resp.res, end) {
 		return x.truncated()
 	}
+	if end != endEmpty && resp.res.StatusCode < http.StatusMultipleChoices {
+		x.answerBegan()
+	}
 	x.writeStreamHeader(resp.res)
 	if !x.route.Resumable {
 		return resultForwarded
--- a/gateway/streamend.go
+++ b/gateway/streamend.go
@@ -62,6 +62,8 @@
 	comment bool // the current line is a comment
 	inEvent bool // a field was written after the latest empty line
 	afterCR bool // the latest byte is CR, so LF belongs to the same line end
+
+	completed bool // a whole event was written
 }
 
 func (b *eventBoundary) write(data []byte) {
@@ -80,6 +82,7 @@
 		b.comment = b.comment || !b.inLine && c == ':'
 		b.inLine = true
 	default:
+		b.completed = b.completed || b.inEvent && !b.inLine
 		b.inEvent = b.inLine && (b.inEvent || !b.comment)
 		b.inLine, b.comment = false, false
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -318,6 +318,8 @@
 		k.forward(c, m)
 	case *peer.ConfigAnnouncement:
 		k.forwardFeature(c, m, peer.FeatureConfigRecords)
+	case *peer.PartAnnouncement:
+		k.forwardFeature(c, m, peer.FeaturePromptParts)
 	case *peer.TeamUsageReports:
 		k.queueGossip(gossip{
 			teams: m.Reports,
--- a/outcome.go
+++ b/outcome.go
@@ -73,6 +73,9 @@
 	ReasonOrigin Reason = "unknown_origin"
 	// ReasonCrashes: upstreams crashed while they had requests of the same content.
 	ReasonCrashes Reason = "crashes_upstreams"
+	// ReasonPromptPart: upstreams crashed as they began to answer requests with a part of
+	// the prompt in common.
+	ReasonPromptPart Reason = "crashing_prompt_part"
 )
 
 // Outcome is the final result of an attempt.
--- a/peer/feature.go
+++ b/peer/feature.go
@@ -22,10 +22,12 @@
 	FeatureConfigRecords
 	// FeatureStreamOrigins: StreamStarts, OriginQuery, OriginReply and SoftwareAnnouncement.
 	FeatureStreamOrigins
+	// FeaturePromptParts: PartAnnouncement.
+	FeaturePromptParts
 )
 
 // ownFeatures are the features of this build.
-const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins
+const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins | FeaturePromptParts
 
 // Has reports whether the set contains a feature.
 func (f Features) Has(feature Features) bool {
--- a/peer/keeper.go
+++ b/peer/keeper.go
@@ -159,6 +159,16 @@
 	Change  *wardturn.CrashChange // nil: nothing new was read
 }
 
+// PartAnnouncement announces parts of prompts whose requests had no answer yet when
+// upstreams crashed, parts whose answers began since, and parts of which a request is sent as
+// a trial although they are refused. Parts are identified by wardturn.PromptPartID. It is
+// forwarded in the same way as ReadAnnouncement.
+type PartAnnouncement struct {
+	Crashes []wardturn.Crash
+	Cleared []wardturn.ContentID
+	Trials  []wardturn.ContentID
+}
+
 // PrefillReport reports to a keeper how many tokens of a gateway's long prompts are in
 // prefill at its engine.
 type PrefillReport struct {
@@ -239,6 +249,9 @@
 // Kind implements Message.
 func (*CrashAnnouncement) Kind() Kind { return KindCrashAnnouncement }
 
+// Kind implements Message.
+func (*PartAnnouncement) Kind() Kind { return KindPartAnnouncement }
+
 // Kind implements Message.
 func (*PrefillReport) Kind() Kind { return KindPrefillReport }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -56,6 +56,7 @@
 	KindOriginQuery
 	KindOriginReply
 	KindSoftwareAnnouncement
+	KindPartAnnouncement
 )
 
 // Message is a typed message.
@@ -309,6 +310,8 @@
 		return &TeamUsageReports{}
 	case KindCrashAnnouncement:
 		return &CrashAnnouncement{}
+	case KindPartAnnouncement:
+		return &PartAnnouncement{}
 	case KindStartedQuery:
 		return &StartedQuery{}
 	case KindStartedReport:
