--- a/cli/fleet/keeper.go
+++ b/cli/fleet/keeper.go
@@ -47,7 +47,7 @@
 	defer d.stopMetrics()
 	err = process.Provide(d.Container,
 		func() wardturn.EngineController { return platform.NewWorker(c.Engine) },
-		func(scope tally.Scope) wardturn.FenceSource { return platform.NewStore(c.Store, scope) },
+		func(scope tally.Scope) *platform.Store { return platform.NewStore(c.Store, scope) },
 		func() wardturn.Policy { return policy.Default{} },
 		c.newKeeper(ln),
 	)
@@ -68,7 +68,7 @@
 }
 
 func (c *keeperCmd) newKeeper(ln net.Listener) any {
-	return func(clock wardturn.Clock, logger hclog.Logger, scope tally.Scope, e wardturn.EngineController, f wardturn.FenceSource, p wardturn.Policy) *keeper.Keeper {
+	return func(clock wardturn.Clock, logger hclog.Logger, scope tally.Scope, e wardturn.EngineController, s *platform.Store, p wardturn.Policy) *keeper.Keeper {
 		return keeper.New(keeper.Deps{
 			Config: keeper.Config{
 				Process: process.NewIncarnation(),
@@ -78,7 +78,8 @@
 			Logger:   logger,
 			Scope:    scope,
 			Engine:   e,
-			Fences:   f,
+			Fences:   s,
+			Origins:  platform.NewOriginStore(s, logger),
 			Policy:   p,
 			Listener: ln,
 		})
--- a/decide/softwarehistory.go
+++ b/decide/softwarehistory.go
@@ -52,6 +52,11 @@
 	s.listed = listed
 }
 
+// Listed reports whether the list has had an upstream of a service.
+func (h *SoftwareHistory) Listed(s wardturn.ServiceName) bool {
+	return h.services[s] != nil
+}
+
 // Stated reports whether an upstream of a service has stated its version.
 func (h *SoftwareHistory) Stated(s wardturn.ServiceName) bool {
 	e := h.services[s]
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -281,6 +281,11 @@
 	x.timing.lastByte = now
 }
 
+// timeLeft returns the time until the request's deadline.
+func (x *exchange) timeLeft() time.Duration {
+	return x.deadline.Sub(x.g.clock.Now())
+}
+
 // repeatable reports whether the request may run more than once.
 func (x *exchange) repeatable() bool {
 	return x.route.Repeatability == wardturn.Repeatable || x.route.Resumable
--- a/gateway/formerkeepers.go
+++ b/gateway/formerkeepers.go
@@ -11,6 +11,10 @@
 // left the list. The keeper may hold origins of streams that callers still resume.
 const formerKeeperAge = originGrace
 
+// maxFormerKeepers bounds these connections: while a release replaces all engines, most
+// origins are in the store.
+const maxFormerKeepers = 256
+
 // formerKeeper is the connection to the keeper of an engine that has left the list. It
 // serves queries for the origins of streams only.
 type formerKeeper struct {
@@ -36,6 +40,9 @@
 // addFormer connects to the keeper of a link that is closed. A connection of its own leaves
 // the keeper's subscriptions behind with the link. The caller must hold ls.mu.
 func (ls *links) addFormer(l *link) {
+	if len(ls.former) >= maxFormerKeepers {
+		return
+	}
 	_, domain := l.current()
 	addr := l.client.Addr()
 	ls.dropFormer(addr)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -201,7 +201,6 @@
 	g.tasks.Go(g.crashes.readLoop)
 	g.tasks.Go(g.crashes.writeLoop)
 	g.tasks.Go(g.originRecords.readLoop)
-	g.tasks.Go(g.originRecords.writeLoop)
 	g.tasks.Go(g.caps.sendUrgent)
 	g.tasks.Go(func() {
 		g.restoreFleetFacts()
@@ -223,7 +222,6 @@
 	g.tasks.Every(limitInterval, g.limits.announce)
 	g.tasks.Every(plainInterval, g.plain.announce)
 	g.tasks.Every(startedQueryInterval, g.queryStarted)
-	g.tasks.Every(onlyCheckInterval, g.originRecords.updateOnly)
 	g.tasks.Every(sweepInterval, g.sweep)
 	g.tasks.Every(promptLogInterval, g.logPromptCounts)
 	g.tasks.Every(heldPartsInterval, g.crashes.countHeldParts)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -71,9 +71,7 @@
 	o.mu.Lock()
 	o.local.Record(now, attempt, origin, until)
 	o.mu.Unlock()
-	if o.g.needsOriginRecord(origin.Service) {
-		o.g.originRecords.add(attempt, origin)
-	}
+	o.g.originRecords.add(attempt, origin)
 	m := &peer.StreamStarts{
 		Starts: []peer.StreamStart{
 			{
@@ -115,9 +113,10 @@
 	return list
 }
 
-// find looks for where the stream of an attempt began: here, at keepers, and if none of them
-// knows, in the store. The source of the result is originUnknown if nobody knows.
-func (o *origins) find(ctx context.Context, attempt string) *originLookup {
+// find looks for where the stream of an attempt began, for at most a time: here, at keepers,
+// and if none of the first that are asked knows, also in the store. The first that knows
+// decides. The source of the result is originUnknown if nobody knows.
+func (o *origins) find(ctx context.Context, attempt string, left time.Duration) *originLookup {
 	started := o.g.clock.Now()
 	l := &originLookup{
 		source: originUnknown,
@@ -133,32 +132,46 @@
 		l.origin, l.source = origin, originLocal
 		return l
 	}
-	ctx, cancel := wardturn.WithTimeout(ctx, o.g.clock, originTimeout)
+	ctx, cancel := wardturn.WithTimeout(ctx, o.g.clock, min(originTimeout, left))
 	defer cancel()
 	replies, id, end := o.startQuery()
 	defer end()
-	if o.query(ctx, l, replies, id, attempt, originAsked) {
+	o.ask(l, id, attempt, originAsked)
+	if o.awaitReplies(ctx, l, replies) {
 		return l
 	}
 	stored := make(chan storedOrigin, 1)
-	o.g.tasks.Go(func() {
+	go func() {
 		origin, known, err := o.g.originRecords.find(ctx, attempt)
 		stored <- storedOrigin{
 			origin: origin,
 			known:  known,
 			err:    err,
 		}
-	})
+	}()
 	wardturn.Sleep(ctx, o.g.clock, originRepeatDelay)
-	if o.query(ctx, l, replies, id, attempt, originAskedAgain) {
+	o.ask(l, id, attempt, originAskedAgain)
+	if o.awaitReplies(ctx, l, replies) {
 		return l
 	}
-	s := <-stored // ends with ctx
-	l.storeErr = s.err
-	if s.known {
-		l.origin, l.source = s.origin, originStore
+	for {
+		select {
+		case r := <-replies:
+			if l.add(r) {
+				return l
+			}
+		case s := <-stored:
+			l.storeErr = s.err
+			if s.known {
+				l.origin, l.source = s.origin, originStore
+			}
+			if s.err == nil {
+				return l
+			}
+		case <-ctx.Done():
+			return l
+		}
 	}
-	return l
 }
 
 // storedOrigin is the result of looking for an origin in the store.
@@ -168,20 +181,24 @@
 	err    error
 }
 
-// query asks a number of keepers once and reports whether one of them knows the origin.
-func (o *origins) query(ctx context.Context, l *originLookup, replies <-chan *peer.OriginReply, id uint64, attempt string, holders int) bool {
+// add records a reply and reports whether it decides.
+func (l *originLookup) add(r *peer.OriginReply) bool {
+	l.replied++
+	if r.Known {
+		l.origin, l.source = r.Origin, originKeeper
+	}
+	return r.Known
+}
+
+// awaitReplies waits for the replies to all queries, for at most originReplyTimeout, and
+// reports whether one decides.
+func (o *origins) awaitReplies(ctx context.Context, l *originLookup, replies <-chan *peer.OriginReply) bool {
 	ctx, cancel := wardturn.WithTimeout(ctx, o.g.clock, originReplyTimeout)
 	defer cancel()
-	_, all := o.spreads()
-	asked := ask(all.Choose(attempt, holders), id, attempt)
-	l.asked += asked
-	l.keepers = all.Len()
-	for range asked {
+	for l.replied < l.asked {
 		select {
 		case r := <-replies:
-			l.replied++
-			if r.Known {
-				l.origin, l.source = r.Origin, originKeeper
+			if l.add(r) {
 				return true
 			}
 		case <-ctx.Done():
@@ -191,6 +208,21 @@
 	return false
 }
 
+// ask sends a query to keepers, those first at which the origin was recorded first.
+func (o *origins) ask(l *originLookup, id uint64, attempt string, keepers int) {
+	_, all := o.spreads()
+	l.keepers = all.Len()
+	for _, c := range all.Choose(attempt, keepers) {
+		err := c.conn.Send(&peer.OriginQuery{
+			ID:      id,
+			Attempt: attempt,
+		})
+		if err == nil {
+			l.asked++
+		}
+	}
+}
+
 // startQuery registers a query. The channel has room for all replies to it.
 func (o *origins) startQuery() (replies chan *peer.OriginReply, id uint64, end func()) {
 	replies = make(chan *peer.OriginReply, originAsked+originAskedAgain)
@@ -206,21 +238,6 @@
 	}
 }
 
-// ask sends a query to keepers and returns the number of those that it was sent to.
-func ask(keepers []originCandidate, id uint64, attempt string) int {
-	asked := 0
-	for _, c := range keepers {
-		err := c.conn.Send(&peer.OriginQuery{
-			ID:      id,
-			Attempt: attempt,
-		})
-		if err == nil {
-			asked++
-		}
-	}
-	return asked
-}
-
 // handleReply handles a keeper's reply to a query.
 func (o *origins) handleReply(m *peer.OriginReply) {
 	o.mu.Lock()
@@ -247,7 +264,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.listed == nil || now.Sub(o.candidatesAt) >= originCandidatesAge {
-		list := o.g.links.originCandidates()
+		list := o.g.links.keepersWith(peer.FeatureStreamOrigins)
 		o.listed = newOriginSpread(list)
 		o.all = newOriginSpread(append(list, o.g.links.formerCandidates()...))
 		o.candidatesAt = now
@@ -263,14 +280,14 @@
 	})
 }
 
-// originCandidates returns the connected keepers that record origins of streams.
-func (ls *links) originCandidates() []originCandidate {
+// keepersWith returns the connected keepers of listed engines that have a feature.
+func (ls *links) keepersWith(f peer.Features) []originCandidate {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	list := make([]originCandidate, 0, len(ls.byAddr))
 	for _, l := range ls.byAddr {
 		conn, domain := l.current()
-		if conn != nil && conn.Understands(peer.FeatureStreamOrigins) {
+		if conn != nil && conn.Understands(f) {
 			list = append(list, originCandidate{
 				conn:   conn,
 				addr:   l.addr(),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -37,11 +37,6 @@
 		x.regions = x.regions.Both(x.team.Regions)
 	}
 	x.service = selectService(x.route, x.serviceKey())
-	if x.resumes() && !x.resolveOrigin() {
-		return false
-	}
-	spec := rs.table.Services[x.service]
-	x.engine = spec.Engine != nil
 	timeout := x.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -50,6 +45,11 @@
 		timeout = min(timeout, time.Duration(n)*time.Millisecond)
 	}
 	x.deadline = x.arrived.Add(timeout)
+	if x.resumes() && !x.resolveOrigin() {
+		return false
+	}
+	spec := rs.table.Services[x.service]
+	x.engine = spec.Engine != nil
 	if x.route.Resumable {
 		x.events.startAfter(x.r.Header.Get(x.g.names.LastEventID))
 	}
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"wardturn"
@@ -58,7 +57,7 @@
 
 // findOrigin looks for the origin of the stream that the caller resumes.
 func (x *exchange) findOrigin() *originLookup {
-	if !x.g.statesSoftware(x.service) {
+	if x.g.servesUnstated(x.service) {
 		return &originLookup{
 			source: originUnstated,
 		}
@@ -68,7 +67,7 @@
 		source: originUnknown,
 	}
 	if attempt != "" {
-		l = x.g.origins.find(x.r.Context(), attempt)
+		l = x.g.origins.find(x.r.Context(), attempt, x.timeLeft())
 		if l.source != originUnknown {
 			return l
 		}
@@ -142,6 +141,15 @@
 	}
 }
 
+// servesUnstated reports whether upstreams of a service have been listed and none has stated
+// its software version. A service that has not been listed may turn out to have versions.
+func (g *Gateway) servesUnstated(s wardturn.ServiceName) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := g.fleet.Software()
+	return h.Listed(s) && !h.Stated(s)
+}
+
 // statesSoftware reports whether upstreams of a service state their software version.
 func (g *Gateway) statesSoftware(s wardturn.ServiceName) bool {
 	g.mu.Lock()
@@ -149,13 +157,6 @@
 	return g.fleet.Software().Stated(s)
 }
 
-// needsOriginRecord reports whether the origins of a service's streams have to be recorded in
-// the store, because they may differ.
-func (g *Gateway) needsOriginRecord(s wardturn.ServiceName) bool {
-	_, only := g.onlySoftware(s, true)
-	return !only
-}
-
 // onlySoftware returns the software version of a service if the current list of upstreams has
 // had no other for as long as a stream can be resumed. With partial, the time since this
 // gateway first read the list is enough.
@@ -168,31 +169,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v, whole, ok := g.fleet.Software().Only(now, s, within)
-	if stored, known := g.originRecords.onlySoftware(s); known && stored == v {
-		whole = true // the time before this gateway's first list
-	}
 	return v, ok && (whole || partial)
 }
 
-// resumableServices returns the services of routes whose streams callers may resume, sorted.
-func (rs *routes) resumableServices() []wardturn.ServiceName {
-	if rs == nil {
-		return nil
-	}
-	var list []wardturn.ServiceName
-	for _, routes := range rs.byHost {
-		for _, r := range routes {
-			for _, t := range r.Targets {
-				if r.Resumable && !slices.Contains(list, t.Service) {
-					list = append(list, t.Service)
-				}
-			}
-		}
-	}
-	slices.Sort(list)
-	return list
-}
-
 // resumableFor returns how long after its start a stream of a service can be resumed.
 func (rs *routes) resumableFor(s wardturn.ServiceName) time.Duration {
 	longest := time.Duration(0)
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -180,6 +180,7 @@
 		Scope:    tally.NoopScope,
 		Engine:   platform.NewWorker(x.addrs[m]),
 		Fences:   store,
+		Origins:  platform.NewOriginStore(store, testLogger("keeper "+host)),
 		Policy:   policy.Default{},
 		Listener: ln,
 	})
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,6 +43,7 @@
 	Scope    tally.Scope
 	Engine   wardturn.EngineController
 	Fences   wardturn.FenceSource
+	Origins  wardturn.OriginStore
 	Policy   wardturn.Policy
 	Listener net.Listener
 }
@@ -77,6 +78,7 @@
 	pendingGossip    gossip
 	startedQueries   startedQueries
 	streamOrigins    *decide.StreamOrigins // guarded by mu
+	originRecords    *process.Batcher[wardturn.StreamRecord]
 	turns            prefillTurns
 }
 
@@ -102,6 +104,7 @@
 		streamOrigins:  decide.NewStreamOrigins(),
 		turns:          newPrefillTurns(d.Scope),
 	}
+	k.originRecords = k.newOriginRecords(d.Origins)
 	k.takeFence()
 	id := peer.Identity{
 		Role:    peer.RoleAgent,
@@ -336,6 +339,8 @@
 		for _, s := range m.Starts {
 			k.streamOrigins.Record(now, s.Attempt, s.Origin, now.Add(s.For))
 		}
+	case *peer.StreamRecords:
+		k.originRecords.Add(m.Records...)
 	case *peer.OriginQuery:
 		k.replyOrigin(c, now, m)
 	case *peer.SoftwareAnnouncement:
--- a/peer/feature.go
+++ b/peer/feature.go
@@ -24,10 +24,12 @@
 	FeatureStreamOrigins
 	// FeaturePromptParts: PartAnnouncement.
 	FeaturePromptParts
+	// FeatureOriginRecords: StreamRecords.
+	FeatureOriginRecords
 )
 
 // ownFeatures are the features of this build.
-const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins | FeaturePromptParts
+const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins | FeaturePromptParts | FeatureOriginRecords
 
 // Has reports whether the set contains a feature.
 func (f Features) Has(feature Features) bool {
--- a/peer/message.go
+++ b/peer/message.go
@@ -57,6 +57,7 @@
 	KindOriginReply
 	KindSoftwareAnnouncement
 	KindPartAnnouncement
+	KindStreamRecords
 )
 
 // Message is a typed message.
@@ -312,6 +313,8 @@
 		return &CrashAnnouncement{}
 	case KindPartAnnouncement:
 		return &PartAnnouncement{}
+	case KindStreamRecords:
+		return &StreamRecords{}
 	case KindStartedQuery:
 		return &StartedQuery{}
 	case KindStartedReport:
--- a/peer/streamorigins.go
+++ b/peer/streamorigins.go
@@ -43,6 +43,14 @@
 	Software wardturn.SoftwareVersion
 }
 
+// StreamRecords asks a keeper to append the origins of streams to the platform's store.
+type StreamRecords struct {
+	Records []wardturn.StreamRecord
+}
+
+// Kind implements Message.
+func (*StreamRecords) Kind() Kind { return KindStreamRecords }
+
 // Kind implements Message.
 func (*StreamStarts) Kind() Kind { return KindStreamStarts }
 
--- a/streamrecord.go
+++ b/streamrecord.go
@@ -1,8 +1,6 @@
 package wardturn
 
-// StreamRecord records where the stream of one attempt began. One without an attempt says that
-// all streams of the service began there that have no record of their own: the list of its
-// upstreams had no other software version.
+// StreamRecord records where the stream of one attempt began.
 type StreamRecord struct {
 	Attempt string
 	Origin  StreamOrigin
