gateway, decide: records of crashes under parts that were answered since are deleted

Found by a spec of this part: a gateway that answers requests with a part ignored the records of crashes that another one had written for it, and the others refused the part by them. Change: it deletes the records and clears the part, after a random delay and unless another gateway has done so, as for reports.

--- a/decide/parttracker.go
+++ b/decide/parttracker.go
@@ -205,8 +205,14 @@
 
 // AddRecorded records crashes that were read from the store. A part that becomes suspect by
 // them is not tried at once: other gateways have done so, and each trial of a part that does
-// crash upstreams has added a crash.
-func (t *PartTracker) AddRecorded(now time.Time, list []wardturn.RecordedCrash) {
+// crash upstreams has added a crash. It returns the crashes of parts that were answered here
+// shortly before or since, whose records are to be deleted.
+func (t *PartTracker) AddRecorded(now time.Time, list []wardturn.RecordedCrash) (refuted []wardturn.Crash) {
+	for _, r := range list {
+		if at, ok := t.answered[r.Content]; ok && r.At.Sub(at) < answerWait {
+			refuted = append(refuted, r.Crash)
+		}
+	}
 	for _, crash := range t.counts.AddRecorded(now, list) {
 		id := crash.Content
 		s := t.counts.contents[id]
@@ -221,6 +227,14 @@
 		}
 		t.trials[id] = trials
 	}
+	return refuted
+}
+
+// DeleteRecords schedules the deletion of records from the store.
+func (t *PartTracker) DeleteRecords(list []wardturn.Crash) {
+	for _, crash := range list {
+		t.counts.pendingDeletes[crash] = true
+	}
 }
 
 // Answered records that answers to requests with these parts began. It returns the parts
--- a/decide/parttracker_test.go
+++ b/decide/parttracker_test.go
@@ -257,3 +257,54 @@
 		t.Error("contradicted by a gateway that saw no answer")
 	}
 }
+
+// A part that many requests share is answered again soon. One that turns bad is not.
+func TestEndsShortlyAfterAnAnswer(t *testing.T) {
+	for _, answeredAgain := range []bool{false, true} {
+		x := newPartTrackerTest(t)
+		parts := []wardturn.ContentID{partOther}
+		x.Answered(x.now, parts)
+		for range 3 {
+			if fresh := x.endAfter(300*time.Millisecond, parts); len(fresh) > 0 {
+				t.Error("refused shortly after an answer")
+			}
+			if answeredAgain {
+				x.Answered(x.now, parts)
+			}
+		}
+		for range 8 {
+			x.now = x.now.Add(250 * time.Millisecond)
+			x.CountHeld(x.now)
+		}
+		x.Update(x.now)
+		if refused := x.refuses(partOther) != ""; refused == answeredAgain {
+			t.Errorf("answered again: %v, refused: %v", answeredAgain, refused)
+		}
+	}
+}
+
+// The gateway that wrote a record may not know that the part was answered elsewhere.
+func TestRecordsOfAnsweredPartAreDeleted(t *testing.T) {
+	x := newPartTrackerTest(t)
+	x.Answered(x.now, []wardturn.ContentID{partFirst})
+	list := []wardturn.RecordedCrash{{
+		Crash: wardturn.Crash{
+			Content:  partFirst,
+			Upstream: "u1",
+		},
+		At: x.now.Add(-time.Second),
+	}}
+	refuted := x.AddRecorded(x.now, list)
+	if len(refuted) != 1 || refuted[0] != list[0].Crash {
+		t.Fatalf("refuted: %v", refuted)
+	}
+	x.DeleteRecords(refuted)
+	if _, deletes := x.PendingWrites(x.now, false); !slices.Equal(deletes, refuted) {
+		t.Errorf("records to delete: %v", deletes)
+	}
+	x.now = x.now.Add(3 * time.Second)
+	list[0].At = x.now
+	if refuted := x.AddRecorded(x.now, list); len(refuted) > 0 {
+		t.Error("a record of a crash long after the answer is refuted")
+	}
+}
--- a/gateway/crashingparts.go
+++ b/gateway/crashingparts.go
@@ -218,27 +218,31 @@
 	if len(m.Crashes) > 0 {
 		c.updatePartsSoon()
 	}
-	if len(answered) > 0 {
-		c.g.tasks.Go(func() {
-			c.contradict(now, answered)
-		})
-	}
+	c.contradict(now, answered, nil)
 }
 
-// contradict clears parts that were reported at a time and recently answered here, unless
-// another gateway has done so since.
-func (c *crashes) contradict(reported time.Time, parts []wardturn.ContentID) {
-	if !c.g.tasks.Sleep(rand.N(maxContradictionDelay)) {
+// contradict clears, after a delay, parts that were reported at a time and recently answered
+// here, unless another gateway has done so since. The records of their crashes are deleted.
+func (c *crashes) contradict(reported time.Time, parts []wardturn.ContentID, records []wardturn.Crash) {
+	if len(parts) == 0 {
 		return
 	}
-	c.mu.Lock()
-	parts = slices.DeleteFunc(parts, func(id wardturn.ContentID) bool {
-		return c.parts.ClearedSince(reported, id)
+	c.g.tasks.Go(func() {
+		if !c.g.tasks.Sleep(rand.N(maxContradictionDelay)) {
+			return
+		}
+		c.mu.Lock()
+		parts = slices.DeleteFunc(parts, func(id wardturn.ContentID) bool {
+			return c.parts.ClearedSince(reported, id)
+		})
+		c.parts.DeleteRecords(slices.DeleteFunc(records, func(crash wardturn.Crash) bool {
+			return !slices.Contains(parts, crash.Content)
+		}))
+		c.mu.Unlock()
+		if len(parts) > 0 {
+			c.clearParts(parts)
+		}
 	})
-	c.mu.Unlock()
-	if len(parts) > 0 {
-		c.clearParts(parts)
-	}
 }
 
 // rejectCrashingPart reports whether the request is rejected on arrival because of a part
--- a/gateway/crashrecord.go
+++ b/gateway/crashrecord.go
@@ -118,9 +118,11 @@
 	removed, removedParts := splitParts(change.Removed)
 	fresh := c.tracker.AddRecorded(c.g.clock.Now(), contents)
 	c.tracker.RecordsRemoved(removed)
-	c.parts.AddRecorded(c.g.clock.Now(), parts)
+	now := c.g.clock.Now()
+	refuted := c.parts.AddRecorded(now, parts)
 	c.parts.RecordsRemoved(removedParts)
 	c.mu.Unlock()
+	c.contradict(now, contentsOf(refuted), refuted)
 	c.handleNew(fresh)
 	if len(parts)+len(removedParts) > 0 {
 		c.updateParts()
--- a/gateway/promptparts_test.go
+++ b/gateway/promptparts_test.go
@@ -219,4 +219,101 @@
 		Expect(late).To(BeNumerically("<=", maxLateSends))
 		Expect(after).To(BeNumerically(">=", before/2))
 	})
+
+	// recordCrashes writes crashes of a part into the store.
+	recordCrashes := func(x *crashRig, service wardturn.ServiceName, part string, crashes int) {
+		for i := range crashes {
+			key := fmt.Sprintf("%s/u%d", wardturn.PromptPartID(service, part), i)
+			x.store.Put("keyed.wardturn.crashes", key, fmt.Appendf(nil, `{"at_ms":%d}`, time.Now().UnixMilli()))
+		}
+	}
+	// exhausted is a number of crashes after which a part is not tried any more.
+	const exhausted = 7
+
+	// awaitRefused waits until both gateways refuse a part.
+	awaitRefused := func(x *crashRig, service wardturn.ServiceName, part string) {
+		for _, name := range []string{"gateway", "second"} {
+			Eventually(x.log.String, eventTimeout, pollInterval).Should(MatchRegexp("%s: requests with a part of prompts are refused.* part=%s", name, wardturn.PromptPartID(service, part)))
+		}
+	}
+
+	It("is refused at once with a reason of its own, by what the store has alone", func() {
+		x := newCrashRig()
+		recordCrashes(x, "app", fatal, exhausted)
+		awaitRefused(x, "app", fatal)
+		for i := range x.fronts {
+			began := time.Now()
+			r := x.sendWithParts(i, "/charge/", "", shared, fatal)
+			Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(r.body).To(Equal(string(wardturn.ReasonPromptPart)))
+			Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+			Expect(x.sendWithParts(i, "/charge/", "", shared, "other").status).To(Equal(http.StatusOK))
+		}
+		x.store.DeleteAll("keyed.wardturn.crashes")
+		for i := range x.fronts {
+			Eventually(func() int {
+				return x.sendWithParts(i, "/charge/", "", shared, fatal).status
+			}, eventTimeout, pollInterval).Should(Equal(http.StatusOK))
+		}
+	})
+
+	It("is served again at all gateways after a trial of one was answered", func() {
+		x := newCrashRig()
+		recordCrashes(x, "app", shared, 3)
+		awaitRefused(x, "app", shared)
+		for i := range x.fronts {
+			Eventually(func() int {
+				return x.sendWithParts(i, "/charge/", "", shared).status
+			}, eventTimeout, pollInterval).Should(Equal(http.StatusOK))
+		}
+		Expect(strings.Count(x.log.String(), "request is sent although a part")).To(Equal(1))
+		Eventually(x.log.String, eventTimeout, pollInterval).Should(MatchRegexp("crashes recorded: crashes=0 taken_back=3"))
+	})
+
+	It("is cleared by the first event of a stream, even if the stream is cut later", func() {
+		x := newCrashRig()
+		recordCrashes(x, "llm", shared, 3)
+		awaitRefused(x, "llm", shared)
+		for _, m := range x.engines {
+			m.SetFaults(standin.WorkerFaults{
+				CutFresh: 2,
+			})
+		}
+		Eventually(func() string {
+			x.sendWithParts(0, "/ask/", "m0", shared)
+			return x.log.String()
+		}, eventTimeout, pollInterval).Should(ContainSubstring("parts of prompts not suspected any more"))
+	})
+
+	It("is not refused by records of crashes if answers since have shown that it is sound", func() {
+		x := newCrashRig()
+		Expect(x.sendWithParts(0, "/charge/", "", shared).status).To(Equal(http.StatusOK))
+		recordCrashes(x, "app", shared, 3)
+		Eventually(func() string {
+			Expect(x.sendWithParts(0, "/charge/", "", shared).status).To(Equal(http.StatusOK))
+			return x.log.String()
+		}, eventTimeout, pollInterval).Should(MatchRegexp("gateway: crashes recorded: crashes=0 taken_back=3"))
+		Expect(x.sendWithParts(1, "/charge/", "", shared).status).To(Equal(http.StatusOK))
+	})
+
+	It("aborts requests that no upstream has started when it becomes known", func() {
+		x := newCrashRig()
+		for _, m := range x.engines {
+			m.SetFaults(standin.WorkerFaults{
+				HoldUp: eventTimeout,
+			})
+		}
+		held := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			held <- x.sendWithParts(0, "/ask/", "m0", shared, fatal)
+		}()
+		heldNow := func() int {
+			return x.engines[0].Delayed() + x.engines[1].Delayed()
+		}
+		Eventually(heldNow, eventTimeout, pollInterval).Should(Equal(1))
+		recordCrashes(x, "llm", fatal, exhausted)
+		Eventually(heldNow, 2*time.Second, pollInterval).Should(BeZero())
+		Expect((<-held).status).To(Equal(http.StatusBadGateway))
+	})
 })
