--- a/cli/explain.go
+++ b/cli/explain.go
@@ -99,7 +99,7 @@
 }
 
 // explainRequest returns the lines about a request in order of time. It adds the lines
-// about the request's adapter, upstreams and team and about dependencies, from lookback
+// about the request's adapter, upstreams, team and refused part and about dependencies, from lookback
 // before the first line of the request to its last.
 func explainRequest(lines []logLine, id string, lookback time.Duration) []logLine {
 	var result []logLine
@@ -109,7 +109,7 @@
 			continue
 		}
 		result = append(result, l)
-		for _, key := range []string{"adapter", "upstream", "team"} {
+		for _, key := range []string{"adapter", "upstream", "team", "part"} {
 			if v := l.fields[key]; v != "" {
 				subjects[key+"="+v] = true
 			}
@@ -124,7 +124,7 @@
 		if l.fields["id"] != "" || l.at.Before(first) || l.at.After(last) {
 			continue
 		}
-		if subjects["adapter="+l.fields["adapter"]] || subjects["upstream="+l.fields["upstream"]] || subjects["team="+l.fields["team"]] || aboutDependency(l) {
+		if subjects["adapter="+l.fields["adapter"]] || subjects["upstream="+l.fields["upstream"]] || subjects["team="+l.fields["team"]] || subjects["part="+l.fields["part"]] || aboutDependency(l) {
 			result = append(result, l)
 		}
 	}
--- a/cli/explain_reasons.go
+++ b/cli/explain_reasons.go
@@ -50,6 +50,9 @@
 	if l.fields["reason"] == string(wardturn.ReasonOrigin) {
 		reasons = append(reasons, fmt.Sprintf("nobody knew which software version began %s: %s of %s queries to %s connected keepers had a reply after %v", l.fields["resumes"], l.fields["replied"], l.fields["asked"], l.fields["keepers"], l.duration("lookup")))
 	}
+	if l.fields["reason"] == string(wardturn.ReasonPromptPart) {
+		reasons = append(reasons, fmt.Sprintf("rejected because upstreams ended as they began to answer requests with %s in their prompts", l.fields["part"]))
+	}
 	if l.fields["predicted"] != "" {
 		reasons = append(reasons, fmt.Sprintf("rejected after %v because the predicted wait was %v%s", l.duration("waited"), l.duration("predicted"), ofRank(l)))
 	}
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -53,6 +53,7 @@
 10:00:02.200 [INFO]  gateway: refused: id=r3 reason=queue_full retry_after=900ms adapter= waited="10ms" rank=2 team=t-b capacity=98.5 demand=119
 10:00:02.300 [INFO]  gateway: refused: id=r4 reason=queue_full retry_after=900ms adapter= waited="10ms" rank=0 team=t-b capacity=98.5 demand=90
 10:00:02.400 [INFO]  gateway: refused: id=s1 reason=unknown_origin retry_after=500ms adapter= waited=150ms resumes=b1 software="[]" keepers=8 asked=8 replied=4 lookup=150ms
+10:00:02.450 [INFO]  gateway: refused: id=p1 reason=crashing_prompt_part retry_after=2s adapter=a9 waited="0s" part=part-39e896318cb7ab0a
 10:00:02.500 [INFO]  gateway: beyond the cap: id=c1 team=t-a units=2368 left_s=0.420 retry_after=7.2s rank=2 route=recheck
 10:00:02.600 [INFO]  gateway: beyond the cap: id=c2 team=t-a units=2368 left_s=-0.031 retry_after=900ms rank=0 route=letter
 10:00:02.700 [INFO]  gateway: beyond the cap: id=c3 team=t-c units=2368 left_s=-0.031 retry_after=900ms
@@ -62,7 +63,7 @@
 // that say so get no reason.
 func TestExplainReasons(t *testing.T) {
 	var got strings.Builder
-	for _, id := range []string{"l1", "l2", "r1", "r3", "r4", "s1", "c1", "c2", "c3"} {
+	for _, id := range []string{"l1", "l2", "r1", "r3", "r4", "s1", "p1", "c1", "c2", "c3"} {
 		var out, errs strings.Builder
 		code := cli.Main(context.Background(), []string{"explain", id, "--since=1s"}, cli.Streams{
 			In:  strings.NewReader(reasonsLog),
--- a/cli/fleet/crashes.go
+++ b/cli/fleet/crashes.go
@@ -17,13 +17,13 @@
 	"wardturn/process"
 )
 
-// crashesCmd lists the contents of requests during which upstreams crashed, and removes
-// the crash records of contents so that they are served again. Without it, a content that
+// crashesCmd lists the contents of requests, and the parts of their prompts, during which
+// upstreams crashed, and removes crash records so that they are served again. Without it, a content that
 // was in progress during three unrelated crashes would be refused until its records
 // expire.
 type crashesCmd struct {
 	Store string               `required:"" help:"Address of the platform's store, IP:port."`
-	Clear []wardturn.ContentID `placeholder:"CONTENT" help:"Contents whose records are taken back; gateways serve them again within some seconds."`
+	Clear []wardturn.ContentID `placeholder:"CONTENT" help:"Contents, or parts of prompts, whose records are taken back; gateways serve them again within some seconds."`
 }
 
 // Run implements the crashes command.
--- a/cli/losses_test.go
+++ b/cli/losses_test.go
@@ -20,6 +20,7 @@
 10:00:03.100 [INFO]  gateway: refused: id=r6 reason=no_upstream retry_after=300ms waited="0s"
 10:00:03.200 [INFO]  gateway: refused: id=r7 reason=adapter_loading retry_after=300ms adapter=a9 waited=420ms
 10:00:03.300 [INFO]  gateway: refused: id=r8 reason=unknown_origin retry_after=500ms adapter= waited=150ms resumes=b1 software="[]" keepers=8 asked=8 replied=4 lookup=150ms
+10:00:03.400 [INFO]  gateway: refused: id=r9 reason=crashing_prompt_part retry_after=2s adapter=a9 waited="0s" part=part-39e896318cb7ab0a
 a line without a time: refused: reason=other
 `
 
