gateway, decide, peer: crashes of parts count by when the upstream ended

Cause: ends that had waited for a further answer were counted by when the wait was over, so that several fell into one 200 ms, and were contradicted by answers from before them; and all trials counted where a part was refused late. Change: reports say how long ago the upstream ended; only answers since contradict those that have waited; a part with five ends when it is refused has fewer trials. The model's requests that were under way when their part turned bad now end engines too.

--- a/decide/crashtracker.go
+++ b/decide/crashtracker.go
@@ -47,7 +47,8 @@
 type crashState struct {
 	observedHere bool // observed by this gateway, which has to record it
 	recorded     bool
-	simultaneous bool      // with an earlier one: not counted and not recorded
+	simultaneous bool      // with a counted one: not counted and not recorded
+	at           time.Time // when the upstream ended, or was known to have ended
 	learnedAt    time.Time // when this gateway learned of it
 }
 
@@ -220,6 +221,16 @@
 	return s.crashes[crash.Upstream]
 }
 
+// countedNear reports whether a counted crash occurred less than d before or after a time.
+func (s *suspectContent) countedNear(at time.Time, d time.Duration) bool {
+	for _, state := range s.crashes {
+		if !state.simultaneous && at.Sub(state.at).Abs() < d {
+			return true
+		}
+	}
+	return false
+}
+
 // recentlyAnswered reports whether a content was answered shortly before a time, or after it.
 func (c *CrashTracker) recentlyAnswered(at time.Time, content wardturn.ContentID) bool {
 	answeredAt, ok := c.answered[content]
@@ -243,7 +254,8 @@
 		return false
 	}
 	state := &crashState{
-		simultaneous: at.Sub(s.latest) < c.spacing,
+		simultaneous: s.countedNear(at, c.spacing),
+		at:           at,
 		learnedAt:    now,
 	}
 	s.crashes[crash.Upstream] = state
--- a/decide/parttracker.go
+++ b/decide/parttracker.go
@@ -33,6 +33,7 @@
 
 // partTrials is the state of the trials of a refused part.
 type partTrials struct {
+	pauses  []time.Duration // before each of them, after the one before
 	started int
 	latest  time.Time // when the latest one started
 	next    time.Time // from when on the next one may start
@@ -49,15 +50,26 @@
 	// answerWait is how long an end of an upstream under a part that was answered shortly
 	// before waits for a further answer. Without one it counts: the part may have turned bad.
 	answerWait = time.Second
+	// contradictionWindow is how long after an answer a report of a crash is contradicted if
+	// the gateway that reports it has not waited for further answers.
+	contradictionWindow = 500 * time.Millisecond
 	// trialRetryDelay is the delay after which a trial that was not run is repeated.
 	trialRetryDelay = time.Second
 	// trialSpacing is the time in which announcements of trials of a part are taken for one.
 	trialSpacing = 500 * time.Millisecond
 )
 
-// trialPauses holds the pauses before the trials of a refused part: after it was refused,
-// and after the previous trial. The first two are over within 3 s.
-var trialPauses = []time.Duration{0, 2 * time.Second, 10 * time.Second, 60 * time.Second}
+// toleratedCrashes is the number of upstreams that a part may crash. Of the requests sent
+// later than 3 s after that, at most three may reach upstreams.
+const toleratedCrashes = 5
+
+var (
+	// trialPauses holds the pauses before the trials of a refused part: after it was refused,
+	// and after the previous trial. The first two are over within 3 s.
+	trialPauses = []time.Duration{0, 2 * time.Second, 10 * time.Second, 60 * time.Second}
+	// lateTrialPauses holds those for a part with toleratedCrashes before it was refused.
+	lateTrialPauses = []time.Duration{0, 10 * time.Second, time.Hour}
+)
 
 // NewPartTracker returns a PartTracker without any recorded crash.
 func NewPartTracker(cfg CrashConfig) *PartTracker {
@@ -100,7 +112,7 @@
 		}
 	}
 	trials := t.trials[d.Refused]
-	if d.Refused == "" || suspects > 1 || trials == nil || trials.started >= len(trialPauses) {
+	if d.Refused == "" || suspects > 1 || trials == nil || trials.started >= len(trials.pauses) {
 		return d
 	}
 	if wait := trials.next.Sub(now); wait > 0 {
@@ -129,7 +141,9 @@
 	}
 	trials := t.trials[id]
 	if trials == nil {
-		trials = &partTrials{}
+		trials = &partTrials{
+			pauses: trialPauses,
+		}
 		t.trials[id] = trials
 	}
 	if now.Sub(trials.latest) < trialSpacing {
@@ -137,8 +151,8 @@
 	}
 	trials.latest = now
 	trials.started++
-	if trials.started < len(trialPauses) {
-		trials.next = now.Add(trialPauses[trials.started])
+	if trials.started < len(trials.pauses) {
+		trials.next = now.Add(trials.pauses[trials.started])
 	}
 }
 
@@ -168,20 +182,41 @@
 	return t.counts.UpstreamEnded(now, id)
 }
 
+// HeldCrashes are crashes under the end of one upstream.
+type HeldCrashes struct {
+	At      time.Time // when it was known to have ended
+	Crashes []wardturn.Crash
+}
+
 // CountHeld counts the ends under parts that were answered shortly before and have not been
-// since. It returns the new crashes that follow from this.
-func (t *PartTracker) CountHeld(now time.Time) []wardturn.Crash {
-	var due []wardturn.Crash
+// since. It returns the new crashes that follow from this, in order of the ends.
+func (t *PartTracker) CountHeld(now time.Time) []HeldCrashes {
+	due := make(map[time.Time][]wardturn.Crash)
 	for crash, at := range t.counts.held {
 		if now.Sub(at) < answerWait {
 			continue
 		}
-		due = append(due, crash)
+		due[at] = append(due[at], crash)
 		delete(t.counts.held, crash)
 		delete(t.counts.answered, crash.Content)
 	}
-	slices.SortFunc(due, compareCrashes)
-	return t.counts.observed(now, due)
+	var list []HeldCrashes
+	for _, at := range slices.SortedFunc(maps.Keys(due), time.Time.Compare) {
+		slices.SortFunc(due[at], compareCrashes)
+		h := HeldCrashes{
+			At: at,
+		}
+		for _, crash := range due[at] {
+			if t.counts.add(now, at, crash) {
+				t.counts.state(crash).observedHere = true
+				h.Crashes = append(h.Crashes, crash)
+			}
+		}
+		if len(h.Crashes) > 0 {
+			list = append(list, h)
+		}
+	}
+	return list
 }
 
 // dropHeld forgets the ends under a part that was answered after them.
@@ -191,15 +226,30 @@
 	})
 }
 
-// AddReported records crashes observed by another gateway. It returns the parts among them
-// that were recently answered here, which the others may not know.
-func (t *PartTracker) AddReported(now time.Time, list []wardturn.Crash) (answered []wardturn.ContentID) {
+// AddReported records crashes observed by another gateway under an upstream that ended some
+// time ago. It returns the parts among them that were answered here, which the others may
+// not know: after the end, or shortly before it if the other gateway has not waited for
+// further answers.
+func (t *PartTracker) AddReported(now time.Time, list []wardturn.Crash, ago time.Duration) (answered []wardturn.ContentID) {
+	at := now.Add(-ago)
+	waited := ago >= answerWait
+	since := at
+	if !waited {
+		since = at.Add(-contradictionWindow)
+	}
 	for _, crash := range list {
-		if at, ok := t.answered[crash.Content]; ok && now.Sub(at) < answerWait && !slices.Contains(answered, crash.Content) {
-			answered = append(answered, crash.Content)
+		answeredAt, ok := t.answered[crash.Content]
+		switch {
+		case ok && answeredAt.After(since):
+			if !slices.Contains(answered, crash.Content) {
+				answered = append(answered, crash.Content)
+			}
+			continue
+		case waited:
+			delete(t.counts.answered, crash.Content)
 		}
+		t.counts.add(now, at, crash)
 	}
-	t.counts.AddReported(now, list)
 	return answered
 }
 
@@ -220,6 +270,7 @@
 			continue
 		}
 		trials := &partTrials{
+			pauses:  trialPauses,
 			started: min(1+s.counted-t.limit, len(trialPauses)),
 		}
 		if trials.started < len(trialPauses) {
@@ -320,8 +371,13 @@
 		}
 		fresh = append(fresh, id)
 		if t.trials[id] == nil {
+			pauses := trialPauses
+			if len(t.counts.contents[id].crashes) >= toleratedCrashes {
+				pauses = lateTrialPauses
+			}
 			t.trials[id] = &partTrials{
-				next: now.Add(trialPauses[0]),
+				pauses: pauses,
+				next:   now.Add(pauses[0]),
 			}
 		}
 	}
--- a/decide/parttracker_model_test.go
+++ b/decide/parttracker_model_test.go
@@ -96,6 +96,8 @@
 	gateway *partGateway
 	began   bool
 	retries int
+	turning *badPart // a part that turns bad; nil: none
+	turnsAt time.Time
 }
 
 const (
@@ -193,7 +195,9 @@
 	}
 	for _, g := range s.gateways {
 		s.every(4, func() {
-			s.share(g, g.tracker.CountHeld(s.now))
+			for _, h := range g.tracker.CountHeld(s.now) {
+				s.share(g, h.Crashes, s.now.Sub(h.At))
+			}
 		})
 		if !g.running {
 			s.after(s.lateStart, func() {
@@ -215,7 +219,9 @@
 	if b.turnsBad {
 		s.every(b.rate, func() {
 			if s.now.Sub(s.started) < b.from {
-				s.send(s.newRequest(b.parts...))
+				r := s.newRequest(b.parts...)
+				r.turning, r.turnsAt = bad, s.started.Add(b.from)
+				s.send(r)
 			}
 		})
 	}
@@ -338,11 +344,7 @@
 			if !e.runs[r] {
 				return
 			}
-			s.result.ends++
-			if r.fatal.ends++; r.fatal.ends == 5 {
-				r.fatal.fifth = s.now
-			}
-			s.end(e)
+			s.endUnder(e, r.fatal)
 		})
 		return
 	}
@@ -350,6 +352,10 @@
 		if !e.runs[r] {
 			return
 		}
+		if r.turning != nil && !s.now.Before(r.turnsAt) {
+			s.endUnder(e, r.turning)
+			return
+		}
 		r.began = true
 		s.answered(r)
 		s.after(time.Second, func() {
@@ -358,6 +364,15 @@
 	})
 }
 
+// endUnder ends an engine under a request with a bad part.
+func (s *partSimulation) endUnder(e *partEngine, b *badPart) {
+	s.result.ends++
+	if b.ends++; b.ends == 5 {
+		b.fifth = s.now
+	}
+	s.end(e)
+}
+
 // answered clears the parts of a request.
 func (s *partSimulation) answered(r *partRequest) {
 	if cleared := r.gateway.tracker.Answered(s.now, r.parts); len(cleared) > 0 {
@@ -428,7 +443,7 @@
 	for _, g := range s.gateways {
 		if affected[g] {
 			s.after(20*time.Millisecond, func() {
-				s.share(g, g.tracker.UpstreamEnded(s.now, id))
+				s.share(g, g.tracker.UpstreamEnded(s.now, id), 0)
 			})
 		}
 	}
@@ -446,14 +461,14 @@
 }
 
 // share sends new crashes from a gateway to the others and records those that are due.
-func (s *partSimulation) share(from *partGateway, fresh []wardturn.Crash) {
+func (s *partSimulation) share(from *partGateway, fresh []wardturn.Crash, ago time.Duration) {
 	if len(fresh) == 0 {
 		return
 	}
 	s.updateLater(from)
 	s.tell(from, func(to *partGateway) {
 		reported := s.now
-		answered := to.tracker.AddReported(s.now, fresh)
+		answered := to.tracker.AddReported(s.now, fresh, ago)
 		s.updateLater(to)
 		if len(answered) > 0 {
 			s.after(time.Duration(s.rand.IntN(200))*time.Millisecond, func() {
--- a/decide/parttracker_test.go
+++ b/decide/parttracker_test.go
@@ -243,8 +243,8 @@
 		Content:  partFirst,
 		Upstream: "u1",
 	}}
-	other.AddReported(x.now, report)
-	answered := x.AddReported(x.now, report)
+	other.AddReported(x.now, report, 0)
+	answered := x.AddReported(x.now, report, 0)
 	if !slices.Equal(answered, []wardturn.ContentID{partFirst}) {
 		t.Fatalf("contradicted: %v", answered)
 	}
@@ -253,7 +253,7 @@
 		t.Error("still suspected after another gateway has cleared it")
 	}
 	// Only answers of its own count: gateways would otherwise clear a part in turn for ever.
-	if got := other.AddReported(x.now, report); len(got) > 0 {
+	if got := other.AddReported(x.now, report, 0); len(got) > 0 {
 		t.Error("contradicted by a gateway that saw no answer")
 	}
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -94,7 +94,7 @@
 	}
 	c.mu.Unlock()
 	c.observed(fresh)
-	c.observedParts(freshParts)
+	c.observedParts(freshParts, 0)
 	if check {
 		c.g.tasks.Go(func() {
 			c.check(m)
@@ -127,7 +127,7 @@
 	}
 	c.mu.Unlock()
 	c.observed(fresh)
-	c.observedParts(freshParts)
+	c.observedParts(freshParts, 0)
 }
 
 // observed announces crashes that were observed here to the other gateways.
--- a/gateway/crashingparts.go
+++ b/gateway/crashingparts.go
@@ -114,14 +114,16 @@
 	signal(c.writeSignal)
 }
 
-// observedParts announces crashes of parts that were observed here.
-func (c *crashes) observedParts(fresh []wardturn.Crash) {
+// observedParts announces crashes of parts that were observed here, under an upstream that
+// ended some time ago.
+func (c *crashes) observedParts(fresh []wardturn.Crash, ago time.Duration) {
 	if len(fresh) == 0 {
 		return
 	}
 	c.g.logger.Info("parts of prompts suspected, an upstream ended under them", "upstream", fresh[0].Upstream, "parts", formatParts(contentsOf(fresh)))
 	announced := c.announceParts(&peer.PartAnnouncement{
 		Crashes: fresh,
+		Ago:     ago,
 	})
 	c.mu.Lock()
 	c.unannounced = c.unannounced || !announced
@@ -134,9 +136,12 @@
 // and have not been answered since.
 func (c *crashes) countHeldParts() {
 	c.mu.Lock()
-	fresh := c.parts.CountHeld(c.g.clock.Now())
+	now := c.g.clock.Now()
+	list := c.parts.CountHeld(now)
 	c.mu.Unlock()
-	c.observedParts(fresh)
+	for _, h := range list {
+		c.observedParts(h.Crashes, now.Sub(h.At))
+	}
 }
 
 // updatePartsSoon calls updateParts once the other gateways have had the time to report.
@@ -206,7 +211,7 @@
 func (c *crashes) receiveParts(m *peer.PartAnnouncement) {
 	c.mu.Lock()
 	now := c.g.clock.Now()
-	answered := c.parts.AddReported(now, m.Crashes)
+	answered := c.parts.AddReported(now, m.Crashes, m.Ago)
 	c.parts.ClearReported(now, m.Cleared)
 	for _, id := range m.Trials {
 		c.parts.StartTrial(now, id)
--- a/peer/keeper.go
+++ b/peer/keeper.go
@@ -165,6 +165,7 @@
 // forwarded in the same way as ReadAnnouncement.
 type PartAnnouncement struct {
 	Crashes []wardturn.Crash
+	Ago     time.Duration // how long ago their upstream was known to have ended
 	Cleared []wardturn.ContentID
 	Trials  []wardturn.ContentID
 }
