soak: the share of resumed streams that go on, beside new streams

Callers saw that streams which they resumed mostly failed while new ones began. The soak resumed ten streams in a run and checked only that software versions are not mixed, so it could not see that.

Callers now disconnect from streams after some events, resume them after a pause at another gateway, and start a new stream with the same adapter at that gateway at the same moment. Over a run, with 20 pairs or more for which an engine of the stream's version serves, it is a violation if resumed streams go on less than half as often as new ones begin, or if one goes on with events of another version. Single refusals are logged with their attempt and gateway. Resumptions of the other callers, too, now name the adapter of their stream (it was always a0) and count as requests of their gateway in the checks of limits and rests.

The faults so far do not show the incident on; those that take all holders of a record at once are missing.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -128,8 +128,9 @@
 	req.Host = "h"
 	req.Header.Set(platformHeaders.AttemptID, id)
 	req.Header.Set(platformHeaders.DeadlineMS, deadlineMS)
+	adapter := fmt.Sprintf("m0/a%d", int(draw*adapterMean))
 	if k.onEngine {
-		req.Header.Set(platformHeaders.Adapter, fmt.Sprintf("m0/a%d", int(draw*adapterMean)))
+		req.Header.Set(platformHeaders.Adapter, adapter)
 		req.Header.Set(platformHeaders.TokenCount, tokenCount)
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
@@ -154,7 +155,11 @@
 	if err != nil {
 		s.recordCut(g, k, id, began, err)
 		if k.path == resumePath {
-			s.resumeStream(client, id, key, string(body))
+			s.resumeStream(client, streamAttempt{
+				id:      id,
+				key:     key,
+				adapter: adapter,
+			}, string(body))
 		}
 		return 0, 0
 	}
--- a/soak/evacuations.go
+++ b/soak/evacuations.go
@@ -46,6 +46,12 @@
 	return true
 }
 
+func (e *evacuations) isActive(domain string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active[domain]
+}
+
 func (e *evacuations) end(domain string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/soak/resumption.go
+++ b/soak/resumption.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"cmp"
+	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"wardturn/standin"
 )
@@ -52,52 +54,91 @@
 }
 
 // resumeStream resumes a stream that was cut in an attempt, as a caller does: at any gateway,
-// at once, with the attempt that brought the first event. It checks that all events are of the
-// software version that began the stream.
-func (s *soak) resumeStream(client *http.Client, attempt, key, body string) {
+// at once, with the attempt that brought the first event.
+func (s *soak) resumeStream(client *http.Client, first streamAttempt, body string) {
 	last, software := receivedEvents(body)
 	for n := 0; n < maxResumptions && last > 0 && last < streamEvents; n++ {
-		id := fmt.Sprintf("%s-resumed-%d", attempt, n)
-		g := s.gateways[(len(id)+last+n)%len(s.gateways)]
-		rest, status := s.sendResumption(client, g, id, attempt, key, last)
-		if status != http.StatusOK {
-			continue
-		}
-		for strings.HasPrefix(rest, eventOf(software, last+1)) {
-			last++
-			rest = rest[len(eventOf(software, last)):]
-		}
-		if _, other, complete := strings.Cut(rest, "data: "); complete && !strings.HasPrefix(other, software) && strings.Contains(other, "\n\n") {
-			s.requests.addViolation("%s: a stream that %s began goes on after event %d as %q", id, software, last, rest)
-			return
+		a := first
+		a.id = fmt.Sprintf("%s-resumed-%d", first.id, n)
+		a.resumes = first.id
+		a.last = last
+		rest, status := s.sendStream(client, s.gateways[(len(a.id)+last+n)%len(s.gateways)], a)
+		if status == http.StatusOK {
+			last = s.checkResumed(a.id, software, last, rest)
 		}
 	}
 	s.requests.recordResumption(last == streamEvents)
 }
 
-// sendResumption sends one attempt to resume a stream after an event. It returns what arrived
-// of the response, and status zero if there was none.
-func (s *soak) sendResumption(client *http.Client, g *gatewayProcess, id, attempt, key string, last int) (body string, status int) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+g.addr+resumePath, strings.NewReader(content(attempt)))
+// checkResumed checks that the events with which a stream goes on are of the software version
+// that began the stream, and returns the number of events that the caller has then.
+func (s *soak) checkResumed(id, software string, last int, rest string) int {
+	begun := last
+	for strings.HasPrefix(rest, eventOf(software, last+1)) {
+		last++
+		rest = rest[len(eventOf(software, last)):]
+	}
+	if _, other, complete := strings.Cut(rest, "data: "); complete && !strings.HasPrefix(other, software) && strings.Contains(other, "\n\n") {
+		s.requests.addViolation("%s: a stream that %s began and that was cut after event %d goes on after event %d as %q", id, software, begun, last, rest)
+	}
+	return last
+}
+
+// streamAttempt is an attempt to start or resume a stream.
+type streamAttempt struct {
+	id       string
+	key      string
+	adapter  string
+	resumes  string // attempt that brought the first event; empty for a new stream
+	last     int    // last event that the caller has
+	cutAfter int    // number of events after which the caller disconnects; zero: never
+}
+
+// sendStream sends one attempt. It returns what arrived of the response, and status zero if
+// there was none.
+func (s *soak) sendStream(client *http.Client, g *gatewayProcess, a streamAttempt) (body string, status int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	original := cmp.Or(a.resumes, a.id)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.addr+resumePath, strings.NewReader(content(original)))
 	if err != nil {
-		s.requests.addViolation("%s: %v", id, err)
+		s.requests.addViolation("%s: %v", a.id, err)
 		return "", 0
 	}
 	req.Host = "h"
-	req.Header.Set(platformHeaders.AttemptID, id)
+	req.Header.Set(platformHeaders.AttemptID, a.id)
 	req.Header.Set(platformHeaders.DeadlineMS, deadlineMS)
-	req.Header.Set(platformHeaders.Adapter, "m0/a0")
+	req.Header.Set(platformHeaders.Adapter, a.adapter)
 	req.Header.Set(platformHeaders.TokenCount, tokenCount)
-	req.Header.Set(platformHeaders.LastEventID, strconv.Itoa(last))
-	req.Header.Set(platformHeaders.Resumes, attempt)
-	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Authorization", "Bearer "+a.key)
+	if a.resumes != "" {
+		req.Header.Set(platformHeaders.LastEventID, strconv.Itoa(a.last))
+		req.Header.Set(platformHeaders.Resumes, a.resumes)
+	}
+	s.recordStreamSent(g.processName(), a)
 	res, err := client.Do(req)
 	if err != nil {
 		return "", 0
 	}
 	defer res.Body.Close()
-	data, _ := io.ReadAll(res.Body) // what arrived before the end counts
-	return string(data), res.StatusCode
+	buf := make([]byte, slowReadSize)
+	for {
+		n, err := res.Body.Read(buf)
+		body += string(buf[:n]) // what arrived before the end counts
+		if received, _ := receivedEvents(body); err != nil || a.cutAfter > 0 && received >= a.cutAfter {
+			return body, res.StatusCode
+		}
+	}
+}
+
+func (s *soak) recordStreamSent(process string, a streamAttempt) {
+	s.limits.recordSent(a.id, process)
+	s.responses.recordSent(a.id, process)
+	s.requests.recordSent(keyedAttempt{
+		id:   a.id,
+		key:  a.key,
+		sent: time.Now(),
+	})
 }
 
 // recordResumption counts a stream that its caller resumed.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,7 @@
 	Counts       Counts
 	Faults       map[string]int // number of injected faults by name
 	RecoveryTime time.Duration  // from the last fault to full service
+	Streams      StreamPairs
 	Violations   []string
 }
 
@@ -59,6 +60,7 @@
 	wg        sync.WaitGroup
 
 	evacuations evacuations
+	streams     streamPairs
 
 	mu              sync.Mutex
 	faultCounts     map[string]int
@@ -95,6 +97,7 @@
 		s.requests.addViolation("no full service %v after the start", maxStartTime)
 	}
 	s.startCallers(cfg.Callers)
+	s.startStreamCallers(cfg.Callers / callersPerStreamCaller)
 	s.startFatalCaller()
 	s.startLimitPeriods()
 	s.injectFaults(ctx)
@@ -107,6 +110,7 @@
 	s.checkFatals()
 	s.checkLimits()
 	s.checkResponses()
+	s.checkStreams()
 	s.requests.check()
 	s.checkCrashes()
 	s.logLoads()
@@ -114,6 +118,7 @@
 		Counts:       s.requests.counts,
 		Faults:       s.faultCounts,
 		RecoveryTime: took,
+		Streams:      s.streams.counted,
 		Violations:   s.requests.violations,
 	}, nil
 }
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -112,6 +112,13 @@
 	return m.cfg.ID
 }
 
+// Software returns the software version of the current lifetime.
+func (m *ModelWorker) Software() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cfg.Software
+}
+
 // Runs returns how often an attempt ran.
 func (m *ModelWorker) Runs(attempt string) int {
 	m.mu.Lock()
