soak: losses of all holders of streams, rollouts, and stops in a series

Callers saw that resumed streams failed while new ones began (LOST).

New faults: all keepers and a gateway killed at the same moment; all gateways and keepers killed ('loss of power'); keepers stopped in a series; a rollout, which replaces two thirds of the engines, with and without notice, by lifetimes of one software version. 30 streams that callers cut before such a loss are resumed after it at other gateways, each beside a new one, under the same rule as all. In three of four losses the store has no faults then: what it could not record nobody can know; the streams of the fourth are logged and not compared. Each failure domain now has engines of each version, as an evacuation of a domain left none of one of them; so TestSoak has four engines.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -52,8 +52,9 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(s.Out, "seed %d: done %d, not run %d, unknown %d, cut %d, resumed %d (%d whole), full service again after %v, streams resumed beside new ones: %d of %d (%d new ones began)\n",
-		c.Seed, rep.Counts.Done, rep.Counts.NotRun, rep.Counts.Unknown, rep.Counts.Cut, rep.Counts.Resumed, rep.Counts.ResumedWhole, rep.RecoveryTime.Round(time.Millisecond), rep.Streams.Resumed, rep.Streams.Pairs, rep.Streams.Begun)
+	fmt.Fprintf(s.Out, "seed %d: done %d, not run %d, unknown %d, cut %d, resumed %d (%d whole), full service again after %v, streams resumed beside new ones: %d of %d (%d new ones began), across losses: %d of %d (%d)\n",
+		c.Seed, rep.Counts.Done, rep.Counts.NotRun, rep.Counts.Unknown, rep.Counts.Cut, rep.Counts.Resumed, rep.Counts.ResumedWhole, rep.RecoveryTime.Round(time.Millisecond), rep.Streams.Resumed, rep.Streams.Pairs, rep.Streams.Begun,
+		rep.LossStreams.Resumed, rep.LossStreams.Pairs, rep.LossStreams.Begun)
 	for _, name := range slices.Sorted(maps.Keys(rep.Faults)) {
 		fmt.Fprintf(s.Out, "  %3d %s\n", rep.Faults[name], name)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -28,14 +28,16 @@
 // randomFault returns a random fault.
 func (s *soak) randomFault(r *rand.Rand) fault {
 	var f fault
-	switch r.IntN(5) {
-	case 0:
+	switch n := r.IntN(28); {
+	case n < 3:
+		f = s.randomFleetFault(r)
+	case n%5 == 0:
 		f = s.randomProcessFault(r)
-	case 1:
+	case n%5 == 1:
 		f = s.randomLinkFault(r)
-	case 2:
+	case n%5 == 2:
 		f = s.randomStoreFault(r)
-	case 3:
+	case n%5 == 3:
 		f = s.randomUpstreamFault(r)
 	default:
 		f = s.randomPlannedWork(r)
@@ -212,8 +214,12 @@
 		name:   name,
 		target: "store",
 		begin: func() func() {
+			s.storeFaults.RLock()
 			s.world.store.SetFaults(list[name])
-			return func() { s.world.store.SetFaults(standin.MetaFaults{}) }
+			return func() {
+				s.world.store.SetFaults(standin.MetaFaults{})
+				s.storeFaults.RUnlock()
+			}
 		},
 	}
 }
--- a/soak/resumption.go
+++ b/soak/resumption.go
@@ -15,8 +15,11 @@
 
 const resumePath = "/resume/x"
 
-// softwareVersions are the software versions of the engines, which serve side by side.
-var softwareVersions = []string{"v1", "v2"}
+// softwareVersions are the software versions of the engines, which serve side by side. The
+// first initialVersions are there from the start.
+var softwareVersions = []string{"v1", "v2", "v3"}
+
+const initialVersions = 2
 
 // maxResumptions is how often a caller resumes a stream that is cut again.
 const maxResumptions = 3
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,7 @@
 	Faults       map[string]int // number of injected faults by name
 	RecoveryTime time.Duration  // from the last fault to full service
 	Streams      StreamPairs
+	LossStreams  StreamPairs // resumed after many daemons were killed
 	Violations   []string
 }
 
@@ -61,6 +62,10 @@
 
 	evacuations evacuations
 	streams     streamPairs
+	lossStreams streamPairs // resumed after many daemons were killed
+	// storeFaults is held by faults of the store, and exclusively by losses whose streams are
+	// compared: what the store could not record nobody can know.
+	storeFaults sync.RWMutex
 
 	mu              sync.Mutex
 	faultCounts     map[string]int
@@ -119,6 +124,7 @@
 		Faults:       s.faultCounts,
 		RecoveryTime: took,
 		Streams:      s.streams.counted,
+		LossStreams:  s.lossStreams.counted,
 		Violations:   s.requests.violations,
 	}, nil
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,7 +26,7 @@
 		Seed:          1,
 		FaultDuration: 5 * time.Second,
 		Gateways:      2,
-		Engines:       2,
+		Engines:       4,
 		Services:      2,
 		Callers:       6,
 		MaxFaults:     2,
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -35,17 +35,17 @@
 
 type streamPairs struct {
 	mu sync.Mutex
-	// counted are the pairs with an upstream of the resumed stream's software version, and
+	// counted are the pairs with an engine of the resumed stream's software version, and
 	// other those without one.
 	counted StreamPairs
 	other   StreamPairs
 }
 
-func (c *streamPairs) record(versionUp, resumed, begun bool) {
+func (c *streamPairs) record(counted, resumed, begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := &c.other
-	if versionUp {
+	if counted {
 		p = &c.counted
 	}
 	p.Pairs++
@@ -57,6 +57,24 @@
 	}
 }
 
+// add adds pairs, which are counted if they are compared.
+func (c *streamPairs) add(compared bool, pairs *streamPairs) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.other.add(pairs.other)
+	if compared {
+		c.counted.add(pairs.counted)
+	} else {
+		c.other.add(pairs.counted)
+	}
+}
+
+func (p *StreamPairs) add(q StreamPairs) {
+	p.Pairs += q.Pairs
+	p.Resumed += q.Resumed
+	p.Begun += q.Begun
+}
+
 // startStreamCallers starts callers that disconnect from streams, resume them at another
 // gateway and start a new stream beside each, until stop is closed.
 func (s *soak) startStreamCallers(n int) {
@@ -75,43 +93,70 @@
 	}
 }
 
-// interruptStream starts a stream, disconnects after some events and resumes it.
+// interruptStream starts a stream, disconnects after some events and resumes it at another
+// gateway.
 func (s *soak) interruptStream(client *http.Client, r *rand.Rand, id string) {
 	first := r.IntN(len(s.gateways))
-	next := s.gateways[(first+1+r.IntN(max(1, len(s.gateways)-1)))%len(s.gateways)]
+	next := (first + 1 + r.IntN(max(1, len(s.gateways)-1))) % len(s.gateways)
 	pause := time.Duration(r.ExpFloat64() * float64(meanResumePause))
-	a := streamAttempt{
+	c, ok := s.cutStream(client, s.gateways[first], s.randomStream(r, id))
+	if ok && s.sleep(pause) {
+		s.resumeBeside(client, s.gateways[next], c, &s.streams)
+	}
+}
+
+// randomStream returns a new stream from which the caller disconnects after some events.
+func (s *soak) randomStream(r *rand.Rand, id string) streamAttempt {
+	return streamAttempt{
 		id:       id,
 		key:      permanentKey,
 		adapter:  fmt.Sprintf("m0/a%d", int(r.ExpFloat64()*adapterMean)),
 		cutAfter: 1 + r.IntN(streamEvents-1),
 	}
-	body, _ := s.sendStream(client, s.gateways[first], a)
+}
+
+// cutStream is a stream that its caller may resume.
+type cutStream struct {
+	streamAttempt
+	software string
+	cutAt    time.Time
+}
+
+// cutStream starts a stream and disconnects from it. It reports whether it can be resumed.
+func (s *soak) cutStream(client *http.Client, g *gatewayProcess, a streamAttempt) (cutStream, bool) {
+	body, _ := s.sendStream(client, g, a)
 	last, software := receivedEvents(body)
-	if last == 0 || last == streamEvents || !s.sleep(pause) {
-		return
-	}
-	beside := streamAttempt{
-		id:      id + "-beside",
-		key:     a.key,
-		adapter: a.adapter,
-	}
-	a.id, a.resumes, a.last, a.cutAfter = id+"-resumed", id, last, 0
-	up := s.isVersionUp(software)
+	a.resumes, a.last = a.id, last
+	a.id, a.cutAfter = a.id+"-resumed", 0
+	return cutStream{
+		streamAttempt: a,
+		software:      software,
+		cutAt:         time.Now(),
+	}, last > 0 && last < streamEvents
+}
+
+// resumeBeside resumes a stream and starts a new one at the same moment.
+func (s *soak) resumeBeside(client *http.Client, g *gatewayProcess, c cutStream, pairs *streamPairs) {
+	up := s.isVersionUp(c.software)
+	pause := time.Since(c.cutAt)
 	var wg sync.WaitGroup
 	var begun bool
 	wg.Go(func() {
-		body, status := s.sendStream(client, next, beside)
+		body, status := s.sendStream(client, g, streamAttempt{
+			id:      c.resumes + "-beside",
+			key:     c.key,
+			adapter: c.adapter,
+		})
 		n, _ := receivedEvents(body)
 		begun = status == http.StatusOK && n > 0
 	})
-	rest, status := s.sendStream(client, next, a)
-	resumed := status == http.StatusOK && s.checkResumed(a.id, software, last, rest) > last
+	rest, status := s.sendStream(client, g, c.streamAttempt)
+	resumed := status == http.StatusOK && s.checkResumed(c.id, c.software, c.last, rest) > c.last
 	wg.Wait()
-	up = up && s.isVersionUp(software)
-	s.streams.record(up, resumed, begun)
+	up = up && s.isVersionUp(c.software)
+	pairs.record(up, resumed, begun)
 	if !resumed {
-		fmt.Fprintf(s.cfg.Log, "soak: stream not resumed: attempt=%s gateway=%s software=%s up=%v status=%d after=%v beside=%v\n", a.id, next.name, software, up, status, pause, begun)
+		fmt.Fprintf(s.cfg.Log, "soak: stream not resumed: attempt=%s gateway=%s software=%s up=%v status=%d after=%v beside=%v\n", c.id, g.name, c.software, up, status, pause, begun)
 	}
 }
 
@@ -133,11 +178,15 @@
 // checkStreams compares the share of resumed streams that went on with the share of new
 // streams that began.
 func (s *soak) checkStreams() {
-	c := &s.streams
+	s.checkPairs("streams", &s.streams)
+	s.checkPairs("streams across losses", &s.lossStreams)
+}
+
+func (s *soak) checkPairs(name string, c *streamPairs) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	fmt.Fprintf(s.cfg.Log, "soak: resumed streams: %+v, without an upstream of their version: %+v\n", c.counted, c.other)
+	fmt.Fprintf(s.cfg.Log, "soak: %s: %+v, not compared: %+v\n", name, c.counted, c.other)
 	if c.counted.isLost() {
-		s.requests.addViolation("LOST: of %d resumed streams %d went on, and of as many new ones %d began", c.counted.Pairs, c.counted.Resumed, c.counted.Begun)
+		s.requests.addViolation("LOST: of %d resumed %s %d went on, and of as many new ones %d began", c.counted.Pairs, name, c.counted.Resumed, c.counted.Begun)
 	}
 }
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -39,9 +39,13 @@
 			s.streams.record(true, i < c.resumed, i < c.begun)
 			s.streams.record(false, false, true)
 		}
-		s.checkStreams()
-		if lost := len(s.requests.violations) == 1; lost != c.lost {
-			t.Errorf("%d resumed and %d begun of %d: violations %q", c.resumed, c.begun, c.pairs, s.requests.violations)
+		for across, compared := range []bool{false, true} {
+			s.requests.violations = nil
+			s.lossStreams.add(compared, &s.streams)
+			s.checkStreams()
+			if n := len(s.requests.violations); c.lost && n != 1+across || !c.lost && n != 0 {
+				t.Errorf("%d resumed and %d begun of %d, compared %v: violations %q", c.resumed, c.begun, c.pairs, compared, s.requests.violations)
+			}
 		}
 	}
 }
@@ -60,6 +64,7 @@
 func TestVersionIsUpWhileAnEngineServesIt(t *testing.T) {
 	s := newTestSoak(t, 2, 0)
 	u := s.world.upstreams[0] // the only one of its version
+	s.world.upstreams[1].domain = "e"
 	want := func(up bool) {
 		t.Helper()
 		if s.isVersionUp(softwareVersions[0]) != up || !s.isVersionUp(softwareVersions[1]) {
--- a/soak/world.go
+++ b/soak/world.go
@@ -107,12 +107,14 @@
 		return nil, err
 	}
 	for i := range engines {
-		if err := w.addUpstream("llm", i, standin.ModelWorkerConfig{
+		// Each failure domain has engines of each software version.
+		domain := domains[i/initialVersions%len(domains)]
+		if err := w.addUpstream("llm", domain, i, standin.ModelWorkerConfig{
 			ID:            fmt.Sprintf("e%d", i),
 			Model:         "m0",
 			Slots:         adapterSlots,
 			LoadTime:      loadTime,
-			Software:      softwareVersions[i%len(softwareVersions)],
+			Software:      softwareVersions[i%initialVersions],
 			StreamEvents:  streamEvents,
 			EventInterval: eventInterval,
 		}); err != nil {
@@ -120,7 +122,7 @@
 		}
 	}
 	for i := range apps {
-		if err := w.addUpstream("app", engines+i, standin.ModelWorkerConfig{
+		if err := w.addUpstream("app", domains[i%len(domains)], engines+i, standin.ModelWorkerConfig{
 			ID: fmt.Sprintf("a%d", i),
 		}); err != nil {
 			return nil, err
@@ -145,10 +147,10 @@
 func frontHost(i int) string { return fmt.Sprintf("127.0.0.%d", 10+i) }
 func backHost(i int) string  { return fmt.Sprintf("127.0.1.%d", 10+i) }
 
-func (w *world) addUpstream(service string, i int, cfg standin.ModelWorkerConfig) error {
+func (w *world) addUpstream(service, domain string, i int, cfg standin.ModelWorkerConfig) error {
 	u := &upstream{
 		service: service,
-		domain:  domains[i%len(domains)],
+		domain:  domain,
 		id:      cfg.ID,
 		state:   "ready",
 	}
@@ -241,16 +243,25 @@
 // keeps its id, otherwise it gets a new one.
 func (w *world) restart(u *upstream) {
 	u.mu.Lock()
-	old := u.id
-	u.restarts++
-	u.worker.SetCold(coldDuration)
-	if u.restarts%2 == 0 {
+	if u.restarts%2 == 1 {
+		u.restarts++
+		u.worker.SetCold(coldDuration)
 		u.worker.RestartSameID(time.Now().UnixMilli())
 		u.mu.Unlock()
 		w.writeEntry(u)
 		return
 	}
-	u.id = fmt.Sprintf("%s-%d", old, u.restarts)
+	u.mu.Unlock()
+	w.renew(u)
+}
+
+// renew starts a new lifetime of an upstream, without adapters and with a new id.
+func (w *world) renew(u *upstream) {
+	u.mu.Lock()
+	old := u.id
+	u.restarts++
+	u.id = fmt.Sprintf("%s-%d", u.worker.ID(), u.restarts)
+	u.worker.SetCold(coldDuration)
 	u.worker.Restart(u.id)
 	u.mu.Unlock()
 	u.addExcused(time.Now(), time.Now()) // gateways know no limit for the new id
--- a/standin/modelstream.go
+++ b/standin/modelstream.go
@@ -31,7 +31,7 @@
 	}
 	var b []byte
 	shape := StreamShape{
-		Text: m.cfg.Software,
+		Text: m.Software(),
 	}
 	for i := lastEventID(r) + 1; i <= m.cfg.StreamEvents; i++ {
 		b = append(b, shape.Event(i)...)
@@ -46,7 +46,7 @@
 	if r.Header.Get("Last-Event-Id") == "" {
 		shape, last = f.Fresh, max(f.CutAfter, f.CutFresh)
 	}
-	shape.Text = cmp.Or(shape.Text, m.cfg.Software)
+	shape.Text = cmp.Or(shape.Text, m.Software())
 	first := max(lastEventID(r)+1+shape.Shift, 1)
 	if f.CutFramed == FramedByLength {
 		w.Header().Set("Content-Length", strconv.Itoa(truncatedLength(shape, first, last)))
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -119,6 +119,14 @@
 	return m.cfg.Software
 }
 
+// SetSoftware sets the software version of the next lifetime. It is called with all
+// connections closed, before the start of that lifetime.
+func (m *ModelWorker) SetSoftware(software string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cfg.Software = software
+}
+
 // Runs returns how often an attempt ran.
 func (m *ModelWorker) Runs(attempt string) int {
 	m.mu.Lock()
