soak: a compared loss has no faults of processes, links or the store beside it

Faults of processes, links and the store now wait for a compared loss to end, and the loss for them; it starts a second after. Faults of upstreams, evacuations, rollouts and planned work go on beside it. This takes the place of the lock for faults of the store alone.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 	target   string
 	planned  bool // planned work, which must not interrupt requests
 	duration time.Duration
+	lock     sync.Locker // held for the whole fault; nil: none
 	begin    func() (undo func())
 }
 
@@ -25,11 +27,15 @@
 	return standin.NewFaultProxy(s.world.storeAddr)
 }
 
+// fleetFaults is the number of faults of many processes among 25 others.
+const fleetFaults = 3
+
 // randomFault returns a random fault.
 func (s *soak) randomFault(r *rand.Rand) fault {
 	var f fault
-	switch n := r.IntN(28); {
-	case n < 3:
+	n := r.IntN(fleetFaults + 25)
+	switch {
+	case n < fleetFaults:
 		f = s.randomFleetFault(r)
 	case n%5 == 0:
 		f = s.randomProcessFault(r)
@@ -42,6 +48,9 @@
 	default:
 		f = s.randomPlannedWork(r)
 	}
+	if n >= fleetFaults && n%5 <= 2 {
+		f.lock = s.calm.RLocker()
+	}
 	if f.duration == 0 {
 		f.duration = time.Duration(100+r.IntN(1900)) * time.Millisecond
 	}
@@ -214,12 +223,8 @@
 		name:   name,
 		target: "store",
 		begin: func() func() {
-			s.storeFaults.RLock()
 			s.world.store.SetFaults(list[name])
-			return func() {
-				s.world.store.SetFaults(standin.MetaFaults{})
-				s.storeFaults.RUnlock()
-			}
+			return func() { s.world.store.SetFaults(standin.MetaFaults{}) }
 		},
 	}
 }
--- a/soak/fleetfaults.go
+++ b/soak/fleetfaults.go
@@ -58,17 +58,20 @@
 		cut[i] = s.randomStream(r, fmt.Sprintf("loss%d-%d", r.Uint64(), i))
 	}
 	compared := r.IntN(4) > 0
+	var lock sync.Locker
+	if compared {
+		lock = &s.calm
+	}
 	return fault{
 		name:     name,
 		duration: lossDuration,
+		lock:     lock,
 		begin: func() func() {
 			client := &http.Client{
 				Timeout:   callerTimeout,
 				Transport: &http.Transport{},
 			}
-			if compared {
-				s.storeFaults.Lock()
-			}
+			time.Sleep(recordTime) // after other faults
 			streams := s.cutStreams(client, cut)
 			time.Sleep(recordTime)
 			for _, d := range list {
@@ -76,9 +79,6 @@
 			}
 			return func() {
 				s.resumeStreams(client, streams, compared)
-				if compared {
-					s.storeFaults.Unlock()
-				}
 				client.CloseIdleConnections()
 			}
 		},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -63,9 +63,10 @@
 	evacuations evacuations
 	streams     streamPairs
 	lossStreams streamPairs // resumed after many daemons were killed
-	// storeFaults is held by faults of the store, and exclusively by losses whose streams are
-	// compared: what the store could not record nobody can know.
-	storeFaults sync.RWMutex
+	// calm is held by faults of processes, links and the store, and exclusively by losses whose
+	// streams are compared: a second fault may take a stream's origin before it is recorded, or
+	// keep all gateways from it.
+	calm sync.RWMutex
 
 	mu              sync.Mutex
 	faultCounts     map[string]int
@@ -285,6 +286,10 @@
 
 func (s *soak) injectFault(r *rand.Rand) {
 	f := s.randomFault(r)
+	if f.lock != nil {
+		f.lock.Lock()
+		defer f.lock.Unlock()
+	}
 	s.mu.Lock()
 	s.faultCounts[f.name]++
 	if !f.planned {
--- a/soak/storerestore.go
+++ b/soak/storerestore.go
@@ -45,10 +45,8 @@
 		name:   "store comes back from an older copy",
 		target: "store",
 		begin: func() func() {
-			s.storeFaults.RLock()
 			saved := s.world.store.Copy()
 			return func() {
-				defer s.storeFaults.RUnlock()
 				s.world.store.SetFaults(standin.MetaFaults{
 					Unavailable: true,
 				})
