decide: resumed streams wait for their adapter though engines of another version hold it

Cause: a request that can't be in time any more waits on for its load, if its deadline allows it and no engine holds the adapter. Engines that the request's software version or regions exclude counted as holding it, and they do wherever new streams are served. So did the prediction of its wait. Change: only engines that may run the waiting requests count.

--- a/decide/latewait.go
+++ b/decide/latewait.go
@@ -196,7 +196,7 @@
 func (f *Fleet) predictedWait(now time.Time, missing *missingAdapter, r *PendingRequest) time.Duration {
 	available, ok := f.predictLoad(now, missing)
 	switch {
-	case !f.ranked || len(f.holders[missing.key]) > 0:
+	case !f.ranked || f.isHeld(missing):
 		available = f.loadRetryDelay(now, missing)
 	case !ok:
 		return 0
@@ -216,7 +216,7 @@
 // of requests that wait for the same adapter before it, and tokens that of their prompts;
 // more than a batch would queue at the engine.
 func (f *Fleet) waitsBeyondObjective(now time.Time, missing *missingAdapter, r *PendingRequest, before, tokens int) bool {
-	if !f.ranked || missing.key.Adapter == "" || len(f.holders[missing.key]) > 0 {
+	if !f.ranked || missing.key.Adapter == "" || f.isHeld(missing) {
 		return false
 	}
 	if spec := f.Engine(r.Service); spec == nil || before >= max(spec.Batch, 1) {
--- a/decide/latewait_test.go
+++ b/decide/latewait_test.go
@@ -37,10 +37,11 @@
 	return x
 }
 
-// admit admits a request of a rank and a deadline. It has left its engine when it was
-// assigned.
-func (x *loadReplay) admit(id, adapter string, rank int, deadline time.Duration) {
+// admit admits a request of a rank and a deadline, which continues a stream of a software
+// version if one is given. It has left its engine when it was assigned.
+func (x *loadReplay) admit(id, adapter string, rank int, deadline time.Duration, software ...wardturn.SoftwareVersion) {
 	r := x.newRequest(id, adapter)
+	r.Software = software
 	arrived := x.now
 	r.Deadline = arrived.Add(deadline)
 	r.Urgency = decide.Urgency{
@@ -116,6 +117,30 @@
 		Expect(x.served).To(HaveLen(10))
 	})
 
+	// Guards against refusals of resumed streams whose adapters only engines of another version
+	// hold, where new streams are served.
+	It("wait for their loads if only engines that may not run them hold their adapters", func() {
+		members := fleetMembers()
+		for i, m := range members {
+			members[i].Software = "v1"
+			if m.Domain == "far" {
+				members[i].Software = "v2"
+			}
+		}
+		x.f.SetMembers(x.now, members)
+		var held []decide.HeldVersion
+		for i := range 10 {
+			held = append(held, readyAdapter(fmt.Sprint("a", i), 1))
+		}
+		x.setAdapters("f0", held...)
+		for i := range 10 {
+			x.admit(fmt.Sprint("r", i), fmt.Sprint("a", i), 2, 12*time.Second, "v1")
+		}
+		x.run(5*time.Second, nil)
+		Expect(x.refused).To(BeEmpty())
+		Expect(x.served).To(HaveLen(10))
+	})
+
 	It("are refused at once if their deadline is near", func() {
 		for i := range 10 {
 			x.admit(fmt.Sprint("r", i), fmt.Sprint("a", i), 2, 1200*time.Millisecond)
--- a/decide/missing.go
+++ b/decide/missing.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"time"
 
 	"wardturn"
@@ -96,6 +97,13 @@
 	return missing
 }
 
+// isHeld reports whether an engine that may run the requests waiting for an adapter holds it.
+func (f *Fleet) isHeld(missing *missingAdapter) bool {
+	return slices.ContainsFunc(f.holders[missing.key], func(m *Member) bool {
+		return m.Service == missing.service && f.allows(m, missing.restriction)
+	})
+}
+
 // requestWithoutStore requests an adapter at once if that causes no load from the weight
 // store: its home held the adapter before and restores it from its own memory, or is
 // already loading it for another gateway.
--- a/decide/waitlimit.go
+++ b/decide/waitlimit.go
@@ -60,7 +60,7 @@
 func (f *Fleet) minTimeToFirstToken(missing *missingAdapter, r *PendingRequest) time.Duration {
 	prefill := f.prefillRateOf(r.Service).time(int(r.Prompt))
 	switch {
-	case missing.key.Adapter == "" || len(f.holders[missing.key]) > 0:
+	case missing.key.Adapter == "" || f.isHeld(missing):
 		return prefill
 	case missing.warm:
 		return prefill + warmLoadTime
