--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 	target   string
 	planned  bool // planned work, which must not interrupt requests
 	duration time.Duration
+	lock     sync.Locker // held for the whole fault; nil: none
 	begin    func() (undo func())
 }
 
@@ -25,21 +27,30 @@
 	return standin.NewFaultProxy(s.world.storeAddr)
 }
 
+// fleetFaults is the number of faults of many processes among 25 others.
+const fleetFaults = 3
+
 // randomFault returns a random fault.
 func (s *soak) randomFault(r *rand.Rand) fault {
 	var f fault
-	switch r.IntN(5) {
-	case 0:
+	n := r.IntN(fleetFaults + 25)
+	switch {
+	case n < fleetFaults:
+		f = s.randomFleetFault(r)
+	case n%5 == 0:
 		f = s.randomProcessFault(r)
-	case 1:
+	case n%5 == 1:
 		f = s.randomLinkFault(r)
-	case 2:
+	case n%5 == 2:
 		f = s.randomStoreFault(r)
-	case 3:
+	case n%5 == 3:
 		f = s.randomUpstreamFault(r)
 	default:
 		f = s.randomPlannedWork(r)
 	}
+	if n >= fleetFaults && n%5 <= 2 {
+		f.lock = s.calm.RLocker()
+	}
 	if f.duration == 0 {
 		f.duration = time.Duration(100+r.IntN(1900)) * time.Millisecond
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,8 @@
 	Counts       Counts
 	Faults       map[string]int // number of injected faults by name
 	RecoveryTime time.Duration  // from the last fault to full service
+	Streams      StreamPairs
+	LossStreams  StreamPairs // resumed after many daemons were killed
 	Violations   []string
 }
 
@@ -59,6 +61,12 @@
 	wg        sync.WaitGroup
 
 	evacuations evacuations
+	streams     streamPairs
+	lossStreams streamPairs // resumed after many daemons were killed
+	// calm is held by faults of processes, links and the store, and exclusively by losses whose
+	// streams are compared: a second fault may take a stream's origin before it is recorded, or
+	// keep all gateways from it.
+	calm sync.RWMutex
 
 	mu              sync.Mutex
 	faultCounts     map[string]int
@@ -95,6 +103,7 @@
 		s.requests.addViolation("no full service %v after the start", maxStartTime)
 	}
 	s.startCallers(cfg.Callers)
+	s.startStreamCallers(cfg.Callers / callersPerStreamCaller)
 	s.startFatalCaller()
 	s.startLimitPeriods()
 	s.injectFaults(ctx)
@@ -107,6 +116,7 @@
 	s.checkFatals()
 	s.checkLimits()
 	s.checkResponses()
+	s.checkStreams()
 	s.requests.check()
 	s.checkCrashes()
 	s.logLoads()
@@ -114,6 +124,8 @@
 		Counts:       s.requests.counts,
 		Faults:       s.faultCounts,
 		RecoveryTime: took,
+		Streams:      s.streams.counted,
+		LossStreams:  s.lossStreams.counted,
 		Violations:   s.requests.violations,
 	}, nil
 }
@@ -274,6 +286,10 @@
 
 func (s *soak) injectFault(r *rand.Rand) {
 	f := s.randomFault(r)
+	if f.lock != nil {
+		f.lock.Lock()
+		defer f.lock.Unlock()
+	}
 	s.mu.Lock()
 	s.faultCounts[f.name]++
 	if !f.planned {
