soak: an engine that is replaced resets its connections

A rollout replaced engines while one of them sent responses with neither length nor chunks: the harness closed its connections regularly, which completes such a response.

Connections are reset before the address refuses others.

--- a/soak/fleetfaults.go
+++ b/soak/fleetfaults.go
@@ -171,7 +171,9 @@
 		w.writeEntry(u)
 		time.Sleep(notice)
 	}
-	// Closed first, so that no request of the old lifetime gets events of the new one.
+	// Ended first, so that no request of the old lifetime gets events of the new one. A regular
+	// close would complete a response without length and chunks.
+	u.proxy.ResetConns()
 	u.proxy.Block(true)
 	time.Sleep(replacementTime)
 	u.worker.SetSoftware(software)
--- a/soak/fleetfaults_test.go
+++ b/soak/fleetfaults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -69,6 +70,27 @@
 	}
 }
 
+// Guards against responses of the old lifetime that end like complete ones.
+func TestReplacedEngineResetsUnframedStreams(t *testing.T) {
+	s := newTestSoak(t, 1, 0)
+	u := s.world.upstreams[0]
+	s.setLoad(u, standin.WorkerFaults{
+		Linger: enginePause,
+	})
+	u.setFaults(standin.WorkerFaults{
+		Unframed: true,
+	})
+	res, err := http.Post("http://"+u.addr+resumePath, "", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	go s.world.replace(u, "v3", 0)
+	if body, err := io.ReadAll(res.Body); err == nil {
+		t.Errorf("a response that was cut ends as if it were complete: %q", body)
+	}
+}
+
 func TestFleetFaultsOccur(t *testing.T) {
 	s := newTestSoak(t, 2, 1)
 	for _, u := range s.world.upstreams[:2] {
