--- a/keeper/streamorigins.go
+++ b/keeper/streamorigins.go
@@ -13,7 +13,7 @@
 	// to the store.
 	originBatchDelay = 200 * time.Millisecond
 	// originRetryDelay is the delay after a failed append, while origins collect.
-	originRetryDelay = time.Second
+	originRetryDelay = 300 * time.Millisecond
 	// maxPendingOrigins bounds the origins that wait while the store is unavailable.
 	maxPendingOrigins = 1 << 14
 )
