soak: parts of prompts that crash engines

Callers saw requests with one part in their prompts crash engine after engine (BUDGET). The soak's crashing requests repeat a path, and none names parts of a prompt.

A caller now sends requests of which no two are alike but for a bad part in the middle of their prompts; the engine ends as it begins to answer one, and is back as a new lifetime after 500 ms. The part changes every 9 s. Beside them the same caller sends sound requests with the same first part, each with one that has another first part, through the same gateway. Checks: from 3 s after the fifth crash at most three requests with the part reach engines, from all gateways together; sound ones with its first part begin at least half as often as the others (20 or more of each). A crash counts as an unplanned fault for the checks of planned work.

--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -41,6 +41,10 @@
 // handleCrash simulates the crash of an upstream by a request: it counts it and
 // restarts the upstream at once, without adapters, as a new lifetime.
 func (w *world) handleCrash(u *upstream, path string) {
+	if strings.HasPrefix(path, partsPath) {
+		w.handlePartCrash(u, path)
+		return
+	}
 	w.fatals.mu.Lock()
 	w.fatals.crashes[path]++
 	w.fatals.mu.Unlock()
--- a/soak/resumption.go
+++ b/soak/resumption.go
@@ -95,6 +95,8 @@
 	resumes  string // attempt that brought the first event; empty for a new stream
 	last     int    // last event that the caller has
 	cutAfter int    // number of events after which the caller disconnects; zero: never
+	path     string // empty: resumePath
+	prompt   string // parts of the prompt; empty: not stated
 }
 
 // sendStream sends one attempt. It returns what arrived of the response, and status zero if
@@ -103,7 +105,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	original := cmp.Or(a.resumes, a.id)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.addr+resumePath, strings.NewReader(content(original)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.addr+cmp.Or(a.path, resumePath), strings.NewReader(content(original)))
 	if err != nil {
 		s.requests.addViolation("%s: %v", a.id, err)
 		return "", 0
@@ -114,6 +116,9 @@
 	req.Header.Set(platformHeaders.Adapter, a.adapter)
 	req.Header.Set(platformHeaders.TokenCount, tokenCount)
 	req.Header.Set("Authorization", "Bearer "+a.key)
+	if a.prompt != "" {
+		req.Header.Set(platformHeaders.Prompt, a.prompt)
+	}
 	if a.resumes != "" {
 		req.Header.Set(platformHeaders.LastEventID, strconv.Itoa(a.last))
 		req.Header.Set(platformHeaders.Resumes, a.resumes)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -104,6 +104,7 @@
 	s.startCallers(cfg.Callers)
 	s.startStreamCallers(cfg.Callers / callersPerStreamCaller)
 	s.startFatalCaller()
+	s.startPartCaller()
 	s.startLimitPeriods()
 	s.injectFaults(ctx)
 	took, ok := s.waitForService(maxRecoveryTime)
@@ -116,6 +117,7 @@
 	s.checkLimits()
 	s.checkResponses()
 	s.checkStreams()
+	s.checkParts()
 	s.requests.check()
 	s.checkCrashes()
 	s.logLoads()
@@ -259,7 +261,7 @@
 func (s *soak) noFaultsSince(t time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.unplannedFaults == 0 && s.lastFaultEnd.Before(t)
+	return s.unplannedFaults == 0 && s.lastFaultEnd.Before(t) && s.world.parts.noCrashesSince(t)
 }
 
 // injectFaults injects random faults, up to cfg.MaxFaults concurrently, until
--- a/soak/streams.go
+++ b/soak/streams.go
@@ -44,10 +44,14 @@
 func (c *streamPairs) record(counted, resumed, begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := &c.other
 	if counted {
-		p = &c.counted
+		c.counted.count(resumed, begun)
+	} else {
+		c.other.count(resumed, begun)
 	}
+}
+
+func (p *StreamPairs) count(resumed, begun bool) {
 	p.Pairs++
 	if resumed {
 		p.Resumed++
@@ -172,7 +176,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	f := u.faults
-	return u.state == "ready" && !f.Full && !f.Error && !f.LoseAnswers && !f.Stranger && f.CutAfter == 0 && f.Leaving == ""
+	return u.state == "ready" && !u.down && !f.Full && !f.Error && !f.LoseAnswers && !f.Stranger && f.CutAfter == 0 && f.Leaving == ""
 }
 
 // checkStreams compares the share of resumed streams that went on with the share of new
--- a/soak/world.go
+++ b/soak/world.go
@@ -36,6 +36,7 @@
 	id       string
 	restarts int
 	state    string
+	down     bool // crashed by a part of a prompt and not yet back
 	// faults are the injected faults, and limit is the rate limit, in requests per second,
 	// that the responses announce.
 	faults standin.WorkerFaults
@@ -57,6 +58,7 @@
 	version    int
 	keys       teamKeys
 	fatals     fatalRequests
+	parts      partCrashes
 	writes     storeWrites
 	stop       chan struct{}
 	wg         sync.WaitGroup
@@ -93,6 +95,9 @@
 		fatals: fatalRequests{
 			crashes: make(map[string]int),
 		},
+		parts: partCrashes{
+			crashes: make(map[string][]time.Time),
+		},
 		writes: storeWrites{
 			versions: make(map[string]int64),
 		},
@@ -282,6 +287,7 @@
 func (u *upstream) applyFaults() {
 	f := u.faults
 	f.CrashOn = fatalBody
+	f.CrashOnPart = badParts
 	f.Limit = u.limit
 	f.Slots, f.Queue, f.Think, f.Linger = u.load.Slots, u.load.Queue, u.load.Think, u.load.Linger
 	u.worker.SetFaults(f)
