--- a/soak/parts.go
+++ b/soak/parts.go
@@ -15,7 +15,8 @@
 	partsPath = "/resume/part"
 	// sharedPart is the first part of these and of sound prompts.
 	sharedPart = "5c1e07a2"
-	// partPeriod is the time for which prompts have the same bad part.
+	// partPeriod is the time for which prompts have the same bad part, and then none: engines
+	// that restarted are cold and serve few streams.
 	partPeriod = 9 * time.Second
 	// partInterval is the mean time between two requests with it, and soundInterval
 	// between two pairs of sound ones.
@@ -96,7 +97,11 @@
 		Transport: &http.Transport{},
 	}
 	part := func() string {
-		return badParts[int(time.Since(began)/partPeriod)%len(badParts)]
+		n := int(time.Since(began) / partPeriod)
+		if n%2 == 1 {
+			return ""
+		}
+		return badParts[n/2%len(badParts)]
 	}
 	repeat := func(stream uint64, interval time.Duration, send func(g *gatewayProcess, n int)) {
 		s.wg.Go(func() {
@@ -109,6 +114,9 @@
 	}
 	repeat(3000, partInterval, func(g *gatewayProcess, n int) {
 		p := part()
+		if p == "" {
+			return
+		}
 		s.sendStream(client, g, streamAttempt{
 			id:      fmt.Sprintf("%s-%d", p, n),
 			key:     permanentKey,
