--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -180,6 +180,7 @@
 		Scope:    tally.NoopScope,
 		Engine:   platform.NewWorker(x.addrs[m]),
 		Fences:   store,
+		Origins:  platform.NewOriginStore(store, testLogger("keeper "+host)),
 		Policy:   policy.Default{},
 		Listener: ln,
 	})
@@ -360,6 +361,11 @@
 	if model != "" {
 		req.Header.Set("X-Wardturn-Model", model)
 	}
+	return x.do(req)
+}
+
+// do sends a request and reads the response.
+func (x *rig) do(req *http.Request) reply {
 	res, err := x.client.Do(req)
 	if err != nil {
 		return reply{
