--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,6 +58,8 @@
 	body            []byte
 	reservedBody    int64 // bytes reserved for the body
 	content         wardturn.ContentID
+	parts           []wardturn.ContentID // of the prompt, that other prompts may share
+	trialOf         wardturn.ContentID   // the refused part of which this is a trial; empty: none
 	arrived         time.Time
 	deadline        time.Time // deadline of the caller or the route
 	tried           []wardturn.UpstreamID
@@ -92,6 +94,8 @@
 	sent      time.Time // to the upstream
 	firstByte time.Time // of the response; of a buffered one, when it was read completely
 	aborted   bool      // the gateway aborted the send before it started
+	unreached bool      // no byte of the request reached the upstream
+	answered  bool      // a whole event or the whole successful response arrived
 }
 
 // result is the outcome of one send.
@@ -162,6 +166,10 @@
 		x.refuse(x.refusal.reason, x.refusal.retryAfter, "content", x.content)
 		return
 	}
+	if x.rejectCrashingPart() {
+		x.refuse(x.refusal.reason, x.refusal.retryAfter, x.refusal.fields()...)
+		return
+	}
 	if !x.charge() {
 		return
 	}
@@ -182,7 +190,7 @@
 			return
 		}
 		inTime := x.takeTurn(ctx, a)
-		if !inTime || ctx.Err() != nil || x.rejectCrashing() { // may have changed while it waited
+		if !inTime || ctx.Err() != nil || x.rejectCrashing() || x.rejectCrashingSend() { // may have changed while it waited
 			x.releaseAssignment(a)
 			x.giveUp(ctx)
 			return
@@ -191,6 +199,9 @@
 		x.endPrefill(a)
 		x.logOldVersion(a)
 		x.recordContent(a, sendResult, ctx.Err())
+		if sendResult != resultNotSent && !x.send.unreached {
+			x.endTrial(sendResult)
+		}
 		x.g.endSend(x, a, x.upstreamOutcome(sendResult))
 		if sendResult == resultNotSent {
 			continue
@@ -213,7 +224,7 @@
 			if x.mayResume() {
 				continue
 			}
-			x.g.logger.Warn("answer cut", "id", x.attempt, "route", x.route.Name, "upstream", a.Member.ID, "content", x.content, "sent_ago", x.g.clock.Now().Sub(x.send.sent))
+			x.g.logger.Warn("answer cut", x.sendFields(a)...)
 			x.g.metrics.finished(x, "cut")
 			x.abortResponse()
 		case resultFailed:
@@ -270,6 +281,11 @@
 	x.timing.lastByte = now
 }
 
+// timeLeft returns the time until the request's deadline.
+func (x *exchange) timeLeft() time.Duration {
+	return x.deadline.Sub(x.g.clock.Now())
+}
+
 // repeatable reports whether the request may run more than once.
 func (x *exchange) repeatable() bool {
 	return x.route.Repeatability == wardturn.Repeatable || x.route.Resumable
@@ -283,6 +299,7 @@
 // giveUp ends a request that is not sent any more. It reports it as not run, or as unknown
 // if an earlier send may have run it.
 func (x *exchange) giveUp(ctx context.Context) {
+	x.endTrial(resultNotRun)
 	if x.headerWritten {
 		x.g.metrics.finished(x, "cut")
 		x.abortResponse()
@@ -338,7 +355,7 @@
 	x.g.metrics.sends.Inc(1)
 	x.send.sent = now
 	resp, err := x.g.send(ctx, x, a.Member, x.encodeHeader(a, remaining))
-	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errVersionRetired) || errors.Is(cause, errCrashingContent)) {
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errVersionRetired) || errors.Is(cause, errCrashingContent) || errors.Is(cause, errCrashingPart)) {
 		err = errors.Wrap(err, cause.Error())
 	}
 	if errors.Is(err, errNotAccepting) {
@@ -354,7 +371,11 @@
 	case !x.engine:
 		x.g.recordLatency(a.Member.ID, x.g.clock.Now().Sub(now))
 	}
-	return x.handleResponse(a, resp)
+	result := x.handleResponse(a, resp)
+	if result == resultUnknown {
+		x.g.logger.Info("answer lost", x.sendFields(a, "status", resp.res.StatusCode)...)
+	}
+	return result
 }
 
 // sendFailed classifies and logs an error of a send.
@@ -365,12 +386,13 @@
 	if x.headerWritten && !errors.Is(err, errNotSent) {
 		return resultTruncated
 	}
-	x.g.logger.Info("send failed", "id", x.attempt, "upstream", a.Member.ID, "addr", a.Member.Addr, "content", x.content, "sent_ago", x.g.clock.Now().Sub(x.send.sent), "error", err)
+	x.g.logger.Info("send failed", x.sendFields(a, "addr", a.Member.Addr, "error", err)...)
 	if errors.Is(err, errRefused) {
 		x.g.recordRefused(a.Member.ID)
 		x.g.crashes.disappeared(a.Member.ID)
 	}
 	if errors.Is(err, errNotSent) {
+		x.send.unreached = true
 		return resultNotRun
 	}
 	return resultUnknown
--- a/peer/feature.go
+++ b/peer/feature.go
@@ -22,10 +22,14 @@
 	FeatureConfigRecords
 	// FeatureStreamOrigins: StreamStarts, OriginQuery, OriginReply and SoftwareAnnouncement.
 	FeatureStreamOrigins
+	// FeaturePromptParts: PartAnnouncement.
+	FeaturePromptParts
+	// FeatureOriginRecords: StreamRecords.
+	FeatureOriginRecords
 )
 
 // ownFeatures are the features of this build.
-const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins
+const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins | FeaturePromptParts | FeatureOriginRecords
 
 // Has reports whether the set contains a feature.
 func (f Features) Has(feature Features) bool {
--- a/peer/message.go
+++ b/peer/message.go
@@ -56,6 +56,8 @@
 	KindOriginQuery
 	KindOriginReply
 	KindSoftwareAnnouncement
+	KindPartAnnouncement
+	KindStreamRecords
 )
 
 // Message is a typed message.
@@ -309,6 +311,10 @@
 		return &TeamUsageReports{}
 	case KindCrashAnnouncement:
 		return &CrashAnnouncement{}
+	case KindPartAnnouncement:
+		return &PartAnnouncement{}
+	case KindStreamRecords:
+		return &StreamRecords{}
 	case KindStartedQuery:
 		return &StartedQuery{}
 	case KindStartedReport:
