gateway: resumed streams wait for their adapter beyond the objective of a first event

Cause: they waited as long as a new request for its first event, which their callers have; a refusal may be the last attempt of such a caller. Change: they wait up to 2 s, within their deadline; a caller gives up after a gap of 2 s or more.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"time"
 
 	"wardturn/decide"
 )
@@ -15,7 +16,7 @@
 		Service:   x.service,
 		Key:       x.key,
 		Arrived:   x.arrived,
-		Objective: cmp.Or(x.route.Objective, defaultObjective),
+		Objective: x.waitObjective(),
 		MaxPause:  x.route.MaxPause,
 		Deadline:  x.deadline,
 		Prompt:    x.prompt,
@@ -51,6 +52,21 @@
 	return assignment{}, false
 }
 
+// maxResumeWait is how long a request that resumes a stream may wait for an upstream. Callers
+// give a stream up after a gap of 2 s or more.
+const maxResumeWait = 2 * time.Second
+
+// waitObjective returns how long the request may wait for the start of a response. The
+// objective of the route is that of a first event, which the caller of a resumed stream has
+// already; a refusal may end its stream.
+func (x *exchange) waitObjective() time.Duration {
+	objective := cmp.Or(x.route.Objective, defaultObjective)
+	if !x.resumes() {
+		return objective
+	}
+	return max(objective, min(x.deadline.Sub(x.arrived), maxResumeWait))
+}
+
 // releaseAssignment releases an assignment for which nothing was sent.
 func (x *exchange) releaseAssignment(a assignment) {
 	x.endPrefill(a)
