--- a/review/3/case_test.go
+++ b/review/3/case_test.go
@@ -167,14 +167,18 @@
 	l.lines = append(l.lines, line)
 }
 
-// start starts a lifetime at the worker's address.
+// start starts a lifetime at the worker's address. Its entry is in the store before it listens.
 func (w *worker) start() error {
+	w.mu.Lock()
+	w.up = true
+	w.mu.Unlock()
+	w.writeEntry()
 	ln, err := net.Listen("tcp", w.addr)
 	if err != nil {
 		return err
 	}
 	w.mu.Lock()
-	w.ln, w.up = ln, true
+	w.ln = ln
 	w.conns = make(map[net.Conn]bool)
 	w.mu.Unlock()
 	s := &http.Server{
@@ -191,7 +195,6 @@
 		},
 	}
 	go func() { _ = s.Serve(ln) }()
-	w.writeEntry()
 	return nil
 }
 
