--- a/review/1/case_test.go
+++ b/review/1/case_test.go
@@ -40,7 +40,7 @@
 	gatewayCount  = 2
 	requestRate   = 40 // streams a second, all clients together
 	calmFor       = 10 * time.Second
-	burstFor      = 5 * time.Second // rare adapters are asked for at once
+	burstFor      = 3 * time.Second // rare adapters are asked for at once
 	burstRate     = 28              // more streams a second: 1.7 times the usual ones
 	burstAdapters = 80
 	afterBurst    = 15 * time.Second
