gateway: log the first refused connection of an upstream, and what a stream goes on over

Nothing told a gateway that had noticed the end of an upstream from one that had not. The first refused connection of a lifetime is logged, and "stream goes on" has the age of the connection and of the list.

--- a/decide/member.go
+++ b/decide/member.go
@@ -193,11 +193,16 @@
 // connection in its place.
 const refusedPause = 400 * time.Millisecond
 
-// ConnectionRefused records that a connection to an upstream's address was refused.
-func (f *Fleet) ConnectionRefused(now time.Time, id wardturn.UpstreamID) {
-	if m := f.members[id]; m != nil {
-		m.refusedUntil = now.Add(refusedPause)
-		m.presumedColdUntil = now.Add(presumedCold)
-		f.updateColdLimits(now)
+// ConnectionRefused records that a connection to an upstream's address was refused. It
+// reports whether this is the first refusal of the upstream.
+func (f *Fleet) ConnectionRefused(now time.Time, id wardturn.UpstreamID) (first bool) {
+	m := f.members[id]
+	if m == nil {
+		return false
 	}
+	first = m.refusedUntil.IsZero()
+	m.refusedUntil = now.Add(refusedPause)
+	m.presumedColdUntil = now.Add(presumedCold)
+	f.updateColdLimits(now)
+	return first
 }
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -39,6 +39,7 @@
 	net.Conn
 	br        *bufio.Reader
 	addr      string
+	openedAt  time.Time // before the dial
 	reused    bool
 	idleUntil time.Time
 }
@@ -108,14 +109,16 @@
 			Count:    keepAliveCount,
 		},
 	}
+	openedAt := p.clock.Now()
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
 	return &upstreamConn{
-		Conn: nc,
-		br:   bufio.NewReaderSize(nc, readBufferSize),
-		addr: addr,
+		Conn:     nc,
+		br:       bufio.NewReaderSize(nc, readBufferSize),
+		addr:     addr,
+		openedAt: openedAt,
 	}, nil
 }
 
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -114,8 +114,11 @@
 // recordRefused records that an upstream's address refused a connection.
 func (g *Gateway) recordRefused(id wardturn.UpstreamID) {
 	g.mu.Lock()
-	g.fleet.ConnectionRefused(g.clock.Now(), id)
+	first := g.fleet.ConnectionRefused(g.clock.Now(), id)
 	g.mu.Unlock()
+	if first {
+		g.logger.Info("upstream refuses connections", "upstream", id)
+	}
 	g.markMembersStale()
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -92,6 +92,7 @@
 // sendState is the progress of the latest send. A zero time has not been reached yet.
 type sendState struct {
 	sent      time.Time // to the upstream
+	connected time.Time // when the connection was opened
 	firstByte time.Time // of the response; of a buffered one, when it was read completely
 	aborted   bool      // the gateway aborted the send before it started
 	unreached bool      // no byte of the request reached the upstream
--- a/gateway/readcoordinator.go
+++ b/gateway/readcoordinator.go
@@ -199,6 +199,13 @@
 	rc.notifySchedules()
 }
 
+// membersAge returns the age of the list of upstreams, or zero before the first read.
+func (rc *readCoordinator) membersAge() time.Duration {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.members.Age(rc.g.clock.Now())
+}
+
 // reportAges updates the metrics for the age of the configuration and the list.
 func (rc *readCoordinator) reportAges() {
 	rc.mu.Lock()
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -123,7 +123,7 @@
 		return
 	}
 	if x.eventsFrom != "" || x.resumes() {
-		x.g.logger.Info("stream goes on", "id", x.attempt, "resumes", x.resumedAttempt(), "after", x.lastEvent(), "upstream", a.Member.ID, "software", a.Member.Software, "before", x.software)
+		x.g.logger.Info("stream goes on", "id", x.attempt, "resumes", x.resumedAttempt(), "after", x.lastEvent(), "upstream", a.Member.ID, "software", a.Member.Software, "before", x.software, "connected_ago", x.g.clock.Now().Sub(x.send.connected), "list_age", x.g.reads.membersAge())
 	}
 	first := x.eventsFrom == ""
 	x.eventsFrom = a.Member.ID
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -67,6 +67,7 @@
 		c.returnUnused(g.pool)
 		return nil, errNotAccepting
 	}
+	x.send.connected = c.openedAt
 	stop := context.AfterFunc(ctx, c.abort)
 	resp, err := x.roundTrip(c, m, header)
 	if err != nil {
