gateway: ask an upstream which lifetime it is before a resumable stream

Cause: a stream goes on at an upstream of the version that began it, and the version came from the list by address, while a connection reaches whatever listens there now. A gateway with little traffic to the upstream does not notice that it was away and resumes there until it reads the list, up to a second later.

Change: before the first resumable stream on a connection, the upstream's report is asked on it for the start time of the lifetime. Another one takes no resumed stream until it is listed; without a report the list must have been read after the connection was opened.

--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -183,6 +183,7 @@
 			Metrics:        m,
 			Names:          platform.Headers(),
 			ResponseReader: platform.Responses{},
+			LifetimeProbe:  platform.LifetimeProbe{},
 			Source:         platform.NewConfigReader(s, logger),
 			Members:        platform.NewMemberReader(s, clock, logger),
 			FactStore:      s,
--- a/decide/evacuation.go
+++ b/decide/evacuation.go
@@ -124,7 +124,7 @@
 		switch {
 		case !f.inRegions(m, r.Regions):
 			otherRegion = true
-		case !r.Software.Allow(m.Software) || r.Software != nil && m.Draining:
+		case !r.Software.Allow(m.Software) || r.Software != nil && (m.Draining || m.restarted):
 			otherSoftware = true
 		case m.evacuated:
 			evacuated = true
--- a/decide/member.go
+++ b/decide/member.go
@@ -35,8 +35,10 @@
 	// notHeldUntil holds the adapters that it refused as not held, and until when that
 	// overrides lastUpdate.
 	notHeldUntil      map[wardturn.ModelAdapter]time.Time
-	replaced          bool              // another lifetime answers at its address
+	replaced          bool              // another instance answers at its address
+	restarted         bool              // another lifetime of the instance answers there
 	refusedUntil      time.Time         // set when it refuses a connection
+	refusing          bool              // its latest connection was refused
 	backoff           *upstreamBackoff  // backoff that it asked for, or nil
 	coldUntil         time.Time         // according to its entry and its responses
 	coldEntry         wardturn.Position // of the entry behind coldUntil; negative if none
@@ -188,19 +190,57 @@
 	}
 }
 
+// Restarted records that another lifetime of the same instance answers at an upstream's address.
+// Until the list has it, only streams that may be resumed are kept from it, since its software
+// version is not known. It reports whether that was not known yet.
+func (f *Fleet) Restarted(id wardturn.UpstreamID) (first bool) {
+	m := f.members[id]
+	if m == nil || m.restarted {
+		return false
+	}
+	m.restarted = true
+	return true
+}
+
+// AnyListed reports whether an upstream of a service is listed in the lifetime that answers, as
+// far as is known.
+func (f *Fleet) AnyListed(s wardturn.ServiceName) bool {
+	return slices.ContainsFunc(f.services[s], func(m *Member) bool {
+		return !m.restarted && !m.replaced && !m.Draining
+	})
+}
+
+// Lists reports whether a lifetime is listed and not known to have ended.
+func (f *Fleet) Lists(id wardturn.UpstreamID) bool {
+	m := f.members[id]
+	return m != nil && !m.restarted && !m.replaced
+}
+
 // refusedPause is how long an upstream that refused a connection receives no requests. It
 // may be restarting, and is cold then, or a faulty network link may have refused the
 // connection in its place.
 const refusedPause = 400 * time.Millisecond
 
+// ConnectionAccepted records that an upstream accepted a connection. It reports whether it is
+// the first one after a refusal.
+func (f *Fleet) ConnectionAccepted(id wardturn.UpstreamID) (afterRefusal bool) {
+	m := f.members[id]
+	if m == nil || !m.refusing {
+		return false
+	}
+	m.refusing = false
+	return true
+}
+
 // ConnectionRefused records that a connection to an upstream's address was refused. It
-// reports whether this is the first refusal of the upstream.
+// reports whether this is the first refusal since it last accepted one.
 func (f *Fleet) ConnectionRefused(now time.Time, id wardturn.UpstreamID) (first bool) {
 	m := f.members[id]
 	if m == nil {
 		return false
 	}
-	first = m.refusedUntil.IsZero()
+	first = !m.refusing
+	m.refusing = true
 	m.refusedUntil = now.Add(refusedPause)
 	m.presumedColdUntil = now.Add(presumedCold)
 	f.updateColdLimits(now)
--- a/decide/pending.go
+++ b/decide/pending.go
@@ -36,8 +36,11 @@
 	Regions   wardturn.Regions
 	// Software is the version that may run the request; nil: any.
 	Software wardturn.SoftwareVersions
-	Urgency  Urgency
-	Tried    []wardturn.UpstreamID
+	// Resumable means that the response is a stream that may be resumed at upstreams of the
+	// software version that began it.
+	Resumable bool
+	Urgency   Urgency
+	Tried     []wardturn.UpstreamID
 	// Repeatable means that the request may run more than once.
 	Repeatable bool
 	// Content identifies a request that was refused and comes back; empty if it is not known.
--- a/decide/restriction.go
+++ b/decide/restriction.go
@@ -9,14 +9,16 @@
 
 // restriction limits the upstreams of a service that may run a request.
 type restriction struct {
-	regions  wardturn.Regions
-	software wardturn.SoftwareVersions
+	regions   wardturn.Regions
+	software  wardturn.SoftwareVersions
+	resumable bool // the response is a stream that may be resumed
 }
 
 func (r *PendingRequest) restriction() restriction {
 	return restriction{
-		regions:  r.Regions,
-		software: r.Software,
+		regions:   r.Regions,
+		software:  r.Software,
+		resumable: r.Resumable,
 	}
 }
 
@@ -28,8 +30,12 @@
 	return fmt.Sprintf("%#v %#v", r.regions, r.software)
 }
 
-// allows reports whether a restriction allows an upstream.
+// allows reports whether a restriction allows an upstream. The software version of one that
+// restarted is not known until it is listed again.
 func (f *Fleet) allows(m *Member, r restriction) bool {
+	if m.restarted && (r.software != nil || r.resumable && f.AnyListed(m.Service)) {
+		return false
+	}
 	return f.inRegions(m, r.regions) && r.software.Allow(m.Software)
 }
 
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -26,6 +26,7 @@
 		Tried:     x.tried,
 		Regions:   x.regions,
 		Software:  x.software,
+		Resumable: x.route.Resumable,
 		Urgency:   x.urgency(),
 
 		Repeatable: x.repeatable(),
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -39,7 +39,8 @@
 	net.Conn
 	br        *bufio.Reader
 	addr      string
-	openedAt  time.Time // before the dial
+	openedAt  time.Time           // before the dial
+	lifetime  wardturn.UpstreamID // at its other end; empty: not known
 	reused    bool
 	idleUntil time.Time
 }
--- a/gateway/decisions.go
+++ b/gateway/decisions.go
@@ -89,6 +89,28 @@
 	g.markMembersStale()
 }
 
+// recordRestarted records that another lifetime of an upstream answers at its address. It
+// reports whether there are other upstreams of its service that are not known to have restarted.
+func (g *Gateway) recordRestarted(m wardturn.Member) (others bool) {
+	g.mu.Lock()
+	first := g.fleet.Restarted(m.ID)
+	others = g.fleet.AnyListed(m.Service)
+	g.mu.Unlock()
+	if first {
+		g.logger.Info("upstream has restarted, its entry is out of date", "upstream", m.ID)
+		g.crashes.disappeared(m.ID)
+		g.markMembersStale()
+	}
+	return others
+}
+
+// listsLifetime reports whether a lifetime is listed and not known to have ended.
+func (g *Gateway) listsLifetime(id wardturn.UpstreamID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Lists(id)
+}
+
 // recordLatency records the response time of a plain upstream.
 func (g *Gateway) recordLatency(id wardturn.UpstreamID, took time.Duration) {
 	g.mu.Lock()
@@ -108,6 +130,9 @@
 func (g *Gateway) accepts(m wardturn.Member) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.fleet.ConnectionAccepted(m.ID) {
+		g.markMembersStale() // it may have restarted
+	}
 	return g.fleet.Accepts(g.clock.Now(), m)
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -70,6 +70,7 @@
 	boundary        eventBoundary             // of the latest stream from an upstream
 	software        wardturn.SoftwareVersions // that may run it, since it began the stream; nil: any
 	eventsFrom      wardturn.UpstreamID       // the latest upstream with forwarded events
+	begun           *streamStart              // where the first forwarded event came from; nil: none yet
 	prefilling      wardturn.UpstreamID       // the upstream that is prefilling the prompt
 	turn            *turn                     // for prefilling; nil if none was requested or it has ended
 	turnOutcome     turnResult                // of the wait for the latest turn; empty: none
@@ -93,6 +94,7 @@
 type sendState struct {
 	sent      time.Time // to the upstream
 	connected time.Time // when the connection was opened
+	proved    bool      // the connection leads to the lifetime that was assigned
 	firstByte time.Time // of the response; of a buffered one, when it was read completely
 	aborted   bool      // the gateway aborted the send before it started
 	unreached bool      // no byte of the request reached the upstream
@@ -359,7 +361,7 @@
 	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errVersionRetired) || errors.Is(cause, errCrashingContent) || errors.Is(cause, errCrashingPart)) {
 		err = errors.Wrap(err, cause.Error())
 	}
-	if errors.Is(err, errNotAccepting) {
+	if errors.Is(err, errNotAccepting) || errors.Is(err, errOtherLifetime) {
 		return resultNotSent
 	}
 	if err != nil {
@@ -378,23 +380,3 @@
 	}
 	return result
 }
-
-// sendFailed classifies and logs an error of a send.
-func (x *exchange) sendFailed(a assignment, err error) result {
-	if x.r.Context().Err() != nil {
-		return resultCallerGone
-	}
-	if x.headerWritten && !errors.Is(err, errNotSent) {
-		return resultTruncated
-	}
-	x.g.logger.Info("send failed", x.sendFields(a, "addr", a.Member.Addr, "error", err)...)
-	if errors.Is(err, errRefused) {
-		x.g.recordRefused(a.Member.ID)
-		x.g.crashes.disappeared(a.Member.ID)
-	}
-	if errors.Is(err, errNotSent) {
-		x.send.unreached = true
-		return resultNotRun
-	}
-	return resultUnknown
-}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -179,8 +179,15 @@
 		return
 	}
 	g.setMembers(view)
+	if !change.asOf.IsZero() {
+		g.lifetimes.listApplied(change.asOf.Add(-announcedReadMargin))
+	}
 }
 
+// announcedReadMargin is the error of the time of a read by another gateway, which is measured
+// without the shortest transit time of an announcement.
+const announcedReadMargin = 5 * time.Millisecond
+
 // readMembers reads the list of upstreams and announces the change.
 func (g *Gateway) readMembers() {
 	sent := g.clock.Now()
@@ -197,6 +204,7 @@
 	}
 	g.metrics.members.succeeded.Inc(1)
 	g.setMembers(view)
+	g.lifetimes.listApplied(sent)
 	g.membersRead.Store(true)
 	g.reads.finishMembersRead(sent, change)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,7 @@
 	Metrics        *Metrics
 	Names          wardturn.HeaderNames
 	ResponseReader wardturn.ResponseReader
+	LifetimeProbe  wardturn.LifetimeProbe
 	Source         wardturn.ConfigSource
 	Members        wardturn.MemberSource
 	FactStore      wardturn.FleetFactStore
@@ -129,6 +130,7 @@
 	crashes           *crashes
 	routes            atomic.Pointer[routes]
 	pool              *pool
+	lifetimes         *lifetimes
 	links             *links
 	pendingSends      *pendingSends
 	origins           *origins
@@ -172,6 +174,7 @@
 		budgets:        make(map[wardturn.ServiceName]*decide.RetryBudget),
 	}
 	g.bodyLimiter.limit = d.Config.MaxBufferedBytes
+	g.lifetimes = newLifetimes(g, d.LifetimeProbe)
 	g.membership = newMembership(d.Members, d.Clock, d.Logger, d.Config.ExpiryGrace)
 	g.reads = newReadCoordinator(g)
 	g.membership.announced = g.reads.announcedSoftwareOf
@@ -277,6 +280,7 @@
 	g.metrics.updatePlain(plainLevels)
 	g.reads.reportAges()
 	g.crashes.sweep()
+	g.lifetimes.retain(g.listsLifetime)
 	g.pool.sweep(func(addr string) bool {
 		return addrs[addr]
 	})
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -135,13 +135,16 @@
 // handleUpdate handles an engine state update of a keeper process. The parameter relayed
 // reports whether the update came through a relay.
 func (l *link) handleUpdate(process wardturn.Incarnation, u *peer.EngineUpdate, relayed bool) {
+	g := l.links.g
+	if m := l.listed(); m.ID.Before(u.Upstream) {
+		g.recordRestarted(m)
+	}
 	l.updateMu.Lock()
 	defer l.updateMu.Unlock()
 	id, ok := l.accept(process, u)
 	if !ok {
 		return
 	}
-	g := l.links.g
 	g.metrics.keeperUpdate(relayed, u.Requested)
 	if u.Limit > 0 {
 		g.limits.seen.Store(true)
@@ -154,6 +157,13 @@
 	})
 }
 
+// listed returns the listed upstream that the keeper is beside.
+func (l *link) listed() wardturn.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.member
+}
+
 // accept reports whether an update is to be applied, and to which upstream. It rejects
 // updates of another incarnation of the engine or its keeper, changes that arrive before
 // the full state, and duplicates. After a gap in the sequence it requests the full state.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -187,6 +187,21 @@
 	}).Counter("stream_ends").Inc(1)
 }
 
+// The results of probes for the lifetime at the other end of a connection.
+const (
+	probeListed   = "listed"   // the listed lifetime
+	probeOther    = "other"    // another lifetime of the upstream
+	probeUnstated = "unstated" // the upstream does not tell
+	probeFailed   = "failed"
+)
+
+// lifetimeProbed counts a probe.
+func (m *Metrics) lifetimeProbed(result string) {
+	m.scope.Tagged(map[string]string{
+		"result": result,
+	}).Counter("lifetime_probes").Inc(1)
+}
+
 // streamResumed counts a stream that a caller resumes, by how its origin was found.
 func (m *Metrics) streamResumed(source originSource) {
 	m.scope.Tagged(map[string]string{
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"sync/atomic"
 	"time"
 
 	"wardturn"
@@ -75,6 +77,14 @@
 	// Callers that name no attempt can't be told from those whose stream began before this
 	// gateway, and refusing them all for its first minute would refuse most for nothing.
 	v, ok := x.g.onlySoftware(x.service, attempt == "")
+	if ok && attempt != "" {
+		// A stream that is recorded nowhere may have begun at an upstream that had just
+		// restarted, whose version an older list lacks.
+		ok = x.g.lifetimes.awaitList(x.r.Context(), x.arrived, min(listedTimeout, x.timeLeft()))
+		if ok {
+			v, ok = x.g.onlySoftware(x.service, false)
+		}
+	}
 	if !ok {
 		return l
 	}
@@ -131,14 +141,52 @@
 	if !first || !x.g.statesSoftware(x.service) {
 		return
 	}
+	x.begun = &streamStart{
+		upstream:  a.Member.ID,
+		connected: x.send.connected,
+	}
+	x.begun.proved.Store(x.send.proved || !x.needsLifetime(a.Member))
 	origin := wardturn.StreamOrigin{
 		Service:  x.service,
 		Software: a.Member.Software,
 	}
-	x.g.origins.record(x.attempt, origin, x.deadline)
+	attempts := []string{x.attempt}
 	if attempt := x.resumedAttempt(); x.resumes() && attempt != "" {
-		x.g.origins.record(attempt, origin, x.deadline)
+		attempts = append(attempts, attempt)
+	}
+	x.begun.record(x.g, attempts, origin, x.deadline)
+}
+
+// streamStart is where the first forwarded event of a stream came from.
+type streamStart struct {
+	upstream  wardturn.UpstreamID
+	connected time.Time   // when the connection was opened
+	proved    atomic.Bool // it is known that the event came from this lifetime
+}
+
+// record records the origin of a stream under its attempts, if need be once the list shows that
+// it began at the lifetime that was assumed.
+func (s *streamStart) record(g *Gateway, attempts []string, origin wardturn.StreamOrigin, deadline time.Time) {
+	if s.proved.Load() {
+		for _, attempt := range attempts {
+			g.origins.record(attempt, origin, deadline)
+		}
+		return
+	}
+	g.tasks.Go(func() {
+		if s.known(g.tasks.Context(), g, originListedTimeout) {
+			s.record(g, attempts, origin, deadline)
+		}
+	})
+}
+
+// known reports whether the stream is known to have begun at the lifetime that was assumed. It
+// waits for that for a time.
+func (s *streamStart) known(ctx context.Context, g *Gateway, timeout time.Duration) bool {
+	if !s.proved.Load() && g.lifetimes.awaitListed(ctx, s.upstream, s.connected, timeout) {
+		s.proved.Store(true)
 	}
+	return s.proved.Load()
 }
 
 // servesUnstated reports whether upstreams of a service have been listed and none has stated
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -327,6 +327,7 @@
 		Metrics:        gateway.NewMetrics(x.metrics),
 		Names:          platform.Headers(),
 		ResponseReader: platform.Responses{},
+		LifetimeProbe:  platform.LifetimeProbe{},
 		Source:         platform.NewConfigReader(store, logger),
 		Members:        platform.NewMemberReader(store, process.Clock{}, logger),
 		FactStore:      store,
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,12 +52,8 @@
 // send sends a request to an upstream and reads the response's headers. The connection is
 // aborted when ctx ends.
 func (g *Gateway) send(ctx context.Context, x *exchange, m wardturn.Member, header []byte) (*response, error) {
-	c, err := g.pool.get(ctx, m.Addr)
+	c, err := x.connect(ctx, m)
 	if err != nil {
-		err = errors.Mark(err, errNotSent)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			err = errors.Mark(err, errRefused)
-		}
 		return nil, err
 	}
 	// Checked only after the dial, during which the time may end in which a leaving upstream
@@ -119,6 +114,26 @@
 	return nil, errForeignResponses
 }
 
+// sendFailed classifies and logs an error of a send.
+func (x *exchange) sendFailed(a assignment, err error) result {
+	if x.r.Context().Err() != nil {
+		return resultCallerGone
+	}
+	if x.headerWritten && !errors.Is(err, errNotSent) {
+		return resultTruncated
+	}
+	x.g.logger.Info("send failed", x.sendFields(a, "addr", a.Member.Addr, "error", err)...)
+	if errors.Is(err, errRefused) {
+		x.g.recordRefused(a.Member.ID)
+		x.g.crashes.disappeared(a.Member.ID)
+	}
+	if errors.Is(err, errNotSent) {
+		x.send.unreached = true
+		return resultNotRun
+	}
+	return resultUnknown
+}
+
 // release ends the use of a response that was read completely. It returns the connection
 // to the pool if the connection can be reused, or closes it.
 func (r *response) release() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,7 +20,14 @@
 	if !x.headerWritten || !x.route.Resumable || x.r.Context().Err() != nil {
 		return false
 	}
-	if x.possibleRuns >= x.route.MaxUpstreams || !x.g.clock.Now().Before(x.deadline) || !x.events.resume() || !x.g.allowRetry(x.service) {
+	if x.possibleRuns >= x.route.MaxUpstreams || !x.g.clock.Now().Before(x.deadline) || !x.events.resume() {
+		return false
+	}
+	if x.begun != nil && !x.begun.known(x.r.Context(), x.g, listedTimeout) {
+		x.g.logger.Info("stream may have begun at another lifetime", "id", x.attempt, "upstream", x.begun.upstream, "software", x.software)
+		return false
+	}
+	if !x.g.allowRetry(x.service) {
 		return false
 	}
 	x.g.logger.Info("stream goes on elsewhere", "id", x.attempt, "after", x.lastEvent(), "tried", len(x.tried), "software", x.software)
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -268,6 +268,10 @@
 }
 
 func (m *ModelWorker) serveReport(w http.ResponseWriter) {
+	if m.hidesReport() {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
 	type model struct {
 		Name     string   `json:"name"`
 		Version  int64    `json:"version"`
@@ -312,6 +316,12 @@
 	writeBody(w, report)
 }
 
+func (m *ModelWorker) hidesReport() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults.NoReport
+}
+
 // runRows returns the runs in the format of a report: id, tokens in the KV cache, events
 // produced and priority. Only the id is real; the other values are fixed. The caller
 // holds the lock.
--- a/standin/workerfaults.go
+++ b/standin/workerfaults.go
@@ -23,6 +23,7 @@
 	Think       time.Duration // between the start of a request and its response
 	Linger      time.Duration // added to the pause between events
 	HideRuns    bool          // reports do not list the runs
+	NoReport    bool          // requests for the report are answered with 404
 	CrashOn     string        // a request with this body crashes the worker; empty: none
 	CrashOnPart []string      // requests with one of these parts in their prompts do so as their response begins
 	Fresh       StreamShape   // format of streams that are not resumed
