--- a/decide/placement.go
+++ b/decide/placement.go
@@ -76,9 +76,11 @@
 	}
 }
 
-// SetSpec sets the operator's specification of the engine.
-func (p *Placement) SetSpec(spec wardturn.EngineSpec) {
+// SetSpec sets the operator's specification of the engine, and reports whether it changed.
+func (p *Placement) SetSpec(spec wardturn.EngineSpec) (changed bool) {
+	changed = !p.spec.Equal(spec)
 	p.spec = spec
+	return changed
 }
 
 // ReportUse records a gateway's request counts for an adapter: those started since its
@@ -243,10 +245,10 @@
 	})
 }
 
-// occupied counts the adapter slots in use or reserved for loads. An adapter that is being
+// Occupied counts the adapter slots in use or reserved for loads. An adapter that is being
 // replaced by a newer version takes two, since the old version stays until the new one is
 // loaded.
-func (p *Placement) occupied() int {
+func (p *Placement) Occupied() int {
 	n := len(p.state.Loading)
 	for _, m := range p.state.Models {
 		n += len(m.Adapters)
@@ -284,10 +286,10 @@
 	if len(p.state.Loading) >= MaxConcurrentLoads {
 		return PlacementOrder{}, false
 	}
-	if p.occupied() < p.spec.AdapterSlots {
+	if p.Occupied() < p.spec.AdapterSlots {
 		return load, true
 	}
-	if p.occupied()-p.replacing() < p.spec.AdapterSlots {
+	if p.Occupied()-p.replacing() < p.spec.AdapterSlots {
 		return PlacementOrder{}, false // a slot becomes free when the replacement is done
 	}
 	victim, ok := p.victim(now, p.worth(now, key))
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -276,9 +276,9 @@
 		k.takeFence()
 		return false
 	}
-	k.logger.Info("order not taken", "unload", o.Unload, "adapter", o.Target.Adapter, "seq", o.ExpectedSeq, "upstream", o.Upstream, "answer", result)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.logger.Info("order not taken", "unload", o.Unload, "adapter", o.Target.Adapter, "seq", o.ExpectedSeq, "occupied", k.placement.Occupied(), "upstream", o.Upstream, "answer", result)
 	k.placement.Defer(k.clock.Now().Add(delay))
 	return false
 }
@@ -361,8 +361,10 @@
 // gateways know only the earlier one. The lock must be held.
 func (k *Keeper) handleEngineConfig(c *peer.Conn, m *peer.EngineConfig) {
 	if m.Config >= k.configVersion {
+		if k.placement.SetSpec(m.Spec) {
+			k.logger.Info("engine configured", "config", m.Config, "adapter_slots", m.Spec.AdapterSlots, "models", len(m.Spec.Models))
+		}
 		k.configVersion = m.Config
-		k.placement.SetSpec(m.Spec)
 	}
 	if m.Position >= k.upstreamPosition {
 		k.upstreamPosition = m.Position
