keeper: order no load beyond the memory of the engine

Cause: weights_mb of engines and models and adapter_size_mb were not decoded. Keepers knew the slots of an engine only and ordered a 16th adapter into memory for 15.

Change: the specification of an engine has the sizes, and a load is ordered only if the memory holds it beside all that is held or on its way; otherwise an idle adapter goes first. A replacement without room for both versions unloads the old one first. Gateways hear of the places that slots and memory both leave. Gateways of an older build pass on no sizes; the keeper keeps those that it has.

--- a/decide/placement.go
+++ b/decide/placement.go
@@ -76,6 +76,11 @@
 	}
 }
 
+// Spec returns the operator's specification of the engine.
+func (p *Placement) Spec() wardturn.EngineSpec {
+	return p.spec
+}
+
 // SetSpec sets the operator's specification of the engine, and reports whether it changed.
 func (p *Placement) SetSpec(spec wardturn.EngineSpec) (changed bool) {
 	changed = !p.spec.Equal(spec)
@@ -179,11 +184,12 @@
 		return PlacementOrder{}, false
 	}
 	if len(p.state.Models) == 0 {
+		model := p.spec.Models[0]
 		return PlacementOrder{
 			Target: wardturn.ModelAdapter{
-				Model: p.spec.Models[0].Name,
+				Model: model.Name,
 			},
-		}, true
+		}, p.memoryHoldsModel(model)
 	}
 	for _, key := range p.byValue(now) {
 		if o, ok := p.nextOrderFor(now, key); ok {
@@ -245,28 +251,6 @@
 	})
 }
 
-// Occupied counts the adapter slots in use or reserved for loads. An adapter that is being
-// replaced by a newer version takes two, since the old version stays until the new one is
-// loaded.
-func (p *Placement) Occupied() int {
-	n := len(p.state.Loading)
-	for _, m := range p.state.Models {
-		n += len(m.Adapters)
-	}
-	return n
-}
-
-// replacing counts the adapters that are being replaced by a newer version.
-func (p *Placement) replacing() int {
-	n := 0
-	for _, a := range p.state.Loading {
-		if _, ok := p.resident(a.Key()); ok {
-			n++
-		}
-	}
-	return n
-}
-
 // nextOrderFor returns the next order needed to get an adapter loaded, if one can be
 // given now.
 func (p *Placement) nextOrderFor(now time.Time, key wardturn.ModelAdapter) (PlacementOrder, bool) {
@@ -278,28 +262,39 @@
 		Target:  key,
 		Version: l.version,
 	}
+	held := p.adapterCounts()
 	if _, ok := p.resident(key); ok {
 		// While requests run on the old version, the order would block all other orders
 		// of the engine until they end.
-		return load, p.announceEviction(now, key) && !p.hasRunning(key)
+		if !p.announceEviction(now, key) || p.hasRunning(key) {
+			return PlacementOrder{}, false
+		}
+		if !p.memoryHolds(held, key.Model) {
+			return unload(key), true // both versions would be in memory during the load
+		}
+		return load, true
 	}
 	if len(p.state.Loading) >= MaxConcurrentLoads {
 		return PlacementOrder{}, false
 	}
-	if p.Occupied() < p.spec.AdapterSlots {
+	if p.hasRoom(held, key.Model) {
 		return load, true
 	}
-	if p.Occupied()-p.replacing() < p.spec.AdapterSlots {
-		return PlacementOrder{}, false // a slot becomes free when the replacement is done
+	if p.hasRoom(p.adapterCountsReplaced(), key.Model) {
+		return PlacementOrder{}, false // there is room when the replacement is done
 	}
 	victim, ok := p.victim(now, p.worth(now, key))
 	if !ok || !p.announceEviction(now, victim) {
 		return PlacementOrder{}, false
 	}
+	return unload(victim), true
+}
+
+func unload(key wardturn.ModelAdapter) PlacementOrder {
 	return PlacementOrder{
 		Unload: true,
-		Target: victim,
-	}, true
+		Target: key,
+	}
 }
 
 // announceEviction marks an adapter as leaving and reports whether the eviction notice
--- a/decide/placement_evict.go
+++ b/decide/placement_evict.go
@@ -14,7 +14,7 @@
 // empty ones and those of adapters that may be evicted, less one for each load request that
 // has no slot yet.
 func (p *Placement) FreeSlots(now time.Time) int {
-	n := p.spec.AdapterSlots - p.Occupied()
+	n := p.freePlaces()
 	for _, m := range p.state.Models {
 		for _, a := range m.Adapters {
 			if p.evictable(now, a.Key()) {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -227,6 +228,9 @@
 	drain    time.Duration
 	domains  []string // of the engines, each on a host of its own
 	software []string // versions of the engines; nil: they state none
+	// memoryHolds is the number of adapters that the memory of an engine holds; zero: no limit.
+	memoryHolds int
+	config      string // configuration; empty: the default one
 }
 
 func newRigOf(o rigOptions) *rig {
@@ -247,7 +251,7 @@
 	storeListener := listen("127.0.0.1:0")
 	x.storeAddr = storeListener.Addr().String()
 	serve(storeListener, x.store)
-	x.store.PutConfig(config(1, ""))
+	x.store.PutConfig(cmp.Or(o.config, config(1, "")))
 	store := platform.NewStore(x.storeAddr, x.metrics)
 	var hosts []string
 	for i := range o.domains {
@@ -265,6 +269,7 @@
 			Software:      software,
 			Model:         "m0",
 			Slots:         2,
+			MemoryHolds:   o.memoryHolds,
 			LoadTime:      20 * time.Millisecond,
 			StreamEvents:  4,
 			EventInterval: 5 * time.Millisecond,
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -361,8 +361,12 @@
 // gateways know only the earlier one. The lock must be held.
 func (k *Keeper) handleEngineConfig(c *peer.Conn, m *peer.EngineConfig) {
 	if m.Config >= k.configVersion {
-		if k.placement.SetSpec(m.Spec) {
-			k.logger.Info("engine configured", "config", m.Config, "adapter_slots", m.Spec.AdapterSlots, "models", len(m.Spec.Models))
+		spec := m.Spec
+		if !c.Understands(peer.FeatureEngineMemory) {
+			spec = spec.WithSizesOf(k.placement.Spec())
+		}
+		if k.placement.SetSpec(spec) {
+			k.logger.Info("engine configured", "config", m.Config, "adapter_slots", spec.AdapterSlots, "memory_mb", spec.Memory, "models", len(spec.Models))
 		}
 		k.configVersion = m.Config
 	}
--- a/peer/feature.go
+++ b/peer/feature.go
@@ -26,10 +26,12 @@
 	FeaturePromptParts
 	// FeatureOriginRecords: StreamRecords.
 	FeatureOriginRecords
+	// FeatureEngineMemory: the sizes of weights in EngineConfig.
+	FeatureEngineMemory
 )
 
 // ownFeatures are the features of this build.
-const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins | FeaturePromptParts | FeatureOriginRecords
+const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins | FeaturePromptParts | FeatureOriginRecords | FeatureEngineMemory
 
 // Has reports whether the set contains a feature.
 func (f Features) Has(feature Features) bool {
--- a/routes.go
+++ b/routes.go
@@ -67,20 +67,41 @@
 type EngineSpec struct {
 	Batch        int // maximum number of concurrent requests
 	AdapterSlots int
+	Memory       Megabytes // for the weights of models and their adapters; zero: not stated
 	Models       []ModelSpec
 }
 
 // Equal reports whether two specifications are equal.
 func (s EngineSpec) Equal(o EngineSpec) bool {
-	return s.Batch == o.Batch && s.AdapterSlots == o.AdapterSlots && slices.Equal(s.Models, o.Models)
+	return s.Batch == o.Batch && s.AdapterSlots == o.AdapterSlots && s.Memory == o.Memory && slices.Equal(s.Models, o.Models)
+}
+
+// WithSizesOf returns the specification with the sizes of another one, for models that both have.
+func (s EngineSpec) WithSizesOf(o EngineSpec) EngineSpec {
+	s.Memory = o.Memory
+	s.Models = slices.Clone(s.Models)
+	for i, m := range s.Models {
+		for _, other := range o.Models {
+			if other.Name == m.Name {
+				s.Models[i].Weights = other.Weights
+				s.Models[i].AdapterSize = other.AdapterSize
+			}
+		}
+	}
+	return s
 }
 
 // ModelSpec describes a base model.
 type ModelSpec struct {
-	Name     BaseModel
-	LoadTime time.Duration
+	Name        BaseModel
+	LoadTime    time.Duration
+	Weights     Megabytes // of the model without adapters
+	AdapterSize Megabytes // of one adapter
 }
 
+// Megabytes is a size of weights in memory.
+type Megabytes float64
+
 // CallerLimits are the size limits and timeouts for what one caller sends.
 type CallerLimits struct {
 	MaxHeader     int // bytes
--- a/standin/modelworker.go
+++ b/standin/modelworker.go
@@ -33,7 +33,7 @@
 	queue         []*http.Request      // requests that wait for a slot
 	running       map[string]int       // requests in progress by attempt id
 	faults        WorkerFaults
-	slotsExceeded bool                   // an order exceeded the adapter slots
+	slotsExceeded bool                   // an order exceeded the adapter slots or the memory
 	newest        map[string]int64       // newest version by adapter
 	headers       map[string]http.Header // headers of the latest run by attempt id
 	arrivals      []Arrival
@@ -45,6 +45,7 @@
 	ID            string
 	Model         string // base model; empty: an application worker
 	Slots         int    // adapter slots
+	MemoryHolds   int    // adapters that the memory holds beside the model; zero: no limit
 	LoadTime      time.Duration
 	Software      string        // stated in the entry and in the data of events; empty: not stated
 	StreamEvents  int           // events of a stream; zero: responses are not streams
@@ -177,7 +178,8 @@
 	return n
 }
 
-// SlotsExceeded reports whether an order asked for more adapters than the worker has slots.
+// SlotsExceeded reports whether an order asked for more adapters than the worker has slots or
+// memory for.
 func (m *ModelWorker) SlotsExceeded() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -369,6 +371,14 @@
 	w.WriteHeader(m.executeOrder(o, instance))
 }
 
+// places returns how many adapters the worker has slots and memory for.
+func (m *ModelWorker) places() int {
+	if m.cfg.MemoryHolds == 0 {
+		return m.cfg.Slots
+	}
+	return min(m.cfg.Slots, m.cfg.MemoryHolds)
+}
+
 // executeOrder executes an order and returns the status of the response.
 func (m *ModelWorker) executeOrder(o workerOrder, instance string) int {
 	m.mu.Lock()
@@ -392,7 +402,7 @@
 		m.model = true
 		return http.StatusAccepted
 	}
-	if _, loaded := m.adapters[o.Adapter]; !loaded && len(m.adapters)+len(m.loading) >= m.cfg.Slots {
+	if _, loaded := m.adapters[o.Adapter]; !loaded && len(m.adapters)+len(m.loading) >= m.places() {
 		m.slotsExceeded = true
 	}
 	m.loading[o.Adapter] = time.Now().Add(m.cfg.LoadTime)
