gateway: nothing of its own behind the bytes of an upstream's answer

Cause: a resumed send that was answered without the receipt, or with 503, 429 or 408 and not "not executed", counted as one of which the caller has no byte. Each branch decided that by itself.

Change: such answers end a stream that has begun. The one function for texts of the gateway aborts an answer that has begun.

--- a/gateway/errorresponse.go
+++ b/gateway/errorresponse.go
@@ -103,7 +103,12 @@
 	x.write(status, text)
 }
 
+// write responds with a text of the gateway. It aborts a response of which the caller already has
+// a part.
 func (x *exchange) write(status int, text string) {
+	if x.headerWritten {
+		x.abortResponse()
+	}
 	h := x.w.Header()
 	h["Content-Type"] = nil
 	h.Set("Content-Length", strconv.Itoa(len(text)))
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -65,6 +65,7 @@
 	tried           []wardturn.UpstreamID
 	possibleRuns    int  // number of upstreams that may have run the request
 	headerWritten   bool // the response header was written to the caller
+	eventsBegun     bool // and it is that of a stream of events
 	refusal         *refusal
 	events          events
 	boundary        eventBoundary             // of the latest stream from an upstream
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -25,14 +25,14 @@
 	case res.StatusCode < http.StatusMultipleChoices && !resp.head.Receipt:
 		x.g.logger.Warn("success response without the upstream's receipt header", "id", x.attempt, "upstream", a.Member.ID)
 		resp.discard()
-		return resultUnknown
+		return x.truncated()
 	case res.StatusCode == http.StatusServiceUnavailable, res.StatusCode == http.StatusTooManyRequests, res.StatusCode == http.StatusRequestTimeout:
 		// The caller would take these statuses to mean that the request did not run,
 		// which the upstream has not confirmed.
 		resp.discard()
-		return resultUnknown
-	case x.headerWritten && res.StatusCode != http.StatusOK:
-		x.drain(resp)
+		return x.truncated()
+	case x.headerWritten && (res.StatusCode != http.StatusOK || !x.isEventStream(res)):
+		x.drain(resp) // it does not continue the stream that the caller has a part of
 		return resultTruncated
 	case res.StatusCode >= http.StatusInternalServerError && x.mayRetryFailed():
 		x.drain(resp)
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -82,6 +82,7 @@
 	shutdownDelay time.Duration
 	keyBound      time.Duration // of gateways that are started; zero: none
 	drain         time.Duration // of gateways that are started
+	retryExtra    float64       // of gateways that are started; zero: the default
 	regions       map[wardturn.FailureDomain]wardturn.Region
 }
 
@@ -231,11 +232,15 @@
 	// memoryHolds is the number of adapters that the memory of an engine holds; zero: no limit.
 	memoryHolds int
 	config      string // configuration; empty: the default one
+	// retryExtra is the number of retries allowed in ten seconds beyond the share of requests; zero:
+	// the default.
+	retryExtra float64
 }
 
 func newRigOf(o rigOptions) *rig {
 	x := &rig{
 		drain:         o.drain,
+		retryExtra:    o.retryExtra,
 		domain:        "d",
 		domains:       make(map[*standin.ModelWorker]string),
 		store:         standin.NewMetaStore(),
@@ -312,7 +317,7 @@
 			MaxBody:          1 << 20,
 			MaxBufferedBytes: rigMaxBuffered,
 			RetryShare:       0.2,
-			RetryExtra:       52,
+			RetryExtra:       cmp.Or(x.retryExtra, 52),
 			RetryWindow:      10 * time.Second,
 			ShutdownDelay:    x.shutdownDelay,
 			KeyBound:         x.keyBound,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,7 +17,7 @@
 // mayResume reports whether a stream that ended early may continue at another upstream,
 // and charges the retry budget for it.
 func (x *exchange) mayResume() bool {
-	if !x.headerWritten || !x.route.Resumable || x.r.Context().Err() != nil {
+	if !x.eventsBegun || !x.route.Resumable || x.r.Context().Err() != nil {
 		return false
 	}
 	if x.possibleRuns >= x.route.MaxUpstreams || !x.g.clock.Now().Before(x.deadline) || !x.events.resume() {
@@ -103,6 +103,7 @@
 	}
 	x.w.WriteHeader(res.StatusCode)
 	x.headerWritten = true
+	x.eventsBegun = x.isEventStream(res)
 }
 
 // slowWriteTime is the duration of a write to the caller from which on a truncated response
