gateway: apply limits of callers' connections from later configurations

Cause: http.Server reads its limits while it serves, so they were set once, before it started.

Change: with new limits another server takes over the listener; connections of the former end with their next response.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -131,28 +131,11 @@
 	if c.Table == nil {
 		return
 	}
-	if current == nil {
-		g.setCallerLimits(c.Table.Limits)
-	}
+	g.callers.setLimits(g.routes.Load().table.Limits)
+	g.callers.start()
 	g.links.update()
 }
 
-// setCallerLimits sets the limits of callers' connections and starts accepting requests.
-func (g *Gateway) setCallerLimits(l wardturn.CallerLimits) {
-	g.serveOnce.Do(func() {
-		if l.MaxHeader > 0 {
-			g.server.MaxHeaderBytes = l.MaxHeader
-		}
-		if l.HeaderTimeout > 0 {
-			g.server.ReadHeaderTimeout = l.HeaderTimeout
-		}
-		if l.IdleTimeout > 0 {
-			g.server.IdleTimeout = l.IdleTimeout
-		}
-		g.acceptRequests()
-	})
-}
-
 // followMembers keeps the list of upstreams up to date from its own reads and from
 // announced changes.
 func (g *Gateway) followMembers() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,15 +135,13 @@
 	pendingSends      *pendingSends
 	origins           *origins
 	originRecords     *originRecords
-	server            *http.Server
+	callers           *callerServer
 	readyServer       *http.Server
-	listener          net.Listener
 	openRequests      atomic.Int64
 	bodyLimiter       byteLimiter
 	leaving           atomic.Bool
 	membersRead       atomic.Bool // the list of upstreams has been read
 	hadUpstreams      atomic.Bool // the list has contained an upstream
-	serveOnce         sync.Once
 	tasks             *process.Tasks
 
 	mu             sync.Mutex
@@ -168,7 +166,6 @@
 		configSource:   d.Source,
 		factStore:      d.FactStore,
 		pool:           newPool(d.Clock),
-		listener:       d.Listener,
 		pendingSends:   newPendingSends(),
 		tasks:          process.NewTasks(d.Clock),
 		budgets:        make(map[wardturn.ServiceName]*decide.RetryBudget),
@@ -188,13 +185,7 @@
 	g.links = newLinks(g)
 	g.origins = newOrigins(g)
 	g.originRecords = newOriginRecords(g, d.Origins)
-	g.server = &http.Server{
-		Handler:           g,
-		ReadHeaderTimeout: defaultReadTimeout,
-		IdleTimeout:       defaultIdleTimeout,
-		MaxHeaderBytes:    defaultMaxHeaderBytes,
-		ErrorLog:          d.Logger.StandardLogger(&hclog.StandardLoggerOptions{}),
-	}
+	g.callers = newCallerServer(g, d.Listener, d.Clock, d.Logger, g.tasks)
 	if d.ReadyListener != nil {
 		g.serveReadiness(d.ReadyListener, d.ReadyPath)
 	}
@@ -213,7 +204,7 @@
 	})
 	g.tasks.Go(func() {
 		if g.tasks.Sleep(configStartTimeout) {
-			g.startServing()
+			g.callers.start()
 		}
 	})
 	g.tasks.Every(tickInterval, g.tick)
@@ -250,19 +241,6 @@
 	})
 }
 
-// startServing starts accepting callers' requests. Only the first call has an effect.
-func (g *Gateway) startServing() {
-	g.serveOnce.Do(g.acceptRequests)
-}
-
-func (g *Gateway) acceptRequests() {
-	g.tasks.Go(func() {
-		if err := g.server.Serve(g.listener); !errors.Is(err, http.ErrServerClosed) {
-			g.logger.Error("request server failed", "error", err)
-		}
-	})
-}
-
 // Ready reports whether the gateway can serve requests.
 func (g *Gateway) Ready() bool {
 	return !g.leaving.Load() && g.routes.Load() != nil && g.membersRead.Load()
@@ -293,7 +271,7 @@
 	g.leaving.Store(true)
 	g.logger.Info("leaving", "requests", g.openRequests.Load())
 	wardturn.Sleep(ctx, g.clock, g.cfg.ShutdownDelay)
-	if err := g.server.Shutdown(ctx); err != nil {
+	if err := g.callers.shutdown(ctx); err != nil {
 		g.logger.Warn("graceful shutdown timed out with open requests", "requests", g.openRequests.Load(), "error", err)
 	}
 	g.logPromptCounts()
@@ -303,11 +281,10 @@
 // Close stops the gateway immediately, without waiting for open requests.
 func (g *Gateway) Close() {
 	g.tasks.Stop()
-	_ = g.server.Close()
+	g.callers.stop()
 	if g.readyServer != nil {
 		_ = g.readyServer.Close()
 	}
-	g.listener.Close()
 	g.links.close()
 	g.pool.close()
 }
