peer, gateway, entry: accept connections again after a failed Accept

Change: process.RetryAccept, a listener whose Accept fails only once it is closed; failures are logged, once for several in a row. The gateway's readiness and the metrics servers are of net/http, which tries again itself.

--- a/agent/inbound.go
+++ b/agent/inbound.go
@@ -16,6 +16,11 @@
 // peerHandler handles the connections of an Agent.
 type peerHandler Agent
 
+// AcceptFailed implements peer.AcceptErrorHandler.
+func (in *peerHandler) AcceptFailed(err error) {
+	in.logger.Error("accepting connections failed", "error", err)
+}
+
 // Handle implements peer.Handler.
 func (in *peerHandler) Handle(c *peer.Conn, m peer.Message) {
 	a := (*Agent)(in)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,7 +91,9 @@
 		hostList: d.Hosts,
 		tls:      d.TLS,
 		listener: lingeringListener{
-			Listener: d.Listener,
+			Listener: process.RetryAccept(d.Listener, d.Clock, func(err error) {
+				d.Logger.Error("accepting callers failed", "error", err)
+			}),
 		},
 		router:      decide.NewRouter(cfg.Router),
 		retryBudget: decide.NewRetryBudget(cfg.RetryShare, minRetryRate, retryBurst),
--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -26,7 +26,6 @@
 type callerServer struct {
 	handler  http.Handler
 	listener net.Listener
-	clock    wardturn.Clock
 	logger   hclog.Logger
 	tasks    *process.Tasks
 	errorLog *log.Logger
@@ -40,9 +39,10 @@
 
 func newCallerServer(h http.Handler, ln net.Listener, clock wardturn.Clock, logger hclog.Logger, tasks *process.Tasks) *callerServer {
 	return &callerServer{
-		handler:  h,
-		listener: ln,
-		clock:    clock,
+		handler: h,
+		listener: process.RetryAccept(ln, clock, func(err error) {
+			logger.Error("accepting callers failed", "error", err)
+		}),
 		logger:   logger,
 		tasks:    tasks,
 		errorLog: logger.StandardLogger(&hclog.StandardLoggerOptions{}),
@@ -101,11 +101,18 @@
 		return
 	}
 	s.serve()
-	s.tasks.Go(func() {
-		process.Accept(s.tasks.Context(), s.listener, s.clock, func(err error) {
-			s.logger.Error("accepting callers failed", "error", err)
-		}, s.dispatch)
-	})
+	s.tasks.Go(s.accept)
+}
+
+// accept accepts connections until the listener is closed.
+func (s *callerServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.dispatch(c)
+	}
 }
 
 // setLimits sets the limits for requests from now on.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -283,6 +283,11 @@
 	return false
 }
 
+// AcceptFailed implements peer.AcceptErrorHandler.
+func (k *Keeper) AcceptFailed(err error) {
+	k.logger.Error("accepting connections failed", "error", err)
+}
+
 // Handle implements peer.Handler.
 func (k *Keeper) Handle(c *peer.Conn, m peer.Message) {
 	if f, ok := m.(*peer.Follow); ok {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -50,6 +50,12 @@
 	Closed(c *Conn, err error)
 }
 
+// AcceptErrorHandler is a Handler that is told when its server can't accept connections, for instance
+// because too many files are open: once for several failures in a row. The server goes on.
+type AcceptErrorHandler interface {
+	AcceptFailed(err error)
+}
+
 // ActivityReporter is a Handler that knows whether work is in progress on its connection.
 // Heartbeats are more frequent then, so that a loss is detected sooner.
 type ActivityReporter interface {
--- a/peer/server.go
+++ b/peer/server.go
@@ -27,6 +27,11 @@
 // configuration that requires client certificates, the connections are mutually
 // authenticated.
 func NewServer(ln net.Listener, tlsConfig *tls.Config, clock wardturn.Clock, id Identity, h Handler) *Server {
+	failed := func(error) {}
+	if h, ok := h.(AcceptErrorHandler); ok {
+		failed = h.AcceptFailed
+	}
+	ln = process.RetryAccept(ln, clock, failed)
 	if tlsConfig != nil {
 		ln = tls.NewListener(ln, tlsConfig)
 	}
