gateway: bound the head of an upstream's answer and the writing of buffered answers

Change: at most 256 KiB of a head are read, for each head before the final one too; buffered answers have the deadline for writing that streams have, 5 s after the request's.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,12 +34,15 @@
 	maxIdlePerAddr      = 32
 	readBufferSize      = 4 << 10
 	maxForeignResponses = 3 // responses to other requests that are skipped
+	// maxResponseHead bounds the head of a response in bytes, with what is buffered of its body.
+	maxResponseHead = 256 << 10
 )
 
 // upstreamConn is a connection to an upstream. It carries one request at a time.
 type upstreamConn struct {
 	net.Conn
 	br        *bufio.Reader
+	limit     *io.LimitedReader // under br
 	addr      string
 	openedAt  time.Time           // before the dial
 	lifetime  wardturn.UpstreamID // at its other end; empty: not known
@@ -115,14 +120,31 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
+	limit := &io.LimitedReader{
+		R: nc,
+		N: math.MaxInt64,
+	}
 	return &upstreamConn{
 		Conn:     nc,
-		br:       bufio.NewReaderSize(nc, readBufferSize),
+		br:       bufio.NewReaderSize(limit, readBufferSize),
+		limit:    limit,
 		addr:     addr,
 		openedAt: openedAt,
 	}, nil
 }
 
+// readHead reads the head of the response to a request. An upstream that sends a head without end
+// would fill the gateway's memory.
+func (c *upstreamConn) readHead(r *http.Request) (*http.Response, error) {
+	c.limit.N = maxResponseHead
+	res, err := http.ReadResponse(c.br, r)
+	if err != nil && c.limit.N == 0 {
+		return nil, errHeadTooLarge
+	}
+	c.limit.N = math.MaxInt64
+	return res, err
+}
+
 // isReusable reports whether an idle connection is open and has nothing to read. After
 // unsolicited bytes or the end of the stream it cannot be reused.
 func (c *upstreamConn) isReusable() bool {
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -198,7 +198,7 @@
 		return 0, nil, errors.Wrap(err, "send")
 	}
 	for range maxForeignResponses {
-		res, err := http.ReadResponse(c.br, nil)
+		res, err := c.readHead(nil)
 		if err != nil {
 			return 0, nil, errors.Wrap(err, "answer")
 		}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -92,6 +92,7 @@
 		return resultUnknown
 	}
 	resp.release()
+	defer x.setWriteDeadline()()
 	x.recordBytes()
 	if res.StatusCode < http.StatusMultipleChoices {
 		x.answerBegan()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -21,6 +21,8 @@
 	// errNotAccepting is returned if the upstream stopped accepting requests after it was
 	// chosen.
 	errNotAccepting = errors.New("gateway: upstream no longer accepts requests")
+	// errHeadTooLarge is returned if the head of an upstream's response is too long.
+	errHeadTooLarge = errors.New("gateway: head of a response is too large")
 	// errForeignResponses is returned if an upstream sends only responses to other
 	// requests.
 	errForeignResponses = errors.New("gateway: upstream sent only responses to other requests")
@@ -88,7 +90,7 @@
 		return nil, errors.Wrap(err, "send")
 	}
 	for range maxForeignResponses {
-		res, err := http.ReadResponse(c.br, x.r)
+		res, err := c.readHead(x.r)
 		if err != nil {
 			return nil, errors.Wrap(err, "answer")
 		}
