platform: list an upstream that starts again after its clock was set back

A keeper takes its engine for restarted when the engine itself reports another start time, an earlier one too.

--- a/keeper/lifetime.go
+++ b/keeper/lifetime.go
@@ -14,11 +14,11 @@
 	return wardturn.NewUpstreamID(known.Instance(), st.StartMS)
 }
 
-// startLifetime sets the current lifetime of the engine. If it is a later one of the same
-// instance, the engine has restarted and its previous state is dropped. The lock must be
-// held.
+// startLifetime sets the current lifetime of the engine. If it is another one of the same
+// instance, the engine has restarted and its previous state is dropped. It has started later, also if
+// the clock of its host was set back meanwhile. The lock must be held.
 func (k *Keeper) startLifetime(id wardturn.UpstreamID) {
-	if k.upstream.StartMS() != 0 && k.upstream.Before(id) {
+	if k.upstream.StartMS() != 0 && id.StartMS() != 0 && k.upstream.Instance() == id.Instance() && k.upstream != id {
 		k.logger.Info("engine has started again", "upstream", id, "before", k.upstream)
 		k.placement.EngineRestarted()
 		k.turns.queue.EngineRestarted(k.clock.Now())
