keeper: a new fence for each lifetime of the engine

An order to the lifetime before that was delayed on the way passes all checks once the counts agree, and may load more than the engine bears.

Change: when its engine has restarted under its ID, a keeper takes a new fence, so that the engine refuses such an order after the first one of the new lifetime. Until there is one, for instance while the store is away, orders are given with the fence that the keeper has.

Spec: "A keeper whose engine restarts under its ID"; "gives the later lifetime orders with a higher fence" is red without the change.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -137,11 +137,16 @@
 func (k *Keeper) takeFence() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.fence = 0
+	k.renewFence()
+}
+
+// renewFence is takeFence, but orders are given with the current fence meanwhile. The lock must be held.
+func (k *Keeper) renewFence() {
 	if k.takingFence {
 		return
 	}
 	k.takingFence = true
-	k.fence = 0
 	k.tasks.Go(func() {
 		for {
 			fence, err := k.fences.TakeFence(k.cfg.Process)
--- a/keeper/lifetime.go
+++ b/keeper/lifetime.go
@@ -21,6 +21,9 @@
 	if k.upstream.StartMS() != 0 && id.StartMS() != 0 && k.upstream.Instance() == id.Instance() && k.upstream != id {
 		k.logger.Info("engine has started again", "upstream", id, "before", k.upstream)
 		k.placement.EngineRestarted()
+		// The engine has forgotten the fences that it has seen. With a higher one it refuses
+		// orders to its former lifetime that were delayed on the way.
+		k.renewFence()
 		k.turns.queue.EngineRestarted(k.clock.Now())
 	}
 	k.upstream = id
