soak: upstreams that a request crashes are down for two seconds, and their ports refuse

Now its port refuses connections meanwhile, its entry is not renewed, and requests that reach it while it goes down are of the same crash. For the checks, which are as they were, a request is sent only while all upstreams are up: a refusal for lack of them would show nothing.

--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -23,6 +23,10 @@
 	// alone tells of a crash if the upstream is back before a gateway checks whether it
 	// still listens.
 	listReadTime = 1200 * time.Millisecond
+	// fatalDowntime is how long an upstream that a fatal request crashed refuses connections.
+	fatalDowntime = 2 * time.Second
+	// portRetryDelay is the delay before an upstream tries again to listen at its port.
+	portRetryDelay = 20 * time.Millisecond
 	// crashLimit is the number of upstreams that a request may crash before it is refused.
 	crashLimit = 3
 	// maxLateCrashes is how often such a request may still reach upstreams after that.
@@ -38,18 +42,56 @@
 	crashes map[string]int
 }
 
-// handleCrash simulates the crash of an upstream by a request: it counts it and
-// restarts the upstream at once, without adapters, as a new lifetime.
+// handleCrash simulates the crash of an upstream by a request.
 func (w *world) handleCrash(u *upstream, path string) {
 	if strings.HasPrefix(path, partsPath) {
 		w.handlePartCrash(u, path)
 		return
 	}
-	w.fatals.mu.Lock()
-	w.fatals.crashes[path]++
-	w.fatals.mu.Unlock()
-	w.restart(u)
-	u.proxy.ResetConns()
+	w.crash(u, fatalDowntime, w.restart, func() {
+		w.fatals.mu.Lock()
+		defer w.fatals.mu.Unlock()
+		w.fatals.crashes[path]++
+	})
+}
+
+// crash ends the lifetime of an upstream. Its port refuses connections for a time, after which start begins
+// the next one. Requests that reach it while it is down are of the same crash, so that count is called once.
+func (w *world) crash(u *upstream, downtime time.Duration, start func(*upstream), count func()) {
+	u.mu.Lock()
+	down := u.down
+	u.down = true
+	u.mu.Unlock()
+	if down {
+		return
+	}
+	count()
+	u.proxy.Refuse()
+	w.wg.Go(func() {
+		time.Sleep(downtime)
+		start(u)
+		u.mu.Lock()
+		u.down = false
+		u.mu.Unlock()
+		for u.proxy.Listen() != nil { // another process uses the port for a moment
+			time.Sleep(portRetryDelay)
+		}
+	})
+}
+
+// awaitUpstreams waits until no upstream is down.
+func (w *world) awaitUpstreams() {
+	for _, u := range w.upstreams {
+		for u.isDown() {
+			time.Sleep(crashGossipTime / 10)
+		}
+	}
+}
+
+func (u *upstream) isDown() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.down
 }
 
 // sendFatal sends a request that crashes its upstream and returns the status of the
@@ -117,6 +159,7 @@
 	f.mu.Unlock()
 	for path, n := range known {
 		for i, g := range s.gateways {
+			s.world.awaitUpstreams() // a refusal for lack of them shows nothing
 			s.sendFatal(client, g, path, fmt.Sprintf("%s-late-%d", path, i))
 			time.Sleep(crashGossipTime)
 		}
@@ -125,6 +168,7 @@
 			time.Sleep(listReadTime)
 		}
 		for i, g := range s.gateways {
+			s.world.awaitUpstreams()
 			status := s.sendFatal(client, g, path, fmt.Sprintf("%s-last-%d", path, i))
 			if status != http.StatusServiceUnavailable || late > maxLateCrashes {
 				s.requests.addViolation("%s: answered %d by %s, sent on %d times after %d upstreams had ended under it", path, status, g.name, late, n)
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -54,25 +54,10 @@
 // the engine while it is down are of the same crash.
 func (w *world) handlePartCrash(u *upstream, path string) {
 	part, _, _ := strings.Cut(strings.TrimPrefix(path, partsPath+"/"), "/")
-	u.mu.Lock()
-	down := u.down
-	u.down = true
-	u.mu.Unlock()
-	if down {
-		return
-	}
-	w.parts.mu.Lock()
-	w.parts.crashes[part] = append(w.parts.crashes[part], time.Now())
-	w.parts.mu.Unlock()
-	u.proxy.ResetConns()
-	u.proxy.Block(true)
-	w.wg.Go(func() {
-		time.Sleep(partDowntime)
-		w.renew(u)
-		u.mu.Lock()
-		u.down = false
-		u.mu.Unlock()
-		u.proxy.Block(false)
+	w.crash(u, partDowntime, w.renew, func() {
+		w.parts.mu.Lock()
+		defer w.parts.mu.Unlock()
+		w.parts.crashes[part] = append(w.parts.crashes[part], time.Now())
 	})
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -239,7 +239,9 @@
 		case <-time.After(entryInterval):
 		}
 		for _, u := range w.upstreams {
-			w.writeEntry(u)
+			if !u.isDown() {
+				w.writeEntry(u)
+			}
 		}
 	}
 }
--- a/standin/faultproxy.go
+++ b/standin/faultproxy.go
@@ -56,16 +56,22 @@
 		conns:  make(map[net.Conn]*proxiedConn),
 	}
 	r.resumed = sync.NewCond(&r.mu)
+	r.startAccepting(ln)
+	return r, nil
+}
+
+func (r *FaultProxy) startAccepting(ln net.Listener) {
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
-		r.accept()
+		r.accept(ln)
 	}()
-	return r, nil
 }
 
 // Addr returns the address to connect to.
 func (r *FaultProxy) Addr() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.ln.Addr().String()
 }
 
@@ -108,6 +114,31 @@
 	}
 }
 
+// Refuse resets the open connections and has the port refuse new ones, as that of a process that has
+// crashed.
+func (r *FaultProxy) Refuse() {
+	r.ResetConns()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ln.Close()
+}
+
+// Listen ends the effect of Refuse.
+func (r *FaultProxy) Listen() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return nil
+	}
+	ln, err := net.Listen("tcp", r.ln.Addr().String())
+	if err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	r.ln = ln
+	r.startAccepting(ln)
+	return nil
+}
+
 // Freeze stalls or resumes the traffic in both directions, as a paused host does.
 func (r *FaultProxy) Freeze(on bool) {
 	r.mu.Lock()
@@ -159,14 +190,14 @@
 	r.stalled = [2]bool{}
 	r.resumed.Broadcast()
 	r.closeConns()
-	r.mu.Unlock()
 	r.ln.Close()
+	r.mu.Unlock()
 	r.wg.Wait()
 }
 
-func (r *FaultProxy) accept() {
+func (r *FaultProxy) accept(ln net.Listener) {
 	for {
-		c, err := r.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
