gateway: count crashes of an upstream that the list does not show yet apart

A plain upstream came back under its ID 2 s after a crash, the same request reached it 10 ms later, before the list showed the next lifetime, and both crashes counted as one.

Change: for a connection that was opened after the listed lifetime is known to have ended, a crash is counted for the lifetime after it. Crashes by part of a prompt are as before.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -78,42 +78,48 @@
 	signal(c.writeSignal)
 }
 
-// interrupted records that a send received no complete response. If check is set, the
-// connection was not closed by this gateway, and it is checked whether the upstream has
-// crashed. The parameter parts holds the parts of the prompt if no answer had begun.
-func (c *crashes) interrupted(m wardturn.Member, content wardturn.ContentID, parts []wardturn.ContentID, check bool) {
+// interrupted records that a send over a connection opened at the time connected received no complete
+// response. If check is set, the connection was not closed by this gateway, and it is checked
+// whether the upstream has crashed. The parameter parts holds the parts of the prompt if no
+// answer had begun.
+func (c *crashes) interrupted(m wardturn.Member, connected time.Time, content wardturn.ContentID, parts []wardturn.ContentID, check bool) {
 	c.mu.Lock()
-	fresh := c.tracker.RequestBroke(c.g.clock.Now(), content, m.ID)
+	lifetime := c.tracker.Lifetime(content, m.ID, connected)
+	fresh := c.tracker.RequestBroke(c.g.clock.Now(), content, lifetime)
 	var freshParts []wardturn.Crash
 	if check {
 		freshParts = c.parts.RequestBroke(c.g.clock.Now(), parts, m.ID)
 	}
-	check = check && !c.checking[m.ID]
+	check = check && !c.checking[lifetime]
 	if check {
-		c.checking[m.ID] = true
+		c.checking[lifetime] = true
 	}
 	c.mu.Unlock()
 	c.observed(fresh)
 	c.observedParts(freshParts, 0)
 	if check {
 		c.g.tasks.Go(func() {
-			c.check(m)
+			c.check(m, lifetime)
 		})
 	}
 }
 
-// check records a crash if the upstream no longer listens.
-func (c *crashes) check(m wardturn.Member) {
+// check records a crash of a lifetime of an upstream if that no longer listens. The lifetime is the listed
+// one or a later one.
+func (c *crashes) check(m wardturn.Member, lifetime wardturn.UpstreamID) {
 	defer func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		delete(c.checking, m.ID)
+		delete(c.checking, lifetime)
 	}()
 	if !c.g.tasks.Sleep(crashCheckDelay) || c.g.pool.listens(c.g.tasks.Context(), m.Addr) {
 		return
 	}
 	c.g.recordRefused(m.ID)
 	c.disappeared(m.ID)
+	if lifetime != m.ID {
+		c.disappeared(lifetime)
+	}
 }
 
 // disappeared records that upstreams have disappeared without draining.
@@ -220,6 +226,6 @@
 		if x.send.answered {
 			parts = nil
 		}
-		x.g.crashes.interrupted(a.Member, x.content, parts, sendResult != resultCallerGone && ctxErr == nil)
+		x.g.crashes.interrupted(a.Member, x.send.connected, x.content, parts, sendResult != resultCallerGone && ctxErr == nil)
 	}
 }
--- a/gateway/restartedupstream_test.go
+++ b/gateway/restartedupstream_test.go
@@ -308,3 +308,52 @@
 		Expect(wholeOf(results)).To(Equal(len(results)))
 	})
 })
+
+// Guards against a request that crashes an upstream again and again before the list shows its next lifetime.
+var _ = Describe("A request that crashes an upstream which comes back unlisted", func() {
+	It("is refused after three crashes", func() {
+		x := newRigWithDrain(3*time.Second, "d", "d")
+		w := &restartable{
+			x:       x,
+			startMS: 1000,
+		}
+		crashed := make(chan struct{}, 100)
+		w.ModelWorker = standin.NewModelWorker(standin.ModelWorkerConfig{
+			ID:           "t0",
+			StreamEvents: tailEvents,
+			Crash: func(string) {
+				crashed <- struct{}{}
+			},
+		})
+		w.SetFaults(standin.WorkerFaults{
+			CrashOn: "fatal",
+		})
+		w.RestartSameID(w.startMS)
+		w.listen(fmt.Sprintf("127.0.0.%d:0", firstEngineHost))
+		w.putEntry()
+		x.store.PutConfig(tailConfig())
+		Eventually(func() int {
+			return x.get("warm", "/tail/x", "").status
+		}, 3*eventTimeout, pollInterval).Should(Equal(http.StatusOK))
+		crashes := 0
+		for range 6 {
+			sent := make(chan reply, 1)
+			go func() {
+				sent <- x.send("POST", fmt.Sprintf("fatal-%d", attempts.Add(1)), "/tail/x", "", "fatal")
+			}()
+			select {
+			case <-crashed:
+				crashes++
+				w.end()
+				<-sent
+				time.Sleep(100 * time.Millisecond) // for the gateway to see that it is down
+				w.startMS += 1000
+				w.RestartSameID(w.startMS)
+				w.listen(w.addr)
+				time.Sleep(500 * time.Millisecond) // for the pause after a refusal
+			case <-sent:
+			}
+		}
+		Expect(crashes).To(Equal(3))
+	})
+})
--- a/upstreamid.go
+++ b/upstreamid.go
@@ -35,6 +35,13 @@
 	return startMS
 }
 
+// Next returns an ID for the lifetime that follows this one, as long as its start time is not known.
+// For an upstream that does not report start times it is that of a lifetime that started at the first one.
+func (id UpstreamID) Next() UpstreamID {
+	instance, startMS := id.split()
+	return NewUpstreamID(instance, startMS+1)
+}
+
 // Before reports whether this is an earlier lifetime of the same instance.
 func (id UpstreamID) Before(o UpstreamID) bool {
 	instance, startMS := id.split()
