peer: sizes of weights in a message of their own

What would have happened in a rolling upgrade: keepers of the build before closed each connection of a gateway of this one at its EngineConfig, and the other way round, so that no adapter was loaded.

Cause: added fields to the specification in EngineConfig. Frames encode structs as arrays, whose form older builds fix; adding fields to one breaks them.

Change: the sizes are not encoded with the specification; EngineSizes goes ahead of it, to keepers that announce the feature. Those of older gateways stay as they were.

--- a/gateway/link.go
+++ b/gateway/link.go
@@ -62,6 +62,9 @@
 		return
 	}
 	cfg := l.engineConfig
+	if l.conn.Understands(peer.FeatureEngineSizes) && l.conn.Send(peer.NewEngineSizes(cfg.Config, cfg.Spec)) != nil {
+		return
+	}
 	l.engineConfigSent = l.conn.Send(&cfg) == nil
 }
 
--- a/keeper/enginememory_test.go
+++ b/keeper/enginememory_test.go
@@ -24,6 +24,14 @@
 	return cfg
 }
 
+// sendSized sends a configuration as gateways do: its sizes come before.
+func sendSized(c *peer.Conn) {
+	GinkgoHelper()
+	cfg := sizedConfig()
+	Expect(c.Send(peer.NewEngineSizes(cfg.Config, cfg.Spec))).To(Succeed())
+	Expect(c.Send(cfg)).To(Succeed())
+}
+
 // Guards against an engine that falls because it is ordered to load more than its memory holds.
 var _ = Describe("A keeper whose engine has less memory than slots", func() {
 	var (
@@ -51,14 +59,14 @@
 
 	It("orders only the adapters that the memory holds", func() {
 		_, c := connect(addr)
-		Expect(c.Send(sizedConfig())).To(Succeed())
+		sendSized(c)
 		requestAll(c)
 	})
 
 	It("does so after a gateway of an older build, which does not know the sizes, has configured it", func() {
 		for _, version := range []int64{1, 2} {
 			_, newer := connect(addr)
-			Expect(newer.Send(sizedConfig())).To(Succeed())
+			sendSized(newer)
 			older, olderConn := connectFrom("host without-features", addr)
 			cfg := engineConfig(false)
 			cfg.Config = version
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -64,6 +64,8 @@
 	mu               sync.Mutex
 	placement        *decide.Placement
 	configVersion    int64               // version of the configuration in the latest EngineConfig
+	sizesVersion     int64               // the same of the latest EngineSizes
+	sizes            wardturn.EngineSpec // from that
 	upstream         wardturn.UpstreamID // the engine's current lifetime, from gateways and reports
 	upstreamPosition wardturn.Position   // position of the list entry with this lifetime
 	fence            wardturn.Fence
@@ -305,6 +307,8 @@
 	switch m := m.(type) {
 	case *peer.EngineConfig:
 		k.handleEngineConfig(c, m)
+	case *peer.EngineSizes:
+		k.handleEngineSizes(m)
 	case *peer.LoadRequest:
 		k.placement.RequestLoad(now, c.Peer().Process, m.Adapter, m.Waiting, m.OldestWait)
 		k.subscribeAdapter(c, m.Adapter.Key())
@@ -365,20 +369,34 @@
 	}
 }
 
+// handleEngineSizes handles a gateway's message of the sizes that belong to a configuration. The lock must be
+// held.
+func (k *Keeper) handleEngineSizes(m *peer.EngineSizes) {
+	if m.Config < k.sizesVersion {
+		return
+	}
+	k.sizesVersion = m.Config
+	k.sizes = m.Spec()
+	k.setSpec(k.placement.Spec())
+}
+
+// setSpec sets the specification of the engine, with the sizes that gateways have told. Those of an older
+// build tell none. The lock must be held.
+func (k *Keeper) setSpec(spec wardturn.EngineSpec) {
+	spec = spec.WithSizesOf(k.sizes)
+	if k.placement.SetSpec(spec) {
+		k.logger.Info("engine configured", "config", k.configVersion, "adapter_slots", spec.AdapterSlots, "memory_mb", spec.Memory, "models", len(spec.Models))
+	}
+}
+
 // handleEngineConfig handles a gateway's configuration of the engine and replies with the
 // full state, unless the gateway gets it through a relay. An older configuration than the
 // latest is ignored, and so is an earlier lifetime of the engine: after a restart some
 // gateways know only the earlier one. The lock must be held.
 func (k *Keeper) handleEngineConfig(c *peer.Conn, m *peer.EngineConfig) {
 	if m.Config >= k.configVersion {
-		spec := m.Spec
-		if !c.Understands(peer.FeatureEngineMemory) {
-			spec = spec.WithSizesOf(k.placement.Spec())
-		}
-		if k.placement.SetSpec(spec) {
-			k.logger.Info("engine configured", "config", m.Config, "adapter_slots", spec.AdapterSlots, "memory_mb", spec.Memory, "models", len(spec.Models))
-		}
 		k.configVersion = m.Config
+		k.setSpec(m.Spec)
 	}
 	if m.Position >= k.upstreamPosition {
 		k.upstreamPosition = m.Position
--- a/peer/feature.go
+++ b/peer/feature.go
@@ -26,12 +26,12 @@
 	FeaturePromptParts
 	// FeatureOriginRecords: StreamRecords.
 	FeatureOriginRecords
-	// FeatureEngineMemory: the sizes of weights in EngineConfig.
-	FeatureEngineMemory
+	// FeatureEngineSizes: EngineSizes.
+	FeatureEngineSizes
 )
 
 // ownFeatures are the features of this build.
-const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins | FeaturePromptParts | FeatureOriginRecords | FeatureEngineMemory
+const ownFeatures = FeaturePrefillTurns | FeaturePlainLoad | FeatureUrgentLoads | FeatureConfigRecords | FeatureStreamOrigins | FeaturePromptParts | FeatureOriginRecords | FeatureEngineSizes
 
 // Has reports whether the set contains a feature.
 func (f Features) Has(feature Features) bool {
--- a/peer/message.go
+++ b/peer/message.go
@@ -58,6 +58,7 @@
 	KindSoftwareAnnouncement
 	KindPartAnnouncement
 	KindStreamRecords
+	KindEngineSizes
 )
 
 // Message is a typed message.
@@ -315,6 +316,8 @@
 		return &PartAnnouncement{}
 	case KindStreamRecords:
 		return &StreamRecords{}
+	case KindEngineSizes:
+		return &EngineSizes{}
 	case KindStartedQuery:
 		return &StartedQuery{}
 	case KindStartedReport:
--- a/routes.go
+++ b/routes.go
@@ -67,8 +67,10 @@
 type EngineSpec struct {
 	Batch        int // maximum number of concurrent requests
 	AdapterSlots int
-	Memory       Megabytes // for the weights of models and their adapters; zero: not stated
-	Models       []ModelSpec
+	// Memory is that for the weights of models and their adapters; zero: not stated. Sizes are not part
+	// of the encoded form, which older builds fix.
+	Memory Megabytes `msgpack:"-"`
+	Models []ModelSpec
 }
 
 // Equal reports whether two specifications are equal.
@@ -81,6 +83,7 @@
 	s.Memory = o.Memory
 	s.Models = slices.Clone(s.Models)
 	for i, m := range s.Models {
+		s.Models[i].Weights, s.Models[i].AdapterSize = 0, 0
 		for _, other := range o.Models {
 			if other.Name == m.Name {
 				s.Models[i].Weights = other.Weights
@@ -95,8 +98,8 @@
 type ModelSpec struct {
 	Name        BaseModel
 	LoadTime    time.Duration
-	Weights     Megabytes // of the model without adapters
-	AdapterSize Megabytes // of one adapter
+	Weights     Megabytes `msgpack:"-"` // of the model without adapters
+	AdapterSize Megabytes `msgpack:"-"` // of one adapter
 }
 
 // Megabytes is a size of weights in memory.
