--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// lifetimeTimeout bounds the probe of a connection for the lifetime at its other end.
-	// Upstreams respond within a few milliseconds, busy ones too.
+	// lifetimeTimeout bounds the probe of a connection for the lifetime at its other end, so that
+	// an upstream that hangs does not hold up a stream that can go on elsewhere.
 	lifetimeTimeout = 300 * time.Millisecond
 	// listedTimeout bounds the wait for a read of the list by which the lifetime is told
-	// instead. Callers notice pauses of a stream of a few hundred milliseconds.
+	// instead, for which the stream pauses.
 	listedTimeout = 500 * time.Millisecond
 	// originListedTimeout is the same for recording where a stream began, for which no
 	// caller waits.
