--- a/process/socket.go
+++ b/process/socket.go
@@ -23,8 +23,15 @@
 }
 
 // SetUserTimeout sets TCP_USER_TIMEOUT on an existing connection, such as one that was
-// accepted. It does nothing if nc is not a TCP connection.
+// accepted. It does nothing if nc is neither a TCP connection nor a layer over one.
 func SetUserTimeout(nc net.Conn, d time.Duration) error {
+	for {
+		layer, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		nc = layer.NetConn()
+	}
 	tc, ok := nc.(*net.TCPConn)
 	if !ok {
 		return nil
