process: a logger with more fields stays under the limits of its lines

By reading: With of a rate-limited logger returned the logger below, so that its lines had no limit. The agent's lines went that way. The limits are now shared by a logger and those derived from it.

Test: TestLoggerWithFieldsIsUnderTheSameLimit (red before: 10 lines, 2 wanted).

--- a/process/ratelimitedlogger.go
+++ b/process/ratelimitedlogger.go
@@ -23,6 +23,11 @@
 // states how many lines with its message were suppressed before it.
 type rateLimitedLogger struct {
 	hclog.Logger
+	*lineLimiters
+}
+
+// lineLimiters are shared by a logger and those with additional fields.
+type lineLimiters struct {
 	clock wardturn.Clock
 	rates LogRates
 
@@ -41,14 +46,24 @@
 // second's worth of lines are allowed.
 func NewRateLimitedLogger(l hclog.Logger, clock wardturn.Clock, rates LogRates) hclog.Logger {
 	return &rateLimitedLogger{
-		Logger:   l,
-		clock:    clock,
-		rates:    rates,
-		limiters: make(map[string]*lineLimiter),
+		Logger: l,
+		lineLimiters: &lineLimiters{
+			clock:    clock,
+			rates:    rates,
+			limiters: make(map[string]*lineLimiter),
+		},
+	}
+}
+
+// With implements hclog.Logger. The logger with more fields is under the same limits.
+func (l *rateLimitedLogger) With(args ...any) hclog.Logger {
+	return &rateLimitedLogger{
+		Logger:       l.Logger.With(args...),
+		lineLimiters: l.lineLimiters,
 	}
 }
 
-func (l *rateLimitedLogger) rate(msg string) float64 {
+func (l *lineLimiters) rate(msg string) float64 {
 	if r, ok := l.rates.ByMessage[msg]; ok {
 		return r
 	}
@@ -57,7 +72,7 @@
 
 // allow reports whether a line may be written and, if so, how many lines with the same
 // message were suppressed before it.
-func (l *rateLimitedLogger) allow(msg string) (suppressed int, ok bool) {
+func (l *lineLimiters) allow(msg string) (suppressed int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
--- a/process/ratelimitedlogger_test.go
+++ b/process/ratelimitedlogger_test.go
@@ -59,3 +59,21 @@
 		t.Errorf("a line below the log level was counted against the rate: %q", got)
 	}
 }
+
+// Guards against log lines without a limit from loggers with more fields.
+func TestLoggerWithFieldsIsUnderTheSameLimit(t *testing.T) {
+	var buf bytes.Buffer
+	l := process.NewRateLimitedLogger(hclog.New(&hclog.LoggerOptions{
+		Output: &buf,
+	}), &fixedClock{
+		now: time.Unix(1000, 0),
+	}, process.LogRates{
+		Default: 2,
+	})
+	for i := range 10 {
+		l.With("id", i).Info("refused")
+	}
+	if got := strings.Count(buf.String(), "\n"); got != 2 {
+		t.Errorf("%d lines, want 2", got)
+	}
+}
