gateway: bound what callers and probes make the process hold

Callers saw a gateway end for lack of memory, and could take all its descriptors or all room for bodies.

Cause: net/http parses heads as they arrive, up to 132 KiB whatever max_header_bytes is, and a line of four bytes becomes some 200; nothing bounded the sum over connections. By heap profile 325.9 of 334.5 MB were in textproto.readMIMEHeader. Bodies took their room when they were announced and were waited for without a deadline; a refusal waited for the body first, also without one; small responses had no write deadline; connections had no limit but the system's. The readiness server accepted heads of 1 MiB and had no idle timeout, the metrics server no timeout at all.

The garbage collector gets a memory limit. Lines of net/http's own log are under the limit of log lines. Empty lines before a request are skipped. What net/http counted as the size of a head was more than its bytes: heads of short lines were refused (431) at three fifths of the limit.

Not one fault a commit: heads, bodies and connections meet in the same functions.

--- a/cli/agent.go
+++ b/cli/agent.go
@@ -95,10 +95,11 @@
 	if err != nil {
 		return err
 	}
+	settings.Machine().LimitMemory()
 	metrics := process.NewMetrics()
 	defer metrics.Close()
 	if settings.MetricsAddress != "" {
-		stop, err := process.ServeMetrics(settings.MetricsAddress, metrics)
+		stop, err := process.ServeMetrics(settings.MetricsAddress, metrics, settings.MaxProbes, logger)
 		if err != nil {
 			return err
 		}
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -31,6 +31,7 @@
 	TLSKey   string `name:"tls-key" help:"Private key of this process, PEM text."`
 	TLSCA    string `name:"tls-ca" help:"Certificates that sign the other processes, PEM text; several allow rotation."`
 	Check    bool   `help:"Check the settings and exit."`
+	process.LimitSettings
 }
 
 // problems collects invalid settings, at most one problem per flag.
@@ -63,6 +64,7 @@
 	p.add("listen", checkAddr(s.Listen, s.Plain))
 	p.add("log-addr", checkAddr(s.LogAddr, false))
 	p.add("host-list", checkAddr(s.HostList, false))
+	p.addAll(s.LimitSettings.Problems())
 	if !s.Plain {
 		_, err := s.tlsConfig()
 		p.add("tls-cert", err)
@@ -129,13 +131,19 @@
 }
 
 func newLogger(s Streams, name, level string) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
+	l := hclog.New(&hclog.LoggerOptions{
 		Name:   name,
 		Level:  hclog.LevelFromString(level),
 		Output: s.Err,
 	})
+	return process.NewRateLimitedLogger(l, process.Clock{}, process.LogRates{
+		Default: logRate,
+	})
 }
 
+// logRate is the maximum number of log lines per second for each message.
+const logRate = 100
+
 // daemonSettings is implemented by the settings of a daemon, which are also its flags.
 type daemonSettings interface {
 	// problems returns the invalid settings.
--- a/cli/fleet/fleet.go
+++ b/cli/fleet/fleet.go
@@ -52,6 +52,7 @@
 	Metrics  string `help:"Address of /metrics, IP:port; empty: none."`
 	LogLevel string `default:"info" enum:"trace,debug,info,warn,error" help:"Least level of log lines: trace, debug, info, warn or error."`
 	Check    bool   `help:"Check the settings and exit."`
+	process.LimitSettings
 	Settings string `help:"File of settings, a line FLAG=VALUE each; the command line and variables go before it. Read again on SIGHUP and when it changes."`
 }
 
@@ -120,6 +121,10 @@
 	wardturn.SettingProblems
 }
 
+func (b *badSettings) addAll(list wardturn.SettingProblems) {
+	b.SettingProblems = append(b.SettingProblems, list...)
+}
+
 func (b *badSettings) addr(setting, value string) {
 	_, err := netip.ParseAddrPort(value)
 	b.Require(err == nil, setting, fmt.Sprintf("%q is not IP:port", value))
@@ -164,18 +169,20 @@
 // close the log.
 func (c *common) newDaemon(name string, out io.Writer) (*daemon, error) {
 	debug.SetGCPercent(gcPercent)
-	scope, stopMetrics, err := c.serveMetrics()
+	c.Machine().LimitMemory()
+	d := &daemon{
+		Container: dig.New(),
+		logs:      process.NewLogQueue(out, logQueueSize),
+	}
+	logger := c.logger(name, d.logs)
+	scope, stopMetrics, err := c.serveMetrics(logger)
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{
-		Container:   dig.New(),
-		logs:        process.NewLogQueue(out, logQueueSize),
-		stopMetrics: stopMetrics,
-	}
+	d.stopMetrics = stopMetrics
 	err = process.Provide(d.Container,
 		func() wardturn.Clock { return process.Clock{} },
-		func() hclog.Logger { return c.logger(name, d.logs) },
+		func() hclog.Logger { return logger },
 		func() tally.Scope { return scope },
 	)
 	if err != nil {
@@ -187,12 +194,12 @@
 
 // serveMetrics starts the metrics server if an address is set. It returns the scope of
 // the process's metrics and a function that stops the server.
-func (c *common) serveMetrics() (tally.Scope, func(), error) {
+func (c *common) serveMetrics(logger hclog.Logger) (tally.Scope, func(), error) {
 	if c.Metrics == "" {
 		return tally.NoopScope, func() {}, nil
 	}
 	m := process.NewMetrics()
-	stop, err := process.ServeMetrics(c.Metrics, m)
+	stop, err := process.ServeMetrics(c.Metrics, m, c.MaxProbes, logger)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -29,7 +29,7 @@
 	RetryExtra   float64                                    `default:"52" help:"Resends beyond that which it allows all of them in a window."`
 	RetryWindow  time.Duration                              `default:"10s" help:"That window."`
 	MaxBody      int                                        `default:"1048576" help:"Bytes of a body while the configuration bounds none."`
-	MemoryMB     int64                                      `default:"256" help:"Memory of the process, in MB; an eighth of it is for callers' bodies."`
+	StallTimeout time.Duration                              `default:"10s" help:"Time after which a caller that takes no byte of a response loses its connection."`
 	VersionBound time.Duration                              `default:"5s" help:"Time after the store's word of a newer version of an adapter in which requests may begin on an older one."`
 	KeyBound     time.Duration                              `default:"5s" help:"Time after the store's word that a key was taken away in which requests may be sent that still run with it, on hosts out of touch too; 0: no bound."`
 	ColdOverage  float64                                    `default:"1" help:"What a cold upstream bears in any second, from all gateways together: so many times its rate, and cold-slack requests."`
@@ -44,11 +44,6 @@
 	LoadsAtMost  float64                                    `default:"1024" help:"Adapter loads under way from the weight store, for all gateways, at most; ten times what the largest known store serves at full speed."`
 }
 
-// bodyMemoryDivisor is the divisor of the memory limit that gives the limit on buffered
-// request bodies. The rest is for the gateway's state, for responses, and for the garbage
-// collector, which lets the heap double.
-const bodyMemoryDivisor = 8
-
 // minKeyBound is the least KeyBound other than 0. It leaves time to read the
 // configuration: gateways that rely on another gateway's announcement of a read know the
 // configuration as it was up to 1.7 s earlier.
@@ -67,7 +62,8 @@
 	b.Require(c.RetryWindow > 0, "retry-window", "must be over 0")
 	b.Require(c.VersionBound >= 0, "version-bound", "must not be negative")
 	b.Require(c.KeyBound == 0 || c.KeyBound >= minKeyBound, "key-bound", "must be 0 or at least 3s")
-	b.Require(c.MemoryMB >= 64, "memory-mb", "must be at least 64")
+	b.addAll(c.LimitSettings.Problems())
+	b.Require(c.StallTimeout > 0, "stall-timeout", "must be over 0")
 	b.Require(c.UpstreamMB >= 1, "upstream-mb", "must be at least 1")
 	b.Require(c.ColdOverage >= 1, "cold-overage", "must be at least 1")
 	b.Require(c.ColdSlack >= 0, "cold-slack", "must not be negative")
@@ -87,7 +83,11 @@
 		Drain:            c.Drain,
 		ExpiryGrace:      c.LapseGrace,
 		MaxBody:          c.MaxBody,
-		MaxBufferedBytes: c.MemoryMB << 20 / bodyMemoryDivisor,
+		MaxBufferedBytes: c.Machine().Budget(),
+		MaxConnections:   c.Connections(),
+		MaxHeadBytes:     c.Machine().Budget(),
+		MaxProbes:        c.MaxProbes,
+		StallTimeout:     c.StallTimeout,
 		RetryShare:       c.RetryShare,
 		RetryExtra:       c.RetryExtra,
 		RetryWindow:      c.RetryWindow,
--- a/cli/fleet/keeper.go
+++ b/cli/fleet/keeper.go
@@ -28,6 +28,7 @@
 	b.addr("engine", c.Engine)
 	b.optionalAddr("metrics", c.Metrics)
 	b.addr("ip", net.JoinHostPort(c.IP, c.Port))
+	b.addAll(c.LimitSettings.Problems())
 	return b.Err()
 }
 
--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"log"
+	"math"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -15,20 +17,19 @@
 	"wardturn/process"
 )
 
-// minHeaderCeiling is the smallest size of a header, in bytes, that a server reads before it refuses the
-// request. Limits up to it can change on open connections.
-const minHeaderCeiling = 128 << 10
-
-// callerServer serves callers under the limits of the configuration. An http.Server reads its limits
-// while it serves, so that they can't be changed: with new ones, another server takes over the listener,
-// and the connections of the former end with their next response. They are not closed while they are idle,
-// since a request that crosses the close would have no answer.
+// callerServer serves callers under the limits of the configuration. The limit on heads is that of
+// their connections. An http.Server reads its timeouts while it serves, so that they can't be changed: with
+// new ones, another server takes over the listener, and the connections of the former end with their
+// next response. They are not closed while they are idle, since a request that crosses the close would
+// have no answer.
 type callerServer struct {
-	handler  http.Handler
-	listener net.Listener
-	logger   hclog.Logger
-	tasks    *process.Tasks
-	errorLog *log.Logger
+	handler     http.Handler
+	listener    net.Listener
+	logger      hclog.Logger
+	tasks       *process.Tasks
+	errorLog    *log.Logger
+	connections *process.ConnLimit
+	heads       *process.HeadLimit
 
 	mu      sync.Mutex
 	limits  wardturn.CallerLimits
@@ -37,20 +38,35 @@
 	closed  bool
 }
 
-func newCallerServer(h http.Handler, ln net.Listener, clock wardturn.Clock, logger hclog.Logger, tasks *process.Tasks) *callerServer {
+func newCallerServer(h http.Handler, d Deps, tasks *process.Tasks) *callerServer {
+	limits := withDefaults(wardturn.CallerLimits{})
 	return &callerServer{
 		handler: h,
-		listener: process.RetryAccept(ln, clock, func(err error) {
-			logger.Error("accepting callers failed", "error", err)
+		listener: process.RetryAccept(d.Listener, d.Clock, func(err error) {
+			d.Logger.Error("accepting callers failed", "error", err)
 		}),
-		logger:   logger,
-		tasks:    tasks,
-		errorLog: logger.StandardLogger(&hclog.StandardLoggerOptions{}),
-		limits:   withDefaults(wardturn.CallerLimits{}),
-		servers:  make(map[*http.Server]int),
+		logger:      d.Logger,
+		tasks:       tasks,
+		errorLog:    log.New(serverLog{logger: d.Logger}, "", 0),
+		connections: process.NewConnLimit("callers", d.Config.MaxConnections, d.Clock, d.Logger, d.Metrics.scope),
+		limits:      limits,
+		heads:       process.NewHeadLimit(limits.MaxHeader, d.Config.MaxHeadBytes, cmp.Or(d.Config.StallTimeout, defaultStallTimeout), d.Logger, d.Metrics.scope),
+		servers:     make(map[*http.Server]int),
 	}
 }
 
+// serverLog writes the lines of a server under one message, so that callers that cause some can't
+// exceed its rate.
+type serverLog struct {
+	logger hclog.Logger
+}
+
+// Write implements io.Writer.
+func (l serverLog) Write(p []byte) (int, error) {
+	l.logger.Warn("request server", "line", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
 // withDefaults returns the limits with defaults for those that are not set.
 func withDefaults(l wardturn.CallerLimits) wardturn.CallerLimits {
 	l.MaxHeader = cmp.Or(l.MaxHeader, defaultMaxHeaderBytes)
@@ -61,38 +77,20 @@
 
 // ServeHTTP implements http.Handler.
 func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := callerConnOf(r)
+	c.BeginBody(r.ContentLength)
+	if r.ContentLength == 0 && !c.slot.Busy() {
+		panic(http.ErrAbortHandler) // closed in favor of another connection
+	}
 	s.mu.Lock()
-	maxHeader := s.limits.MaxHeader
-	former := r.Context().Value(http.ServerContextKey) != s.current.server
+	former := c.server != s.current.server
 	s.mu.Unlock()
-	tooLarge := headerSize(r) > maxHeader
-	if former || tooLarge {
+	if former {
 		w.Header().Set("Connection", "close")
 	}
-	if tooLarge {
-		w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
-		return
-	}
 	s.handler.ServeHTTP(w, r)
 }
 
-// headerSize returns the size of a request's head in bytes.
-func headerSize(r *http.Request) int {
-	const (
-		lineEnd   = len("\r\n")
-		separator = len(": ")
-		version   = len(" HTTP/1.1")
-	)
-	n := len(r.Method) + len(" ") + len(r.RequestURI) + version + lineEnd
-	n += len("Host") + separator + len(r.Host) + lineEnd
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + separator + len(v) + lineEnd
-		}
-	}
-	return n + lineEnd
-}
-
 // start begins to accept connections. Only the first call has an effect.
 func (s *callerServer) start() {
 	s.mu.Lock()
@@ -107,11 +105,19 @@
 // accept accepts connections until the listener is closed.
 func (s *callerServer) accept() {
 	for {
-		c, err := s.listener.Accept()
+		nc, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
-		s.dispatch(c)
+		slot := s.connections.Admit(nc)
+		if slot == nil {
+			nc.Close()
+			continue
+		}
+		s.dispatch(&callerConn{
+			HeadConn: s.heads.Conn(nc),
+			slot:     slot,
+		})
 	}
 }
 
@@ -120,8 +126,9 @@
 	l = withDefaults(l)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := serverLimits(l) != serverLimits(s.limits)
+	changed := l.HeaderTimeout != s.limits.HeaderTimeout || l.IdleTimeout != s.limits.IdleTimeout
 	s.limits = l
+	s.heads.SetSize(l.MaxHeader)
 	if s.current == nil || s.closed || !changed {
 		return
 	}
@@ -132,30 +139,23 @@
 	s.dropUnused()
 }
 
-// serverLimits returns the limits that a server is started with.
-func serverLimits(l wardturn.CallerLimits) wardturn.CallerLimits {
-	l.MaxHeader = max(l.MaxHeader, minHeaderCeiling)
-	l.MaxBody = 0
-	return l
-}
-
 // serve has a new server take over the connections that are accepted from now on. The lock must be
 // held.
 func (s *callerServer) serve() {
-	l := serverLimits(s.limits)
 	server := &http.Server{
 		Handler:           s,
-		ReadHeaderTimeout: l.HeaderTimeout,
-		IdleTimeout:       l.IdleTimeout,
-		MaxHeaderBytes:    l.MaxHeader,
+		ReadHeaderTimeout: s.limits.HeaderTimeout,
+		IdleTimeout:       s.limits.IdleTimeout,
+		MaxHeaderBytes:    math.MaxInt32, // HeadConn limits heads
 		ErrorLog:          s.errorLog,
+		ConnContext:       withCallerConn,
 	}
-	server.ConnState = func(_ net.Conn, state http.ConnState) {
-		s.count(server, state)
+	server.ConnState = func(nc net.Conn, state http.ConnState) {
+		s.count(server, nc.(*callerConn), state)
 	}
 	h := &handover{
 		addr:   s.listener.Addr(),
-		conns:  make(chan net.Conn),
+		conns:  make(chan *callerConn),
 		done:   make(chan struct{}),
 		server: server,
 	}
@@ -168,8 +168,15 @@
 	})
 }
 
-// count counts the connections of a server.
-func (s *callerServer) count(server *http.Server, state http.ConnState) {
+// count counts the connections of a server and follows their states.
+func (s *callerServer) count(server *http.Server, c *callerConn, state http.ConnState) {
+	switch state {
+	case http.StateIdle:
+		c.ExpectHead()
+		c.slot.Idle() // if it was closed meanwhile, the next read fails
+	case http.StateClosed, http.StateHijacked:
+		c.slot.Free()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -191,12 +198,13 @@
 }
 
 // dispatch passes a connection to the current server.
-func (s *callerServer) dispatch(c net.Conn) {
+func (s *callerServer) dispatch(c *callerConn) {
 	for {
 		s.mu.Lock()
 		h, closed := s.current, s.closed
 		s.mu.Unlock()
 		if closed {
+			c.slot.Free()
 			c.Close()
 			return
 		}
@@ -241,7 +249,7 @@
 type handover struct {
 	server *http.Server
 	addr   net.Addr
-	conns  chan net.Conn
+	conns  chan *callerConn
 	once   sync.Once
 	done   chan struct{} // closed with the listener
 }
@@ -250,6 +258,7 @@
 func (h *handover) Accept() (net.Conn, error) {
 	select {
 	case c := <-h.conns:
+		c.server = h.server
 		return c, nil
 	case <-h.done:
 		return nil, net.ErrClosed
--- a/gateway/errorresponse.go
+++ b/gateway/errorresponse.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -89,7 +88,7 @@
 		x.g.logger.Warn("failed to reset a caller's connection", "id", x.attempt, "error", err)
 		return
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
 		_ = tcp.SetLinger(0) // on failure the connection is closed regularly
 	}
 	c.Close()
@@ -109,6 +108,9 @@
 	if x.headerWritten {
 		x.abortResponse()
 	}
+	if x.bodyPending {
+		x.setReadDeadline(x.g.clock.Now().Add(unreadBodyTimeout))
+	}
 	h := x.w.Header()
 	h["Content-Type"] = nil
 	h.Set("Content-Length", strconv.Itoa(len(text)))
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -56,6 +56,7 @@
 	prompt          wardturn.Tokens // zero if the caller does not state it
 	attempt         string
 	body            []byte
+	bodyPending     bool  // the body was not read completely
 	reservedBody    int64 // bytes reserved for the body
 	content         wardturn.ContentID
 	parts           []wardturn.ContentID // of the prompt, that other prompts may share
@@ -152,6 +153,8 @@
 		r:       r,
 		arrived: g.clock.Now(),
 		attempt: r.Header.Get(g.names.AttemptID),
+
+		bodyPending: r.ContentLength != 0,
 	}
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
@@ -160,7 +163,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer func() {
-		g.bodyLimiter.release(x.reservedBody)
+		g.bodies.Release(x.reservedBody)
 	}()
 	if !x.resolve() || !x.readBody() {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,7 @@
 	defaultMaxHeaderBytes = 16 << 10
 	defaultIdleTimeout    = 15 * time.Second
 	defaultReadTimeout    = 3 * time.Second
+	defaultStallTimeout   = 10 * time.Second
 )
 
 // Config holds the settings of a gateway.
@@ -67,6 +68,16 @@
 	// MaxBufferedBytes limits the bytes of request bodies buffered for all requests together.
 	// Zero means no limit.
 	MaxBufferedBytes int64
+	// MaxConnections limits the connections of callers. Zero means no limit.
+	MaxConnections int
+	// MaxHeadBytes limits the memory of the heads of all requests together, in bytes, beyond a
+	// few KB for each. Zero means no limit.
+	MaxHeadBytes int64
+	// MaxProbes limits the connections of readiness probes. Zero means no limit.
+	MaxProbes int
+	// StallTimeout is how long a caller may take no byte of a response before its connection is
+	// closed; zero means 10 s. Within a request, its deadline comes first.
+	StallTimeout time.Duration
 	// RetryShare is the number of retries allowed over all gateways, as a fraction of a
 	// service's requests.
 	RetryShare    float64
@@ -138,7 +149,7 @@
 	callers           *callerServer
 	readyServer       *http.Server
 	openRequests      atomic.Int64
-	bodyLimiter       byteLimiter
+	bodies            *process.ByteBudget // buffered request bodies
 	leaving           atomic.Bool
 	membersRead       atomic.Bool // the list of upstreams has been read
 	hadUpstreams      atomic.Bool // the list has contained an upstream
@@ -168,9 +179,9 @@
 		pool:           newPool(d.Clock),
 		pendingSends:   newPendingSends(),
 		tasks:          process.NewTasks(d.Clock),
+		bodies:         process.NewByteBudget(d.Config.MaxBufferedBytes),
 		budgets:        make(map[wardturn.ServiceName]*decide.RetryBudget),
 	}
-	g.bodyLimiter.limit = d.Config.MaxBufferedBytes
 	g.lifetimes = newLifetimes(g, d.LifetimeProbe)
 	g.membership = newMembership(d.Members, d.Clock, d.Logger, d.Config.ExpiryGrace)
 	g.reads = newReadCoordinator(g)
@@ -185,7 +196,7 @@
 	g.links = newLinks(g)
 	g.origins = newOrigins(g)
 	g.originRecords = newOriginRecords(g, d.Origins)
-	g.callers = newCallerServer(g, d.Listener, d.Clock, d.Logger, g.tasks)
+	g.callers = newCallerServer(g, d, g.tasks)
 	if d.ReadyListener != nil {
 		g.serveReadiness(d.ReadyListener, d.ReadyPath)
 	}
@@ -231,11 +242,16 @@
 		}
 	})
 	g.readyServer = &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: defaultReadTimeout,
+		Handler:        mux,
+		ReadTimeout:    process.ProbeTimeout,
+		WriteTimeout:   process.ProbeTimeout,
+		IdleTimeout:    process.ProbeIdleTimeout,
+		MaxHeaderBytes: process.MaxProbeHeader,
+		ErrorLog:       g.callers.errorLog,
 	}
+	limited := process.NewConnLimit("readiness", g.cfg.MaxProbes, g.clock, g.logger, g.metrics.scope).Listener(ln)
 	g.tasks.Go(func() {
-		if err := g.readyServer.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := g.readyServer.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			g.logger.Error("readiness server failed", "error", err)
 		}
 	})
@@ -256,6 +272,8 @@
 	g.mu.Unlock()
 	g.metrics.updateLevels(levels)
 	g.metrics.updatePlain(plainLevels)
+	g.callers.heads.Report()
+	g.metrics.bodyMemory.Update(float64(g.bodies.Held()))
 	g.reads.reportAges()
 	g.crashes.sweep()
 	g.lifetimes.retain(g.listsLifetime)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -43,6 +43,7 @@
 	recordsNotApplied tally.Counter // and those that could not be
 	members           recordMetrics
 	lateWaiting       tally.Gauge // requests that wait beyond their objective
+	bodyMemory        tally.Gauge // of the budget for request bodies, in bytes
 	ranks             [maxPriority + 1]rankMetrics
 
 	mu       sync.RWMutex
@@ -112,6 +113,7 @@
 		warmLoads:         loadTime("memory"),
 		waiting:           scope.Gauge("requests_waiting"),
 		lateWaiting:       scope.Gauge("requests_waiting_late"),
+		bodyMemory:        scope.Gauge("body_memory_bytes"),
 		ranks:             newRankMetrics(scope),
 		loading:           scope.Gauge("loads_under_way"),
 		evacuated:         scope.Gauge("requests_in_evacuated"),
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"wardturn"
+	"wardturn/process"
 )
 
 // resolve finds the request's route, team and service and reads its headers. It reports
@@ -82,42 +85,41 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	body, exhausted, err := x.bufferBody(limit)
-	if exhausted {
+	x.setReadDeadline(x.deadline)
+	body, reserved, err := x.g.bodies.ReadBody(x.r.Body, x.r.ContentLength, limit)
+	x.reservedBody = reserved
+	switch {
+	case errors.Is(err, process.ErrBudgetExhausted):
 		x.w.Header().Set("Connection", "close") // the rest of the body stays unread
-		x.refuse(wardturn.ReasonQueueFull, unreadyRetryAfter, "held", x.g.bodyLimiter.reserved.Load())
+		x.refuse(wardturn.ReasonQueueFull, unreadyRetryAfter, "held", x.g.bodies.Held())
 		return false
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.w.Header().Set("Connection", "close")
+		x.fail(http.StatusRequestTimeout, "body not received in time")
+		return false
+	case err != nil:
 		panic(http.ErrAbortHandler) // the caller ended the request early
-	}
-	if int64(len(body)) > limit {
+	case int64(len(body)) > limit:
 		x.fail(http.StatusRequestEntityTooLarge, "body too large")
 		return false
+	case !markRunning(x.r):
+		panic(http.ErrAbortHandler)
 	}
 	x.body = body
+	x.bodyPending = false
 	return true
 }
 
-// bufferBody reads the body up to a limit and reserves buffer space for it; exhausted
-// reports that no space is left.
-func (x *exchange) bufferBody(limit int64) (body []byte, exhausted bool, err error) {
-	if n := x.r.ContentLength; n > 0 {
-		if !x.g.bodyLimiter.reserve(n) {
-			return nil, true, nil
-		}
-		x.reservedBody = n
-		body = make([]byte, n)
-		_, err = io.ReadFull(x.r.Body, body)
-		return body, false, err
-	}
-	r := &reservingReader{
-		r:       io.LimitReader(x.r.Body, limit+1),
-		limiter: &x.g.bodyLimiter,
-	}
-	body, err = io.ReadAll(r)
-	x.reservedBody = r.reserved
-	return body, r.exhausted, err
+// unreadBodyTimeout is how long the server waits for the rest of the body of a request that is refused
+// without it, so that the connection can be kept.
+const unreadBodyTimeout = 500 * time.Millisecond
+
+// setReadDeadline sets the time until which the body must have arrived. The server removes the
+// deadline when the body has been read.
+func (x *exchange) setReadDeadline(t time.Time) {
+	if err := http.NewResponseController(x.w).SetReadDeadline(t); err != nil {
+		x.g.logger.Warn("failed to set the read deadline of a caller's connection", "id", x.attempt, "error", err)
+	}
 }
 
 // identifyContent computes the ID of the request's content, by which logs and decisions
