peer, keeper, agent: bound what connections of other processes make a process hold

Shown by tests only: anybody who reaches the port of a keeper or an agent could end it. Cause: frames of 4 MiB were read before a Hello; a frame of four million empty elements was decoded into 640 MB; 32 MiB could wait to be sent on each connection to a peer that reads nothing; connections had no limit; an agent queued bodies without a limit in bytes.

Change: the first frame has at most 4 KiB; what is read, decoded and queued beyond 8 KiB a connection comes from one budget, with 128 bytes for each value of a frame, which are counted before it is decoded; a large frame must arrive within 10 s; connections that have not said Hello make room for others; an agent refuses requests whose bodies do not fit its budget, as not run (queue_full), and drops the body of an attempt that has ended. Buffers for frames double in place of growing by 64 KiB.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,6 +73,7 @@
 	leaving          bool
 	idle             chan struct{} // closed when the agent is leaving and has no work left
 	closed           bool
+	bodies           *process.ByteBudget // bodies of requests that wait or run
 	tasks            *process.Tasks
 }
 
@@ -95,6 +96,7 @@
 		builtin:  d.Policy,
 		idle:     make(chan struct{}),
 		started:  now,
+		bodies:   process.NewByteBudget(cfg.MaxQueuedBytes),
 		tasks:    process.NewTasks(d.Clock),
 	}
 	a.core = decide.NewAgent(now, decide.AgentConfig{
@@ -106,7 +108,11 @@
 	a.replica = control.NewReplica(d.Log, d.Clock, a.logger, cfg.Service != "")
 	a.claimer = control.NewClaimer(a.replica, d.Clock, cfg.Upstream, cfg.Process)
 	a.allocator = newAllocatorRole(a)
-	a.server = peer.NewServer(d.Listener, d.TLS, d.Clock, a.identity(), (*peerHandler)(a))
+	limits := peer.Limits{
+		Messages: process.NewByteBudget(cfg.MaxMessageBytes),
+	}
+	connections := process.NewConnLimit("peers", cfg.MaxConnections, d.Clock, d.Logger, d.Metrics.scope)
+	a.server = peer.NewServer(connections.Listener(d.Listener), d.TLS, d.Clock, a.identity(), limits, (*peerHandler)(a))
 	a.start()
 	return a
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -29,6 +29,14 @@
 	AttemptTTL       time.Duration // how long ended attempts are remembered
 	MaxEndedAttempts int           // maximum number of ended attempts remembered
 	OrphanGrace      time.Duration // how long an attempt runs on without an entry
+	// MaxConnections limits the connections of entries and other agents. Zero means no limit.
+	MaxConnections int
+	// MaxMessageBytes limits the memory in bytes of messages of all connections together that are
+	// read or wait to be sent, beyond a few KB for each connection. Zero means no limit.
+	MaxMessageBytes int64
+	// MaxQueuedBytes limits the bytes of the bodies of all requests that wait or run. Zero means no
+	// limit.
+	MaxQueuedBytes int64
 }
 
 // Default values of Config.
--- a/agent/inbound.go
+++ b/agent/inbound.go
@@ -126,9 +126,15 @@
 	t.attach(c, 0, m.Credit)
 	a.attempts[m.Attempt] = t
 	if !upToDate {
+		t.req.Body = nil // not counted yet
 		a.finish(t, wardturn.Refused(wardturn.ReasonStaleConfig, time.Second))
 		return
 	}
+	if !a.bodies.Grow(0, int64(len(m.Body))) {
+		t.req.Body = nil
+		a.finish(t, wardturn.Refused(wardturn.ReasonQueueFull, time.Second))
+		return
+	}
 	if a.versionReplaced(t) {
 		a.finish(t, wardturn.Refused(wardturn.ReasonStaleConfig, 0))
 		return
@@ -270,6 +276,8 @@
 		t.orphanTimer.Stop()
 		t.orphanTimer = nil
 	}
+	a.bodies.Release(int64(len(t.req.Body)))
+	t.req.Body = nil
 	a.flush(t)
 	a.retain(t)
 	a.metrics.attemptEnded(t.req.Class, outcome, t.adapterWait)
--- a/cli/agent.go
+++ b/cli/agent.go
@@ -48,6 +48,10 @@
 		MaxQueue:     s.MaxQueue,
 		StoreAgents:  s.StoreAgents,
 		RequireFence: true,
+
+		MaxConnections:  s.Connections(),
+		MaxMessageBytes: s.Machine().Budget(),
+		MaxQueuedBytes:  s.Machine().Budget(),
 	}
 	cfg.Store.Rate = s.StoreRate
 	cfg.Store.Parallel = s.StoreParallel
--- a/cli/fleet/keeper.go
+++ b/cli/fleet/keeper.go
@@ -74,6 +74,9 @@
 			Config: keeper.Config{
 				Process: process.NewIncarnation(),
 				Name:    c.Node,
+
+				MaxConnections:  c.Connections(),
+				MaxMessageBytes: c.Machine().Budget(),
 			},
 			Clock:    clock,
 			Logger:   logger,
--- a/gateway/announcements_internal_test.go
+++ b/gateway/announcements_internal_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	conns := make(connected, 1)
-	server := peer.NewServer(ln, nil, process.Clock{}, conns.identity("k"), connected(nil))
+	server := peer.NewServer(ln, nil, process.Clock{}, conns.identity("k"), peer.Limits{}, connected(nil))
 	t.Cleanup(server.Close)
 	client := peer.NewClient(ln.Addr().String(), nil, process.Clock{}, conns.identity("g"), conns)
 	t.Cleanup(client.Close)
--- a/gateway/configrecords_internal_test.go
+++ b/gateway/configrecords_internal_test.go
@@ -309,7 +309,7 @@
 	conns := make(connected, 1)
 	id := conns.identity("k")
 	id.Host = host
-	server := peer.NewServer(ln, nil, process.Clock{}, id, received)
+	server := peer.NewServer(ln, nil, process.Clock{}, id, peer.Limits{}, received)
 	x.t.Cleanup(server.Close)
 	client := peer.NewClient(ln.Addr().String(), nil, process.Clock{}, conns.identity("g"), conns)
 	x.t.Cleanup(client.Close)
--- a/gateway/link_internal_test.go
+++ b/gateway/link_internal_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	conns := make(connected, 1)
-	server := peer.NewServer(ln, nil, process.Clock{}, conns.identity("k"), conns)
+	server := peer.NewServer(ln, nil, process.Clock{}, conns.identity("k"), peer.Limits{}, conns)
 	t.Cleanup(server.Close)
 	client := peer.NewClient(ln.Addr().String(), nil, process.Clock{}, conns.identity("g"), conns)
 	t.Cleanup(client.Close)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -33,6 +33,11 @@
 type Config struct {
 	Process wardturn.Incarnation
 	Name    string // host name
+	// MaxConnections limits the connections of gateways and of other keepers. Zero means no limit.
+	MaxConnections int
+	// MaxMessageBytes limits the memory in bytes of messages of all connections together that are
+	// read or wait to be sent, beyond a few KB for each connection. Zero means no limit.
+	MaxMessageBytes int64
 }
 
 // Deps are the dependencies of a keeper.
@@ -116,7 +121,11 @@
 		},
 	}
 	k.relays = newRelays(k, id)
-	k.server = peer.NewServer(d.Listener, nil, d.Clock, id, k)
+	limits := peer.Limits{
+		Messages: process.NewByteBudget(d.Config.MaxMessageBytes),
+	}
+	connections := process.NewConnLimit("peers", d.Config.MaxConnections, d.Clock, d.Logger, d.Scope)
+	k.server = peer.NewServer(connections.Listener(d.Listener), nil, d.Clock, id, limits, k)
 	k.tasks.Go(k.run)
 	k.tasks.Go(k.answerStarted)
 	k.tasks.Every(turnKeepAlive, k.checkTurns)
--- a/peer/accept_test.go
+++ b/peer/accept_test.go
@@ -53,7 +53,7 @@
 	srv := &failureRecorder{
 		recorder: newRecorder(),
 	}
-	server := peer.NewServer(exhausted, nil, process.Clock{}, identity(peer.RoleAgent, "a1"), srv)
+	server := peer.NewServer(exhausted, nil, process.Clock{}, identity(peer.RoleAgent, "a1"), peer.Limits{}, srv)
 	defer server.Close()
 	cli := newRecorder()
 	client := peer.NewClient(ln.Addr().String(), nil, standin.NewFastClock(10), identity(peer.RoleEntry, "e1"), cli)
--- a/peer/client.go
+++ b/peer/client.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return false
 	}
-	conn, r, err := establish(nc, c.clock, c.id)
+	conn, err := establish(nc, c.clock, c.id, Limits{})
 	if err != nil {
 		nc.Close()
 		return false
@@ -122,7 +122,7 @@
 		return false
 	}
 	c.handler.Connected(conn)
-	conn.run(r, c.handler)
+	conn.run(c.handler)
 	c.setConn(nil)
 	return true
 }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -83,6 +83,8 @@
 	pingSentAt atomic.Int64     // clock time of the oldest ping without a reply; zero: none
 	seq        uint64
 	peerConfig atomic.Int64 // latest configuration applied by the peer
+	frames     frameReader  // used by a single goroutine
+	sendHeld   int64        // of the budget, for sendBuf
 }
 
 // Identity identifies a process in its Hello.
@@ -107,38 +109,43 @@
 }
 
 // establish exchanges Hello on a new connection.
-func establish(nc net.Conn, clock wardturn.Clock, id Identity) (*Conn, *bufio.Reader, error) {
+func establish(nc net.Conn, clock wardturn.Clock, id Identity, limits Limits) (*Conn, error) {
 	timer := clock.AfterFunc(helloTimeout, func() {
 		nc.Close()
 	})
 	defer timer.Stop()
 	frame, err := AppendFrame(nil, id.hello())
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if _, err := nc.Write(frame); err != nil {
-		return nil, nil, errors.Wrap(err, "peer: hello")
+		return nil, errors.Wrap(err, "peer: hello")
 	}
-	r := bufio.NewReaderSize(nc, readBufferSize)
-	m, _, err := ReadFrame(r, nil)
+	frames := frameReader{
+		r:      bufio.NewReaderSize(nc, readBufferSize),
+		nc:     nc,
+		budget: limits.Messages,
+	}
+	m, err := frames.next(maxHello)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "peer: hello")
+		return nil, errors.Wrap(err, "peer: hello")
 	}
 	hello, ok := m.(*Hello)
 	if !ok || hello.Protocol != Protocol {
-		return nil, nil, errors.Wrap(ErrProtocol, "hello")
+		return nil, errors.Wrap(ErrProtocol, "hello")
 	}
 	c := &Conn{
 		nc:        nc,
 		clock:     clock,
 		peerHello: *hello,
 		config:    id.Config,
+		frames:    frames,
 	}
 	c.peerHello.Host, c.features = splitHostField(hello.Host)
 	c.writable = sync.NewCond(&c.mu)
 	c.peerConfig.Store(int64(hello.Config))
 	c.lastRead.Store(clock.Now().UnixNano())
-	return c, r, nil
+	return c, nil
 }
 
 // Peer returns the peer's Hello. Its Host is the host name alone.
@@ -174,6 +181,10 @@
 	if err != nil {
 		return err
 	}
+	if !c.reserveSend(len(out)) {
+		c.failLocked(ErrSlowPeer)
+		return ErrClosed
+	}
 	c.recordUse(m)
 	c.advancePing(m)
 	c.sendBuf = out
@@ -254,7 +265,7 @@
 }
 
 // run serves the connection until it ends.
-func (c *Conn) run(r *bufio.Reader, h Handler) {
+func (c *Conn) run(h Handler) {
 	c.activity, _ = h.(ActivityReporter)
 	c.schedulePing()
 	done := make(chan struct{})
@@ -262,23 +273,22 @@
 		defer close(done)
 		c.write()
 	}()
-	c.read(r, h)
+	c.read(h)
 	<-done
+	c.frames.release()
 	c.mu.Lock()
 	err := c.err
 	c.mu.Unlock()
 	h.Closed(c, err)
 }
 
-func (c *Conn) read(r *bufio.Reader, h Handler) {
-	var scratch []byte
+func (c *Conn) read(h Handler) {
 	for {
-		m, buf, err := ReadFrame(r, scratch)
+		m, err := c.frames.next(MaxFrame)
 		if err != nil {
 			c.fail(err)
 			return
 		}
-		scratch = reusable(buf)
 		c.lastRead.Store(c.clock.Now().UnixNano())
 		c.pingSentAt.Store(0)
 		c.recordUse(m)
@@ -309,15 +319,19 @@
 			c.writable.Wait()
 		}
 		if c.err != nil {
+			c.sendBuf = nil
+			c.releaseSend(c.sendHeld)
 			c.mu.Unlock()
 			return
 		}
-		batch := c.sendBuf
-		c.sendBuf = spare[:0]
+		batch, held := c.sendBuf, c.sendHeld
+		c.sendBuf, c.sendHeld = spare[:0], 0
 		c.mu.Unlock()
-		if _, err := c.nc.Write(batch); err != nil {
+		_, err := c.nc.Write(batch)
+		c.releaseSend(held)
+		if err != nil {
 			c.fail(err)
-			return
+			continue
 		}
 		spare = reusable(batch)
 	}
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -85,7 +85,7 @@
 		t.Fatal(err)
 	}
 	srv := newRecorder()
-	server := peer.NewServer(ln, nil, process.Clock{}, identity(peer.RoleAgent, "a1"), srv)
+	server := peer.NewServer(ln, nil, process.Clock{}, identity(peer.RoleAgent, "a1"), peer.Limits{}, srv)
 	defer server.Close()
 	proxy, err := standin.NewFaultProxy(ln.Addr().String())
 	if err != nil {
@@ -119,7 +119,7 @@
 		t.Fatal(err)
 	}
 	srv := newRecorder()
-	server := peer.NewServer(ln, nil, standin.NewFastClock(10), identity(peer.RoleAgent, "a1"), srv)
+	server := peer.NewServer(ln, nil, standin.NewFastClock(10), identity(peer.RoleAgent, "a1"), peer.Limits{}, srv)
 	defer server.Close()
 	for _, hello := range []string{"GET / HTTP/1.1\r\n\r\n", ""} {
 		c, err := net.Dial("tcp", ln.Addr().String())
@@ -159,7 +159,7 @@
 	}
 	clock := standin.NewFastClock(100)
 	srv := newRecorder()
-	server := peer.NewServer(ln, nil, clock, identity(peer.RoleAgent, "a1"), srv)
+	server := peer.NewServer(ln, nil, clock, identity(peer.RoleAgent, "a1"), peer.Limits{}, srv)
 	defer server.Close()
 	cli := &busyRecorder{
 		recorder: newRecorder(),
@@ -203,7 +203,7 @@
 	}
 	clock := standin.NewFastClock(100)
 	srv := newRecorder()
-	server := peer.NewServer(ln, nil, clock, identity(peer.RoleAgent, "a1"), srv)
+	server := peer.NewServer(ln, nil, clock, identity(peer.RoleAgent, "a1"), peer.Limits{}, srv)
 	defer server.Close()
 	cli := newRecorder()
 	client := peer.NewClient(ln.Addr().String(), nil, clock, identity(peer.RoleEntry, "e1"), cli)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -41,7 +41,11 @@
 // AppendFrame appends the frame of a message to buf.
 func AppendFrame(buf []byte, m Message) ([]byte, error) {
 	e := encoders.Get().(*encoder)
-	defer encoders.Put(e)
+	defer func() {
+		if e.buf.Cap() <= maxReusedBuffer {
+			encoders.Put(e)
+		}
+	}()
 	e.buf.Reset()
 	e.enc.Reset(&e.buf)
 	e.enc.UseCompactInts(true)
@@ -87,7 +91,7 @@
 	if size > MaxFrame {
 		return nil, scratch, ErrFrameTooLarge
 	}
-	body, err := readBody(r, scratch[:0], int(size)-1)
+	body, err := readBody(r, scratch[:0], int(size)-1, unlimited)
 	if err != nil {
 		return nil, body, err
 	}
@@ -95,17 +99,27 @@
 	return m, body, err
 }
 
-// readBody reads n bytes into buf, which it grows only as they arrive.
-func readBody(r io.Reader, buf []byte, n int) ([]byte, error) {
+// unlimited is a reservation without a limit.
+func unlimited(int) error {
+	return nil
+}
+
+// readBody reads n bytes into buf, which it grows only as they arrive, after reserve has agreed to its
+// size.
+func readBody(r io.Reader, buf []byte, n int, reserve func(size int) error) ([]byte, error) {
 	const step = 64 << 10
 	for len(buf) < n {
-		grow := min(n-len(buf), max(step, cap(buf)-len(buf)))
 		start := len(buf)
-		if cap(buf) < start+grow {
-			larger := make([]byte, start, start+grow)
+		if start == cap(buf) {
+			size := min(n, max(step, 2*cap(buf)))
+			if err := reserve(cap(buf) + size); err != nil { // during the copy both are held
+				return buf, err
+			}
+			larger := make([]byte, start, size)
 			copy(larger, buf)
 			buf = larger
 		}
+		grow := min(n, cap(buf)) - start
 		buf = buf[:start+grow]
 		if _, err := io.ReadFull(r, buf[start:]); err != nil {
 			return buf, errors.Wrap(io.ErrUnexpectedEOF, "peer: truncated frame")
--- a/peer/memory_test.go
+++ b/peer/memory_test.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := peer.NewServer(ln, nil, process.Clock{}, identity("server"), nopHandler{})
+	server := peer.NewServer(ln, nil, process.Clock{}, identity("server"), peer.Limits{}, nopHandler{})
 	defer server.Close()
 	var clients []*peer.Client
 	defer func() {
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,6 +14,7 @@
 	clock   wardturn.Clock
 	id      Identity
 	handler Handler
+	limits  Limits
 	ln      net.Listener
 
 	mu          sync.Mutex
@@ -25,8 +26,9 @@
 
 // NewServer starts a server that serves connections on ln until Close. With a TLS
 // configuration that requires client certificates, the connections are mutually
-// authenticated.
-func NewServer(ln net.Listener, tlsConfig *tls.Config, clock wardturn.Clock, id Identity, h Handler) *Server {
+// authenticated. If ln has a limit on its connections, those that have not said Hello make room for
+// others.
+func NewServer(ln net.Listener, tlsConfig *tls.Config, clock wardturn.Clock, id Identity, limits Limits, h Handler) *Server {
 	failed := func(error) {}
 	if h, ok := h.(AcceptErrorHandler); ok {
 		failed = h.AcceptFailed
@@ -39,6 +41,7 @@
 		clock:       clock,
 		id:          id,
 		handler:     h,
+		limits:      limits,
 		ln:          ln,
 		conns:       make(map[*Conn]bool),
 		handshaking: make(map[net.Conn]bool),
@@ -80,12 +83,12 @@
 		s.untrack(nc)
 		return
 	}
-	c, r, err := establish(nc, s.clock, s.id)
+	c, err := establish(nc, s.clock, s.id, s.limits)
 	if !s.finishHandshake(nc, c, err) {
 		nc.Close()
 		return
 	}
-	c.run(r, s.handler)
+	c.run(s.handler)
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -115,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.handshaking, nc)
-	if err != nil || s.closed {
+	if err != nil || s.closed || !process.KeepOpen(nc) {
 		return false
 	}
 	s.conns[c] = true
