entry: bound what callers make the process hold

Shown by tests only: callers could end an entry of the embedded system with bodies of legal size, and take all its descriptors. Cause: fasthttp reads whole bodies before the handler runs, for any number of connections, and multipart forms into files; heads were bounded one by one only; connections had no limit; responses had no write deadline.

Body and copy: the body is no longer copied for a service.

--- a/cli/entry.go
+++ b/cli/entry.go
@@ -27,6 +27,7 @@
 	MaxRequests   int           `default:"20000" help:"Requests at once at most."`
 	Deadline      time.Duration `default:"60s" help:"Deadline of requests that name none."`
 	RetryShare    float64       `default:"0.1" help:"Retries as a part of the requests, 0 to 1."`
+	StallTimeout  time.Duration `default:"10s" help:"Time after which a caller that takes no byte of a response loses its connection."`
 	ShutdownLimit time.Duration `default:"10m" help:"Time that running requests have to end after a signal."`
 }
 
@@ -40,6 +41,10 @@
 		Deadline:       s.Deadline,
 		RetryShare:     s.RetryShare,
 		AllowAnonymous: s.Open,
+		MaxConnections: s.Connections(),
+		MaxHeadBytes:   s.Machine().Budget(),
+		MaxBodyBytes:   s.Machine().Budget(),
+		StallTimeout:   s.StallTimeout,
 	}
 	cfg.CallerKeys, _ = parseKeys(s.CallerKeys)
 	cfg.OperatorKeys, _ = parseKeys(s.OperatorKeys)
@@ -144,6 +149,7 @@
 	if err != nil {
 		return err
 	}
+	settings.Machine().LimitMemory()
 	metrics := process.NewMetrics()
 	defer metrics.Close()
 	c := dig.New()
--- a/entry/api.go
+++ b/entry/api.go
@@ -115,7 +115,7 @@
 func (e *Entry) readCompletion(ctx *fasthttp.RequestCtx, caller wardturn.CallerID) (*exchange, errorResponse) {
 	parser := parsers.Get()
 	defer parsers.Put(parser)
-	c, errResp := parseCompletion(parser, ctx.PostBody(), e.cfg.DefaultOutput)
+	c, errResp := parseCompletion(parser, requestBody(ctx), e.cfg.DefaultOutput)
 	if errResp.code != "" {
 		return nil, errResp
 	}
@@ -175,7 +175,7 @@
 		req.Path += "?" + string(q)
 	}
 	req.Header = forwardedHeader(ctx)
-	req.Body = append([]byte(nil), ctx.PostBody()...)
+	req.Body = requestBody(ctx)
 	req.Repeatable = doc.Repeatable(req.Method) && !boolHeader(ctx, HeaderNotRepeatable)
 	if errResp := e.setIdempotencyKey(ctx, &req); errResp.code != "" {
 		writeError(ctx, errResp)
@@ -291,6 +291,8 @@
 		e.replyError(ctx, x, wardturn.Refused(wardturn.ReasonQuota, retryAfter))
 		return
 	}
+	x.memory = memoryOf(ctx)
+	x.memory.retained = true
 	e.routerMu.Lock()
 	e.retryBudget.Request(e.clock.Now())
 	e.routerMu.Unlock()
@@ -306,6 +308,7 @@
 // endRequest releases the resources of an admitted request that has ended, and records it
 // in the metrics and the log.
 func (e *Entry) endRequest(x *exchange) {
+	x.memory.release()
 	e.releaseQuota(x.req.Caller)
 	e.openRequests.Add(-1)
 	e.metrics.observe(x)
--- a/entry/config.go
+++ b/entry/config.go
@@ -34,6 +34,10 @@
 	CallerKeys       []KeyGrant    // in addition to the keys in the configuration
 	OperatorKeys     []KeyGrant
 	DefaultOutput    wardturn.Tokens // expected output of requests that set no maximum
+	MaxConnections   int             // maximum number of connections of callers; zero: no limit
+	MaxHeadBytes     int64           // memory of the heads of all requests beyond a few KB each; zero: no limit
+	MaxBodyBytes     int64           // memory of the bodies of all requests beyond a few KB each; zero: no limit
+	StallTimeout     time.Duration   // how long a caller may take no byte of a response
 }
 
 // KeyGrant grants the holder of a key access under a name.
@@ -57,6 +61,7 @@
 	DefaultSnapshotInterval = time.Hour
 	DefaultRetryShare       = 0.1
 	DefaultOutput           = 64
+	DefaultStallTimeout     = 10 * time.Second
 )
 
 // WithDefaults returns a copy of the configuration in which zero values are replaced by
@@ -75,6 +80,7 @@
 	c.SnapshotInterval = cmp.Or(c.SnapshotInterval, DefaultSnapshotInterval)
 	c.RetryShare = cmp.Or(c.RetryShare, DefaultRetryShare)
 	c.DefaultOutput = cmp.Or(c.DefaultOutput, DefaultOutput)
+	c.StallTimeout = cmp.Or(c.StallTimeout, DefaultStallTimeout)
 	c.Router.Region = c.Region
 	c.Router.Domain = c.Domain
 	return c
@@ -90,6 +96,7 @@
 	list.Require(wardturn.ValidName(string(c.Domain)), "domain", "must be a name")
 	list.Require(c.MaxBody >= 0, "max-body", "must not be negative")
 	list.Require(c.MaxRequests >= 0, "max-requests", "must not be negative")
+	list.Require(c.StallTimeout >= 0, "stall-timeout", "must not be negative")
 	list.Require(c.Deadline >= 0, "deadline", "must not be negative")
 	list.Require(c.RetryShare >= 0 && c.RetryShare <= 1, "retry-share", "must be from 0 to 1")
 	return list
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -17,6 +17,7 @@
 type exchange struct {
 	entry        *Entry
 	req          wardturn.Request
+	memory       *requestMemory // held until the request has ended
 	model        wardturn.BaseModel
 	newest       bool            // the caller asked for the current version of the adapter
 	config       wardturn.Offset // configuration with which the request was resolved
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed" // for the OpenAPI document
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -126,7 +127,7 @@
 
 func (e *Entry) putDoc(ctx *fasthttp.RequestCtx, op operator) {
 	e.changeDoc(ctx, op, control.DocChange{
-		Body: append([]byte(nil), ctx.PostBody()...),
+		Body: slices.Clone(requestBody(ctx)),
 	})
 }
 
@@ -168,7 +169,7 @@
 
 func (e *Entry) postChange(ctx *fasthttp.RequestCtx, op operator) {
 	var req ChangeRequest
-	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+	if err := json.Unmarshal(requestBody(ctx), &req); err != nil {
 		writeError(ctx, badRequest("", "the body is not a change: "+err.Error()))
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,6 +53,8 @@
 	catalog      *control.Catalog
 	tls          *tls.Config
 	server       *fasthttp.Server
+	bodies       *process.ByteBudget // memory of the bodies of requests
+	tooLarge     sync.Map            // heads of requests whose body is refused, by *fasthttp.RequestHeader
 	listener     net.Listener
 	peerConfigs  peerConfigs
 	activePolicy atomic.Pointer[string] // name of the active policy
@@ -84,17 +86,13 @@
 func New(d Deps) *Entry {
 	cfg := d.Config.WithDefaults()
 	e := &Entry{
-		cfg:      cfg,
-		clock:    d.Clock,
-		logger:   d.Logger,
-		metrics:  d.Metrics,
-		hostList: d.Hosts,
-		tls:      d.TLS,
-		listener: lingeringListener{
-			Listener: process.RetryAccept(d.Listener, d.Clock, func(err error) {
-				d.Logger.Error("accepting callers failed", "error", err)
-			}),
-		},
+		cfg:         cfg,
+		clock:       d.Clock,
+		logger:      d.Logger,
+		metrics:     d.Metrics,
+		hostList:    d.Hosts,
+		tls:         d.TLS,
+		bodies:      process.NewByteBudget(cfg.MaxBodyBytes),
 		router:      decide.NewRouter(cfg.Router),
 		retryBudget: decide.NewRetryBudget(cfg.RetryShare, minRetryRate, retryBurst),
 		quotas:      make(map[wardturn.CallerID]*decide.Quota),
@@ -105,6 +103,13 @@
 			partial: make(map[wardturn.UpstreamID]*partialConfig),
 		},
 	}
+	accepted := process.RetryAccept(d.Listener, d.Clock, func(err error) {
+		d.Logger.Error("accepting callers failed", "error", err)
+	})
+	connections := process.NewConnLimit("callers", cfg.MaxConnections, d.Clock, d.Logger, d.Metrics.scope)
+	e.listener = lingeringListener{
+		Listener: connections.Listener(accepted),
+	}
 	e.replica = control.NewReplica(d.Log, d.Clock, d.Logger, false)
 	e.catalog = control.NewCatalog(e.replica)
 	e.recorder = report.NewRecorder(d.Clock, cfg.Process)
@@ -114,23 +119,37 @@
 	if d.HTTPS != nil {
 		e.listener = tls.NewListener(e.listener, d.HTTPS)
 	}
+	e.listener = process.NewHeadLimit(maxHeaderBytes, cfg.MaxHeadBytes, cfg.StallTimeout, d.Logger, d.Metrics.scope).Listener(e.listener)
 	e.start()
 	return e
 }
 
 func (e *Entry) newServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               e.handler(),
-		Name:                  "wardturn",
-		NoDefaultServerHeader: true,
-		MaxRequestBodySize:    e.cfg.MaxBody,
-		ReadBufferSize:        maxHeaderBytes,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
-		CloseOnShutdown:       true,
-		ErrorHandler:          e.onProtocolError,
-		Logger:                discardLogger{},
+		Handler:                      e.withMemory(e.handler()),
+		ConnState:                    onConnState,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		HeaderReceived:               e.onHead,
+		Name:                         "wardturn",
+		NoDefaultServerHeader:        true,
+		MaxRequestBodySize:           e.cfg.MaxBody,
+		ReadBufferSize:               maxHeaderBytes,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		CloseOnShutdown:              true,
+		ErrorHandler:                 e.onProtocolError,
+		Logger:                       discardLogger{},
+	}
+}
+
+// onConnState follows the requests on a connection.
+func onConnState(nc net.Conn, state fasthttp.ConnState) {
+	if state != fasthttp.StateIdle {
+		return
 	}
+	process.MarkIdle(nc)
+	nc.(*process.HeadConn).ExpectHead()
 }
 
 // discardLogger drops the log lines of fasthttp; the entry logs the relevant events
--- a/entry/errorresponse.go
+++ b/entry/errorresponse.go
@@ -188,11 +188,10 @@
 func (e *Entry) onProtocolError(ctx *fasthttp.RequestCtx, err error) {
 	errResp := badRequest("", "the request cannot be read")
 	var small *fasthttp.ErrSmallBuffer
+	tooLarge := e.wasTooLarge(&ctx.Request.Header)
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		errResp.status = fasthttp.StatusRequestEntityTooLarge
-		errResp.code = string(wardturn.ReasonTooLarge)
-		errResp.message = "the body is larger than " + strconv.Itoa(e.cfg.MaxBody) + " bytes"
+	case tooLarge, errors.Is(err, fasthttp.ErrBodyTooLarge):
+		errResp = e.bodyTooLarge()
 	case errors.As(err, &small):
 		errResp.status = fasthttp.StatusRequestHeaderFieldsTooLarge
 		errResp.code = string(wardturn.ReasonTooLarge)
--- a/entry/lingering.go
+++ b/entry/lingering.go
@@ -41,14 +41,23 @@
 	lingerOnClose atomic.Bool
 }
 
-// enableLinger marks a connection for a lingering close. For a TLS connection, it marks the
-// underlying connection.
+// NetConn returns the connection below, as tls.Conn does.
+func (c *lingeringConn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// enableLinger marks a connection, or the one below its layers, for a lingering close.
 func enableLinger(c net.Conn) {
-	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = t.NetConn()
-	}
-	if l, ok := c.(*lingeringConn); ok {
-		l.lingerOnClose.Store(true)
+	for {
+		if l, ok := c.(*lingeringConn); ok {
+			l.lingerOnClose.Store(true)
+			return
+		}
+		layer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return
+		}
+		c = layer.NetConn()
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,10 +13,12 @@
 // Metrics holds an entry's counters and histograms. To bound their cardinality, no label
 // contains an adapter, a caller or a request ID.
 type Metrics struct {
-	handler   fasthttp.RequestHandler
-	requests  *process.OutcomeCounters
-	loadStall [2]tally.Histogram // by class: wait for the adapter to be loaded
-	duration  [2]tally.Histogram // by class: total time of a request
+	scope         tally.Scope
+	handler       fasthttp.RequestHandler
+	bodiesRefused tally.Counter // for lack of memory
+	requests      *process.OutcomeCounters
+	loadStall     [2]tally.Histogram // by class: wait for the adapter to be loaded
+	duration      [2]tally.Histogram // by class: total time of a request
 }
 
 // NewMetrics registers an entry's metrics in a scope. The handler serves /metrics.
@@ -24,8 +26,10 @@
 	s := scope.SubScope("entry")
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)
 	m := &Metrics{
-		handler:  handler,
-		requests: process.NewOutcomeCounters(s, "requests_total"),
+		scope:         s,
+		handler:       handler,
+		bodiesRefused: s.Counter("bodies_refused"),
+		requests:      process.NewOutcomeCounters(s, "requests_total"),
 	}
 	for _, class := range []wardturn.Class{wardturn.Interactive, wardturn.Batch} {
 		tagged := s.Tagged(map[string]string{
