misuse: callers that read no long answer

Found by reading, while the table of listeners was made: up to 256 KiB of a response are held before it is forwarded, for each request.

--- a/misuse/callers_test.go
+++ b/misuse/callers_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"wardturn/standin"
 )
 
 // requestLine begins an ordinary request.
@@ -213,3 +215,16 @@
 		})
 	}
 }
+
+// Guards against long answers that are held for callers that don't read them.
+func TestCallersThatReadNoLongAnswer(t *testing.T) {
+	x := newGatewayRig(t)
+	x.app.SetFaults(standin.WorkerFaults{
+		Padding: 250 << 10,
+	})
+	crowd(x.front, func(c net.Conn) {
+		_, _ = c.Write([]byte(beginning() + "Content-Length: 0\r\n\r\n")) // fails if it was closed at once
+		time.Sleep(holdTime)
+	})
+	x.check(t)
+}
