process: bytes that are put back come before those that still wait

By reading, no request was seen to suffer: HeadConn put back what it had read beyond a head into the buffer of what still waited, over which it would have written if the server had read a head in pieces smaller than what waits. net/http and fasthttp do not, as far as 2,000 random sequences of requests with buffers of 16 to 4,112 bytes show.

--- a/process/headconn.go
+++ b/process/headconn.go
@@ -176,6 +176,18 @@
 	return c.Conn.Read(p)
 }
 
+// unread puts bytes before the pending ones. The lock must be held.
+func (c *HeadConn) unread(p []byte) {
+	switch {
+	case len(p) == 0:
+	case len(c.pending) == 0:
+		c.buf = append(c.buf[:0], p...)
+		c.pending = c.buf
+	default:
+		c.pending = append(append(make([]byte, 0, len(p)+len(c.pending)), p...), c.pending...)
+	}
+}
+
 // skipBlank removes empty lines before a request from p.
 func (c *HeadConn) skipBlank(p []byte) int {
 	return copy(p, p[leadingBlank(p):])
@@ -189,10 +201,7 @@
 		p = p[:copy(p, p[n:])]
 	}
 	n := c.head.scan(p)
-	if n < len(p) {
-		c.buf = append(c.buf[:0], p[n:]...)
-		c.pending = c.buf
-	}
+	c.unread(p[n:])
 	c.seen = c.head.done
 	c.merged = c.merged && !c.seen
 	switch {
