entry: report the memory of heads

By reading the change: the gauge head_memory_bytes of an entry, which OPERATIONS and running.md name, was never updated; the gateway's is. No test of its own.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,7 +119,9 @@
 	if d.HTTPS != nil {
 		e.listener = tls.NewListener(e.listener, d.HTTPS)
 	}
-	e.listener = process.NewHeadLimit(maxHeaderBytes, cfg.MaxHeadBytes, cfg.StallTimeout, d.Logger, d.Metrics.scope).Listener(e.listener)
+	heads := process.NewHeadLimit(maxHeaderBytes, cfg.MaxHeadBytes, cfg.StallTimeout, d.Logger, d.Metrics.scope)
+	e.listener = heads.Listener(e.listener)
+	e.tasks.Every(linkSweepInterval, heads.Report)
 	e.start()
 	return e
 }
