peer: a connection counts as in use once it has sent more than a Hello

Cause: connections counted as in use after their Hello, so that 700 that said it and nothing more took all places for up to 60 s; the rig's gateway had not been connected before them and was refused. Now the first message after Hello counts: gateways send one at once, and silent connections make room.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 // The buffer sizes and timeouts of a connection.
@@ -283,8 +284,11 @@
 }
 
 func (c *Conn) read(h Handler) {
-	for {
+	for first := true; ; first = false {
 		m, err := c.frames.next(MaxFrame)
+		if err == nil && first && !process.KeepOpen(c.nc) {
+			err = ErrClosed
+		}
 		if err != nil {
 			c.fail(err)
 			return
--- a/peer/server.go
+++ b/peer/server.go
@@ -26,8 +26,8 @@
 
 // NewServer starts a server that serves connections on ln until Close. With a TLS
 // configuration that requires client certificates, the connections are mutually
-// authenticated. If ln has a limit on its connections, those that have not said Hello make room for
-// others.
+// authenticated. If ln has a limit on its connections, those that have sent nothing after
+// Hello make room for others.
 func NewServer(ln net.Listener, tlsConfig *tls.Config, clock wardturn.Clock, id Identity, limits Limits, h Handler) *Server {
 	failed := func(error) {}
 	if h, ok := h.(AcceptErrorHandler); ok {
@@ -118,7 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.handshaking, nc)
-	if err != nil || s.closed || !process.KeepOpen(nc) {
+	if err != nil || s.closed {
 		return false
 	}
 	s.conns[c] = true
