gateway: shut down the servers of all limits at once

Cause: a change of a timeout adds an HTTP server for new connections. The shutdown ended them one after the other, and waits for the last request of a server before it goes on, so that one long stream kept the idle connections of all others open.

Change: all servers are shut down at once. A connection is counted before its server has accepted it, so that a server that is replaced meanwhile is not forgotten by a stop.

--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -34,7 +34,7 @@
 	mu      sync.Mutex
 	limits  wardturn.CallerLimits
 	current *handover            // listener of the server that serves new connections; nil before the start
-	servers map[*http.Server]int // connections of the current server and of former ones that have some
+	servers map[*http.Server]int // number of connections of the current server and of former ones that have some
 	closed  bool
 }
 
@@ -177,15 +177,17 @@
 	case http.StateClosed, http.StateHijacked:
 		c.slot.Free()
 	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		s.removeConn(server)
+	}
+}
+
+// removeConn counts a connection that a server does not have any more.
+func (s *callerServer) removeConn(server *http.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		s.servers[server]++
-	case http.StateClosed, http.StateHijacked:
-		s.servers[server]--
-		s.dropUnused()
-	}
+	s.servers[server]--
+	s.dropUnused()
 }
 
 // dropUnused forgets former servers without connections. The lock must be held.
@@ -202,6 +204,11 @@
 	for {
 		s.mu.Lock()
 		h, closed := s.current, s.closed
+		if !closed {
+			// Counted before the server has it, so that a server that is replaced meanwhile
+			// is not forgotten.
+			s.servers[h.server]++
+		}
 		s.mu.Unlock()
 		if closed {
 			c.slot.Free()
@@ -212,17 +219,25 @@
 		case h.conns <- c:
 			return
 		case <-h.done: // replaced meanwhile
+			s.removeConn(h.server)
 		}
 	}
 }
 
-// shutdown closes the listener and waits until all requests have ended or ctx is done.
+// shutdown closes the listener and waits until all requests have ended or ctx is done. All servers
+// close their idle connections at once: a server that waited for the requests of another one would
+// go on taking requests meanwhile.
 func (s *callerServer) shutdown(ctx context.Context) error {
-	var first error
-	for _, server := range s.close() {
-		first = cmp.Or(first, server.Shutdown(ctx))
+	servers := s.close()
+	errs := make([]error, len(servers))
+	var wg sync.WaitGroup
+	for i, server := range servers {
+		wg.Go(func() {
+			errs[i] = server.Shutdown(ctx)
+		})
 	}
-	return first
+	wg.Wait()
+	return cmp.Or(errs...)
 }
 
 // stop closes the listener and all connections.
