gateway: watch all parts of a prompt for crashes

Cause: promptParts identified the first 32 parts and dropped the rest without a word, and all header lines but the first.

Change: all parts are identified; the head of a request bounds them. Log lines name 32 parts and how many more there are.

--- a/content.go
+++ b/content.go
@@ -50,11 +50,14 @@
 // PromptPartID returns the ID of a part of prompts, from the service and the caller's name
 // for the part. Adapters are left out: a part may come under several.
 func PromptPartID(service ServiceName, part string) ContentID {
-	h := sha256.New()
-	_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(service))))
-	_, _ = h.Write([]byte(service))
-	_, _ = h.Write([]byte(part))
-	return ContentID(promptPartPrefix + hex.EncodeToString(h.Sum(nil)[:promptPartBytes]))
+	var buf [128]byte // enough for most, so that a prompt of hundreds of parts costs no allocation each
+	data := binary.AppendUvarint(buf[:0], uint64(len(service)))
+	data = append(data, service...)
+	data = append(data, part...)
+	digest := sha256.Sum256(data)
+	id := make([]byte, 0, len(promptPartPrefix)+2*promptPartBytes)
+	id = append(id, promptPartPrefix...)
+	return ContentID(hex.AppendEncode(id, digest[:promptPartBytes]))
 }
 
 // IsPromptPart reports whether the ID is one of PromptPartID.
--- a/decide/crashtracker.go
+++ b/decide/crashtracker.go
@@ -32,7 +32,8 @@
 	spacing time.Duration
 	// held holds crashes observed here of contents that were answered shortly before; nil:
 	// these are dropped.
-	held map[wardturn.Crash]time.Time
+	held    map[wardturn.Crash]time.Time
+	dropped int // entries that had no room since the last call of TakeDropped
 }
 
 // suspectContent is a content that was being served by upstreams when they ended.
@@ -77,9 +78,6 @@
 	// the upstream's entry has expired and been read, also by a gateway that was frozen
 	// meanwhile.
 	endCorrelationWindow = 12 * time.Second
-	// maxContents bounds the number of remembered contents, and so their memory. Those
-	// with the fewest and oldest crashes are dropped first.
-	maxContents = 1 << 15
 )
 
 // CrashConfig holds the limits of a CrashTracker.
@@ -117,7 +115,7 @@
 	if ended && now.Sub(at) < endCorrelationWindow {
 		return c.observed(now, []wardturn.Crash{newCrash(content, id)})
 	}
-	c.brokenRequests[newCrash(content, id)] = now
+	c.dropped += setBounded(c.brokenRequests, newCrash(content, id), now)
 	return nil
 }
 
@@ -143,7 +141,7 @@
 func (c *CrashTracker) observed(now time.Time, list []wardturn.Crash) []wardturn.Crash {
 	for _, crash := range list {
 		if c.held != nil && c.recentlyAnswered(now, crash.Content) {
-			c.held[crash] = now
+			c.dropped += setBounded(c.held, crash, now)
 		}
 	}
 	fresh := c.AddReported(now, list)
@@ -269,7 +267,7 @@
 // Answered records that a content was answered successfully, and reports whether crashes
 // had been counted for it. Their records in the store are scheduled for deletion.
 func (c *CrashTracker) Answered(now time.Time, content wardturn.ContentID) (suspected bool) {
-	c.answered[content] = now
+	c.dropped += setBounded(c.answered, content, now)
 	s := c.contents[content]
 	if s == nil {
 		return false
@@ -343,49 +341,3 @@
 		delete(c.pendingDeletes, crash)
 	}
 }
-
-// Sweep forgets what no longer counts. The gateway that observed a crash deletes its
-// record.
-func (c *CrashTracker) Sweep(now time.Time) {
-	deleteOlder(now, c.answered, answeredGrace)
-	deleteOlder(now, c.brokenRequests, endCorrelationWindow)
-	deleteOlder(now, c.ended, endCorrelationWindow)
-	for content, s := range c.contents {
-		if now.Sub(s.latest) < c.cfg.Memory {
-			continue
-		}
-		for id, state := range s.crashes {
-			if state.observedHere && state.recorded {
-				c.pendingDeletes[newCrash(content, id)] = true
-			}
-		}
-		delete(c.contents, content)
-	}
-}
-
-// deleteOlder deletes the entries that are at least maxAge old.
-func deleteOlder[K comparable](now time.Time, m map[K]time.Time, maxAge time.Duration) {
-	maps.DeleteFunc(m, func(_ K, at time.Time) bool {
-		return now.Sub(at) >= maxAge
-	})
-}
-
-// evictDivisor is the divisor for the share of contents dropped at once when there are too
-// many.
-const evictDivisor = 8
-
-// evictContents drops the contents with the fewest and oldest crashes if there are too
-// many.
-func (c *CrashTracker) evictContents() {
-	if len(c.contents) < maxContents {
-		return
-	}
-	list := slices.Collect(maps.Keys(c.contents))
-	slices.SortFunc(list, func(x, y wardturn.ContentID) int {
-		sx, sy := c.contents[x], c.contents[y]
-		return cmp.Or(cmp.Compare(sx.counted, sy.counted), sx.latest.Compare(sy.latest), cmp.Compare(x, y))
-	})
-	for _, content := range list[:len(list)/evictDivisor] {
-		delete(c.contents, content)
-	}
-}
--- a/decide/parttracker.go
+++ b/decide/parttracker.go
@@ -218,10 +218,17 @@
 	return list
 }
 
-// dropHeld forgets the ends under a part that was answered after them.
-func (t *PartTracker) dropHeld(id wardturn.ContentID) {
+// dropHeld forgets the ends under parts that were answered after them.
+func (t *PartTracker) dropHeld(parts []wardturn.ContentID) {
+	if len(t.counts.held) == 0 {
+		return
+	}
+	answered := make(map[wardturn.ContentID]bool, len(parts))
+	for _, id := range parts {
+		answered[id] = true
+	}
 	maps.DeleteFunc(t.counts.held, func(crash wardturn.Crash, _ time.Time) bool {
-		return crash.Content == id
+		return answered[crash.Content]
 	})
 }
 
@@ -236,11 +243,13 @@
 	if !waited {
 		since = at.Add(-contradictionWindow)
 	}
+	seen := make(map[wardturn.ContentID]bool)
 	for _, crash := range list {
 		answeredAt, ok := t.answered[crash.Content]
 		switch {
 		case ok && answeredAt.After(since):
-			if !slices.Contains(answered, crash.Content) {
+			if !seen[crash.Content] {
+				seen[crash.Content] = true
 				answered = append(answered, crash.Content)
 			}
 			continue
@@ -290,9 +299,9 @@
 // Answered records that answers to requests with these parts began. It returns the parts
 // that were suspected.
 func (t *PartTracker) Answered(now time.Time, parts []wardturn.ContentID) (suspected []wardturn.ContentID) {
+	t.dropHeld(parts)
 	for _, id := range parts {
-		t.answered[id] = now
-		t.dropHeld(id)
+		t.counts.dropped += setBounded(t.answered, id, now)
 		if t.counts.Answered(now, id) {
 			suspected = append(suspected, id)
 		}
@@ -304,12 +313,12 @@
 // records.
 func (t *PartTracker) ClearReported(now time.Time, parts []wardturn.ContentID) {
 	t.counts.ClearReported(parts)
+	t.dropHeld(parts)
 	for _, id := range parts {
-		t.cleared[id] = now
-		t.dropHeld(id)
+		t.counts.dropped += setBounded(t.cleared, id, now)
 		// The grace of answeredGrace after that time ends clearedGrace from now.
 		at := now.Add(clearedGrace - answeredGrace)
-		t.counts.answered[id] = latest(t.counts.answered[id], at)
+		t.counts.dropped += setBounded(t.counts.answered, id, latest(t.counts.answered[id], at))
 	}
 }
 
@@ -346,6 +355,11 @@
 	deleteOlder(now, t.cleared, answeredGrace)
 }
 
+// TakeDropped is that of CrashTracker.
+func (t *PartTracker) TakeDropped() int {
+	return t.counts.TakeDropped()
+}
+
 // Levels returns the number of parts with a crash and the number of refused ones.
 func (t *PartTracker) Levels() (suspected, refused int) {
 	return len(t.counts.contents), len(t.refused)
--- a/gateway/crashingparts.go
+++ b/gateway/crashingparts.go
@@ -20,6 +20,9 @@
 	// they had at an upstream that ended. Before it is over, the parts of one gateway would
 	// seem to explain what those of another one do.
 	partReportTime = 100 * time.Millisecond
+	// maxPartsInMessage bounds the parts in an announcement, which keepers forward to each
+	// gateway.
+	maxPartsInMessage = 256
 	// heldPartsInterval is the interval between checks for parts that were not answered again.
 	heldPartsInterval = 250 * time.Millisecond
 )
@@ -108,9 +111,11 @@
 // clearParts announces that requests with these parts were answered.
 func (c *crashes) clearParts(parts []wardturn.ContentID) {
 	c.g.logger.Info("parts of prompts not suspected any more, they were answered", "parts", formatParts(parts))
-	c.announceParts(&peer.PartAnnouncement{
-		Cleared: parts,
-	})
+	for chunk := range slices.Chunk(parts, maxPartsInMessage) {
+		c.announceParts(&peer.PartAnnouncement{
+			Cleared: chunk,
+		})
+	}
 	signal(c.writeSignal)
 }
 
@@ -121,10 +126,13 @@
 		return
 	}
 	c.g.logger.Info("parts of prompts suspected, an upstream ended under them", "upstream", fresh[0].Upstream, "parts", formatParts(contentsOf(fresh)))
-	announced := c.announceParts(&peer.PartAnnouncement{
-		Crashes: fresh,
-		Ago:     ago,
-	})
+	announced := true
+	for chunk := range slices.Chunk(fresh, maxPartsInMessage) {
+		announced = c.announceParts(&peer.PartAnnouncement{
+			Crashes: chunk,
+			Ago:     ago,
+		}) && announced
+	}
 	c.mu.Lock()
 	c.unannounced = c.unannounced || !announced
 	c.mu.Unlock()
@@ -166,8 +174,10 @@
 // contentsOf returns the contents of crashes, each once.
 func contentsOf(list []wardturn.Crash) []wardturn.ContentID {
 	var ids []wardturn.ContentID
+	seen := make(map[wardturn.ContentID]bool)
 	for _, crash := range list {
-		if !slices.Contains(ids, crash.Content) {
+		if !seen[crash.Content] {
+			seen[crash.Content] = true
 			ids = append(ids, crash.Content)
 		}
 	}
@@ -237,11 +247,13 @@
 			return
 		}
 		c.mu.Lock()
+		cleared := make(map[wardturn.ContentID]bool)
 		parts = slices.DeleteFunc(parts, func(id wardturn.ContentID) bool {
-			return c.parts.ClearedSince(reported, id)
+			cleared[id] = c.parts.ClearedSince(reported, id)
+			return cleared[id]
 		})
 		c.parts.DeleteRecords(slices.DeleteFunc(records, func(crash wardturn.Crash) bool {
-			return !slices.Contains(parts, crash.Content)
+			return cleared[crash.Content]
 		}))
 		c.mu.Unlock()
 		if len(parts) > 0 {
--- a/gateway/crashrecord.go
+++ b/gateway/crashrecord.go
@@ -194,9 +194,14 @@
 	c.tracker.Sweep(now)
 	c.parts.Sweep(now)
 	suspected, refused := c.parts.Levels()
+	dropped := c.tracker.TakeDropped() + c.parts.TakeDropped()
 	crashes, deletes := c.pendingWrites(false)
 	c.mu.Unlock()
 	c.g.metrics.updateParts(suspected, refused)
+	if dropped > 0 {
+		c.g.metrics.suspectsDropped.Inc(int64(dropped))
+		c.g.logger.Warn("too many contents and parts of prompts, some are not watched for crashes", "dropped", dropped)
+	}
 	c.updateParts()
 	if len(crashes)+len(deletes) > 0 {
 		signal(c.writeSignal)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -31,6 +31,7 @@
 	oldVersionAborted tally.Counter   // requests aborted before they started on an old version
 	relaysAbandoned   tally.Counter   // relays that sent nothing, were behind, or lost the keeper
 	crashes           tally.Counter   // requests that were at an upstream when it crashed
+	suspectsDropped   tally.Counter   // contents and parts of prompts that had no room to be watched for crashes
 	suspectedParts    tally.Gauge     // parts of prompts under which upstreams crashed
 	refusedParts      tally.Gauge     // those that are refused for it
 	staleKeys         tally.Counter   // requests rejected because the API keys were too old
@@ -126,6 +127,7 @@
 		oldVersionAborted: scope.Counter("old_version_broken_off"),
 		relaysAbandoned:   scope.Counter("relays_left"),
 		crashes:           scope.Counter("crash_suspects"),
+		suspectsDropped:   scope.Counter("crash_suspects_dropped"),
 		suspectedParts:    scope.Gauge("prompt_parts_suspected"),
 		refusedParts:      scope.Gauge("prompt_parts_refused"),
 		staleKeys:         scope.Counter("refused_stale_keys"),
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -1,41 +1,50 @@
 package gateway
 
 import (
-	"slices"
+	"fmt"
 	"strings"
 
 	"wardturn"
 )
 
-// maxPromptParts bounds the parts of a prompt that are identified, and so the cost of a
-// request that names many.
-const maxPromptParts = 32
-
 // promptParts returns the IDs of the parts of a prompt that other prompts may share, from
-// the caller's list: ID:TOKENS joined by commas. The last part belongs to the request or
-// its session.
-func promptParts(service wardturn.ServiceName, header string) []wardturn.ContentID {
-	var parts []wardturn.ContentID
-	for len(parts) < maxPromptParts {
-		part, rest, more := strings.Cut(header, ",")
-		if !more {
-			break
-		}
-		header = rest
+// the caller's list: ID:TOKENS joined by commas, in one header line or several. The last part
+// belongs to the request or its session. Any of the others may crash upstreams, so their number is
+// limited only by the size of a request's head.
+func promptParts(service wardturn.ServiceName, lines []string) []wardturn.ContentID {
+	header := strings.Join(lines, ",")
+	n := strings.Count(header, ",")
+	if n == 0 {
+		return nil
+	}
+	parts := make([]wardturn.ContentID, 0, n)
+	seen := make(map[wardturn.ContentID]bool, n)
+	for range n {
+		var part string
+		part, header, _ = strings.Cut(header, ",")
 		name, _, _ := strings.Cut(strings.TrimSpace(part), ":")
 		id := wardturn.PromptPartID(service, strings.ToLower(name))
-		if name != "" && !slices.Contains(parts, id) {
+		if name != "" && !seen[id] {
+			seen[id] = true
 			parts = append(parts, id)
 		}
 	}
 	return parts
 }
 
-// formatParts joins the IDs of parts for a log line.
+// maxLoggedParts bounds the parts in a log line.
+const maxLoggedParts = 32
+
+// formatParts joins the IDs of parts for a log line. Beyond maxLoggedParts it states how many
+// there are.
 func formatParts(parts []wardturn.ContentID) string {
-	names := make([]string, len(parts))
+	names := make([]string, 0, min(len(parts), maxLoggedParts+1))
 	for i, p := range parts {
-		names[i] = string(p)
+		if i == maxLoggedParts {
+			names = append(names, fmt.Sprintf("and %d more", len(parts)-i))
+			break
+		}
+		names = append(names, string(p))
 	}
 	return strings.Join(names, ",")
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -137,5 +137,5 @@
 		c.Team = x.team.ID
 	}
 	x.content = c.ID()
-	x.parts = promptParts(x.service, x.r.Header.Get(x.g.names.Prompt))
+	x.parts = promptParts(x.service, x.r.Header.Values(x.g.names.Prompt))
 }
