--- a/cli/operator.go
+++ b/cli/operator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -243,7 +244,7 @@
 // Run prints who published what, when, and whether it was accepted.
 func (c *historyCmd) Run(s Streams) error {
 	var page entry.HistoryPage
-	if err := c.client().do(fasthttp.MethodGet, entry.PathHistory+"?limit=1000&key="+c.Key, nil, &page); err != nil {
+	if err := c.client().do(fasthttp.MethodGet, entry.PathHistory+"?limit=1000&key="+url.QueryEscape(c.Key), nil, &page); err != nil {
 		return err
 	}
 	return printOutput(s.Out, c.Output, page.Entries, func(w io.Writer) {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -175,7 +175,7 @@
 	if x.events.last != "" {
 		b = appendHeader(b, n.LastEventID, x.events.last)
 	}
-	if x.team != nil {
+	if x.team != nil && wardturn.ValidHeaderValue(string(x.team.ID)) {
 		b = appendHeader(b, n.Team, string(x.team.ID))
 	}
 	if x.engine {
--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -229,7 +230,12 @@
 		return
 	}
 	time.Sleep(f.Delay)
-	topic := r.URL.Query().Get("topic")
+	query, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	topic := query.Get("topic")
 	if r.Method == http.MethodGet {
 		s.mu.Lock()
 		s.reads[topic]++
@@ -237,7 +243,7 @@
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET /wardturn/log-newest":
-		s.serveNewest(w, topic, r.URL.Query().Get("after"))
+		s.serveNewest(w, topic, query.Get("after"))
 	case "GET /wardturn/log-read":
 		s.serveRead(w, r, topic)
 	case "POST /wardturn/log-append":
--- a/upstreamid.go
+++ b/upstreamid.go
@@ -16,9 +16,11 @@
 // relayed message about an earlier lifetime cannot be mistaken for one about the current
 // lifetime.
 func NewUpstreamID(instance string, startMS int64) UpstreamID {
-	if instance == "" || startMS == 0 {
-		return UpstreamID(instance)
+	id := UpstreamID(instance)
+	if own, _ := id.split(); instance == "" || startMS == 0 && own == instance {
+		return id
 	}
+	// A zero start time is written out if the name itself looks like one with a start time.
 	return UpstreamID(instance + lifetimeSeparator + strconv.FormatInt(startMS, 10))
 }
 
