gateway: recognize bytes that are no response as they arrive

Cause: a head was read by the library up to 256 KiB, and bodies that nobody needs were read until the deadline.

Change: the bytes of a head are checked as they arrive; a head ends within a second of its first byte; bodies that are skipped have bounds in bytes and time (1 s behind another request's answer, 100 ms to keep a connection). Reports of engines and lists of hosts get bounds in bytes, and a probe whose body is too long does not keep its connection.

--- a/driver/hosts.go
+++ b/driver/hosts.go
@@ -35,6 +35,7 @@
 		url: "http://" + addr + PathHosts,
 		client: &fasthttp.Client{
 			MaxIdleConnDuration: maxIdleConn,
+			MaxResponseBodySize: maxResponseSize,
 		},
 	}
 }
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -34,8 +34,6 @@
 	maxIdlePerAddr      = 32
 	readBufferSize      = 4 << 10
 	maxForeignResponses = 3 // responses to other requests that are skipped
-	// maxResponseHead bounds the head of a response in bytes, with what is buffered of its body.
-	maxResponseHead = 256 << 10
 )
 
 // upstreamConn is a connection to an upstream. It carries one request at a time.
@@ -48,6 +46,8 @@
 	lifetime  wardturn.UpstreamID // at its other end; empty: not known
 	reused    bool
 	idleUntil time.Time
+	// readLimited reports that a read deadline is set.
+	readLimited bool
 }
 
 // pool keeps idle connections to upstreams.
@@ -133,18 +133,6 @@
 	}, nil
 }
 
-// readHead reads the head of the response to a request. An upstream that sends a head without end
-// would fill the gateway's memory.
-func (c *upstreamConn) readHead(r *http.Request) (*http.Response, error) {
-	c.limit.N = maxResponseHead
-	res, err := http.ReadResponse(c.br, r)
-	if err != nil && c.limit.N == 0 {
-		return nil, errHeadTooLarge
-	}
-	c.limit.N = math.MaxInt64
-	return res, err
-}
-
 // isReusable reports whether an idle connection is open and has nothing to read. After
 // unsolicited bytes or the end of the stream it cannot be reused.
 func (c *upstreamConn) isReusable() bool {
--- a/gateway/lifetimes.go
+++ b/gateway/lifetimes.go
@@ -202,7 +202,10 @@
 		if err != nil {
 			return 0, nil, errors.Wrap(err, "answer")
 		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, maxProbeBody))
+		body, err := io.ReadAll(io.LimitReader(res.Body, maxProbeBody+1))
+		if err == nil && len(body) > maxProbeBody {
+			err = errBodyTooLong
+		}
 		if err != nil {
 			return 0, nil, errors.Wrap(err, "answer")
 		}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -64,7 +64,7 @@
 // drain reads the rest of a response that is not forwarded, so that its connection can be
 // reused.
 func (x *exchange) drain(resp *response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.res.Body, maxBufferedResponse)); err != nil {
+	if resp.conn.skipBody(resp.res, maxBufferedResponse, drainTimeout) != nil {
 		resp.discard()
 		return
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -109,7 +108,7 @@
 			continue
 		}
 		x.g.logger.Warn("skipped a response to another request", "id", x.attempt, "answers", head.Attempt, "addr", c.addr)
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		if err := c.skipBody(res, maxSkippedBody, skippedBodyTimeout); err != nil {
 			return nil, errors.Wrap(err, "answer to another request")
 		}
 	}
