gateway: callers that name no attempt do not join two software versions

Cause: a gateway that has just started took the only version in the list since its start for the only one there was.

Change: for such callers the records of streams in the store must show no other version; if they cannot be read, the caller is refused with unknown_origin.

--- a/gateway/originrecords.go
+++ b/gateway/originrecords.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"sync"
 	"time"
 
@@ -38,9 +39,11 @@
 	batch      *process.Batcher[wardturn.StreamRecord]
 	readSignal chan struct{}
 
-	mu      sync.Mutex
-	stored  *decide.StreamOrigins // as read from the store
-	waiting []chan error          // lookups that wait for the next read
+	mu     sync.Mutex
+	stored *decide.StreamOrigins // as read from the store
+	// versions holds when a stream of each origin was last read from the store.
+	versions map[wardturn.StreamOrigin]time.Time
+	waiting  []chan error // lookups that wait for the next read
 }
 
 func newOriginRecords(g *Gateway, store wardturn.OriginStore) *originRecords {
@@ -49,6 +52,7 @@
 		store:      store,
 		readSignal: make(chan struct{}, 1),
 		stored:     decide.NewStreamOrigins(),
+		versions:   make(map[wardturn.StreamOrigin]time.Time),
 	}
 	r.batch = process.NewBatcher(g.tasks, process.BatcherConfig[wardturn.StreamRecord]{
 		Delay:      originBatchDelay,
@@ -114,6 +118,24 @@
 	}
 }
 
+// onlyVersion reads the store and reports whether the streams of a service that are recorded there
+// have all begun at one version. It reports false if the store can't be read in a time.
+func (r *originRecords) onlyVersion(ctx context.Context, left time.Duration, s wardturn.ServiceName, v wardturn.SoftwareVersion) bool {
+	ctx, cancel := wardturn.WithTimeout(ctx, r.g.clock, min(originTimeout, left))
+	defer cancel()
+	if r.awaitRead(ctx) != nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for origin := range r.versions {
+		if origin.Service == s && origin.Software != v {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitRead waits for a read of the store that begins after the call.
 func (r *originRecords) awaitRead(ctx context.Context) error {
 	read := make(chan error, 1)
@@ -149,7 +171,11 @@
 		r.mu.Lock()
 		for _, rec := range list {
 			r.stored.Record(now, rec.Attempt, rec.Origin, now.Add(storedOriginAge))
+			r.versions[rec.Origin] = now
 		}
+		maps.DeleteFunc(r.versions, func(_ wardturn.StreamOrigin, at time.Time) bool {
+			return now.Sub(at) > storedOriginAge
+		})
 		r.mu.Unlock()
 		for _, c := range waiting {
 			c <- err
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -74,20 +74,24 @@
 			return l
 		}
 	}
-	// Callers that name no attempt can't be told from those whose stream began before this
-	// gateway, and refusing them all for its first minute would refuse most for nothing.
-	v, ok := x.g.onlySoftware(x.service, attempt == "")
-	if ok && attempt != "" {
-		// A stream that is recorded nowhere may have begun at an upstream that had just
-		// restarted, whose version an older list lacks.
-		ok = x.g.lifetimes.awaitList(x.r.Context(), x.arrived, min(listedTimeout, x.timeLeft()))
-		if ok {
-			v, ok = x.g.onlySoftware(x.service, false)
-		}
-	}
+	v, whole, ok := x.g.onlySoftware(x.service)
 	if !ok {
 		return l
 	}
+	// A gateway that has followed the list for a short time does not know which versions have left
+	// before. For a caller that names no attempt, the streams recorded in the store tell; one whose
+	// attempt is recorded nowhere may have begun at any.
+	if !whole && (attempt != "" || !x.g.originRecords.onlyVersion(x.r.Context(), x.timeLeft(), x.service, v)) {
+		return l
+	}
+	// The stream may have begun at an upstream that had just restarted, whose version an older
+	// list lacks.
+	if !x.g.lifetimes.awaitList(x.r.Context(), x.arrived, min(listedTimeout, x.timeLeft())) {
+		return l
+	}
+	if now, _, ok := x.g.onlySoftware(x.service); !ok || now != v {
+		return l
+	}
 	l.source = originOnly
 	l.origin = wardturn.StreamOrigin{
 		Service:  x.service,
@@ -206,18 +210,17 @@
 }
 
 // onlySoftware returns the software version of a service if the current list of upstreams has
-// had no other for as long as a stream can be resumed. With partial, the time since this
-// gateway first read the list is enough.
-func (g *Gateway) onlySoftware(s wardturn.ServiceName, partial bool) (wardturn.SoftwareVersion, bool) {
+// had no other for as long as a stream can be resumed, as far as it was read then. whole reports that
+// it was read throughout: upstreams of another version may have left before this gateway started.
+func (g *Gateway) onlySoftware(s wardturn.ServiceName) (v wardturn.SoftwareVersion, whole, ok bool) {
 	now := g.clock.Now()
 	if !g.reads.membersCurrent(now, maxListAge) {
-		return "", false
+		return "", false, false
 	}
 	within := g.routes.Load().resumableFor(s)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	v, whole, ok := g.fleet.Software().Only(now, s, within)
-	return v, ok && (whole || partial)
+	return g.fleet.Software().Only(now, s, within)
 }
 
 // resumableFor returns how long after its start a stream of a service can be resumed.
