gateway, process, driver, platform: statuses below 100 and above 599 are no answers

Cause: any three digits were taken for a status.

Change: the scanner of response heads moves to process and accepts 100 to 599; connections of all fasthttp clients are checked by it (process.CheckedConn); 101 is no answer, since the gateway asks for no other protocol. Such an answer is known at once: requests that may repeat go elsewhere, others get 502. Bodies of engines' responses in the embedded system get a bound.

--- a/driver/engine.go
+++ b/driver/engine.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fastjson"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 const (
@@ -49,11 +50,14 @@
 		client: &fasthttp.Client{
 			MaxConnsPerHost:           maxConns,
 			MaxIdemponentCallAttempts: 1,
+			MaxResponseBodySize:       maxResponseSize,
+			Dial:                      process.CheckResponses(fasthttp.Dial),
 		},
 		stream: &fasthttp.Client{
 			MaxConnsPerHost:           maxConns,
 			MaxIdemponentCallAttempts: 1,
 			StreamResponseBody:        true,
+			Dial:                      process.CheckResponses(fasthttp.Dial),
 			ReadTimeout:               readTimeout,
 			MaxResponseBodySize:       maxResponseSize,
 		},
--- a/driver/hosts.go
+++ b/driver/hosts.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 const hostsTimeout = 2 * time.Second
@@ -36,6 +37,7 @@
 		client: &fasthttp.Client{
 			MaxIdleConnDuration: maxIdleConn,
 			MaxResponseBodySize: maxResponseSize,
+			Dial:                process.CheckResponses(fasthttp.Dial),
 		},
 	}
 }
--- a/driver/log.go
+++ b/driver/log.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 const (
@@ -38,6 +39,7 @@
 			// the append may have taken effect.
 			MaxIdemponentCallAttempts: 1,
 			MaxIdleConnDuration:       maxIdleConn,
+			Dial:                      process.CheckResponses(fasthttp.Dial),
 		},
 	}
 }
--- a/driver/service.go
+++ b/driver/service.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 const serviceTimeout = 30 * time.Second
@@ -27,6 +28,7 @@
 			MaxConnsPerHost:           maxConns,
 			MaxResponseBodySize:       maxResponseSize,
 			MaxIdemponentCallAttempts: 1,
+			Dial:                      process.CheckResponses(fasthttp.Dial),
 		},
 	}
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"wardturn"
+	"wardturn/process"
 )
 
 var (
@@ -104,6 +105,9 @@
 				pool: x.g.pool,
 			}, nil
 		}
+		if res.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.Wrap(process.ErrNotHTTP, "another protocol follows, which was not asked for")
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
