gateway: refuse what a planned stop would cut

Cause: the gateway did not know when its time would be over, and closed connections without a word.

Change: Config.ShutdownLimit. Once the listener is closed, a request that may outlast the end is refused as not run when it has been read, or when it has waited until its route's objective does not fit any more; what is at an upstream at the end gets 502 and is not sent again.

--- a/cli/fleet/gateway.go
+++ b/cli/fleet/gateway.go
@@ -92,6 +92,7 @@
 		RetryExtra:       c.RetryExtra,
 		RetryWindow:      c.RetryWindow,
 		ShutdownDelay:    c.LeaveAfter,
+		ShutdownLimit:    c.Grace - shutdownMargin,
 		KeyBound:         c.KeyBound,
 
 		EqualCapShares: c.EqualCaps,
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -36,10 +36,8 @@
 		},
 	}
 	x.g.admit(r)
-	select {
-	case a := <-got:
+	if a, ok := x.awaitAssignment(ctx, got); ok {
 		return x.handleAssignment(a)
-	case <-ctx.Done():
 	}
 	x.g.withdraw(r)
 	select {
@@ -61,13 +59,18 @@
 // objective of the route is that of a first event, which the caller of a resumed stream has
 // already; a refusal may end its stream.
 func (x *exchange) waitObjective() time.Duration {
-	objective := cmp.Or(x.route.Objective, defaultObjective)
+	objective := x.objective()
 	if !x.resumes() {
 		return objective
 	}
 	return max(objective, min(x.deadline.Sub(x.arrived), maxResumeWait))
 }
 
+// objective returns the time within which the route aims to answer, or begin to.
+func (x *exchange) objective() time.Duration {
+	return cmp.Or(x.route.Objective, defaultObjective)
+}
+
 // releaseAssignment releases an assignment for which nothing was sent.
 func (x *exchange) releaseAssignment(a assignment) {
 	x.endPrefill(a)
@@ -106,7 +109,7 @@
 	u := decide.Urgency{
 		Rank:     x.priority(),
 		Since:    x.arrived,
-		LateAt:   x.arrived.Add(cmp.Or(x.route.Objective, defaultObjective)),
+		LateAt:   x.arrived.Add(x.objective()),
 		Deadline: x.deadline,
 	}
 	if x.team != nil {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -165,7 +165,7 @@
 	defer func() {
 		g.bodies.Release(x.reservedBody)
 	}()
-	if !x.resolve() || !x.readBody() {
+	if !x.resolve() || x.refuseLate() || !x.readBody() || x.refuseLate() {
 		return
 	}
 	x.identifyContent()
@@ -189,15 +189,17 @@
 func (x *exchange) run() {
 	ctx, cancel := wardturn.WithTimeout(x.r.Context(), x.g.clock, x.deadline.Add(responseMargin).Sub(x.g.clock.Now()))
 	defer cancel()
+	defer context.AfterFunc(x.g.ending.ctx, cancel)()
 	x.g.countRequest(x.service)
 	for {
 		a, ok := x.acquire(ctx)
 		if !ok {
+			x.tooLateToSend()
 			x.giveUp(ctx)
 			return
 		}
 		inTime := x.takeTurn(ctx, a)
-		if !inTime || ctx.Err() != nil || x.rejectCrashing() || x.rejectCrashingSend() { // may have changed while it waited
+		if !inTime || x.tooLateToSend() || ctx.Err() != nil || x.rejectCrashing() || x.rejectCrashingSend() { // may have changed while it waited
 			x.releaseAssignment(a)
 			x.giveUp(ctx)
 			return
@@ -300,7 +302,7 @@
 
 // mayRunAgain reports whether a request whose outcome is unknown may be sent once more.
 func (x *exchange) mayRunAgain() bool {
-	return x.repeatable() && x.possibleRuns < x.route.MaxUpstreams && x.g.clock.Now().Before(x.deadline)
+	return x.repeatable() && x.possibleRuns < x.route.MaxUpstreams && x.g.clock.Now().Before(x.deadline) && x.g.ending.ctx.Err() == nil
 }
 
 // giveUp ends a request that is not sent any more. It reports it as not run, or as unknown
@@ -334,11 +336,7 @@
 		x.g.metrics.finished(x, "caller_left")
 		return
 	}
-	status := http.StatusBadGateway
-	if ctx.Err() != nil || !x.g.clock.Now().Before(x.deadline) {
-		status = http.StatusGatewayTimeout
-	}
-	x.fail(status, "the answer was lost")
+	x.fail(x.unknownStatus(ctx), "the answer was lost")
 }
 
 // trySend sends the request to one upstream and forwards its response.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -84,6 +83,9 @@
 	RetryExtra    float64 // additional retries allowed per RetryWindow
 	RetryWindow   time.Duration
 	ShutdownDelay time.Duration // how long a gateway that shuts down still accepts requests
+	// ShutdownLimit is the time from the start of a shutdown until requests that have not completed
+	// are ended. Zero means no limit.
+	ShutdownLimit time.Duration
 	// KeyBound limits how long after an API key was revoked in the store requests with
 	// that key may still be sent, on any host. Zero means no limit.
 	KeyBound time.Duration
@@ -151,6 +153,7 @@
 	openRequests      atomic.Int64
 	bodies            *process.ByteBudget // buffered request bodies
 	leaving           atomic.Bool
+	ending            *ending
 	membersRead       atomic.Bool // the list of upstreams has been read
 	hadUpstreams      atomic.Bool // the list has contained an upstream
 	tasks             *process.Tasks
@@ -177,6 +180,7 @@
 		configSource:   d.Source,
 		factStore:      d.FactStore,
 		pool:           newPool(d.Clock),
+		ending:         newEnding(),
 		pendingSends:   newPendingSends(),
 		tasks:          process.NewTasks(d.Clock),
 		bodies:         process.NewByteBudget(d.Config.MaxBufferedBytes),
@@ -282,22 +286,9 @@
 	})
 }
 
-// Shutdown shuts the gateway down gracefully. It fails the readiness probe and keeps
-// accepting requests for Config.ShutdownDelay, so that the load balancer stops sending them.
-// It then closes the listener and returns when all requests have completed or ctx is done.
-func (g *Gateway) Shutdown(ctx context.Context) {
-	g.leaving.Store(true)
-	g.logger.Info("leaving", "requests", g.openRequests.Load())
-	wardturn.Sleep(ctx, g.clock, g.cfg.ShutdownDelay)
-	if err := g.callers.shutdown(ctx); err != nil {
-		g.logger.Warn("graceful shutdown timed out with open requests", "requests", g.openRequests.Load(), "error", err)
-	}
-	g.logPromptCounts()
-	g.logger.Info("left", "requests", g.openRequests.Load())
-}
-
 // Close stops the gateway immediately, without waiting for open requests.
 func (g *Gateway) Close() {
+	g.ending.end()
 	g.tasks.Stop()
 	g.callers.stop()
 	if g.readyServer != nil {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -78,6 +78,7 @@
 	// shutdownDelay is how long gateways that are started accept requests after they begin
 	// to shut down.
 	shutdownDelay time.Duration
+	shutdownLimit time.Duration // of gateways that are started; zero: none
 	keyBound      time.Duration // of gateways that are started; zero: none
 	drain         time.Duration // of gateways that are started
 	retryExtra    float64       // of gateways that are started; zero: the default
@@ -318,6 +319,7 @@
 			RetryExtra:       cmp.Or(x.retryExtra, 52),
 			RetryWindow:      10 * time.Second,
 			ShutdownDelay:    x.shutdownDelay,
+			ShutdownLimit:    x.shutdownLimit,
 			KeyBound:         x.keyBound,
 			Crashes: decide.CrashConfig{
 				Limit:  3,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,7 +17,7 @@
 // mayResume reports whether a stream that ended early may continue at another upstream,
 // and charges the retry budget for it.
 func (x *exchange) mayResume() bool {
-	if !x.eventsBegun || !x.route.Resumable || x.r.Context().Err() != nil {
+	if !x.eventsBegun || !x.route.Resumable || x.r.Context().Err() != nil || x.g.ending.ctx.Err() != nil {
 		return false
 	}
 	if x.possibleRuns >= x.route.MaxUpstreams || !x.g.clock.Now().Before(x.deadline) || !x.events.resume() {
