gateway: an empty run without a length completes no stream that was broken off

Cause: an empty run counted as complete if any event had been forwarded, however the run before had ended.

Change: after a run that was broken off in this answer, an empty one must end by a length or the last chunk.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -156,10 +156,12 @@
 }
 
 // complete reports whether a stream of events that was read to its end is complete. A
-// resumed stream may be empty, if the caller already has its last event.
+// resumed stream may be empty, if the caller already has its last event. After a run that broke off
+// here its end must be explicit: an empty body that ends with its connection may have been broken off
+// too, before its first event.
 func (x *exchange) complete(res *http.Response, end streamEnd) bool {
 	if end == endEmpty {
-		return framingOf(res) != framingClose || x.lastEvent() != ""
+		return framingOf(res) != framingClose || x.lastEvent() != "" && !x.headerWritten
 	}
 	return end == endBetweenEvents
 }
--- a/gateway/truncatedstream_test.go
+++ b/gateway/truncatedstream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -166,6 +167,56 @@
 	})
 })
 
+// Guards against a stream that ends as complete at an answer without events and without a length, behind
+// a run that was broken off.
+var _ = Describe("A stream whose later run is empty and ends with its connection", func() {
+	empty := ending{
+		name: "empty, ends with its connection",
+		play: func(w io.Writer, head string, _ int) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s%s%sConnection: close\r\n\r\n", head, headReceipt, headEvents)
+			return false
+		},
+	}
+	brokenOff := func(after int, half string) ending {
+		return ending{
+			name: "broken off",
+			play: func(w io.Writer, head string, _ int) bool {
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s%s%sConnection: close\r\n\r\n%s%s", head, headReceipt, headEvents, scriptedStream(1, after), half)
+				return false
+			},
+		}
+	}
+	DescribeTable("ends visibly broken",
+		func(list ...ending) {
+			x := newRigOf(rigOptions{
+				drain:      500 * time.Millisecond,
+				domains:    []string{"d", "d"},
+				retryExtra: 1e6,
+			})
+			s := &script{
+				plays: make(map[string][]ending),
+				sent:  make(map[string][]ending),
+			}
+			x.startScripted(s, 8)
+			x.store.PutConfig(tailConfig())
+			Eventually(func() int {
+				return x.get("warm", "/tail/x", "").status
+			}, eventTimeout, pollInterval).Should(Equal(http.StatusOK))
+			for i := range 5 {
+				id := fmt.Sprintf("empty-run-%d", attempts.Add(1))
+				s.mu.Lock()
+				s.plays[id] = list
+				s.mu.Unlock()
+				r := x.send("POST", id, "/tail/x", "", "prompt")
+				Expect(r.err != nil || r.body == wholeStream()).To(BeTrue(), "%d: status %d, %q", i, r.status, r.body)
+			}
+		},
+		Entry("behind half an event", brokenOff(2, "id: 3\ndata: ev"), empty, empty),
+		Entry("behind the first half of the first one", brokenOff(0, "id: 1\ndata"), empty, empty),
+		Entry("and another one behind that", brokenOff(2, "id: 3"), empty, brokenOff(0, "id: 3\nda")),
+	)
+})
+
 var _ = Describe("A response that ends with its connection", func() {
 	It("is delivered, whether its request may run again or not", func() {
 		x := newRig()
