gateway: a handler that returns without a whole response aborts it

Cause: the HTTP library cancels such a request, the handler returned without a response, and the library sent its default or the last chunk.

Change: at the one place where handlers return, a response that is not whole is aborted.

--- a/gateway/errorresponse.go
+++ b/gateway/errorresponse.go
@@ -116,4 +116,5 @@
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	x.w.WriteHeader(status)
 	_, _ = x.w.Write([]byte(text)) // fails only if the caller is gone
+	x.responded = true
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -66,6 +66,7 @@
 	tried           []wardturn.UpstreamID
 	possibleRuns    int  // number of upstreams that may have run the request
 	headerWritten   bool // the response header was written to the caller
+	responded       bool // the whole response was
 	eventsBegun     bool // and it is that of a stream of events
 	refusal         *refusal
 	events          events
@@ -165,6 +166,16 @@
 	defer func() {
 		g.bodies.Release(x.reservedBody)
 	}()
+	x.handle()
+	if !x.responded {
+		x.abortResponse()
+	}
+}
+
+// handle handles the request. It may return without a complete response, which must then end visibly: the
+// server would send an empty success, or the end of a response of which the caller has a part. A caller
+// that has closed its sending side may still read.
+func (x *exchange) handle() {
 	if !x.resolve() || x.refuseLate() || !x.readBody() || x.refuseLate() {
 		return
 	}
@@ -219,10 +230,12 @@
 		x.tried = append(x.tried, a.Member.ID)
 		switch sendResult {
 		case resultForwarded:
+			x.responded = true
 			x.logLate(a)
 			x.g.metrics.finished(x, "done")
 			return
 		case resultErrorForwarded:
+			x.responded = true
 			x.g.metrics.finished(x, "upstream_error")
 			return
 		case resultCallerGone:
