gateway: deadlines beyond an hour count as an hour

Cause: the conversion to nanoseconds overflows.

Evidence: gateway/headers_test.go, "A deadline beyond all ranges", red before and green now.

--- a/gateway/headers_test.go
+++ b/gateway/headers_test.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"wardturn/standin"
 )
 
 var _ = Describe("Headers of a caller", func() {
@@ -107,3 +110,23 @@
 		}
 	})
 })
+
+// Guards against deadlines that overflow, with which a request is refused or has no time.
+var _ = Describe("A deadline beyond all ranges", func() {
+	It("leaves the request the time of its route", func() {
+		x := newRig()
+		for _, m := range x.apps {
+			m.SetFaults(standin.WorkerFaults{
+				Think: 100 * time.Millisecond,
+			})
+		}
+		for _, deadline := range []string{"3600001", "10000000000000", "18446744073710", "9223372036854775807", "99999999999999999999"} {
+			req, err := http.NewRequest(http.MethodPost, x.frontURL+"/look/x", strings.NewReader("prompt"))
+			Expect(err).NotTo(HaveOccurred())
+			req.Host = "h.example"
+			req.Header.Set("X-Wardturn-Attempt-Id", fmt.Sprintf("far-%d", attempts.Add(1)))
+			req.Header.Set("X-Wardturn-Deadline-Ms", deadline)
+			Expect(x.do(req).status).To(Equal(http.StatusOK), deadline)
+		}
+	})
+})
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,7 +45,7 @@
 		timeout = defaultTimeout
 	}
 	if n, err := strconv.Atoi(x.r.Header.Get(x.g.names.DeadlineMS)); err == nil && n > 0 {
-		timeout = min(timeout, time.Duration(n)*time.Millisecond)
+		timeout = min(timeout, time.Duration(min(n, maxDeadlineMS))*time.Millisecond)
 	}
 	x.deadline = x.arrived.Add(timeout)
 	if x.resumes() && !x.resolveOrigin() {
@@ -71,6 +71,10 @@
 	return true
 }
 
+// maxDeadlineMS is the longest deadline of a caller in milliseconds; a longer one counts as this. It keeps
+// the conversion from overflowing.
+const maxDeadlineMS = int(time.Hour / time.Millisecond)
+
 // readBody reads the complete body before the request is sent, so that a slow caller does
 // not occupy an upstream. It reports false after it has answered the request.
 func (x *exchange) readBody() bool {
