--- a/gateway/answerends_test.go
+++ b/gateway/answerends_test.go
@@ -1,11 +1,9 @@
 package gateway_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -183,68 +181,6 @@
 	return list
 }
 
-// script tells the scripted upstreams how to answer the sends of each attempt.
-type script struct {
-	mu    sync.Mutex
-	plays map[string][]ending // by attempt
-	sent  map[string][]ending // those that were played
-}
-
-func (s *script) next(attempt string) (ending, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := s.plays[attempt]
-	if len(list) == 0 {
-		return ending{}, false
-	}
-	s.plays[attempt] = list[1:]
-	s.sent[attempt] = append(s.sent[attempt], list[0])
-	return list[0], true
-}
-
-// serve answers the requests on a connection.
-func (s *script) serve(c net.Conn) {
-	defer c.Close()
-	r := bufio.NewReader(c)
-	for {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		attempt := req.Header.Get("X-Wardturn-Attempt-Id")
-		head := "X-Wardturn-Attempt-Id: " + attempt + "\r\n"
-		after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-		e, ok := s.next(attempt)
-		if !ok {
-			e = stream("whole", scriptedEvents, lastChunk, true, wholeStream)
-		}
-		if !e.play(c, head, after) {
-			return
-		}
-	}
-}
-
-// startScripted starts upstreams of the plain service that follow a script.
-func (x *rig) startScripted(s *script, n int) {
-	for i := range n {
-		ln := listen(fmt.Sprintf("127.0.0.%d:0", firstEngineHost+i))
-		DeferCleanup(ln.Close)
-		go func() {
-			for {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go s.serve(c)
-			}
-		}()
-		x.store.PutServer(fmt.Sprintf("s%d", i), fmt.Sprintf(`{"service":"tail","address":%q,"zone":"d","slots":64,"state":"ready","seq":1}`, ln.Addr()))
-	}
-}
-
 // Guards against an answer that looks complete though it is not, or that holds bytes of the
 // gateway behind those of an upstream.
 var _ = Describe("An answer of which a caller has some bytes", func() {
@@ -253,28 +189,13 @@
 		s *script
 	)
 	BeforeEach(func() {
-		x = newRigOf(rigOptions{
-			drain:      500 * time.Millisecond,
-			domains:    []string{"d", "d"},
-			retryExtra: 1e6,
-		})
-		s = &script{
-			plays: make(map[string][]ending),
-			sent:  make(map[string][]ending),
-		}
-		x.startScripted(s, 8)
-		x.store.PutConfig(tailConfig())
-		Eventually(func() int {
-			return x.get("warm", "/tail/x", "").status
-		}, eventTimeout, pollInterval).Should(Equal(http.StatusOK))
+		x, s = newScriptedRig(8, tailConfig(), "/tail/x")
 	})
 	// play sends a request with a time limit whose sends end as given. It returns a description of
 	// its answer if that is not allowed.
 	play := func(list []ending, limit time.Duration) (violation string) {
 		id := fmt.Sprintf("ends-%d", attempts.Add(1))
-		s.mu.Lock()
-		s.plays[id] = list
-		s.mu.Unlock()
+		s.plan(id, list...)
 		req := x.tailRequest(GinkgoT().Context(), x.frontURL, id)
 		req.Header.Set("X-Wardturn-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
 		r := x.do(req)
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -57,22 +57,8 @@
 	)
 	BeforeEach(func() {
 		sending.Store(0)
-		x = newRigOf(rigOptions{
-			drain:      500 * time.Millisecond,
-			domains:    []string{"d", "d"},
-			retryExtra: 1e6,
-		})
-		s = &script{
-			plays: make(map[string][]ending),
-			sent:  make(map[string][]ending),
-		}
-		x.startScripted(s, 24) // one that has failed is left alone for a while
-		x.store.PutConfig(typesConfig())
-		for _, path := range []string{"/tail/x", "/pay/x"} {
-			Eventually(func() int {
-				return x.get("warm", path, "").status
-			}, eventTimeout, pollInterval).Should(Equal(http.StatusOK))
-		}
+		// One that has failed is left alone for a while.
+		x, s = newScriptedRig(24, typesConfig(), "/tail/x", "/pay/x")
 	})
 	// play returns the ending that sends an answer without end, slowly or as fast as it is read.
 	play := func(a endlessAnswer, fast bool) ending {
@@ -130,9 +116,7 @@
 						want = http.StatusOK
 					}
 					id := fmt.Sprintf("endless-%d", attempts.Add(1))
-					s.mu.Lock()
-					s.plays[id] = []ending{play(a, fast)}
-					s.mu.Unlock()
+					s.plan(id, play(a, fast))
 					begun := time.Now()
 					r := x.send("POST", id, path, "", "prompt")
 					took := time.Since(begun)
--- a/gateway/lateingrace_test.go
+++ b/gateway/lateingrace_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -116,7 +117,7 @@
 		}
 		c := openCallerConn(x.frontURL)
 		stop()
-		write(c, fmt.Sprintf("POST /ask/x HTTP/1.1\r\nHost: h.example\r\nX-Wardturn-Attempt-Id: late-3\r\nX-Wardturn-Model: m0/a9\r\nX-Wardturn-Deadline-Ms: 3000\r\nContent-Length: 6\r\n\r\nprompt"))
+		write(c, strings.Replace(request("late-3", "/ask/x", "3000"), "Model: m0", "Model: m0/a9", 1)+"prompt")
 		at(accepts + 200*time.Millisecond)
 		expectNotRun(c, "late-3")
 	})
--- a/gateway/statuses_test.go
+++ b/gateway/statuses_test.go
@@ -16,20 +16,7 @@
 var _ = Describe("An answer with a status that is none", func() {
 	for _, path := range []string{"/tail/x", "/live/x", "/seek/x", "/pay/x"} {
 		It("is known at once and not passed on, on route "+path, func() {
-			x := newRigOf(rigOptions{
-				drain:      500 * time.Millisecond,
-				domains:    []string{"d", "d"},
-				retryExtra: 1e6,
-			})
-			s := &script{
-				plays: make(map[string][]ending),
-				sent:  make(map[string][]ending),
-			}
-			x.startScripted(s, 24)
-			x.store.PutConfig(typesConfig())
-			Eventually(func() int {
-				return x.get("warm", path, "").status
-			}, eventTimeout, pollInterval).Should(Equal(http.StatusOK))
+			x, s := newScriptedRig(24, typesConfig(), path)
 			want := http.StatusOK
 			if path == "/live/x" || path == "/pay/x" { // may run once only
 				want = http.StatusBadGateway
@@ -38,15 +25,13 @@
 			for _, status := range []string{"000", "001", "042", "099", "101", "600", "700", "999"} {
 				for _, framing := range []string{headReceipt + "Content-Length: 4\r\n\r\nbody", headReceipt + headChunked + "\r\n" + chunk("body") + lastChunk, "\r\n"} {
 					id := fmt.Sprintf("status-%d", attempts.Add(1))
-					s.mu.Lock()
-					s.plays[id] = []ending{{
+					s.plan(id, ending{
 						name: status,
 						play: func(w io.Writer, head string, _ int) bool {
 							_, err := io.WriteString(w, "HTTP/1.1 "+status+" Status\r\n"+head+framing)
 							return err == nil
 						},
-					}}
-					s.mu.Unlock()
+					})
 					begun := time.Now()
 					r := x.send("POST", id, path, "", "prompt")
 					took := time.Since(begun)
--- a/gateway/truncatedstream_test.go
+++ b/gateway/truncatedstream_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"syscall"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -188,25 +187,10 @@
 	}
 	DescribeTable("ends visibly broken",
 		func(list ...ending) {
-			x := newRigOf(rigOptions{
-				drain:      500 * time.Millisecond,
-				domains:    []string{"d", "d"},
-				retryExtra: 1e6,
-			})
-			s := &script{
-				plays: make(map[string][]ending),
-				sent:  make(map[string][]ending),
-			}
-			x.startScripted(s, 8)
-			x.store.PutConfig(tailConfig())
-			Eventually(func() int {
-				return x.get("warm", "/tail/x", "").status
-			}, eventTimeout, pollInterval).Should(Equal(http.StatusOK))
+			x, s := newScriptedRig(8, tailConfig(), "/tail/x")
 			for i := range 5 {
 				id := fmt.Sprintf("empty-run-%d", attempts.Add(1))
-				s.mu.Lock()
-				s.plays[id] = list
-				s.mu.Unlock()
+				s.plan(id, list...)
 				r := x.send("POST", id, "/tail/x", "", "prompt")
 				Expect(r.err != nil || r.body == wholeStream()).To(BeTrue(), "%d: status %d, %q", i, r.status, r.body)
 			}
