decide: an entry of a service that is not configured displaces no upstream

Cause: of two entries at an address the one written last counts, whatever its service.

Change: entries of services that are not configured remove no other.

Evidence: decide/fleet_test.go, "is not displaced at its address by an entry of a service that is not configured", red before, green now.

--- a/decide/fleet.go
+++ b/decide/fleet.go
@@ -133,23 +133,36 @@
 }
 
 // currentEntries removes entries of earlier lifetimes. An upstream that restarted is
-// listed twice until its old entry expires; the entry written last is the current one.
-func currentEntries(list []wardturn.Member) []wardturn.Member {
+// listed twice until its old entry expires; the entry written last is the current one. An entry of a
+// service that is not configured removes none: another writer may have written it, and an upstream that
+// has taken over an address refuses requests for the one before.
+func (f *Fleet) currentEntries(list []wardturn.Member) []wardturn.Member {
 	latest := make(map[string]wardturn.Position, len(list))
 	for _, e := range list {
-		latest[e.Addr] = max(latest[e.Addr], e.Position)
+		if f.configured(e.Service) {
+			latest[e.Addr] = max(latest[e.Addr], e.Position)
+		}
 	}
 	return slices.DeleteFunc(slices.Clone(list), func(e wardturn.Member) bool {
 		return e.Position < latest[e.Addr]
 	})
 }
 
+// configured reports whether a service is configured, as far as is known.
+func (f *Fleet) configured(s wardturn.ServiceName) bool {
+	if f.table == nil {
+		return true
+	}
+	_, ok := f.table.Services[s]
+	return ok
+}
+
 // SetMembers replaces the list of upstreams. It keeps the state of those that remain, and
 // returns those that are gone without having announced that they were leaving.
 func (f *Fleet) SetMembers(now time.Time, list []wardturn.Member) (lost []wardturn.UpstreamID) {
 	members := make(map[wardturn.UpstreamID]*Member, len(list))
 	services := make(map[wardturn.ServiceName][]*Member)
-	list = currentEntries(list)
+	list = f.currentEntries(list)
 	f.markKnownLeaving(now, list)
 	f.dropEndedBackoffs(now)
 	for _, e := range list {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -62,6 +62,25 @@
 		Expect(x.assigned["r"].Member.ID).To(BeEquivalentTo("n0-again"))
 	})
 
+	// Guards against entries of another writer that take live upstreams out of use.
+	It("is not displaced at its address by an entry of a service that is not configured", func() {
+		list := fleetMembers()
+		x.f.SetTable(&wardturn.RouteTable{
+			Services: map[wardturn.ServiceName]wardturn.ServiceSpec{
+				list[0].Service: {},
+			},
+		})
+		foreign := list[0]
+		foreign.ID = "foreign"
+		foreign.Service = "foreign"
+		foreign.Position = 9
+		list[0].Position = 8
+		x.f.SetMembers(x.now, append(list[:1], foreign))
+		x.setAdapters("n0", readyAdapter("a", 1))
+		x.admit("r", "a")
+		Expect(x.assigned["r"].Member.ID).To(BeEquivalentTo("n0"))
+	})
+
 	It("ignores a keeper's update for a moment after its engine refused a request as not held", func() {
 		x.setAdapters("n0", readyAdapter("a", 1))
 		x.f.NotHeld(x.now, "n0", adapterKey("a"))
