gateway, process: IDs of attempts take bounded memory

Cause: where streams began is kept by the caller's ID, for 65,536 attempts whatever their length, at the gateway and at two keepers.

Change: an ID over 64 bytes is kept, sent and recorded by a digest. Texts in log lines are cut at 1 KiB, since lines wait for a slow reader.

--- a/gateway/originrecords_test.go
+++ b/gateway/originrecords_test.go
@@ -81,6 +81,22 @@
 	})
 })
 
+// Guards against attempts with long IDs whose streams cannot be resumed, or fill the memory of those that
+// keep where they began.
+var _ = Describe("A stream of an attempt with a long ID", func() {
+	It("goes on after all hosts of gateways and keepers have lost power", func() {
+		x := newVersionedRig("v1", "v2")
+		x.holdEverywhere("m0/a1")
+		id := fmt.Sprintf("long-%d-%s", attempts.Add(1), strings.Repeat("x", 12<<10))
+		software := x.beginStream(x.frontURL, id)
+		time.Sleep(time.Second) // the record is in the store by then
+		x.gateway.Close()
+		x.restartKeepers()
+		_, front := x.startOther("after")
+		Expect(softwareOf(x.takeUp(front, id).body)).To(HaveExactElements(software, software, software))
+	})
+})
+
 var _ = Describe("A stream that is resumed before any upstream of its service is listed", func() {
 	It("does not go on at another software version that appears first", func() {
 		x := newVersionedRig("v1", "v2")
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"sync"
 	"time"
 
@@ -64,8 +66,23 @@
 	}
 }
 
+// maxOriginKey is the length in bytes up to which the ID of an attempt is kept as it is.
+const maxOriginKey = 64
+
+// originKey returns the ID under which the origin of an attempt's stream is kept here, at keepers and
+// in the store: a digest of a long one. Callers choose the IDs, within the limit on heads, and each
+// process keeps tens of thousands.
+func originKey(attempt string) string {
+	if len(attempt) <= maxOriginKey {
+		return attempt
+	}
+	digest := sha256.Sum256([]byte(attempt))
+	return "sha256-" + hex.EncodeToString(digest[:])[:maxOriginKey-len("sha256-")]
+}
+
 // record records where the stream of an attempt with a deadline began.
 func (o *origins) record(attempt string, origin wardturn.StreamOrigin, deadline time.Time) {
+	attempt = originKey(attempt)
 	now := o.g.clock.Now()
 	until := deadline.Add(originGrace)
 	o.mu.Lock()
@@ -117,6 +134,7 @@
 // and if none of the first that are asked knows, also in the store. The first that knows
 // decides. The source of the result is originUnknown if nobody knows.
 func (o *origins) find(ctx context.Context, attempt string, left time.Duration) *originLookup {
+	attempt = originKey(attempt)
 	started := o.g.clock.Now()
 	l := &originLookup{
 		source: originUnknown,
--- a/process/ratelimitedlogger.go
+++ b/process/ratelimitedlogger.go
@@ -1,6 +1,8 @@
 package process
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,12 +108,34 @@
 	if !ok {
 		return
 	}
+	args = truncateValues(args)
 	if suppressed > 0 {
 		args = append(args[:len(args):len(args)], suppressedKey, suppressed)
 	}
 	l.Logger.Log(level, msg, args...)
 }
 
+// maxLoggedValue bounds a text in a log line in bytes. Callers choose some, up to the size of a head, and
+// lines are queued for a slow reader.
+const maxLoggedValue = 1 << 10
+
+// truncateValues returns the arguments of a line with long texts cut.
+func truncateValues(args []any) []any {
+	cut := false
+	for i, arg := range args {
+		s, ok := arg.(string)
+		if !ok || len(s) <= maxLoggedValue {
+			continue
+		}
+		if !cut {
+			args = slices.Clone(args)
+			cut = true
+		}
+		args[i] = fmt.Sprintf("%s... (%d bytes)", s[:maxLoggedValue], len(s))
+	}
+	return args
+}
+
 // Trace implements hclog.Logger.
 func (l *rateLimitedLogger) Trace(msg string, args ...any) { l.Log(hclog.Trace, msg, args...) }
 
--- a/process/ratelimitedlogger_test.go
+++ b/process/ratelimitedlogger_test.go
@@ -77,3 +77,24 @@
 		t.Errorf("%d lines, want 2", got)
 	}
 }
+
+// Guards against texts of callers that fill the log, and the memory of its queue.
+func TestLongValuesAreCutInLogLines(t *testing.T) {
+	var out strings.Builder
+	l := process.NewRateLimitedLogger(hclog.New(&hclog.LoggerOptions{
+		Output: &out,
+	}), process.Clock{}, process.LogRates{
+		Default: 10,
+	})
+	args := []any{"id", strings.Repeat("x", 16<<10), "status", 404}
+	l.Info("failed", args...)
+	if n := out.Len(); n > 2<<10 {
+		t.Errorf("line of %d bytes", n)
+	}
+	if !strings.Contains(out.String(), "(16384 bytes)") || !strings.Contains(out.String(), "status=404") {
+		t.Errorf("line %s", out.String())
+	}
+	if len(args[1].(string)) != 16<<10 {
+		t.Error("the caller's arguments were changed")
+	}
+}
