--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -21,9 +21,9 @@
 
 // ending is the end of a graceful shutdown, of which requests must be told in time.
 type ending struct {
-	// begun is closed once no new connections are accepted. Then at is set.
-	begun chan struct{}
-	at    time.Time // when the requests that are left are ended; zero: not limited
+	// started is closed once no new connections are accepted. Then at is set.
+	started chan struct{}
+	at      time.Time // when the requests that are left are ended; zero: not limited
 	// ctx ends with the shutdown. Requests that are left get their last response.
 	ctx context.Context
 	end context.CancelFunc
@@ -32,9 +32,9 @@
 func newEnding() *ending {
 	ctx, end := context.WithCancel(context.Background())
 	return &ending{
-		begun: make(chan struct{}),
-		ctx:   ctx,
-		end:   end,
+		started: make(chan struct{}),
+		ctx:     ctx,
+		end:     end,
 	}
 }
 
@@ -42,7 +42,7 @@
 // not limited.
 func (e *ending) ends() (at time.Time, ok bool) {
 	select {
-	case <-e.begun:
+	case <-e.started:
 		return e.at, !e.at.IsZero()
 	default:
 		return time.Time{}, false
@@ -61,7 +61,7 @@
 	if g.cfg.ShutdownLimit > 0 {
 		g.ending.at = began.Add(g.cfg.ShutdownLimit)
 	}
-	close(g.ending.begun)
+	close(g.ending.started)
 	if err := g.callers.shutdown(ctx); err != nil {
 		g.logger.Warn("graceful shutdown timed out with open requests", "requests", g.openRequests.Load(), "error", err)
 		g.endRequests()
@@ -123,7 +123,7 @@
 		return a, true
 	case <-ctx.Done():
 		return assignment{}, false
-	case <-x.g.ending.begun:
+	case <-x.g.ending.started:
 	}
 	if latest, ok := x.latestSend(); ok {
 		limited, cancel := wardturn.WithTimeout(ctx, x.g.clock, latest.Sub(x.g.clock.Now()))
